--- /dev/null
+++ b/packages/control/bramleyspread_control/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log, documents and claims of bramleyspread."""
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: curio and h11 shells around the decisions."""
--- /dev/null
+++ b/packages/entry/bramleyspread_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of an entry host about each request."""
--- /dev/null
+++ b/packages/membership/bramleyspread_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: targets, entry hosts and what they know."""
--- /dev/null
+++ b/packages/orders/bramleyspread_orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders that bring targets to the state of the documents."""
--- /dev/null
+++ b/packages/proof/bramleyspread_proof/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios, randomised runs and experiments in virtual time."""
--- /dev/null
+++ b/packages/standins/bramleyspread_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of targets and callers, for demos and benches."""
