--- a/packages/core/bramleyspread_core/__init__.py
+++ b/packages/core/bramleyspread_core/__init__.py
@@ -6,6 +6,7 @@
     CacheEvent,
     Load,
     LoadedModel,
+    TargetsReport,
     TargetState,
 )
 from bramleyspread_core._calls import (
@@ -41,6 +42,8 @@
     DocumentInForce,
     DocumentsPage,
     DocumentsQuery,
+    Intended,
+    IntendOrders,
     NotLeader,
     Rejected,
     Settle,
@@ -198,6 +201,8 @@
     "HostInForce",
     "HostName",
     "HybridClock",
+    "IntendOrders",
+    "Intended",
     "InvalidFileError",
     "KEPT_BREACHES",
     "LEAVING_LEFT_ALONE",
@@ -250,6 +255,7 @@
     "TargetRefusal",
     "TargetState",
     "TargetView",
+    "TargetsReport",
     "TimelineEvent",
     "Undecided",
     "Unknown",
--- a/packages/core/bramleyspread_core/_announcement.py
+++ b/packages/core/bramleyspread_core/_announcement.py
@@ -96,3 +96,15 @@
     heard_by: str
     #: When to announce again, in milliseconds.
     again_ms: int
+
+
+class TargetsReport(msgspec.Struct, frozen=True):
+    """What an entry host tells the control hosts about targets it heard itself.
+
+    ``POST /v1/control/targets``; for giving orders, so loads may be stale.
+    """
+
+    #: The entry host.
+    host: str
+    #: Targets whose announcements changed in state, models or role, or all.
+    targets: tuple[Announcement, ...]
--- a/packages/core/bramleyspread_core/_commands.py
+++ b/packages/core/bramleyspread_core/_commands.py
@@ -17,6 +17,7 @@
     RequestId,
     ServiceName,
 )
+from bramleyspread_core._orders import Order
 
 
 class SubmitDocument(msgspec.Struct, frozen=True, tag="submit-document"):
@@ -69,8 +70,15 @@
     answer: Payload | None = None
 
 
+class IntendOrders(msgspec.Struct, frozen=True, tag="intend-orders"):
+    """Make orders durable before they are sent; only the orderer does this."""
+
+    #: The orders; all carry the proposer's fencing number.
+    orders: tuple[Order, ...]
+
+
 #: Commands that a control host takes.
-Command = SubmitDocument | Claim | Settle
+Command = SubmitDocument | Claim | Settle | IntendOrders
 
 
 class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
@@ -141,6 +149,10 @@
     """The outcome is durable in a quorum."""
 
 
+class Intended(msgspec.Struct, frozen=True, tag="intended"):
+    """The orders are durable and may be sent."""
+
+
 class NotLeader(msgspec.Struct, frozen=True, tag="not-leader"):
     """Ask another control host; the command was not taken here."""
 
@@ -166,6 +178,7 @@
     | ClaimUnknown
     | ClaimMismatch
     | Settled
+    | Intended
     | NotLeader
     | Undecided
 )
--- a/packages/core/bramleyspread_core/_ports.py
+++ b/packages/core/bramleyspread_core/_ports.py
@@ -30,6 +30,7 @@
     PoolName,
     RequestId,
 )
+from bramleyspread_core._orders import Order
 from bramleyspread_core._request import CallerRequest
 from bramleyspread_core._timeline import Happening
 
@@ -135,9 +136,18 @@
     def hand_over(self, now: float) -> None:
         """Pass leadership of every group on, before a planned stop."""
 
-    @property
-    def leads_orders(self) -> bool:
-        """Whether this host holds the lease to give orders to targets."""
+    def list_documents(self) -> Sequence[DocumentInForce]:
+        """List the committed documents, the newest version of each."""
+
+    def list_intents(self) -> Sequence[Order]:
+        """List the newest committed order of each target."""
+
+    def order_fence(self, now: float) -> int | None:
+        """The fencing number to order with, or None when another may order.
+
+        Not None only while this host holds the lease to give orders and the
+        lease of every earlier orderer must have run out; it only ever rises.
+        """
 
 
 class Directory(Protocol):
