--- /dev/null
+++ b/packages/tool/bramleyspread_tool/_main.py
@@ -0,0 +1,132 @@
+"""The entry point of ``bramleyspread``: one function a command."""
+
+from __future__ import annotations
+
+import sys
+from argparse import Namespace
+from collections.abc import Iterable, Sequence
+
+from bramleyspread_core import (
+    Fault,
+    InvalidFileError,
+    ServiceDocument,
+    encode_json,
+)
+from bramleyspread_tool._arguments import build_parser
+from bramleyspread_tool._check import check_files
+from bramleyspread_tool._control import ControlHosts
+from bramleyspread_tool._exit import ExitCode
+from bramleyspread_tool._report import list_document_lines, list_status_lines
+from bramleyspread_tool._settings import ToolSettings, read_file
+from bramleyspread_tool._submit import submit_document, wait_in_force
+from bramleyspread_tool._timeline import format_event, merge_events, read_events
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the tool.
+
+    :param argv: the arguments; None for the process's own.
+    :returns: the exit code.
+    """
+    arguments = build_parser().parse_args(argv)
+    try:
+        return _COMMANDS[arguments.command](arguments)
+    except InvalidFileError as error:
+        _complain(f"{error.name}: {fault}" for fault in error.faults)
+        return ExitCode.INVALID
+    except BrokenPipeError:
+        sys.stderr.close()
+        return ExitCode.DONE
+
+
+def _run_check(arguments: Namespace) -> int:
+    faults = check_files(arguments.files)
+    if arguments.json:
+        _print_json({"faults": faults})
+    else:
+        _complain(faults)
+        if not faults:
+            print(f"{len(arguments.files)} file(s) without faults")
+    return ExitCode.INVALID if faults else ExitCode.DONE
+
+
+def _run_submit(arguments: Namespace) -> int:
+    settings = ToolSettings.from_arguments(arguments)
+    text = read_file(arguments.file)
+    ServiceDocument.from_yaml(text, str(arguments.file))
+    hosts = ControlHosts(settings.list_control())
+    report = submit_document(hosts, settings.submitter, text)
+    if arguments.wait and report.revision:
+        report = wait_in_force(hosts, report, arguments.wait_seconds)
+    if arguments.json:
+        _print_json(report)
+    elif report.revision:
+        print("\n".join(report.lines))
+    else:
+        _complain(report.lines)
+    return report.code
+
+
+def _run_show(arguments: Namespace) -> int:
+    settings = ToolSettings.from_arguments(arguments)
+    documents = ControlHosts(settings.list_control()).list_documents()
+    if isinstance(documents, Fault):
+        _complain([str(documents)])
+        return ExitCode.UNREACHABLE
+    if arguments.service is not None:
+        documents = tuple(d for d in documents if d.service == arguments.service)
+        if not documents:
+            _complain([f"no service {arguments.service!r} in force"])
+            return ExitCode.INVALID
+    if arguments.json:
+        _print_json(documents)
+    elif arguments.service is not None:
+        print(documents[0].text, end="")
+    else:
+        _print_lines(list_document_lines(documents))
+    return ExitCode.DONE
+
+
+def _run_status(arguments: Namespace) -> int:
+    settings = ToolSettings.from_arguments(arguments)
+    statuses = ControlHosts(settings.list_control()).list_statuses()
+    if arguments.json:
+        _print_json(statuses)
+    else:
+        _print_lines(list_status_lines(statuses))
+    answered = any(not isinstance(status, Fault) for status in statuses)
+    return ExitCode.DONE if answered else ExitCode.UNREACHABLE
+
+
+def _run_timeline(arguments: Namespace) -> int:
+    for event in merge_events([read_events(path) for path in arguments.files]):
+        if arguments.request and event.request != arguments.request:
+            continue
+        if arguments.json:
+            _print_json(event)
+        else:
+            print(format_event(event))
+    return ExitCode.DONE
+
+
+def _complain(lines: Iterable[str]) -> None:
+    for line in lines:
+        print(line, file=sys.stderr)
+
+
+def _print_lines(lines: Iterable[str]) -> None:
+    for line in lines:
+        print(line)
+
+
+def _print_json(value: object) -> None:
+    print(encode_json(value).decode())
+
+
+_COMMANDS = {
+    "check": _run_check,
+    "submit": _run_submit,
+    "show": _run_show,
+    "status": _run_status,
+    "timeline": _run_timeline,
+}
