--- a/packages/proof/bramleyspread_proof/__init__.py
+++ b/packages/proof/bramleyspread_proof/__init__.py
@@ -1,1 +1,5 @@
-"""Scenarios, randomised runs and experiments in virtual time."""
+"""Scenarios, randomised runs, benches and experiments."""
+
+from bramleyspread_proof._figures import Figure
+
+__all__ = ["Figure"]
