Add the directory of an entry host

Targets are leases by incarnation that only their own announcements renew; messages carry ages, and the delay of a message is judged against the quickest one of its sender, so that nothing late renews a lease. Entry hosts gossip to one another, bridge one-way cuts, and hand on documents, whose versions only rise.

--- a/packages/membership/bramleyspread_membership/__init__.py
+++ b/packages/membership/bramleyspread_membership/__init__.py
@@ -1,1 +1,14 @@
-"""Who is there: targets, entry hosts and what they know."""
+"""Who is there: targets, entry hosts, and the documents that they share."""
+
+from bramleyspread_membership._config import DirectoryConfig, Neighbour
+from bramleyspread_membership._directory import EntryDirectory
+from bramleyspread_membership._messages import PoolSummary
+from bramleyspread_membership._summaries import ZoneSummary
+
+__all__ = [
+    "DirectoryConfig",
+    "EntryDirectory",
+    "Neighbour",
+    "PoolSummary",
+    "ZoneSummary",
+]
--- /dev/null
+++ b/packages/membership/bramleyspread_membership/_config.py
@@ -0,0 +1,60 @@
+"""Settings of an entry host's directory."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from bramleyspread_core import Address, HostName, ZoneName
+
+
+class Neighbour(Struct, frozen=True):
+    """Another entry host that settings name, to be asked first."""
+
+    #: The other host.
+    host: HostName
+    #: Its availability zone.
+    zone: ZoneName
+    #: Where it listens.
+    address: Address
+
+
+class DirectoryConfig(Struct, frozen=True):
+    """What an entry host's directory is told at its start; times in seconds.
+
+    A target that leaves unheard is unusable after at most ``lease``.
+    """
+
+    #: This host.
+    host: HostName
+    #: Its availability zone.
+    zone: ZoneName
+    #: Where it listens.
+    address: Address
+    #: Rises each time this host's process starts.
+    incarnation: int
+    #: Other entry hosts; the rest are learned from them.
+    neighbours: tuple[Neighbour, ...] = ()
+    #: A target is usable for this long after it was heard by any host.
+    lease: float = 2.5
+    #: How often targets are expected to announce themselves.
+    announce_every: float = 0.5
+    #: Shortest time between two rounds of gossip.
+    gossip_every: float = 0.5
+    #: Most messages a second on average; rounds to many hosts are further apart.
+    messages_per_second: float = 40.0
+    #: With more other hosts than this, only one of each other zone is sent to.
+    send_to_all_up_to: int = 16
+    #: An entry host is forgotten when it was not heard of for this long.
+    host_lease: float = 10.0
+    #: Added to that for each host known, since rows about many take turns.
+    host_lease_each: float = 0.1
+    #: An incarnation that left is remembered for this long.
+    remember_left: float = 60.0
+    #: Targets of a pool that one host is told of in its own zone, about.
+    detail: int = 160
+    #: Targets of a pool that one host is told of in each other zone, about.
+    sample: int = 16
+    #: Mean bytes a second that gossip may send.
+    bytes_per_second: int = 10_000
+    #: Bytes that gossip may send at once after a quiet time.
+    burst_bytes: int = 256_000
--- /dev/null
+++ b/packages/membership/bramleyspread_membership/_directory.py
@@ -0,0 +1,228 @@
+"""What an entry host knows of targets, other entry hosts and documents."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+
+from bramleyspread_core import (
+    Announcement,
+    ContractWatch,
+    DocumentInForce,
+    DocumentsPage,
+    Happening,
+    HostInForce,
+    PeerMessage,
+    PeerSend,
+    PoolName,
+    ServiceDocument,
+    TargetsReport,
+    TargetView,
+)
+from bramleyspread_membership._config import DirectoryConfig
+from bramleyspread_membership._documents import DocumentShelf
+from bramleyspread_membership._gossip import GossipWriter
+from bramleyspread_membership._hosts import HostTable
+from bramleyspread_membership._interest import PoolSizes
+from bramleyspread_membership._messages import LeavingNews, LeftRow
+from bramleyspread_membership._reader import GossipReader
+from bramleyspread_membership._record import Merge
+from bramleyspread_membership._summaries import SummaryTable, ZoneSummary
+from bramleyspread_membership._targets import TargetTable
+from bramleyspread_membership._usable import UsableLists
+
+#: Time between two clearings of leases that ran out, in seconds.
+EXPIRE_EVERY = 0.5
+
+
+class EntryDirectory:
+    """The directory of one entry host; use it through ``Directory``.
+
+    Targets are known by leases that only their own announcements renew,
+    whoever passes them on. Documents come from control hosts and neighbours
+    alike. Nothing here needs a quorum, so that a zone cut off goes on.
+    """
+
+    __slots__ = (
+        "_config",
+        "_expire_at",
+        "_hosts",
+        "_lists",
+        "_reader",
+        "_shelf",
+        "_sizes",
+        "_summaries",
+        "_targets",
+        "_writer",
+    )
+
+    def __init__(
+        self,
+        config: DirectoryConfig,
+        rng: random.Random,
+        now: float,
+        watch: ContractWatch,
+    ) -> None:
+        self._config = config
+        self._targets = TargetTable(config.lease, config.remember_left, watch)
+        self._hosts = HostTable(config, now)
+        self._shelf = DocumentShelf(watch)
+        self._lists = UsableLists(self._targets, config.zone, config.lease)
+        self._sizes = PoolSizes(config.announce_every, now)
+        self._summaries = SummaryTable(config.host_lease)
+        self._writer = GossipWriter(
+            config, rng, now, self._targets, self._hosts, self._shelf, self._sizes
+        )
+        self._reader = GossipReader(
+            config,
+            now,
+            self._targets,
+            self._hosts,
+            self._shelf,
+            self._summaries,
+            self._writer,
+        )
+        self._expire_at = now + EXPIRE_EVERY
+
+    @classmethod
+    def from_config(
+        cls,
+        config: DirectoryConfig,
+        rng: random.Random,
+        now: float,
+        watch: ContractWatch | None = None,
+    ) -> EntryDirectory:
+        """Make the directory of a host that starts.
+
+        :param config: its settings.
+        :param rng: spreads rounds of gossip over time.
+        :param now: monotonic seconds.
+        :param watch: where breaches of contracts are reported.
+        :returns: a directory that knows nothing yet.
+        """
+        return cls(config, rng, now, watch or ContractWatch())
+
+    def hear(self, announcement: Announcement, now: float) -> Sequence[PeerSend]:
+        """Take a target's own announcement.
+
+        :param announcement: the announcement.
+        :param now: monotonic seconds.
+        :returns: the news that it is leaving, when that is news.
+        """
+        self._sizes.count(announcement.pool)
+        merge = self._targets.merge(announcement, now, self._config.host, now)
+        if merge is not Merge.LEFT:
+            return ()
+        row = LeftRow(announcement.target, announcement.incarnation)
+        return self._writer.broadcast(LeavingNews((row,)), now)
+
+    def receive(self, message: PeerMessage, now: float) -> Sequence[PeerSend]:
+        """Take a message from another entry host.
+
+        :param message: the message; whatever it holds, it does no harm.
+        :param now: monotonic seconds.
+        :returns: questions and answers to that host.
+        """
+        return self._reader.read(message, now)
+
+    def tick(self, now: float) -> Sequence[PeerSend]:
+        """Let time pass; call about every 100 ms.
+
+        :param now: monotonic seconds.
+        :returns: a round of gossip when one is due.
+        """
+        if now >= self._expire_at:
+            self._expire_at = now + EXPIRE_EVERY
+            self._expire(now)
+        return self._writer.write_round(now)
+
+    def list_usable(self, pool: PoolName, now: float) -> Sequence[TargetView]:
+        """List targets of a pool that may be given new work, this zone's first.
+
+        :param pool: the pool.
+        :param now: monotonic seconds.
+        :returns: a shared sequence; the same object as long as nothing changed.
+        """
+        return self._lists.list(pool, now)
+
+    def list_summaries(self, now: float) -> Sequence[ZoneSummary]:
+        """List what other zones said that they have of each pool.
+
+        :param now: monotonic seconds.
+        :returns: the summaries; empty where every target is known anyway.
+        """
+        return self._summaries.list(now)
+
+    def apply_documents(self, page: DocumentsPage, now: float) -> Sequence[Happening]:
+        """Put newer documents in force; older ones are ignored.
+
+        :param page: from a control host.
+        :param now: monotonic seconds.
+        :returns: what happened, for the time line.
+        """
+        happenings = self._shelf.apply(page)
+        if happenings:
+            self._writer.hasten(now)
+        return happenings
+
+    def find_document(self, service: str) -> ServiceDocument | None:
+        """Find the document in force of a service.
+
+        :param service: the service's name.
+        :returns: the document, or None.
+        """
+        return self._shelf.find(service)
+
+    def list_documents(self) -> Sequence[DocumentInForce]:
+        """List the documents in force, as they were submitted."""
+        return self._shelf.list_texts()
+
+    @property
+    def revision(self) -> int:
+        """Every change up to here is in force on this host."""
+        return self._shelf.revision
+
+    def list_hosts(self, now: float) -> Sequence[HostInForce]:
+        """List the entry hosts known, this one included.
+
+        :param now: monotonic seconds.
+        :returns: this host first.
+        """
+        own = HostInForce(self._config.host, self._config.zone, self.revision, 0.0)
+        return [own, *self._hosts.list_in_force(now)]
+
+    def report_targets(self, now: float) -> TargetsReport:
+        """Collect what the control hosts need for giving orders.
+
+        :param now: monotonic seconds.
+        :returns: the targets that this host heard itself.
+        """
+        heard = [
+            record.announcement
+            for pool in self._targets.list_pools()
+            for record in self._targets.list_pool(pool)
+            if record.source == self._config.host
+            and self._targets.is_usable(record, now)
+        ]
+        return TargetsReport(self._config.host, tuple(heard))
+
+    def take_happenings(self) -> Sequence[Happening]:
+        """Take events that messages from other hosts brought about."""
+        return self._reader.take_happenings()
+
+    @property
+    def dropped(self) -> int:
+        """Messages that were malformed, meant for another host, or too late."""
+        return self._reader.dropped
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes of the bodies of all messages written so far."""
+        return self._writer.bytes_sent
+
+    def _expire(self, now: float) -> None:
+        self._sizes.measure(now)
+        self._targets.expire(now)
+        for host in self._hosts.expire(now):
+            self._reader.forget(host)
+            self._writer.forget(host)
--- /dev/null
+++ b/packages/membership/bramleyspread_membership/_documents.py
@@ -0,0 +1,129 @@
+"""Documents in force on an entry host; versions only ever rise."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from xxhash import xxh64_intdigest
+
+from bramleyspread_core import (
+    NEVER_REVERTS,
+    ContractWatch,
+    DocumentInForce,
+    DocumentsPage,
+    Happening,
+    InvalidFileError,
+    ServiceDocument,
+)
+
+#: Most bytes of documents in one message.
+PAGE_BYTES = 200_000
+
+
+class DocumentShelf:
+    """The newest version of each service's document, read and checked."""
+
+    __slots__ = ("_digest", "_parsed", "_revision", "_texts", "_watch")
+
+    def __init__(self, watch: ContractWatch) -> None:
+        self._watch = watch
+        self._texts: dict[str, DocumentInForce] = {}
+        self._parsed: dict[str, ServiceDocument] = {}
+        self._revision = 0
+        self._digest = 0
+
+    @property
+    def revision(self) -> int:
+        """Every change up to here is in force."""
+        return self._revision
+
+    @property
+    def digest(self) -> int:
+        """Digest of the versions in force; equal shelves have equal ones."""
+        return self._digest
+
+    def apply(self, page: DocumentsPage) -> list[Happening]:
+        """Put newer documents in force.
+
+        :param page: documents from a control host or a neighbour.
+        :returns: what happened, for the time line.
+        """
+        happenings = []
+        complete = True
+        for document in page.documents:
+            if document.version <= self._find_version(document.service):
+                continue
+            happening = self._put(document)
+            complete = complete and happening.kind == "document-in-force"
+            happenings.append(happening)
+        if happenings:
+            self._digest = self._make_digest()
+        if complete:
+            self._revision = max(self._revision, page.revision)
+        return happenings
+
+    def find(self, service: str) -> ServiceDocument | None:
+        """Find a service's document.
+
+        :param service: the service's name.
+        :returns: the document in force, or None.
+        """
+        return self._parsed.get(service)
+
+    def list_texts(self) -> list[DocumentInForce]:
+        """List the documents in force, by revision."""
+        return sorted(self._texts.values(), key=lambda each: each.revision)
+
+    def list_versions(self) -> dict[str, int]:
+        """List the version in force of each service."""
+        return {service: each.version for service, each in self._texts.items()}
+
+    def make_page(self, versions: Mapping[str, int]) -> DocumentsPage:
+        """Collect documents that another host lacks.
+
+        :param versions: the versions which that host holds.
+        :returns: a page; its revision is 0 when some did not fit.
+        """
+        newer: list[DocumentInForce] = []
+        size = 0
+        for document in self.list_texts():
+            if document.version <= versions.get(document.service, 0):
+                continue
+            size += len(document.text)
+            if newer and size > PAGE_BYTES:
+                return DocumentsPage(0, tuple(newer))
+            newer.append(document)
+        return DocumentsPage(self._revision, tuple(newer))
+
+    def _find_version(self, service: str) -> int:
+        held = self._texts.get(service)
+        return held.version if held else 0
+
+    def _put(self, document: DocumentInForce) -> Happening:
+        name = f"{document.service} version {document.version}"
+        try:
+            parsed = ServiceDocument.from_yaml(document.text.encode(), name)
+        except InvalidFileError as error:
+            return _refuse(name, error.faults[0])
+        if (parsed.service, parsed.version) != (document.service, document.version):
+            return _refuse(name, "the text names another service or version")
+        held = self._find_version(document.service)
+        self._watch.check(
+            NEVER_REVERTS,
+            document.version > held,
+            document.service,
+            f"version {document.version} after {held}",
+        )
+        self._texts[document.service] = document
+        self._parsed[document.service] = parsed
+        return Happening(
+            "document-in-force", step=document.service, detail=str(document.version)
+        )
+
+    def _make_digest(self) -> int:
+        versions = sorted((name, each.version) for name, each in self._texts.items())
+        return xxh64_intdigest(repr(versions)) >> 11
+
+
+def _refuse(name: str, why: str) -> Happening:
+    return Happening("document-refused", step=name, detail=why)
--- /dev/null
+++ b/packages/membership/bramleyspread_membership/_gossip.py
@@ -0,0 +1,269 @@
+"""Rounds of gossip: what each peer is sent, and when."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+
+from msgspec import Raw
+
+from bramleyspread_core import (
+    Address,
+    HostName,
+    PeerMessage,
+    PeerSend,
+    PoolName,
+    encode_json,
+)
+from bramleyspread_membership._budget import ByteBudget
+from bramleyspread_membership._config import DirectoryConfig
+from bramleyspread_membership._documents import DocumentShelf
+from bramleyspread_membership._hosts import HostTable
+from bramleyspread_membership._interest import PoolSizes, is_interested
+from bramleyspread_membership._messages import (
+    DirectoryMessage,
+    Gossip,
+    HostRow,
+    LeftRow,
+    PoolSummary,
+)
+from bramleyspread_membership._peers import Peer, PeerState, choose_peers
+from bramleyspread_membership._record import NEVER, TargetRecord
+from bramleyspread_membership._rows import Rows, make_rows, pick_relayed
+from bramleyspread_membership._targets import TargetTable
+
+#: Hosts that pass news on, in each round, to one that does not hear its source.
+RELAYS = 3
+#: Rounds are drawn apart by this share of their interval.
+JITTER = 0.1
+#: A host silent for this many intervals is reported unheard.
+UNHEARD_ROUNDS = 1.6
+
+
+class GossipWriter:
+    """Writes messages to other directories and remembers what was sent."""
+
+    __slots__ = (
+        "_budget",
+        "_config",
+        "_heartbeat",
+        "_hosts",
+        "_interval",
+        "_next_round",
+        "_rng",
+        "_shelf",
+        "_sizes",
+        "_states",
+        "_targets",
+        "bytes_sent",
+    )
+
+    def __init__(
+        self,
+        config: DirectoryConfig,
+        rng: random.Random,
+        now: float,
+        targets: TargetTable,
+        hosts: HostTable,
+        shelf: DocumentShelf,
+        sizes: PoolSizes,
+    ) -> None:
+        self._config = config
+        self._rng = rng
+        self._targets = targets
+        self._hosts = hosts
+        self._shelf = shelf
+        self._sizes = sizes
+        self._budget = ByteBudget(config.bytes_per_second, config.burst_bytes, now)
+        self._states: dict[HostName, PeerState] = {}
+        self._interval = config.gossip_every
+        self._next_round = now + rng.random() * config.gossip_every
+        self._heartbeat = 0
+        #: Bytes of the bodies of all messages written so far.
+        self.bytes_sent = 0
+
+    def hasten(self, now: float) -> None:
+        """Hold the next round at once.
+
+        :param now: monotonic seconds.
+        """
+        self._next_round = now
+
+    def note_peer(self, row: HostRow, unheard: frozenset[HostName]) -> None:
+        """Note what a peer said of itself.
+
+        :param row: its own row.
+        :param unheard: the hosts that it does not hear directly.
+        """
+        self._find_state(row.host, row.incarnation).unheard = unheard
+
+    def forget(self, host: HostName) -> None:
+        """Drop what was exchanged with a host that is gone.
+
+        :param host: the host.
+        """
+        self._states.pop(host, None)
+
+    def answer(
+        self, host: HostName, body: DirectoryMessage, now: float
+    ) -> Sequence[PeerSend]:
+        """Write one message to one host.
+
+        :param host: the receiver.
+        :param body: what to send.
+        :param now: monotonic seconds.
+        :returns: the message, or nothing when nobody knows where the host is.
+        """
+        address = self._hosts.find_address(host)
+        if address is None:
+            return ()
+        return (self._write(host, address, encode_json(body), now),)
+
+    def broadcast(self, body: DirectoryMessage, now: float) -> Sequence[PeerSend]:
+        """Write the same message to every peer.
+
+        :param body: what to send.
+        :param now: monotonic seconds.
+        :returns: the messages.
+        """
+        data = encode_json(body)
+        peers = choose_peers(self._config, self._hosts)
+        return [self._write(peer.host, peer.address, data, now) for peer in peers]
+
+    def write_round(self, now: float) -> Sequence[PeerSend]:
+        """Write a round of gossip when one is due.
+
+        :param now: monotonic seconds.
+        :returns: a message to each peer.
+        """
+        if now < self._next_round:
+            return ()
+        self._heartbeat += 1
+        peers = choose_peers(self._config, self._hosts)
+        rate = self._config.messages_per_second
+        self._interval = max(self._config.gossip_every, len(peers) / rate)
+        jitter = 1 + JITTER * (2 * self._rng.random() - 1)
+        self._next_round = now + self._interval * jitter
+        unheard = tuple(self._hosts.list_unheard(now - self._interval * UNHEARD_ROUNDS))
+        left = tuple(
+            LeftRow(*row) for row in self._targets.list_left(now - self._config.lease)
+        )
+        # The order is drawn anew, so that a short budget is short for all alike.
+        self._rng.shuffle(peers)
+        sends = []
+        for turn, peer in enumerate(peers):
+            room = self._budget.left(now) / (len(peers) - turn)
+            body = self._compose(peer, unheard, left, room, len(peers), now)
+            sends.append(self._write(peer.host, peer.address, encode_json(body), now))
+        return sends
+
+    def _compose(
+        self,
+        peer: Peer,
+        unheard: tuple[HostName, ...],
+        left: tuple[LeftRow, ...],
+        room: float,
+        peers: int,
+        now: float,
+    ) -> Gossip:
+        state = self._find_state(peer.host, self._hosts.find_incarnation(peer.host))
+        rows = self._select(peer, state, room, peers, now)
+        state.reached = rows.reached
+        state.turn += 1
+        other = self._hosts.pick_row(state.turn, peer.host, now)
+        own = self._make_own_row()
+        return Gossip(
+            (own,) if other is None else (own, other),
+            int(now * 1000),
+            self._shelf.digest,
+            unheard,
+            left,
+            rows.details,
+            rows.renewals,
+            self._summarise(now) if peer.is_partner else (),
+        )
+
+    def _select(
+        self, peer: Peer, state: PeerState, room: float, peers: int, now: float
+    ) -> Rows:
+        newest = self._targets.newest
+        # A peer that is new gets everything in full, and need not ask.
+        since = NEVER if state.reached == 0 else now - 2 * self._interval
+        relays = self._rng.random() * peers < RELAYS
+        unheard = state.unheard if relays else frozenset()
+        shares: dict[PoolName, float] = {}
+        chosen = [
+            record
+            for record in self._targets.list_changed(state.reached)
+            if self._is_for(peer, record, unheard, shares)
+        ]
+        return make_rows(chosen, newest, since, room, now)
+
+    def _is_for(
+        self,
+        peer: Peer,
+        record: TargetRecord,
+        unheard: frozenset[HostName],
+        shares: dict[PoolName, float],
+    ) -> bool:
+        announcement = record.announcement
+        if peer.is_partner:
+            if announcement.zone != self._config.zone:
+                return False
+        elif not pick_relayed(record, self._config.host, unheard):
+            return False
+        pool = announcement.pool
+        if pool not in shares:
+            shares[pool] = self._find_share(peer, pool)
+        return is_interested(peer.host, announcement.target, shares[pool])
+
+    def _find_share(self, peer: Peer, pool: PoolName) -> float:
+        if peer.is_partner:
+            known = len(self._targets.list_pool(pool))
+            return self._config.sample / max(known, 1)
+        hosts = self._hosts.count_zone(self._config.zone) + 1
+        size = self._sizes.estimate(pool, hosts)
+        return self._config.detail / max(size, 1.0)
+
+    def _summarise(self, now: float) -> tuple[PoolSummary, ...]:
+        hosts = self._hosts.count_zone(self._config.zone) + 1
+        summaries = []
+        for pool in self._targets.list_pools():
+            loads = [
+                (record.announcement.load.running + record.announcement.load.waiting)
+                for record in self._targets.list_pool(pool)
+                if record.announcement.zone == self._config.zone
+                and self._targets.is_usable(record, now)
+            ]
+            if not loads:
+                continue
+            size = max(len(loads), round(self._sizes.estimate(pool, hosts)))
+            load = round(100 * sum(loads) / len(loads))
+            summaries.append(PoolSummary(pool, size, load))
+        return tuple(summaries)
+
+    def _make_own_row(self) -> HostRow:
+        config = self._config
+        return HostRow(
+            config.host,
+            config.zone,
+            config.address,
+            config.incarnation,
+            self._heartbeat,
+            self._shelf.revision,
+            0,
+        )
+
+    def _find_state(self, host: HostName, incarnation: int) -> PeerState:
+        state = self._states.get(host)
+        if state is None or state.incarnation < incarnation:
+            turn = self._rng.randrange(1_000_000)
+            state = self._states[host] = PeerState(incarnation, turn)
+        return state
+
+    def _write(
+        self, host: HostName, address: Address, data: bytes, now: float
+    ) -> PeerSend:
+        self._budget.spend(len(data), now)
+        self.bytes_sent += len(data)
+        return PeerSend(address, PeerMessage(self._config.host, host, Raw(data)))
--- /dev/null
+++ b/packages/membership/bramleyspread_membership/_hosts.py
@@ -0,0 +1,180 @@
+"""Entry hosts known, by heartbeat."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from msgspec import Struct
+from msgspec.structs import replace
+
+from bramleyspread_core import Address, HostInForce, HostName, ZoneName
+from bramleyspread_membership._config import DirectoryConfig
+from bramleyspread_membership._messages import HostRow
+
+
+class HostRecord(Struct, frozen=True):
+    """The newest news of one entry host."""
+
+    #: Its newest row; the row's own age is out of date.
+    row: HostRow
+    #: When that heartbeat was beaten, in this host's monotonic seconds.
+    beaten_at: float
+
+
+class HostTable:
+    """Other entry hosts: named by settings, or learned and still beating."""
+
+    __slots__ = ("_config", "_heard", "_records", "_started_at")
+
+    def __init__(self, config: DirectoryConfig, now: float) -> None:
+        self._config = config
+        self._records: dict[HostName, HostRecord] = {}
+        self._heard: dict[HostName, float] = {}
+        self._started_at = now
+
+    def merge(self, row: HostRow, late: float, now: float) -> bool:
+        """Take a row about another host.
+
+        :param row: the row.
+        :param late: how long it was under way, in seconds.
+        :param now: monotonic seconds.
+        :returns: True when it is news.
+        """
+        beaten_at = now - late - row.age_ms / 1000
+        if row.host == self._config.host or self._is_over(beaten_at, now):
+            return False
+        known = self._records.get(row.host)
+        if known is not None:
+            newest = (known.row.incarnation, known.row.heartbeat)
+            if (row.incarnation, row.heartbeat) <= newest:
+                return False
+        self._records[row.host] = HostRecord(row, beaten_at)
+        return True
+
+    def hear(self, host: HostName, now: float) -> None:
+        """Note that a message came directly from a host.
+
+        :param host: the host.
+        :param now: monotonic seconds.
+        """
+        self._heard[host] = now
+
+    def expire(self, now: float) -> list[HostName]:
+        """Forget hosts that stopped beating.
+
+        :param now: monotonic seconds.
+        :returns: the hosts forgotten.
+        """
+        over = [
+            host
+            for host, record in self._records.items()
+            if self._is_over(record.beaten_at, now)
+        ]
+        for host in over:
+            del self._records[host]
+            self._heard.pop(host, None)
+        return over
+
+    def list_peers(self) -> Iterator[tuple[HostName, ZoneName, Address]]:
+        """List the hosts to send to: those that beat, and those in settings."""
+        for record in self._records.values():
+            yield record.row.host, record.row.zone, record.row.address
+        for neighbour in self._config.neighbours:
+            if neighbour.host not in self._records:
+                yield neighbour.host, neighbour.zone, neighbour.address
+
+    def find_address(self, host: HostName) -> Address | None:
+        """Find where a host listens.
+
+        :param host: the host.
+        :returns: its address, or None.
+        """
+        for name, _, address in self.list_peers():
+            if name == host:
+                return address
+        return None
+
+    def find_incarnation(self, host: HostName) -> int:
+        """Find the newest incarnation known of a host.
+
+        :param host: the host.
+        :returns: its incarnation, or 0.
+        """
+        record = self._records.get(host)
+        return record.row.incarnation if record else 0
+
+    def list_zone(self, zone: ZoneName) -> list[HostName]:
+        """List the beating hosts of a zone by name, without this host.
+
+        :param zone: the zone.
+        :returns: the hosts.
+        """
+        hosts = self._records.items()
+        return sorted(host for host, each in hosts if each.row.zone == zone)
+
+    def count_zone(self, zone: ZoneName) -> int:
+        """Count the beating hosts of a zone.
+
+        :param zone: the zone.
+        :returns: how many, without this host.
+        """
+        return sum(each.row.zone == zone for each in self._records.values())
+
+    def list_unheard(self, since: float) -> list[HostName]:
+        """List hosts that beat but were not heard directly lately.
+
+        :param since: monotonic seconds.
+        :returns: the hosts, but for those that do not send here.
+        """
+        return [
+            host
+            for host in self._records
+            if self._heard.get(host, self._started_at) < since
+        ]
+
+    def pick_row(self, turn: int, receiver: HostName, now: float) -> HostRow | None:
+        """Pick a row to pass on; rows take turns.
+
+        :param turn: rises by one with each pick.
+        :param receiver: whose own row is no news to it.
+        :param now: monotonic seconds.
+        :returns: the row with its age, or None.
+        """
+        if not self._records:
+            return None
+        hosts = list(self._records)
+        host = hosts[turn % len(hosts)]
+        if host == receiver:
+            return None
+        record = self._records[host]
+        return replace(record.row, age_ms=round_age(now - record.beaten_at))
+
+    def list_in_force(self, now: float) -> list[HostInForce]:
+        """List how far each host has put changes in force.
+
+        :param now: monotonic seconds.
+        :returns: the hosts that beat, without this one.
+        """
+        return [
+            HostInForce(
+                each.row.host, each.row.zone, each.row.revision, now - each.beaten_at
+            )
+            for each in self._records.values()
+        ]
+
+    def _is_over(self, beaten_at: float, now: float) -> bool:
+        config = self._config
+        lease = config.host_lease + config.host_lease_each * len(self._records)
+        return beaten_at + lease <= now
+
+
+def round_age(age: float) -> int:
+    """Turn an age into whole milliseconds, never a smaller age.
+
+    :param age: seconds.
+    :returns: milliseconds.
+
+    >>> round_age(0.0001)
+    1
+    """
+    return int(age * 1000) + 1
--- /dev/null
+++ b/packages/membership/bramleyspread_membership/_interest.py
@@ -0,0 +1,84 @@
+"""Which targets a host is told of when there are too many for all of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from xxhash import xxh32_intdigest
+
+from bramleyspread_core import HostName, PoolName, TargetName
+
+#: Weight of the newest second in the mean rate of announcements.
+SMOOTHING = 0.2
+#: Length of one measurement of that rate, in seconds.
+MEASURE = 1.0
+
+
+def is_interested(host: HostName, target: TargetName, share: float) -> bool:
+    """Whether a host belongs to those that are told of a target.
+
+    Every host computes the same without asking anybody, and each host is told
+    of about the same share of the targets.
+
+    :param host: the host.
+    :param target: the target.
+    :param share: the share of targets that a host is told of, from 0 to 1.
+    :returns: True when it is to be told.
+
+    >>> is_interested("entry-1", "engine-1", 1.0)
+    True
+    """
+    if share >= 1.0:
+        return True
+    return xxh32_intdigest(f"{host} {target}") < share * 2**32
+
+
+class PoolSizes:
+    """Estimates how many targets a pool has in this host's zone.
+
+    The balancer spreads announcements evenly, so the rate heard here, times
+    the hosts, times the interval, is about the number of targets.
+    """
+
+    __slots__ = ("_counts", "_every", "_measured_at", "_rates")
+
+    def __init__(self, announce_every: float, now: float) -> None:
+        self._every = announce_every
+        self._measured_at = now
+        self._counts: dict[PoolName, int] = {}
+        self._rates: dict[PoolName, float] = {}
+
+    def count(self, pool: PoolName) -> None:
+        """Count one announcement heard from a target itself.
+
+        :param pool: the target's pool.
+        """
+        self._counts[pool] = self._counts.get(pool, 0) + 1
+
+    def measure(self, now: float) -> None:
+        """Bring the mean rates up to date.
+
+        :param now: monotonic seconds.
+        """
+        elapsed = now - self._measured_at
+        if elapsed < MEASURE:
+            return
+        for pool in {*self._counts, *self._rates}:
+            rate = self._counts.get(pool, 0) / elapsed
+            old = self._rates.get(pool, rate)
+            self._rates[pool] = old + SMOOTHING * (rate - old)
+        self._counts.clear()
+        self._measured_at = now
+
+    def estimate(self, pool: PoolName, hosts: int) -> float:
+        """Estimate a pool's size in this zone.
+
+        :param pool: the pool.
+        :param hosts: the zone's entry hosts, this one included.
+        :returns: targets.
+        """
+        return self._rates.get(pool, 0.0) * self._every * hosts
+
+
+#: Finds the share of a pool's targets that a host is told of.
+ShareOf = Callable[[PoolName], float]
--- /dev/null
+++ b/packages/membership/bramleyspread_membership/tests/network.py
@@ -0,0 +1,161 @@
+"""An in-memory network of directories in virtual time, for tests."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Iterable
+
+from bramleyspread_core import (
+    Address,
+    Announcement,
+    ContractWatch,
+    HostName,
+    PeerMessage,
+    PeerSend,
+    PoolName,
+    ServiceName,
+    TargetName,
+    TargetState,
+    ZoneName,
+)
+from bramleyspread_membership import DirectoryConfig, EntryDirectory, Neighbour
+
+POOL = PoolName(ServiceName("language-model"), "engines")
+TICK = 0.1
+ANNOUNCE = 0.5
+
+
+class Network:
+    """Directories with clocks of their own, and links that can fail."""
+
+    def __init__(self, zones: dict[str, int], seed: int = 1) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.loss = 0.0
+        self.doubled = 0.0
+        self.cuts: set[tuple[str, str]] = set()
+        self.frozen: set[str] = set()
+        self.hosts: dict[str, EntryDirectory] = {}
+        self.clocks: dict[str, float] = {}
+        self.zones = {f"{z}-{n}": z for z, count in zones.items() for n in range(count)}
+        self.targets: dict[str, Announcement] = {}
+        self.reach: dict[str, list[str]] = {}
+        self.sent = 0
+        self.late_by: dict[str, float] = {}
+        self._incarnations = 0
+        self._events: list[tuple[float, int, str, PeerMessage]] = []
+        self._numbers = 0
+        for host in self.zones:
+            self.start(host)
+
+    def address(self, host: str) -> Address:
+        return Address("10.0.0.1", 1000 + list(self.zones).index(host))
+
+    def start(self, host: str, seeds: Iterable[str] | None = None) -> None:
+        self._incarnations += 1
+        self.clocks[host] = self.rng.uniform(0, 1e6)
+        names = [name for name in (seeds or self.zones) if name != host]
+        neighbours = tuple(
+            Neighbour(HostName(n), ZoneName(self.zones[n]), self.address(n))
+            for n in names
+        )
+        config = DirectoryConfig(
+            HostName(host),
+            ZoneName(self.zones[host]),
+            self.address(host),
+            self._incarnations,
+            neighbours,
+        )
+        rng = random.Random(self.rng.random())
+        watch = ContractWatch(strict=True)
+        self.hosts[host] = EntryDirectory.from_config(
+            config, rng, self.clock(host), watch
+        )
+
+    def kill(self, host: str) -> None:
+        del self.hosts[host]
+
+    def clock(self, host: str) -> float:
+        return self.clocks[host] + self.now
+
+    def cut(self, one: str, other: str) -> None:
+        """Cut hosts whose names begin with one from those that begin with other."""
+        for a in self.zones:
+            for b in self.zones:
+                if a != b and a.startswith(one) and b.startswith(other):
+                    self.cuts.add((a, b))
+
+    def add_target(self, name: str, zone: str, reach: list[str] | None = None) -> None:
+        self.targets[name] = Announcement(
+            TargetName(name),
+            1,
+            0,
+            POOL,
+            Address("10.0.1.1", 2000 + len(self.targets)),
+            ZoneName(zone),
+        )
+        self.reach[name] = reach or list(self.zones)
+
+    def announce(self, name: str, host: str | None = None) -> None:
+        old = self.targets[name]
+        fields = {f: getattr(old, f) for f in old.__struct_fields__}
+        fields["sequence"] += 1
+        self.targets[name] = Announcement(**fields)
+        host = host or self.rng.choice(self.reach[name])
+        if host in self.hosts and host not in self.frozen:
+            node = self.hosts[host]
+            self.post(host, node.hear(self.targets[name], self.clock(host)))
+
+    def leave(self, name: str) -> None:
+        self.change(name, state=TargetState.LEAVING)
+
+    def change(self, name: str, **changes: object) -> None:
+        old = self.targets[name]
+        fields = {f: getattr(old, f) for f in old.__struct_fields__} | changes
+        self.targets[name] = Announcement(**fields)
+
+    def post(self, sender: str, sends: Iterable[PeerSend]) -> None:
+        for send in sends:
+            receiver = send.message.receiver
+            self.sent += len(bytes(send.message.body))
+            for _ in range(2 if self.rng.random() < self.doubled else 1):
+                if (sender, receiver) in self.cuts or self.rng.random() < self.loss:
+                    continue
+                self._numbers += 1
+                delay = self.rng.uniform(0.001, 0.01) + self.late_by.get(sender, 0.0)
+                event = (self.now + delay, self._numbers, receiver, send.message)
+                heapq.heappush(self._events, event)
+
+    def run(self, seconds: float, announcing: bool = True) -> None:
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self._deliver(min(end, self.now + TICK))
+            for host in list(self.hosts):
+                if host not in self.frozen:
+                    self.post(host, self.hosts[host].tick(self.clock(host)))
+            if announcing and round(self.now / TICK) % round(ANNOUNCE / TICK) == 0:
+                for name in list(self.targets):
+                    self.announce(name)
+
+    def usable(self, host: str, pool: PoolName = POOL) -> set[str]:
+        views = self.hosts[host].list_usable(pool, self.clock(host))
+        return {view.announcement.target for view in views}
+
+    def holders(self, name: str) -> set[str]:
+        return {host for host in self.hosts if name in self.usable(host)}
+
+    def _deliver(self, until: float) -> None:
+        waiting = []
+        while self._events and self._events[0][0] <= until:
+            at, _, receiver, message = heapq.heappop(self._events)
+            self.now = max(self.now, at)
+            if receiver in self.frozen:
+                waiting.append((until + TICK, self._numbers, receiver, message))
+                self._numbers += 1
+            elif receiver in self.hosts:
+                node = self.hosts[receiver]
+                self.post(receiver, node.receive(message, self.clock(receiver)))
+        for event in waiting:
+            heapq.heappush(self._events, event)
+        self.now = until
