Decide about callers' requests on entry hosts

Admission, fair shares, choice of target, attempts with three outcomes, retries and hedges under one budget, claims, streams, draining and costs, as objects that take events and time and give effects.

--- a/packages/entry/bramleyspread_entry/__init__.py
+++ b/packages/entry/bramleyspread_entry/__init__.py
@@ -1,1 +1,56 @@
 """Decisions of an entry host about each request."""
+
+from bramleyspread_entry._admission import Admission, AdmitAll, LoadAdmission, Refusal
+from bramleyspread_entry._attempts import Attempt, AttemptKind
+from bramleyspread_entry._choice import Choice, Need, TwoChoices
+from bramleyspread_entry._config import EntryConfig
+from bramleyspread_entry._costs import Cost, CostKind, CostReport, CostRow
+from bramleyspread_entry._decisions import EntryDecisions
+from bramleyspread_entry._hedges import Hedging, LateHedging, NoHedging
+from bramleyspread_entry._ids import IdSource
+from bramleyspread_entry._latency import StageTimes
+from bramleyspread_entry._occupancy import Occupancy
+from bramleyspread_entry._outliers import NoComparison, Outliers, PeerComparison
+from bramleyspread_entry._policies import Policies
+from bramleyspread_entry._retries import (
+    NoBudget,
+    RetryBudget,
+    SharedBudget,
+    UnboundedBudget,
+)
+from bramleyspread_entry._shares import NoShares, Shares, WeightedShares
+
+__all__ = [
+    "Admission",
+    "AdmitAll",
+    "Attempt",
+    "AttemptKind",
+    "Choice",
+    "Cost",
+    "CostKind",
+    "CostReport",
+    "CostRow",
+    "EntryConfig",
+    "EntryDecisions",
+    "Hedging",
+    "IdSource",
+    "LateHedging",
+    "LoadAdmission",
+    "Need",
+    "NoBudget",
+    "NoComparison",
+    "NoHedging",
+    "NoShares",
+    "Occupancy",
+    "Outliers",
+    "PeerComparison",
+    "Policies",
+    "Refusal",
+    "RetryBudget",
+    "SharedBudget",
+    "Shares",
+    "StageTimes",
+    "TwoChoices",
+    "UnboundedBudget",
+    "WeightedShares",
+]
--- /dev/null
+++ b/packages/entry/bramleyspread_entry/_choice.py
@@ -0,0 +1,275 @@
+"""Which target an attempt goes to."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Sequence
+from collections.abc import Set as AbstractSet
+from dataclasses import dataclass, field
+from random import Random
+from typing import Protocol
+
+from bramleyspread_core import PoolName, Stage, TargetName, TargetView
+from bramleyspread_entry._affinity import PrefixHints
+from bramleyspread_entry._outliers import Outliers
+
+#: Targets looked at before the whole list is searched.
+LOOKS = 8
+#: Targets compared.
+COMPARED = 2
+#: Added to the load of a target in another availability zone, in shares of slots.
+FAR_PENALTY = 0.25
+#: Load from which other availability zones are looked at, in shares of slots.
+FAR_FROM = 0.9
+#: Load up to which a cached prefix draws a request, above the best other target.
+AFFINITY_MARGIN = 0.3
+#: Age beyond which own sends are forgotten whatever was reported, in seconds.
+SENT_AGE = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """What an attempt needs of its target."""
+
+    #: The pool.
+    pool: PoolName
+    #: The stage; its model and adapter must be loaded.
+    stage: Stage
+    #: The prefix key; empty for none.
+    prefix: str
+    #: Targets not to be used while there are others.
+    avoid: AbstractSet[TargetName]
+
+
+class Choice(Protocol):
+    """Chooses targets and is told what became of the attempts."""
+
+    def choose(
+        self, need: Need, views: Sequence[TargetView], now: float
+    ) -> TargetView | None:
+        """Choose one of the usable targets; None when none fits."""
+
+    def sent(self, target: TargetName, now: float) -> None:
+        """An attempt went to a target."""
+
+    def ended(self, target: TargetName, now: float) -> None:
+        """An attempt at a target is over."""
+
+    def answered(self, target: TargetName, prefix: str, now: float) -> None:
+        """A target answered; it may hold the prefix from now on."""
+
+
+@dataclass(slots=True)
+class _Traffic:
+    """What this host has sent to one target."""
+
+    #: Attempts not over.
+    in_flight: int = 0
+    #: Sends and ends not yet contained in a load report: time and change.
+    changes: deque[tuple[float, int]] = field(default_factory=deque)
+
+
+class OwnTraffic:
+    """Attempts of this host alone, at each target."""
+
+    __slots__ = ("_traffic",)
+
+    def __init__(self) -> None:
+        self._traffic: dict[TargetName, _Traffic] = {}
+
+    def note(self, target: TargetName, change: int, now: float) -> None:
+        """Take a send or an end.
+
+        :param target: the target.
+        :param change: 1 for a send, -1 for an end.
+        :param now: monotonic seconds.
+        """
+        traffic = self._traffic.get(target)
+        if traffic is None:
+            traffic = self._traffic[target] = _Traffic()
+        traffic.in_flight += change
+        changes = traffic.changes
+        changes.append((now, change))
+        while changes[0][0] < now - SENT_AGE:
+            changes.popleft()
+
+    def in_flight(self, target: TargetName) -> int:
+        """Count own attempts at a target.
+
+        :param target: the target.
+        :returns: attempts not over.
+        """
+        traffic = self._traffic.get(target)
+        return traffic.in_flight if traffic is not None else 0
+
+    def estimate(self, view: TargetView) -> float:
+        """Estimate a target's load from its report and what was sent since.
+
+        :param view: what is known of the target.
+        :returns: requests on it, as a share of its slots.
+        """
+        load = view.announcement.load
+        on_it = load.running + load.waiting
+        traffic = self._traffic.get(view.announcement.target)
+        if traffic is not None:
+            changes = traffic.changes
+            while changes and changes[0][0] <= view.load_as_of:
+                changes.popleft()
+            on_it += sum(change for _, change in changes)
+            on_it = max(on_it, traffic.in_flight)
+        return on_it / max(1, load.slots)
+
+
+def fits(view: TargetView, stage: Stage) -> bool:
+    """Whether a target holds the model and adapter that a stage asks for.
+
+    :param view: what is known of the target.
+    :param stage: the stage.
+    :returns: True also for a stage that asks for none.
+    """
+    if stage.model is None:
+        return True
+    for model in view.announcement.models:
+        if model.name == stage.model:
+            return stage.adapter is None or stage.adapter in model.adapters
+    return False
+
+
+def find_zone_end(views: Sequence[TargetView], zone: str) -> int:
+    """Find where the targets of a zone end in a list that has them first.
+
+    :param views: usable targets, this zone's first.
+    :param zone: this host's zone.
+    :returns: how many are in this zone.
+    """
+    low, high = 0, len(views)
+    while low < high:
+        middle = (low + high) // 2
+        if views[middle].announcement.zone == zone:
+            low = middle + 1
+        else:
+            high = middle
+    return low
+
+
+class TwoChoices:
+    """The less loaded of two targets drawn at random, near ones first.
+
+    The time it takes does not depend on the number of targets: a few are drawn
+    and the whole list is only searched when none of them fits. Drawing also
+    keeps hosts with the same stale load reports from choosing the same target.
+    """
+
+    __slots__ = ("_hints", "_outliers", "_rng", "_zone", "traffic")
+
+    def __init__(self, zone: str, outliers: Outliers, rng: Random) -> None:
+        self._zone = zone
+        self._outliers = outliers
+        self._rng = rng
+        self._hints = PrefixHints()
+        #: This host's own attempts.
+        self.traffic = OwnTraffic()
+
+    def choose(
+        self, need: Need, views: Sequence[TargetView], now: float
+    ) -> TargetView | None:
+        """Choose a target.
+
+        :param need: what the attempt needs.
+        :param views: usable targets, this zone's first.
+        :param now: monotonic seconds.
+        :returns: the target, or None when none fits.
+        """
+        if not views:
+            return None
+        near_end = find_zone_end(views, self._zone)
+        best = self._draw(need, views, 0, near_end, now)
+        load = self.traffic.estimate(best) if best is not None else 0.0
+        if best is None or load >= FAR_FROM:
+            far = self._draw(need, views, near_end, len(views), now)
+            if far is not None:
+                far_load = self.traffic.estimate(far)
+                if best is None or far_load + FAR_PENALTY < load:
+                    best, load = far, far_load
+        if best is None:
+            return self._take_any(need, views)
+        if need.prefix:
+            return self._follow_prefix(need, views, best, load, now)
+        return best
+
+    def sent(self, target: TargetName, now: float) -> None:
+        """Note that an attempt went to a target."""
+        self.traffic.note(target, 1, now)
+
+    def ended(self, target: TargetName, now: float) -> None:
+        """Note that an attempt at a target is over."""
+        self.traffic.note(target, -1, now)
+
+    def answered(self, target: TargetName, prefix: str, now: float) -> None:
+        """Note that a target may hold a prefix from now on."""
+        if prefix:
+            self._hints.store(prefix, target, now)
+
+    def _draw(
+        self,
+        need: Need,
+        views: Sequence[TargetView],
+        start: int,
+        end: int,
+        now: float,
+    ) -> TargetView | None:
+        if start >= end:
+            return None
+        found: list[TargetView] = []
+        for _ in range(LOOKS):
+            view = views[start + int(self._rng.random() * (end - start))]
+            if self._is_good(view, need, now) and view not in found:
+                found.append(view)
+                if len(found) == COMPARED:
+                    break
+        if not found:
+            return self._search(
+                views, start, end, lambda v: self._is_good(v, need, now)
+            )
+        return min(found, key=self.traffic.estimate)
+
+    def _is_good(self, view: TargetView, need: Need, now: float) -> bool:
+        target = view.announcement.target
+        return (
+            target not in need.avoid
+            and fits(view, need.stage)
+            and self._outliers.allows(target, now)
+        )
+
+    def _take_any(self, need: Need, views: Sequence[TargetView]) -> TargetView | None:
+        """Choose among targets excluded or tried before: better than none."""
+        return self._search(views, 0, len(views), lambda view: fits(view, need.stage))
+
+    def _search(
+        self,
+        views: Sequence[TargetView],
+        start: int,
+        end: int,
+        is_good: Callable[[TargetView], bool],
+    ) -> TargetView | None:
+        size = end - start
+        offset = int(self._rng.random() * size)
+        for step in range(size):
+            view = views[start + (offset + step) % size]
+            if is_good(view):
+                return view
+        return None
+
+    def _follow_prefix(
+        self,
+        need: Need,
+        views: Sequence[TargetView],
+        best: TargetView,
+        load: float,
+        now: float,
+    ) -> TargetView:
+        holder = self._hints.find(need.pool, need.prefix, views, now)
+        if holder is None or not self._is_good(holder, need, now):
+            return best
+        held_load = self.traffic.estimate(holder)
+        return holder if held_load <= load + AFFINITY_MARGIN else best
--- /dev/null
+++ b/packages/entry/bramleyspread_entry/_timers.py
@@ -0,0 +1,69 @@
+"""Timers kept as values, for objects that only know the time they are told."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Hashable, Iterator
+from typing import Generic, TypeVar
+
+K = TypeVar("K", bound=Hashable)
+
+
+class Timers(Generic[K]):
+    """A set of keys, each due at one time.
+
+    >>> timers: Timers[str] = Timers()
+    >>> timers.set("a", 2.0)
+    >>> timers.set("b", 1.0)
+    >>> timers.cancel("b")
+    >>> timers.next_due()
+    2.0
+    >>> list(timers.pop_due(3.0))
+    ['a']
+    """
+
+    __slots__ = ("_due", "_heap", "_number")
+
+    def __init__(self) -> None:
+        self._due: dict[K, tuple[float, int]] = {}
+        self._heap: list[tuple[float, int, K]] = []
+        self._number = 0
+
+    def set(self, key: K, due: float) -> None:
+        """Make a key due, in place of any earlier time.
+
+        :param key: what is due.
+        :param due: when, in monotonic seconds.
+        """
+        self._number += 1
+        self._due[key] = (due, self._number)
+        heapq.heappush(self._heap, (due, self._number, key))
+
+    def cancel(self, key: K) -> None:
+        """Forget a key.
+
+        :param key: what is not due any more.
+        """
+        self._due.pop(key, None)
+
+    def next_due(self) -> float | None:
+        """Find the earliest time at which a key is due.
+
+        :returns: monotonic seconds, or None when nothing is due.
+        """
+        while self._heap:
+            due, number, key = self._heap[0]
+            if self._due.get(key) == (due, number):
+                return due
+            heapq.heappop(self._heap)
+        return None
+
+    def pop_due(self, now: float) -> Iterator[K]:
+        """Take out the keys that are due, the earliest first.
+
+        :param now: monotonic seconds.
+        """
+        while (due := self.next_due()) is not None and due <= now:
+            _, _, key = heapq.heappop(self._heap)
+            del self._due[key]
+            yield key
--- a/packages/entry/bramleyspread_entry/tests/__init__.py
+++ b/packages/entry/bramleyspread_entry/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the package."""
+"""Tests of the entry host's decisions."""
--- /dev/null
+++ b/packages/entry/bramleyspread_entry/tests/harness.py
@@ -0,0 +1,215 @@
+"""A small directory and a driver, to try decisions in virtual time."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from random import Random
+from typing import TypeVar
+
+import msgspec
+
+from bramleyspread_core import (
+    Address,
+    Announcement,
+    Answer,
+    AttemptId,
+    Brand,
+    CallerRequest,
+    ContractWatch,
+    Dispatch,
+    DocumentInForce,
+    DocumentsPage,
+    Done,
+    Effect,
+    Fault,
+    Happening,
+    HostInForce,
+    HostName,
+    Load,
+    LoadedModel,
+    NotRun,
+    Outcome,
+    PeerMessage,
+    PeerSend,
+    PoolName,
+    Reason,
+    RequestId,
+    SendAnswer,
+    ServiceDocument,
+    ServiceName,
+    StreamToken,
+    TargetAnswer,
+    TargetName,
+    TargetView,
+    Unknown,
+    Usage,
+    ZoneName,
+)
+from bramleyspread_entry import EntryConfig, EntryDecisions, IdSource
+
+E = TypeVar("E")
+
+DOCUMENT = b"""
+service: booth
+version: 1
+team: photos
+organisations:
+  - name: inka
+    brands: [{name: fast}, {name: slow}]
+  - name: lima
+    brands: [{name: one}]
+pools:
+  - {name: encoders, kind: encoding}
+  - {name: engines, kind: generation, models: [{name: m, version: "1"}]}
+  - {name: ledger, kind: plain}
+pipelines:
+  - name: check
+    deadline_ms: 4000
+    stages:
+      - {name: encode, pool: encoders}
+      - {name: explain, pool: engines, model: m, stream: true}
+  - name: pay
+    deadline_ms: 4000
+    stages:
+      - {name: encode, pool: encoders}
+      - {name: pay, pool: ledger, idempotent: false}
+  - name: pay-and-explain
+    deadline_ms: 4000
+    stages:
+      - {name: pay, pool: ledger, idempotent: false}
+      - {name: explain, pool: engines, model: m}
+"""
+BRAND = Brand("inka", "fast")
+
+
+def make_view(
+    name: str, pool: str, zone: str = "a", load: Load | None = None
+) -> TargetView:
+    announcement = Announcement(
+        target=TargetName(name),
+        incarnation=1,
+        sequence=1,
+        pool=PoolName(ServiceName("booth"), pool),
+        address=Address("127.0.0.1", 1 + sum(name.encode())),
+        zone=ZoneName(zone),
+        load=load or Load(slots=8),
+        models=(LoadedModel("m", "1"),) if pool == "engines" else (),
+    )
+    return TargetView(announcement, 0.0)
+
+
+class FakeDirectory:
+    """Targets and one document, set by the test."""
+
+    def __init__(self, pools: dict[str, list[TargetView]]) -> None:
+        self.pools = pools
+        self.document = ServiceDocument.from_yaml(DOCUMENT, "booth.yaml")
+        self.revision = 1
+
+    def list_usable(self, pool: PoolName, now: float) -> Sequence[TargetView]:
+        return self.pools.get(pool.pool, [])
+
+    def find_document(self, service: str) -> ServiceDocument | None:
+        return self.document if service == self.document.service else None
+
+    def list_hosts(self, now: float) -> Sequence[HostInForce]:
+        return [HostInForce(HostName("e1"), "a", 1, 0.0)]
+
+    def hear(self, announcement: Announcement, now: float) -> Sequence[PeerSend]:
+        return ()
+
+    def receive(self, message: PeerMessage, now: float) -> Sequence[PeerSend]:
+        return ()
+
+    def tick(self, now: float) -> Sequence[PeerSend]:
+        return ()
+
+    def apply_documents(self, page: DocumentsPage, now: float) -> Sequence[Happening]:
+        return ()
+
+    def list_documents(self) -> Sequence[DocumentInForce]:
+        return ()
+
+
+class Harness:
+    """One entry host whose effects are kept and whose targets are the test."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.directory = FakeDirectory(
+            {
+                pool: [make_view(f"{pool}-{n}", pool) for n in range(3)]
+                for pool in ("encoders", "engines", "ledger")
+            }
+        )
+        self.watch = ContractWatch(strict=True)
+        config = EntryConfig(host="e1", zone="a", incarnation=1)
+        self.ids = IdSource("e1", 1)
+        self.host = EntryDecisions.from_config(
+            config, self.directory, self.watch, Random(seed)
+        )
+        self.now = 100.0
+        self.effects: list[Effect] = []
+
+    def ask(self, pipeline: str, /, **fields: object) -> RequestId:
+        request = CallerRequest(
+            request=self.ids.next_request(),
+            service=ServiceName("booth"),
+            pipeline=pipeline,
+            brand=BRAND,
+            input=msgspec.Raw(b'"in"'),
+        )
+        request = msgspec.structs.replace(request, **fields)
+        self.take(self.host.arrive(request, self.now))
+        return request.request
+
+    def take(self, effects: Sequence[Effect]) -> None:
+        self.effects.extend(effects)
+
+    def all(self, kind: type[E]) -> list[E]:
+        return [each for each in self.effects if isinstance(each, kind)]
+
+    def answer(self, request: RequestId) -> Answer | None:
+        answers = [e.answer for e in self.all(SendAnswer) if e.request == request]
+        assert len(answers) <= 1
+        return answers[0] if answers else None
+
+    @property
+    def last(self) -> Dispatch:
+        return self.all(Dispatch)[-1]
+
+    def end(self, dispatch: Dispatch, outcome: Outcome) -> None:
+        self.take(self.host.attempt_ended(dispatch.call.attempt, outcome, self.now))
+
+    def done(self, dispatch: Dispatch, output: str = '"out"', tokens: int = 0) -> None:
+        self.end(dispatch, make_done(dispatch, output, tokens))
+
+    def token(self, dispatch: Dispatch, index: int) -> None:
+        attempt = dispatch.call.attempt
+        token = StreamToken(attempt, index, f"t{index}")
+        self.take(self.host.token_arrived(attempt, token, self.now))
+
+    def pass_time(self, seconds: float) -> None:
+        until = self.now + seconds
+        while (due := self.host.next_due()) is not None and due <= until:
+            self.now = max(self.now, due)
+            self.take(self.host.tick(self.now))
+        self.now = until
+
+
+def make_done(dispatch: Dispatch, output: str = '"out"', tokens: int = 0) -> Done:
+    call = dispatch.call
+    usage = Usage(target_us=1_000, tokens_out=tokens)
+    raw = msgspec.Raw(output.encode())
+    return Done(TargetAnswer(call.request, call.stage, call.attempt, raw, usage))
+
+
+def make_not_run(reason: Reason = Reason.REFUSED) -> NotRun:
+    return NotRun(Fault(reason, "stage", "target"))
+
+
+def make_unknown(reason: Reason = Reason.CLOSED) -> Unknown:
+    return Unknown(Fault(reason, "stage", "target"))
+
+
+def name_crossed() -> AttemptId:
+    return AttemptId("e9.1.1-1")
--- /dev/null
+++ b/packages/entry/bramleyspread_entry/tests/test_decisions.py
@@ -0,0 +1,379 @@
+"""Requests from arrival to answer, by what their attempts come to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+import pytest
+
+from bramleyspread_core import (
+    AnswerFailed,
+    AnswerRefused,
+    AnswerUnknown,
+    AnswerWhole,
+    AskClaim,
+    AskSettle,
+    Brand,
+    CancelAttempt,
+    ClaimDone,
+    Claimed,
+    ClaimMismatch,
+    ClaimRunning,
+    ClaimUnknown,
+    CommandResult,
+    Dispatch,
+    DropConnections,
+    NotLeader,
+    Payload,
+    Reason,
+    RequestId,
+    SendToken,
+    Settled,
+    TargetAnswer,
+    Undecided,
+)
+from bramleyspread_entry.tests.harness import (
+    Harness,
+    make_done,
+    make_not_run,
+    make_unknown,
+    name_crossed,
+)
+
+
+def run_outcomes(harness: Harness, outcomes: str) -> None:
+    """Give the newest attempts their outcomes: d, n(ot run) or u(nknown)."""
+    for letter in outcomes:
+        dispatch = harness.last
+        if letter == "d":
+            harness.done(dispatch, f'"{dispatch.call.stage}"')
+        else:
+            outcome = make_not_run() if letter == "n" else make_unknown()
+            harness.end(dispatch, outcome)
+
+
+@pytest.mark.parametrize(
+    ("pipeline", "outcomes", "answer", "attempts"),
+    [
+        ("check", "dd", AnswerWhole, 2),
+        ("check", "ndd", AnswerWhole, 3),
+        ("check", "udd", AnswerWhole, 3),
+        ("check", "dud", AnswerWhole, 3),
+        ("check", "unnn", AnswerFailed, 4),
+        ("check", "nnnn", AnswerRefused, 4),
+        ("pay", "dd", AnswerWhole, 2),
+        ("pay", "dnd", AnswerWhole, 3),
+        ("pay", "du", AnswerUnknown, 2),
+        ("pay", "dnu", AnswerUnknown, 3),
+        ("pay-and-explain", "nnnn", AnswerRefused, 4),
+        ("pay-and-explain", "dud", AnswerWhole, 3),
+        ("pay-and-explain", "dnnnn", AnswerUnknown, 5),
+    ],
+)
+def test_outcomes(pipeline: str, outcomes: str, answer: type, attempts: int) -> None:
+    harness = Harness()
+    request = harness.ask(pipeline)
+    for letter in outcomes:
+        run_outcomes(harness, letter)
+        harness.pass_time(0.06)
+    assert isinstance(harness.answer(request), answer)
+    assert len(harness.all(Dispatch)) == attempts
+    assert harness.host.in_flight == 0
+    assert harness.host.next_due() is None
+
+
+def test_each_stage_works_on_the_output_before() -> None:
+    harness = Harness()
+    request = harness.ask("check")
+    assert harness.last.call.input == msgspec.Raw(b'"in"')
+    harness.done(harness.last, '"encoded"')
+    call = harness.last.call
+    assert call.input == msgspec.Raw(b'"encoded"')
+    assert call.prefix.startswith("inka/fast/")
+    harness.done(harness.last, '"explained"')
+    answer = harness.answer(request)
+    assert answer == AnswerWhole(msgspec.Raw(b'"explained"'))
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"pipeline": "none"},
+        {"service": "none"},
+        {"brand": Brand("inka", "one")},
+        {"brand": Brand("none", "fast")},
+    ],
+)
+def test_unknown_names_are_refused(fields: dict[str, object]) -> None:
+    harness = Harness()
+    request = harness.ask("check", **fields)
+    answer = harness.answer(request)
+    assert isinstance(answer, AnswerRefused)
+    assert answer.fault.reason is Reason.UNKNOWN_NAME
+    assert not harness.all(Dispatch)
+
+
+@pytest.mark.parametrize(
+    ("pipeline", "before", "answer"),
+    [
+        ("check", "", AnswerFailed),
+        ("check", "d", AnswerFailed),
+        ("pay", "d", AnswerUnknown),
+        ("pay-and-explain", "d", AnswerUnknown),
+    ],
+)
+def test_deadline(pipeline: str, before: str, answer: type) -> None:
+    harness = Harness()
+    request = harness.ask(pipeline, deadline_ms=500)
+    run_outcomes(harness, before)
+    live = harness.last
+    harness.pass_time(0.499)
+    assert harness.answer(request) is None
+    harness.pass_time(0.002)
+    assert isinstance(harness.answer(request), answer)
+    harness.done(live)
+    harness.pass_time(10.0)
+    assert harness.host.in_flight == 0
+
+
+def test_without_targets_nothing_runs() -> None:
+    harness = Harness()
+    harness.directory.pools["engines"] = []
+    request = harness.ask("check")
+    answer = harness.answer(request)
+    assert isinstance(answer, AnswerRefused)
+    assert answer.fault.reason is Reason.NO_TARGET
+    assert answer.retry_after_ms > 0
+
+
+def test_a_target_that_comes_back_is_waited_for() -> None:
+    harness = Harness()
+    request = harness.ask("check")
+    engines = harness.directory.pools.pop("engines")
+    harness.done(harness.last)
+    assert harness.last.call.stage == "encode"
+    harness.pass_time(0.2)
+    harness.directory.pools["engines"] = engines
+    harness.pass_time(0.06)
+    harness.done(harness.last)
+    assert isinstance(harness.answer(request), AnswerWhole)
+
+
+STORED: Payload = msgspec.Raw(b'"stored"')
+
+
+@pytest.mark.parametrize(
+    ("result", "answer", "settlements"),
+    [
+        (ClaimDone(RequestId("r"), STORED), AnswerWhole, []),
+        (ClaimRunning(RequestId("r"), 50), AnswerFailed, []),
+        (ClaimUnknown(RequestId("r")), AnswerUnknown, []),
+        (ClaimMismatch(), AnswerRefused, []),
+        (NotLeader(), AnswerRefused, []),
+        (Undecided("no quorum"), AnswerRefused, ["not-run"]),
+    ],
+)
+def test_without_a_claim_nothing_runs(
+    result: CommandResult, answer: type, settlements: list[str]
+) -> None:
+    harness = Harness()
+    request = harness.ask("pay", key="k")
+    assert len(harness.all(AskClaim)) == 1
+    harness.take(harness.host.claim_answered(request, result, harness.now))
+    assert isinstance(harness.answer(request), answer)
+    assert not harness.all(Dispatch)
+    assert [each.settle.ended for each in harness.all(AskSettle)] == settlements
+
+
+@pytest.mark.parametrize(
+    ("pipeline", "outcomes", "settled"),
+    [
+        ("pay", "dd", "done"),
+        ("pay", "du", "unknown"),
+        ("pay", "dnnnn", "not-run"),
+        ("pay-and-explain", "dnnnn", "unknown"),
+    ],
+)
+def test_claims_are_settled_as_they_ended(
+    pipeline: str, outcomes: str, settled: str
+) -> None:
+    harness = Harness()
+    request = harness.ask(pipeline, key="k")
+    harness.take(harness.host.claim_answered(request, Claimed(), harness.now))
+    for letter in outcomes:
+        run_outcomes(harness, letter)
+        harness.pass_time(0.06)
+    assert [each.settle.ended for each in harness.all(AskSettle)] == [settled]
+    assert harness.host.in_flight == 1
+    harness.take(harness.host.settle_answered(request, Undecided("?"), harness.now))
+    harness.pass_time(0.6)
+    assert len(harness.all(AskSettle)) == 2
+    harness.take(harness.host.settle_answered(request, Settled(), harness.now))
+    assert harness.host.in_flight == 0
+
+
+def leave(harness: Harness, request: RequestId) -> None:
+    harness.take(harness.host.caller_left(request, harness.now))
+
+
+def expire(harness: Harness, request: RequestId) -> None:
+    harness.pass_time(4.001)
+
+
+@pytest.mark.parametrize("stop", [leave, expire])
+def test_a_claim_that_comes_late_is_given_back(
+    stop: Callable[[Harness, RequestId], None],
+) -> None:
+    harness = Harness()
+    request = harness.ask("pay", key="k", deadline_ms=300)
+    stop(harness, request)
+    assert isinstance(harness.answer(request), AnswerRefused)
+    harness.take(harness.host.claim_answered(request, Claimed(), harness.now))
+    assert [each.settle.ended for each in harness.all(AskSettle)] == ["not-run"]
+    assert not harness.all(Dispatch)
+
+
+@pytest.mark.parametrize(
+    ("late", "settled"),
+    [("d", "done"), ("n", "not-run"), ("u", "unknown"), ("", "unknown")],
+)
+def test_an_effect_that_ends_after_the_answer_is_settled(
+    late: str, settled: str
+) -> None:
+    harness = Harness()
+    request = harness.ask("pay", key="k")
+    harness.take(harness.host.claim_answered(request, Claimed(), harness.now))
+    run_outcomes(harness, "d")
+    harness.pass_time(4.01)
+    assert isinstance(harness.answer(request), AnswerUnknown)
+    assert not harness.all(AskSettle)
+    run_outcomes(harness, late)
+    harness.pass_time(12.0)
+    assert {each.settle.ended for each in harness.all(AskSettle)} == {settled}
+    assert len(harness.all(Dispatch)) == 2
+
+
+def test_callers_who_leave() -> None:
+    harness = Harness()
+    request = harness.ask("check")
+    leave(harness, request)
+    assert len(harness.all(CancelAttempt)) == 1
+    assert harness.host.in_flight == 0
+    request = harness.ask("pay")
+    run_outcomes(harness, "d")
+    leave(harness, request)
+    assert harness.host.in_flight == 1
+    run_outcomes(harness, "d")
+    assert harness.host.in_flight == 0
+
+
+def test_streams_go_on_behind_a_broken_attempt() -> None:
+    harness = Harness()
+    request = harness.ask("check", stream=True)
+    run_outcomes(harness, "d")
+    first = harness.last
+    for index in (0, 1, 1):
+        harness.token(first, index)
+    harness.end(first, make_unknown())
+    second = harness.last
+    assert second.call.continue_after == ("t0", "t1")
+    harness.token(first, 2)
+    for index in (2, 3):
+        harness.token(second, index)
+    harness.done(second, tokens=2)
+    assert isinstance(harness.answer(request), AnswerWhole)
+    assert [each.token.index for each in harness.all(SendToken)] == [0, 1, 2, 3]
+
+
+@pytest.mark.parametrize("how", ["gap", "cut"])
+def test_streams_that_miss_tokens_are_never_whole(how: str) -> None:
+    harness = Harness()
+    request = harness.ask("check", stream=True)
+    run_outcomes(harness, "d")
+    for _ in range(4):
+        broken = harness.last
+        if how == "gap":
+            harness.token(broken, 1)
+        else:
+            harness.done(broken, tokens=2)
+        harness.pass_time(0.06)
+    assert isinstance(harness.answer(request), AnswerFailed)
+
+
+def test_late_repeated_and_crossed_ends_are_dropped() -> None:
+    harness = Harness()
+    request = harness.ask("pay")
+    first = harness.last
+    harness.done(first)
+    harness.done(first, '"again"')
+    harness.end(first, make_unknown())
+    paid = harness.last
+    answer = make_done(paid).answer
+    crossed = msgspec.structs.replace(answer, attempt=name_crossed())
+    assert isinstance(crossed, TargetAnswer)
+    harness.end(paid, msgspec.structs.replace(make_done(paid), answer=crossed))
+    assert isinstance(harness.answer(request), AnswerUnknown)
+    counts = harness.host.count_events()
+    assert counts["late-dropped"] == 2
+    assert counts["crossed-dropped"] == 1
+    assert len(harness.all(Dispatch)) == 2
+
+
+def test_silent_connections_are_replaced_before_targets_are_blamed() -> None:
+    harness = Harness()
+    harness.directory.pools["encoders"] = harness.directory.pools["encoders"][:1]
+    request = harness.ask("check")
+    assert not harness.last.fresh_connection
+    harness.end(harness.last, make_unknown(Reason.SILENT))
+    assert (
+        harness.all(DropConnections)[0].attempt == harness.all(Dispatch)[0].call.attempt
+    )
+    assert harness.last.fresh_connection
+    assert harness.last.target == "encoders-0"
+    run_outcomes(harness, "dd")
+    assert isinstance(harness.answer(request), AnswerWhole)
+    harness.ask("pay")
+    assert not harness.last.fresh_connection
+    run_outcomes(harness, "d")
+    assert harness.last.fresh_connection
+
+
+def test_hedges_and_their_losers() -> None:
+    harness = Harness()
+    for _ in range(30):
+        harness.ask("check")
+        for _ in range(2):
+            harness.pass_time(0.1)
+            harness.done(harness.last)
+    harness.ask("check")
+    first = harness.last
+    harness.pass_time(0.2)
+    hedge = harness.last
+    assert hedge.call.attempt != first.call.attempt
+    assert hedge.target != first.target
+    harness.done(hedge)
+    assert [each.attempt for each in harness.all(CancelAttempt)] == [first.call.attempt]
+    report = harness.host.cost_report()
+    assert {row.kind.value for row in report.rows} == {"first", "hedge", "cancelled"}
+    assert sum(row.cost.target_us for row in report.rows) == report.total.target_us
+    assert sum(row.cost.attempts for row in report.rows) == report.total.attempts == 62
+
+
+def test_drain_finishes_what_is_there() -> None:
+    harness = Harness()
+    early = harness.ask("check")
+    harness.take(harness.host.begin_drain(harness.now))
+    during = harness.ask("check")
+    harness.pass_time(3.0)
+    late = harness.ask("check")
+    answer = harness.answer(late)
+    assert isinstance(answer, AnswerRefused)
+    assert answer.fault.reason is Reason.DRAINING
+    for dispatch in harness.all(Dispatch):
+        harness.done(dispatch)
+    for dispatch in harness.all(Dispatch)[2:]:
+        harness.done(dispatch)
+    for request in (early, during):
+        assert isinstance(harness.answer(request), AnswerWhole)
+    assert harness.host.in_flight == 0
