--- a/packages/entry/bramleyspread_entry/_decisions.py
+++ b/packages/entry/bramleyspread_entry/_decisions.py
@@ -6,50 +6,32 @@
 from random import Random
 
 from bramleyspread_core import (
-    ANSWERED_ONCE,
-    AnswerFailed,
-    AnswerRefused,
-    AnswerUnknown,
-    AnswerWhole,
     AttemptId,
     CallerRequest,
-    ClaimDone,
-    Claimed,
-    ClaimMismatch,
-    ClaimRunning,
-    ClaimUnknown,
     CommandResult,
     ContractWatch,
     Directory,
     Effect,
     Fault,
     Outcome,
-    Pipeline,
     Reason,
     RequestId,
-    SendAnswer,
-    ServiceDocument,
     StreamToken,
     Undecided,
     Unknown,
 )
-from bramleyspread_entry._admission import Refusal
-from bramleyspread_entry._claims import ClaimDesk, Ended
+from bramleyspread_entry._claim_answers import ClaimAnswers
+from bramleyspread_entry._claims import ClaimDesk
 from bramleyspread_entry._conclusion import Conclusion
 from bramleyspread_entry._config import EntryConfig
 from bramleyspread_entry._costs import CostReport
 from bramleyspread_entry._dispatch import Dispatcher
-from bramleyspread_entry._drain import Drain
-from bramleyspread_entry._pipeline import ClaimState, Run
+from bramleyspread_entry._intake import Intake
+from bramleyspread_entry._pipeline import ClaimState
 from bramleyspread_entry._policies import Policies
 from bramleyspread_entry._stages import StageRunner
 from bramleyspread_entry._state import EntryState, TimerKey, TimerKind
 
-#: When a caller refused by a draining host may ask another one.
-DRAIN_RETRY_MS = 100
-#: When a caller refused for want of a quorum or of room may come back.
-BUSY_RETRY_MS = 1_000
-
 
 class EntryDecisions:
     """Takes events of callers, targets and control hosts; says what to do.
@@ -57,15 +39,25 @@
     Implements :class:`bramleyspread_core.RequestDecisions`.
     """
 
-    __slots__ = ("_claims", "_conclusion", "_dispatcher", "_drain", "_runner", "_state")
+    __slots__ = (
+        "_claim_answers",
+        "_claims",
+        "_conclusion",
+        "_intake",
+        "_runner",
+        "_state",
+    )
 
     def __init__(self, state: EntryState) -> None:
         self._state = state
-        self._dispatcher = Dispatcher(state)
+        dispatcher = Dispatcher(state)
         self._claims = ClaimDesk(state)
-        self._conclusion = Conclusion(state, self._dispatcher, self._claims)
-        self._runner = StageRunner(state, self._dispatcher, self._conclusion)
-        self._drain = Drain(state.config.drain_grace)
+        self._conclusion = Conclusion(state, dispatcher, self._claims)
+        self._runner = StageRunner(state, dispatcher, self._conclusion)
+        self._intake = Intake(state, self._conclusion)
+        self._claim_answers = ClaimAnswers(
+            state, self._claims, self._conclusion, self._runner
+        )
 
     @classmethod
     def from_config(
@@ -111,19 +103,12 @@
         :param now: monotonic seconds.
         :returns: what to do.
         """
-        state = self._state
-        known = request.request in state.runs
-        state.watch.check(ANSWERED_ONCE, not known, request.request, "id used twice")
-        document = state.directory.find_document(request.service)
-        if document is None or document.retired:
-            return self._refuse(request, f"no service {request.service!r} in force")
-        pipeline = document.find_pipeline(request.pipeline)
-        if pipeline is None:
-            return self._refuse(request, f"no pipeline {request.pipeline!r}")
-        if not document.knows_brand(request.brand.organisation, request.brand.name):
-            return self._refuse(request, f"no brand {request.brand.key!r}")
-        self._admit(request, document, pipeline, now)
-        return state.take_effects()
+        run = self._intake.take(request, now)
+        if run is not None and run.needs_claim:
+            self._claims.ask(run, now)
+        elif run is not None:
+            self._runner.begin(run, now)
+        return self._state.take_effects()
 
     def caller_left(self, request: RequestId, now: float) -> Sequence[Effect]:
         """The caller closed its connection before it had its answer.
@@ -192,7 +177,7 @@
             self._state.counts["claim-answer-dropped"] += 1
         else:
             self._state.timers.cancel((TimerKind.CLAIM, request))
-            self._take_claim(run, result, now)
+            self._claim_answers.take(run, result, now)
         return self._state.take_effects()
 
     def settle_answered(
@@ -233,7 +218,7 @@
         :param now: monotonic seconds.
         :returns: what to do.
         """
-        self._drain.begin(now)
+        self._intake.begin_drain(now)
         self._state.counts["drain-begun"] += 1
         return self._state.take_effects()
 
@@ -256,84 +241,6 @@
         """
         return dict(self._state.counts)
 
-    def _admit(
-        self,
-        request: CallerRequest,
-        document: ServiceDocument,
-        pipeline: Pipeline,
-        now: float,
-    ) -> None:
-        state = self._state
-        run = Run(request, document, pipeline, now)
-        refusal = self._judge(run, now)
-        state.policies.occupancy.enter(run.pools)
-        state.runs[request.request] = run
-        if refusal is not None:
-            state.counts[f"refused-{refusal.fault.reason.value}"] += 1
-            self._conclusion.give_up(run, refusal.fault, now, refusal.retry_after_ms)
-            return
-        state.timers.set((TimerKind.DEADLINE, request.request), run.deadline)
-        state.report("request-taken", run, request.brand.key)
-        if run.needs_claim:
-            self._claims.ask(run, now)
-        else:
-            self._runner.begin(run, now)
-
-    def _judge(self, run: Run, now: float) -> Refusal | None:
-        state = self._state
-        if not self._drain.takes_requests(now):
-            detail = "this host is stopping; ask another one"
-            fault = Fault(Reason.DRAINING, "admission", state.config.host, detail)
-            return Refusal(fault, DRAIN_RETRY_MS)
-        if len(state.runs) >= state.config.max_in_flight:
-            detail = f"{len(state.runs)} requests are held already"
-            fault = Fault(Reason.OVERLOAD, "admission", state.config.host, detail)
-            return Refusal(fault, BUSY_RETRY_MS)
-        return state.policies.admission.judge(run, now)
-
-    def _refuse(self, request: CallerRequest, detail: str) -> Sequence[Effect]:
-        """Refuse what is asked of something that does not exist."""
-        self._state.counts["refused-unknown-name"] += 1
-        fault = Fault(Reason.UNKNOWN_NAME, "admission", self._state.config.host, detail)
-        self._state.emit(SendAnswer(request.request, AnswerRefused(fault)))
-        return self._state.take_effects()
-
-    def _take_claim(self, run: Run, result: CommandResult, now: float) -> None:
-        if isinstance(result, Claimed | Undecided):
-            run.claim = ClaimState.HELD
-        else:
-            run.claim = ClaimState.NONE
-        if run.answered:
-            if run.claim is ClaimState.HELD:
-                self._claims.settle(run, Ended.NOT_RUN, now)
-            self._state.forget_if_over(run)
-        elif isinstance(result, Claimed):
-            self._runner.begin(run, now)
-        else:
-            self._answer_unclaimed(run, result, now)
-
-    def _answer_unclaimed(self, run: Run, result: CommandResult, now: float) -> None:
-        answer = self._conclusion.answer
-        if isinstance(result, ClaimDone):
-            answer(run, AnswerWhole(result.answer, repeated=True), now)
-        elif isinstance(result, ClaimRunning):
-            detail = f"request {result.request} holds the key; ask again with it"
-            fault = Fault(Reason.STILL_RUNNING, "claim", "-", detail)
-            answer(run, AnswerFailed(fault, result.retry_after_ms), now)
-        elif isinstance(result, ClaimUnknown):
-            detail = f"nobody knows how request {result.request} ended"
-            answer(run, AnswerUnknown(Fault(Reason.CLOSED, "claim", "-", detail)), now)
-        elif isinstance(result, ClaimMismatch):
-            detail = "the key was used for other work; use a new key"
-            answer(
-                run, AnswerRefused(Fault(Reason.KEY_REUSED, "claim", "-", detail)), now
-            )
-        else:
-            why = result.why if isinstance(result, Undecided) else "claim not taken"
-            fault = Fault(Reason.NO_QUORUM, "claim", "-", why)
-            self._conclusion.give_up(run, fault, now, BUSY_RETRY_MS)
-        self._state.forget_if_over(run)
-
     def _fire(self, key: TimerKey, now: float) -> None:
         kind, name = key
         if kind in (TimerKind.HEDGE, TimerKind.ATTEMPT):
@@ -348,7 +255,7 @@
         elif kind is TimerKind.PAUSE:
             self._runner.begin(run, now)
         elif kind is TimerKind.CLAIM:
-            self._take_claim(run, Undecided("no answer to the claim"), now)
+            self._claim_answers.take(run, Undecided("no answer to the claim"), now)
         elif kind is TimerKind.SETTLE:
             self._claims.send_again(run)
 
--- /dev/null
+++ b/packages/entry/bramleyspread_entry/tests/test_machine.py
@@ -0,0 +1,195 @@
+"""Random requests, outcomes and orders of events; the contracts must hold."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import msgspec
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from bramleyspread_core import (
+    AnswerRefused,
+    AnswerWhole,
+    AskClaim,
+    AskSettle,
+    ClaimDone,
+    Claimed,
+    ClaimRunning,
+    CommandResult,
+    Dispatch,
+    Fault,
+    NotRun,
+    Reason,
+    RequestId,
+    SendAnswer,
+    SendToken,
+    Settled,
+    Undecided,
+    Unknown,
+)
+from bramleyspread_entry.tests.harness import Harness, make_done, name_crossed
+
+REASONS = st.sampled_from(
+    [Reason.CLOSED, Reason.SILENT, Reason.TARGET, Reason.REFUSED, Reason.CONNECT]
+)
+
+
+class EntryMachine(RuleBasedStateMachine):
+    """Targets, control hosts and callers of one entry host, all at random."""
+
+    @initialize(seed=st.integers(0, 10_000))
+    def begin(self, seed: int) -> None:
+        self.harness = Harness(seed)
+        self.seen = 0
+        self.asked: list[RequestId] = []
+        self.answers: Counter[RequestId] = Counter()
+        self.tokens: Counter[RequestId] = Counter()
+        self.open: list[Dispatch] = []
+        self.ended: list[Dispatch] = []
+        self.ran: Counter[tuple[RequestId, str]] = Counter()
+        self.refused: set[RequestId] = set()
+        self.claims: list[AskClaim] = []
+        self.settles: list[AskSettle] = []
+
+    @rule(
+        pipeline=st.sampled_from(["check", "pay", "pay-and-explain"]),
+        key=st.sampled_from(["", "k1", "k2"]),
+        stream=st.booleans(),
+        deadline=st.sampled_from([None, 50, 400]),
+    )
+    def ask(self, pipeline: str, key: str, stream: bool, deadline: int | None) -> None:
+        self.asked.append(
+            self.harness.ask(pipeline, key=key, stream=stream, deadline_ms=deadline)
+        )
+
+    @precondition(lambda self: self.asked)
+    @rule(data=st.data())
+    def leave(self, data: st.DataObject) -> None:
+        request = data.draw(st.sampled_from(self.asked))
+        harness = self.harness
+        harness.take(harness.host.caller_left(request, harness.now))
+
+    @precondition(lambda self: self.open)
+    @rule(data=st.data(), how=st.sampled_from("ddddtnuxc"), reason=REASONS)
+    def end(self, data: st.DataObject, how: str, reason: Reason) -> None:
+        dispatch = data.draw(st.sampled_from(self.open))
+        call = dispatch.call
+        if how == "t":
+            index = data.draw(st.integers(0, 3))
+            self.harness.token(dispatch, index)
+            return
+        self.open.remove(dispatch)
+        self.ended.append(dispatch)
+        if how == "n":
+            self.harness.end(dispatch, NotRun(Fault(reason, "s", "t")))
+            return
+        self.ran[call.request, call.stage] += 1
+        if how == "d":
+            self.harness.done(dispatch, '"x"', tokens=data.draw(st.integers(0, 2)))
+        elif how == "x":
+            answer = make_done(dispatch).answer
+            crossed = msgspec.structs.replace(answer, attempt=name_crossed())
+            done = msgspec.structs.replace(make_done(dispatch), answer=crossed)
+            self.harness.end(dispatch, done)
+        else:
+            self.harness.end(dispatch, Unknown(Fault(reason, "s", "t")))
+
+    @precondition(lambda self: self.ended)
+    @rule(data=st.data())
+    def repeat(self, data: st.DataObject) -> None:
+        dispatch = data.draw(st.sampled_from(self.ended))
+        self.harness.done(dispatch, '"late"')
+
+    @precondition(lambda self: self.claims)
+    @rule(data=st.data(), how=st.sampled_from("ccc?rd"))
+    def answer_claim(self, data: st.DataObject, how: str) -> None:
+        ask = data.draw(st.sampled_from(self.claims))
+        self.claims.remove(ask)
+        results: dict[str, CommandResult] = {
+            "c": Claimed(),
+            "?": Undecided("?"),
+            "r": ClaimRunning(RequestId("other"), 10),
+            "d": ClaimDone(RequestId("other"), msgspec.Raw(b'"stored"')),
+        }
+        harness = self.harness
+        harness.take(
+            harness.host.claim_answered(ask.request, results[how], harness.now)
+        )
+
+    @precondition(lambda self: self.settles)
+    @rule(data=st.data(), durable=st.booleans())
+    def answer_settle(self, data: st.DataObject, durable: bool) -> None:
+        ask = data.draw(st.sampled_from(self.settles))
+        self.settles.remove(ask)
+        result = Settled() if durable else Undecided("?")
+        harness = self.harness
+        harness.take(harness.host.settle_answered(ask.request, result, harness.now))
+
+    @rule(seconds=st.sampled_from([0.001, 0.06, 0.5, 5.0]))
+    def wait(self, seconds: float) -> None:
+        self.harness.pass_time(seconds)
+
+    @rule()
+    def drain(self) -> None:
+        harness = self.harness
+        harness.take(harness.host.begin_drain(harness.now))
+
+    @invariant()
+    def contracts_hold(self) -> None:
+        new = self.harness.effects[self.seen :]
+        self.seen = len(self.harness.effects)
+        for effect in new:
+            if isinstance(effect, Dispatch):
+                self.open.append(effect)
+            elif isinstance(effect, AskClaim):
+                self.claims.append(effect)
+            elif isinstance(effect, AskSettle):
+                self.settles.append(effect)
+            elif isinstance(effect, SendToken):
+                assert effect.token.index == self.tokens[effect.request]
+                assert not self.answers[effect.request]
+                self.tokens[effect.request] += 1
+            elif isinstance(effect, SendAnswer):
+                self.check_answer(effect)
+        assert not any(self.ran[request, "pay"] > 1 for request, _ in self.ran)
+        assert not any(request in self.refused for request, _ in self.ran)
+
+    def check_answer(self, effect: SendAnswer) -> None:
+        self.answers[effect.request] += 1
+        assert self.answers[effect.request] == 1
+        if isinstance(effect.answer, AnswerRefused):
+            self.refused.add(effect.request)
+        if isinstance(effect.answer, AnswerWhole) and not effect.answer.repeated:
+            assert (
+                self.ran[effect.request, "explain"] or self.ran[effect.request, "pay"]
+            )
+
+    def teardown(self) -> None:
+        harness = self.harness
+        for _ in range(10):
+            harness.pass_time(20.0)
+            self.contracts_hold()
+            for ask in self.settles:
+                harness.take(
+                    harness.host.settle_answered(ask.request, Settled(), harness.now)
+                )
+            self.settles.clear()
+        assert all(self.answers[request] == 1 for request in self.asked)
+        assert harness.host.in_flight == 0
+        report = harness.host.cost_report()
+        assert sum(row.cost.attempts for row in report.rows) == report.total.attempts
+        assert sum(row.cost.target_us for row in report.rows) == report.total.target_us
+
+
+TestEntryMachine = EntryMachine.TestCase
+TestEntryMachine.settings = settings(
+    derandomize=True, deadline=None, max_examples=120, stateful_step_count=40
+)
