--- /dev/null
+++ b/packages/standins/bramleyspread_standins/_commands.py
@@ -0,0 +1,163 @@
+"""The command line of the stand-ins."""
+
+from __future__ import annotations
+
+import argparse
+import random
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+import curio
+
+from bramleyspread_core import Address, LoadedModel, PoolName, ServiceName
+from bramleyspread_standins._cache import CacheTiming
+from bramleyspread_standins._engine import EngineSize
+from bramleyspread_standins._engine_target import EngineTarget
+from bramleyspread_standins._faults import Faults, FaultSettings
+from bramleyspread_standins._orders import OrderSettings
+from bramleyspread_standins._plain import (
+    PlainService,
+    PlainSize,
+    ignore_line,
+    open_ledger,
+)
+from bramleyspread_standins._target import Target, TargetSettings
+
+#: Milliseconds in a second.
+MS = 1_000
+
+
+def parse_model(text: str) -> LoadedModel:
+    """Read ``name:version[:adapter+adapter]``.
+
+    :param text: for example ``visa-rules:2026.11:spanish+quechua``.
+    :raises argparse.ArgumentTypeError: when a part is missing.
+
+    >>> parse_model("rules:1:es+qu").adapters
+    ('es', 'qu')
+    """
+    name, _, rest = text.partition(":")
+    version, _, adapters = rest.partition(":")
+    if not name or not version:
+        raise argparse.ArgumentTypeError("expected name:version[:adapter+adapter]")
+    return LoadedModel(name, version, tuple(adapters.split("+")) if adapters else ())
+
+
+def parse_pool(text: str) -> PoolName:
+    """Read ``service.pool``.
+
+    :param text: for example ``language-model.engines``.
+    :raises argparse.ArgumentTypeError: when a part is missing.
+    """
+    service, separator, pool = text.partition(".")
+    if not separator or not service or not pool:
+        raise argparse.ArgumentTypeError("expected service.pool")
+    return PoolName(ServiceName(service), pool)
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Make the parser of ``python -m bramleyspread_standins``."""
+    parser = argparse.ArgumentParser(
+        prog="python -m bramleyspread_standins",
+        description="Stand-ins of targets, for demos and tests.",
+    )
+    kinds = parser.add_subparsers(dest="kind", required=True)
+    engine = kinds.add_parser("engine", help="a model engine")
+    _add_common(engine)
+    _add_engine(engine)
+    plain = kinds.add_parser("plain", help="an encoder, retriever, reranker, ledger")
+    _add_common(plain)
+    add = plain.add_argument
+    add("--slots", type=int, default=16, help="calls that run side by side")
+    add("--waiting", type=int, default=64, help="calls that may wait")
+    add("--work-ms", type=float, default=10, help="mean time of a call")
+    add("--ledger", type=Path, help="file that gets one JSON line a run")
+    return parser
+
+
+def _add_common(parser: argparse.ArgumentParser) -> None:
+    add = parser.add_argument
+    add("--name", required=True, help="the target's name, unique")
+    add("--pool", type=parse_pool, required=True, help="service.pool")
+    add("--zone", required=True, help="its availability zone")
+    add("--listen", type=Address.from_text, required=True, help="ip:port")
+    add(
+        "--entry-host",
+        type=Address.from_text,
+        action="append",
+        required=True,
+        help="ip:port of an entry host to announce to; repeat for more",
+    )
+    add("--seed", type=int, default=1, help="seed of whatever is drawn")
+    add("--load-lag-ms", type=float, default=200, help="age of the load reported")
+    add("--latency-ms", type=float, default=0, help="fault: added to each call")
+    add("--refuse-share", type=float, default=0, help="fault: share of calls refused")
+    add("--silent-after-s", type=float, help="fault: goes silent after this long")
+
+
+def _add_engine(parser: argparse.ArgumentParser) -> None:
+    add = parser.add_argument
+    add("--slots", type=int, default=16, help="sequences that run side by side")
+    add("--waiting", type=int, default=64, help="sequences that may wait")
+    add("--step-ms", type=float, default=8, help="time of one token of each sequence")
+    add("--model", type=parse_model, action="append", default=[], help="loaded")
+    add("--load-ms", type=float, default=200, help="time that loading a model takes")
+    add("--cache-prefixes", type=int, default=64, help="prefixes that the cache holds")
+    add("--cache-lag-ms", type=float, default=500, help="age of cache events")
+    add("--cache-gaps", type=float, default=0.1, help="share of cache events lost")
+    add("--ignore-fencing", action="store_true", help="obey orders with an old number")
+
+
+def _read_settings(options: argparse.Namespace) -> TargetSettings:
+    return TargetSettings(
+        name=options.name,
+        pool=options.pool,
+        zone=options.zone,
+        address=options.listen,
+        entry_hosts=tuple(options.entry_host),
+        load_lag=options.load_lag_ms / MS,
+    )
+
+
+def _make_faults(options: argparse.Namespace) -> Faults:
+    settings = FaultSettings(
+        options.latency_ms / MS, options.refuse_share, options.silent_after_s
+    )
+    return Faults(settings, random.Random(options.seed), time.monotonic())
+
+
+def make_target(options: argparse.Namespace) -> Target:
+    """Make the target that a command line asks for.
+
+    :param options: what the parser read.
+    """
+    settings = _read_settings(options)
+    faults = _make_faults(options)
+    if options.kind == "engine":
+        return EngineTarget.from_settings(
+            settings,
+            faults,
+            EngineSize(options.slots, options.waiting, options.step_ms / MS),
+            options.cache_prefixes,
+            CacheTiming(options.cache_lag_ms / MS, options.cache_gaps),
+            OrderSettings(not options.ignore_fencing, options.load_ms / MS),
+            tuple(options.model),
+            options.seed,
+        )
+    size = PlainSize(options.slots, options.waiting, options.work_ms / MS)
+    ledger = open_ledger(options.ledger) if options.ledger else ignore_line
+    rng = random.Random(options.seed)
+    service = PlainService(options.name, size, ledger, rng)
+    return Target(settings, service, faults)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run a stand-in until SIGTERM.
+
+    :param arguments: the command line; None for the process's own.
+    :returns: the exit code.
+    """
+    target = make_target(make_parser().parse_args(arguments))
+    curio.run(target.run)
+    return 0
--- /dev/null
+++ b/packages/standins/bramleyspread_standins/_faults.py
@@ -0,0 +1,48 @@
+"""Faults that a stand-in brings about on demand."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+import curio
+
+
+@dataclass(frozen=True, slots=True)
+class FaultSettings:
+    """What goes wrong, and how often."""
+
+    #: Added before each answer to a call, in seconds.
+    latency: float = 0.0
+    #: Share of the calls that are refused, from 0 to 1.
+    refuse_share: float = 0.0
+    #: When, after the start, every connection goes silent for good; None for never.
+    silent_after: float | None = None
+
+
+class Faults:
+    """Faults drawn from one seed."""
+
+    __slots__ = ("_began", "_rng", "_settings")
+
+    def __init__(
+        self, settings: FaultSettings, rng: random.Random, began: float
+    ) -> None:
+        self._settings = settings
+        self._rng = rng
+        self._began = began
+
+    def draw_refusal(self) -> bool:
+        """Whether the next call is refused."""
+        return self._rng.random() < self._settings.refuse_share
+
+    async def delay(self, now: float) -> None:
+        """Hold an answer back, for good once the target has gone silent.
+
+        :param now: monotonic seconds.
+        """
+        silent_after = self._settings.silent_after
+        if silent_after is not None and now - self._began >= silent_after:
+            await curio.sleep(float(10**6))
+        if self._settings.latency > 0:
+            await curio.sleep(self._settings.latency)
--- /dev/null
+++ b/packages/standins/bramleyspread_standins/_orders.py
@@ -0,0 +1,86 @@
+"""How an engine takes orders, with the fencing number checked or ignored."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bramleyspread_core import LoadedModel, Order, OrderAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class OrderSettings:
+    """What an engine does with orders."""
+
+    #: Whether orders that carry an old fencing number are refused.
+    checks_fencing: bool = True
+    #: Time that loading one model takes, in seconds.
+    load_time: float = 0.2
+
+
+class OrderTaker:
+    """The state that orders have asked an engine to reach."""
+
+    __slots__ = (
+        "_due",
+        "_incarnation",
+        "_name",
+        "_settings",
+        "fence",
+        "models",
+        "role",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        settings: OrderSettings,
+        models: tuple[LoadedModel, ...] = (),
+        role: str = "",
+    ) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._settings = settings
+        self._due: tuple[float, tuple[LoadedModel, ...]] | None = None
+        #: Highest fencing number obeyed.
+        self.fence = 0
+        #: Models ready to serve.
+        self.models = models
+        #: The role in force.
+        self.role = role
+
+    @property
+    def checks_fencing(self) -> bool:
+        """Whether orders that carry an old fencing number are refused."""
+        return self._settings.checks_fencing
+
+    def take(self, order: Order, now: float) -> OrderAnswer:
+        """Obey an order, or say why not.
+
+        :param order: the order.
+        :param now: monotonic seconds.
+        """
+        if order.target != self._name or order.incarnation != self._incarnation:
+            return OrderAnswer(False, self.fence, "for another target or incarnation")
+        if self.checks_fencing and order.fence < self.fence:
+            return OrderAnswer(False, self.fence, "its fencing number is old")
+        self.fence = max(self.fence, order.fence)
+        self.role = order.role or self.role
+        self._aim(order.models, now)
+        return OrderAnswer(True, self.fence)
+
+    def advance(self, now: float) -> None:
+        """Have the models ready whose loading is over.
+
+        :param now: monotonic seconds.
+        """
+        if self._due is not None and self._due[0] <= now:
+            self.models = self._due[1]
+            self._due = None
+
+    def _aim(self, models: tuple[LoadedModel, ...], now: float) -> None:
+        if self._due is not None and self._due[1] == models:
+            return
+        missing = [model for model in models if model not in self.models]
+        self.models = tuple(model for model in self.models if model in models)
+        self._due = (now + len(missing) * self._settings.load_time, models)
--- /dev/null
+++ b/packages/standins/bramleyspread_standins/tests/test_engine.py
@@ -0,0 +1,136 @@
+"""The engine in virtual time."""
+
+import random
+from typing import Any
+
+import pytest
+from msgspec.structs import replace
+
+from bramleyspread_core import (
+    AttemptId,
+    Brand,
+    LoadedModel,
+    Payload,
+    RequestId,
+    TargetAnswer,
+    TargetCall,
+    TargetRefusal,
+    decode_json,
+)
+from bramleyspread_standins._cache import CacheTiming, PrefixCache
+from bramleyspread_standins._engine import Engine, EngineSize
+from bramleyspread_standins._run import Run, Stopped
+from bramleyspread_standins._work import StageWork, make_token
+
+STEP = 0.01
+CALL = TargetCall(
+    request=RequestId("r"),
+    stage="generate",
+    attempt=AttemptId("a"),
+    brand=Brand("inti", "express"),
+    priority=5,
+    remaining_ms=4_000,
+    input=Payload(b"{}"),
+    model="rules",
+    prefix="inti/express/x",
+    max_tokens=4,
+)
+
+
+def make_engine(slots: int = 2, waiting: int = 2) -> Engine:
+    cache = PrefixCache(4, CacheTiming(), random.Random(1))
+    engine = Engine("engine-1", EngineSize(slots, waiting, STEP, 64), cache)
+    engine.models = (LoadedModel("rules", "1", ("spanish",)),)
+    return engine
+
+
+def make_run(marker: str = "m", **changes: Any) -> Run:
+    call = replace(CALL, attempt=AttemptId(f"a-{marker}"), **changes)
+    return Run(call, StageWork(marker), 0.0)
+
+
+def finish(engine: Engine) -> None:
+    while (due := engine.next_due()) is not None:
+        engine.advance(due)
+
+
+def test_generates_the_whole_answer_with_the_callers_marker() -> None:
+    engine, run = make_engine(), make_run("m7")
+    engine.admit(run, 0.0)
+    finish(engine)
+    assert isinstance(run.end, TargetAnswer)
+    work: StageWork = decode_json(bytes(run.end.output), StageWork)
+    assert work.marker == "m7"
+    tokens = [make_token("m7", "generate", "rules", index) for index in range(4)]
+    assert work.text == "".join(tokens)
+    assert work.trail[0].brand == "inti/express"
+    assert run.end.usage.tokens_out == 4
+
+
+def test_resumes_behind_the_tokens_that_the_caller_holds() -> None:
+    first, engine = make_run(), make_engine()
+    engine.admit(first, 0.0)
+    finish(engine)
+    resumed = make_run("m", continue_after=tuple(first.tokens[:3]))
+    engine.admit(resumed, 1.0)
+    finish(engine)
+    assert resumed.tokens == first.tokens
+    assert isinstance(resumed.end, TargetAnswer)
+    assert resumed.end.usage.tokens_out == 1
+    assert resumed.end.usage.tokens_cached == 64
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"prefix": "inti/express-2/x"},
+        {"prefix": "rimac/express/x"},
+        {"model": "other"},
+        {"adapter": "german"},
+        {"remaining_ms": 0},
+    ],
+)
+def test_refuses_unrun(changes: dict[str, Any]) -> None:
+    engine, run = make_engine(), make_run(**changes)
+    engine.admit(run, 0.0)
+    finish(engine)
+    assert isinstance(run.end, TargetRefusal)
+    assert run.begun is None
+
+
+def test_runs_the_urgent_first_and_refuses_behind_a_full_queue() -> None:
+    engine = make_engine(slots=1, waiting=3)
+    slow, late, urgent, over = (
+        make_run(name, priority=priority)
+        for name, priority in (("a", 5), ("b", 9), ("c", 0), ("d", 0))
+    )
+    for run in (slow, late, urgent, over):
+        engine.admit(run, 0.0)
+    assert isinstance(over.end, TargetRefusal)
+    finish(engine)
+    assert urgent.begun is not None and slow.begun is not None
+    assert late.begun is not None
+    assert urgent.begun < slow.begun < late.begun
+
+
+def test_batches_sequences_side_by_side() -> None:
+    engine, runs = make_engine(slots=2), [make_run("a"), make_run("b")]
+    for run in runs:
+        engine.admit(run, 0.0)
+    engine.advance(STEP)
+    assert engine.measure_load().running == 2
+    assert runs[0].begun == runs[1].begun == STEP
+
+
+def test_cancel_tells_not_run_from_stopped() -> None:
+    engine = make_engine(slots=1)
+    running, waiting = make_run("a"), make_run("b")
+    engine.admit(running, 0.0)
+    engine.admit(waiting, 0.0)
+    engine.advance(STEP)
+    engine.cancel(waiting)
+    engine.cancel(running)
+    assert isinstance(waiting.end, TargetRefusal)
+    assert isinstance(running.end, Stopped)
+    finish(engine)
+    assert engine.measure_load().running == 0
--- /dev/null
+++ b/packages/standins/bramleyspread_standins/tests/test_orders.py
@@ -0,0 +1,42 @@
+"""Orders with the fencing number checked and ignored."""
+
+import pytest
+
+from bramleyspread_core import LoadedModel, Order, TargetName
+from bramleyspread_standins._orders import OrderSettings, OrderTaker
+
+MODELS = (LoadedModel("rules", "2"),)
+
+
+def make_order(target: str = "e", incarnation: int = 7, fence: int = 3) -> Order:
+    return Order(TargetName(target), incarnation, fence, 1, MODELS, "prefill")
+
+
+@pytest.mark.parametrize(
+    ("checks", "order", "obeyed"),
+    [
+        (True, make_order(), True),
+        (True, make_order(fence=2), False),
+        (False, make_order(fence=2), True),
+        (False, make_order(incarnation=6), False),
+        (False, make_order(target="f"), False),
+    ],
+)
+def test_obeys_or_says_why_not(checks: bool, order: Order, obeyed: bool) -> None:
+    taker = OrderTaker("e", 7, OrderSettings(checks))
+    taker.take(make_order(fence=3), 0.0)
+    answer = taker.take(order, 0.0)
+    assert answer.obeyed is obeyed
+    assert answer.fence == 3
+    assert bool(answer.why) is not obeyed
+
+
+def test_models_are_ready_after_their_loading_and_a_repeat_is_harmless() -> None:
+    taker = OrderTaker("e", 7, OrderSettings(load_time=1.0), (LoadedModel("old", "1"),))
+    taker.take(make_order(), 0.0)
+    taker.take(make_order(), 0.9)
+    taker.advance(0.9)
+    assert taker.models == ()
+    taker.advance(1.0)
+    assert taker.models == MODELS
+    assert taker.role == "prefill"
