--- /dev/null
+++ b/packages/standins/bramleyspread_standins/_asks.py
@@ -0,0 +1,135 @@
+"""What the callers of a demo ask for, drawn from one seed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from bramleyspread_core import Brand, Pipeline, ServiceDocument
+
+#: Share of the requests that come in bursts.
+BURST_SHARE = 0.45
+#: Bursts.
+BURSTS = 3
+#: How long one burst takes, in seconds.
+BURST_TIME = 0.1
+#: Share of the keyed requests that are sent twice under one key.
+RESEND_SHARE = 0.5
+#: Longest time between a request and its resend, in seconds.
+RESEND_AFTER = 1.0
+#: Share of the requests for a streaming pipeline that take a stream.
+STREAM_SHARE = 0.7
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """One request of one caller."""
+
+    #: Its mark; every whole answer must repeat it.
+    marker: str
+    #: When it is sent, in seconds from the start of the load.
+    at: float
+    #: The service.
+    service: str
+    #: The pipeline as its document declares it.
+    pipeline: Pipeline
+    #: Who asks.
+    brand: Brand
+    #: 0 is the most urgent, 9 the least.
+    priority: int
+    #: The idempotency key; empty for a request that may be repeated.
+    key: str
+    #: Whether the caller takes a stream.
+    stream: bool
+    #: When the caller sends it once more under the same key, in seconds
+    #: behind the first; None for never.
+    resend_after: float | None
+
+    @property
+    def deadline(self) -> float:
+        """Time to the whole answer, in seconds."""
+        return self.pipeline.deadline_ms / 1_000
+
+
+class AskSource:
+    """Draws requests that fit the documents in force."""
+
+    __slots__ = ("_choices", "_rng", "_run", "_weights")
+
+    def __init__(
+        self, documents: Sequence[ServiceDocument], seed: int, run: str
+    ) -> None:
+        self._rng = random.Random(seed)
+        self._run = run
+        self._choices = [
+            (document, pipeline)
+            for document in documents
+            for pipeline in document.pipelines
+        ]
+        self._weights = [_weigh(pipeline) for _, pipeline in self._choices]
+
+    def draw_load(self, count: int, duration: float) -> list[Ask]:
+        """Draw requests: a steady part and bursts.
+
+        :param count: how many.
+        :param duration: over how long, in seconds.
+        :returns: the requests in the order of their times.
+        """
+        in_bursts = round(count * BURST_SHARE)
+        bursts = [duration * (i + 1) / (BURSTS + 1) for i in range(BURSTS)]
+        times = [
+            bursts[i % BURSTS] + self._rng.uniform(0, BURST_TIME)
+            for i in range(in_bursts)
+        ]
+        times += [self._rng.uniform(0, duration) for _ in range(count - in_bursts)]
+        return [self.draw(number, at) for number, at in enumerate(sorted(times))]
+
+    def draw(self, number: int, at: float) -> Ask:
+        """Draw one request.
+
+        :param number: its number in the run.
+        :param at: when it is sent, in seconds from the start of the load.
+        """
+        rng = self._rng
+        document, pipeline = rng.choices(self._choices, self._weights)[0]
+        return self.make(document, pipeline, f"{self._run}-{number}", at)
+
+    def make(
+        self, document: ServiceDocument, pipeline: Pipeline, marker: str, at: float
+    ) -> Ask:
+        """Make a request for one pipeline.
+
+        :param document: the service.
+        :param pipeline: the pipeline.
+        :param marker: the request's mark.
+        :param at: when it is sent, in seconds from the start of the load.
+        """
+        rng = self._rng
+        keyed = not pipeline.idempotent
+        resent = keyed and rng.random() < RESEND_SHARE
+        return Ask(
+            marker=marker,
+            at=at,
+            service=document.service,
+            pipeline=pipeline,
+            brand=self._draw_brand(document),
+            priority=rng.choice((1, 5, 5, 8)),
+            key=f"key-{marker}" if keyed else "",
+            stream=pipeline.stages[-1].stream and rng.random() < STREAM_SHARE,
+            resend_after=rng.uniform(0, RESEND_AFTER) if resent else None,
+        )
+
+    def _draw_brand(self, document: ServiceDocument) -> Brand:
+        rng = self._rng
+        shares = [each.share for each in document.organisations]
+        organisation = rng.choices(document.organisations, shares)[0]
+        brand_shares = [each.share for each in organisation.brands]
+        brand = rng.choices(organisation.brands, brand_shares)[0]
+        return Brand(organisation.name, brand.name)
+
+
+def _weigh(pipeline: Pipeline) -> float:
+    if not pipeline.idempotent:
+        return 3.0
+    return 2.0 if pipeline.stages[-1].stream else 0.7
--- /dev/null
+++ b/packages/standins/bramleyspread_standins/_demo.py
@@ -0,0 +1,275 @@
+"""The demo: a whole deployment on one machine, under load and a disturbance."""
+
+from __future__ import annotations
+
+import argparse
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+import curio
+
+from bramleyspread_core import ServiceDocument, decode_json, encode_json
+from bramleyspread_standins._asks import AskSource
+from bramleyspread_standins._load import LoadPlan, LoadTool, NotReadyError
+from bramleyspread_standins._plain import LedgerLine
+from bramleyspread_standins._processes import ProcessGroup
+from bramleyspread_standins._topology import DemoHost, DemoTarget, Topology
+from bramleyspread_standins._verdict import Verdict
+
+#: Availability zones of the demo's deployment.
+ZONES = ("miraflores", "san-isidro", "callao")
+#: Entry hosts in each zone.
+ENTRY_PER_ZONE = 2
+#: Time for the system to come up, in seconds.
+START_TIME = 20.0
+#: How long the load lasts, in seconds.
+LOAD_TIME = 12.0
+#: Most time for the load and all its answers, in seconds.
+ANSWER_TIME = 28.0
+#: Pause between two tries to submit a document, in seconds.
+SUBMIT_PAUSE = 0.3
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Make the parser of ``scripts/demo``."""
+    parser = argparse.ArgumentParser(
+        prog="scripts/demo",
+        description="Runs a whole deployment on this machine under load. The last "
+        "line is JSON; the exit code is 0 when every promise held, 1 when one "
+        "broke, 3 when the system did not come up.",
+    )
+    add = parser.add_argument
+    kinds = ("entry", "control", "target")
+    what = parser.add_mutually_exclusive_group()
+    what.add_argument("--kill", choices=kinds, help="SIGKILL one in the middle")
+    what.add_argument("--drain", choices=("entry",), help="SIGTERM one in the middle")
+    add("--seed", type=int, default=1, help="seed of the load and of what is hit")
+    add("--requests", type=int, default=400, help="how many requests are sent")
+    add("--keep", type=Path, help="keep logs, settings and time lines here")
+    add("--examples", type=Path, default=Path("examples/consorcio"))
+    return parser
+
+
+class Demo:
+    """One run of the demo."""
+
+    def __init__(
+        self, options: argparse.Namespace, folder: Path, processes: ProcessGroup
+    ) -> None:
+        self._options = options
+        self._folder = folder
+        self._processes = processes
+        self._rng = random.Random(options.seed)
+        self._documents = load_documents(options.examples)
+        self._topology = Topology.from_documents(
+            [document for document, _ in self._documents],
+            ZONES,
+            ENTRY_PER_ZONE,
+            random.Random(),
+        )
+        self._tool = LoadTool(random.Random(options.seed + 1))
+        self._notes: list[str] = []
+
+    def run(self) -> int:
+        """Run it and print what came of it.
+
+        :returns: the exit code.
+        """
+        began = time.monotonic()
+        self._start()
+        documents = [document for document, _ in self._documents]
+        hosts = [host.address for host in self._topology.entry_hosts]
+        source = AskSource(documents, self._options.seed, f"r{self._options.seed}")
+        try:
+            until = time.monotonic() + START_TIME
+            self._submit(until)
+            left = until - time.monotonic()
+            curio.run(self._tool.warm_up, hosts, documents, source, left)
+        except NotReadyError as error:
+            print(f"the system did not come up: {error}")
+            return 3
+        up = time.monotonic() - began
+        asks = source.draw_load(self._options.requests, LOAD_TIME)
+        plan = LoadPlan(tuple(asks), LOAD_TIME / 2, self._disturb, ANSWER_TIME)
+        curio.run(self._tool.run, hosts, plan)
+        loaded = time.monotonic() - began - up
+        stops = self._processes.stop()
+        self._notes.append(f"up in {up:.1f} s, load and answers {loaded:.1f} s")
+        return self._report(stops)
+
+    def _start(self) -> None:
+        self._topology.write_settings(self._folder)
+        for role, hosts in (
+            ("control", self._topology.control_hosts),
+            ("entry", self._topology.entry_hosts),
+        ):
+            for host in hosts:
+                settings = str(self._folder / f"{host.name}.yaml")
+                command = [find_program("bramleyspreadd"), role]
+                self._processes.start(host.name, [*command, "--settings", settings])
+        for number, target in enumerate(self._topology.targets):
+            self._processes.start(target.name, self._make_command(target, number))
+
+    def _make_command(self, target: DemoTarget, number: int) -> list[str]:
+        kind = "engine" if target.is_engine else "plain"
+        command = [sys.executable, "-m", "bramleyspread_standins", kind]
+        command += [f"--name={target.name}", f"--pool={target.pool}"]
+        command += [f"--zone={target.zone}", f"--listen={target.address}"]
+        command += [f"--seed={self._options.seed * 1_000 + number}"]
+        hosts = list(self._topology.entry_hosts)
+        random.Random(number).shuffle(hosts)
+        command += [f"--entry-host={host.address}" for host in hosts]
+        if target.is_engine:
+            for model in target.declared.models:
+                adapters = "+".join(model.adapters)
+                command.append(f"--model={model.name}:{model.version}:{adapters}")
+            if not target.declared.checks_fencing:
+                command.append("--ignore-fencing")
+        else:
+            command.append(f"--ledger={self._folder / (target.name + '.ledger')}")
+        return command
+
+    def _submit(self, until: float) -> None:
+        for _, path in self._documents:
+            command = [find_program("bramleyspread"), "submit", str(path)]
+            command += ["--wait", "--settings", str(self._folder / "tool.yaml")]
+            while True:
+                done = subprocess.run(command, capture_output=True, check=False)
+                if done.returncode == 0:
+                    break
+                said = (done.stdout + done.stderr).decode().strip()
+                if time.monotonic() >= until:
+                    raise NotReadyError(f"{path.name} was not accepted: {said}")
+                time.sleep(SUBMIT_PAUSE)
+
+    def _disturb(self) -> None:
+        name = self._choose_victim()
+        if self._options.kill:
+            self._notes.append(f"killed {name} (SIGKILL)")
+            self._processes.kill(name)
+        elif self._options.drain:
+            self._notes.append(f"drained {name} (SIGTERM)")
+            self._processes.terminate(name)
+
+    def _choose_victim(self) -> str:
+        topology = self._topology
+        kinds: dict[str, Sequence[DemoHost | DemoTarget]] = {
+            "entry": topology.entry_hosts,
+            "control": topology.control_hosts,
+            "target": topology.targets,
+        }
+        kind = self._options.kill or self._options.drain or "entry"
+        return self._rng.choice(kinds[kind]).name
+
+    def _report(self, stops: Sequence[str]) -> int:
+        keyed = find_keyed_stages([document for document, _ in self._documents])
+        lines = [line for line in self._read_ledgers() if line.stage in keyed]
+        verdict = Verdict.from_reports(self._tool.reports.values(), lines)
+        broken = verdict.counts.list_broken(bool(self._options.drain))
+        self._notes += [f"stopped badly: {stop}" for stop in stops]
+        print_summary(verdict, self._notes, broken)
+        return 1 if broken else 0
+
+    def _read_ledgers(self) -> list[LedgerLine]:
+        lines: list[LedgerLine] = []
+        for path in sorted(self._folder.glob("*.ledger")):
+            text = path.read_bytes().splitlines()
+            lines += [decode_json(line, LedgerLine) for line in text]
+        return lines
+
+
+def load_documents(folder: Path) -> list[tuple[ServiceDocument, Path]]:
+    """Load the documents of a deployment, those that others refer to first.
+
+    :param folder: the folder of YAML files.
+    """
+    paths = sorted(folder.glob("*.yaml"))
+    loaded = [(ServiceDocument.from_yaml(p.read_bytes(), p.name), p) for p in paths]
+    return sorted(loaded, key=lambda each: _count_references(each[0]))
+
+
+def _count_references(document: ServiceDocument) -> int:
+    stages = [stage for pipe in document.pipelines for stage in pipe.stages]
+    return sum("." in stage.pool for stage in stages)
+
+
+def find_keyed_stages(documents: Sequence[ServiceDocument]) -> set[str]:
+    """Find the names of the stages that may not be repeated.
+
+    :param documents: the services.
+    """
+    return {
+        stage.name
+        for document in documents
+        for pipeline in document.pipelines
+        for stage in pipeline.stages
+        if not stage.idempotent
+    }
+
+
+def find_program(name: str) -> str:
+    """Find a program beside the interpreter.
+
+    :param name: its name.
+    """
+    return str(Path(sys.executable).parent / name)
+
+
+def print_summary(
+    verdict: Verdict, notes: Sequence[str], broken: Sequence[str]
+) -> None:
+    """Print what a person reads, and the last line for programs.
+
+    :param verdict: the verdict.
+    :param notes: what happened besides.
+    :param broken: promises that broke.
+    """
+    counts = verdict.counts
+    for note in notes:
+        print(note)
+    for end, count in verdict.ends.most_common():
+        print(f"{count:6}  {end.value}")
+    print(f"{verdict.asked_again:6}  asked more than once")
+    for reason, count in verdict.reasons.most_common():
+        print(f"{count:6}  asks: {reason}")
+    print(
+        f"first token p95 {counts.ttft_p95_ms} ms, "
+        f"added to the targets' own time p95 {counts.added_p95_ms} ms"
+    )
+    for breach in verdict.breaches:
+        print(f"BREACH {breach}")
+    print(f"broken promises: {', '.join(broken)}" if broken else "every promise held")
+    print(encode_json(counts).decode())
+
+
+def _stop_on_signal(number: int, _frame: object) -> None:
+    raise SystemExit(128 + number)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the demo.
+
+    :param arguments: the command line; None for the process's own.
+    :returns: the exit code.
+    """
+    options = make_parser().parse_args(arguments)
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, _stop_on_signal)
+    with tempfile.TemporaryDirectory(prefix="bramleyspread-demo-") as temporary:
+        folder = options.keep or Path(temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        try:
+            with ProcessGroup(folder) as processes:
+                return Demo(options, folder, processes).run()
+        except KeyboardInterrupt:
+            return 128 + signal.SIGINT
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/packages/standins/bramleyspread_standins/_http.py
+++ b/packages/standins/bramleyspread_standins/_http.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,6 +17,10 @@
 BACKLOG = 1_024
 
 
+#: Header names and values.
+Headers = Sequence[tuple[str, str]]
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A request with its whole body."""
@@ -46,16 +50,20 @@
         """Whether the head of an answer was sent."""
         return self._started
 
-    async def reply(self, status: int, body: bytes = b"{}") -> None:
+    async def reply(
+        self, status: int, body: bytes = b"{}", extra: Headers = ()
+    ) -> None:
         """Send a whole JSON answer.
 
         :param status: the HTTP status.
         :param body: JSON text.
+        :param extra: headers besides type and length.
         """
         self._started = True
         headers = [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(body))),
+            *extra,
         ]
         response = h11.Response(status_code=status, headers=headers)
         data = h11.Data(data=body)
--- /dev/null
+++ b/packages/standins/bramleyspread_standins/_processes.py
@@ -0,0 +1,110 @@
+"""The processes of a demo, none of which outlives it."""
+
+from __future__ import annotations
+
+import ctypes
+import signal
+import subprocess
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from types import TracebackType
+
+#: Asks the kernel to signal a process when its parent dies (Linux).
+PR_SET_PDEATHSIG = 1
+#: Time that processes have to stop when asked, in seconds.
+STOP_TIME = 8.0
+#: Pause between two looks at processes that stop, in seconds.
+LOOK_PAUSE = 0.02
+
+_libc = ctypes.CDLL(None)
+
+
+def _die_with_parent() -> None:
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class ProcessGroup:
+    """Processes by name; leaving the ``with`` ends them all."""
+
+    __slots__ = ("_folder", "_killed", "_running")
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+        self._killed: set[str] = set()
+
+    def __enter__(self) -> ProcessGroup:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for process in self._running.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self._running.values():
+            process.wait()
+
+    def start(self, name: str, command: Sequence[str]) -> None:
+        """Start a process whose output goes to ``NAME.log``.
+
+        :param name: its name.
+        :param command: the program and its arguments.
+        """
+        with (self._folder / f"{name}.log").open("ab") as log:
+            self._running[name] = subprocess.Popen(
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+                preexec_fn=_die_with_parent,
+            )
+
+    def kill(self, name: str) -> None:
+        """Send SIGKILL.
+
+        :param name: the process.
+        """
+        self._killed.add(name)
+        self._running[name].kill()
+
+    def terminate(self, name: str) -> None:
+        """Send SIGTERM.
+
+        :param name: the process.
+        """
+        self._running[name].terminate()
+
+    def list_died(self) -> list[str]:
+        """List the processes that ended with an error, unasked.
+
+        :returns: each with its exit code.
+        """
+        ends = {name: process.poll() for name, process in self._running.items()}
+        return [
+            f"{name} (exit code {code})"
+            for name, code in ends.items()
+            if code not in (None, 0) and name not in self._killed
+        ]
+
+    def stop(self) -> list[str]:
+        """Ask all to stop and wait for them.
+
+        :returns: the processes that did not exit 0 in time.
+        """
+        for process in self._running.values():
+            if process.poll() is None:
+                process.terminate()
+        until = time.monotonic() + STOP_TIME
+        while time.monotonic() < until and self._list_alive():
+            time.sleep(LOOK_PAUSE)
+        slow = [f"{name} (did not stop)" for name in self._list_alive()]
+        return slow + self.list_died()
+
+    def _list_alive(self) -> list[str]:
+        return [name for name, each in self._running.items() if each.poll() is None]
--- /dev/null
+++ b/packages/standins/bramleyspread_standins/_topology.py
@@ -0,0 +1,162 @@
+"""What a demo runs: hosts of the system and stand-in targets, with addresses."""
+
+from __future__ import annotations
+
+import random
+import socket
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from bramleyspread_core import (
+    Address,
+    Pool,
+    PoolName,
+    ServiceDocument,
+    ServiceName,
+    StageKind,
+)
+
+#: Ports are drawn from here, below those that outgoing connections use.
+PORTS = range(18_000, 32_000)
+#: The only IP number that a demo uses.
+LOOPBACK = "127.0.0.1"
+
+
+@dataclass(frozen=True, slots=True)
+class DemoHost:
+    """A host of the system."""
+
+    #: Its name.
+    name: str
+    #: Its availability zone.
+    zone: str
+    #: Where it listens.
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class DemoTarget:
+    """A stand-in target."""
+
+    #: Its name.
+    name: str
+    #: Its availability zone.
+    zone: str
+    #: Where it listens.
+    address: Address
+    #: The pool that it serves.
+    pool: PoolName
+    #: The pool as its document declares it.
+    declared: Pool
+
+    @property
+    def is_engine(self) -> bool:
+        """Whether it is a model engine."""
+        return self.declared.kind is StageKind.GENERATION
+
+
+@dataclass(frozen=True, slots=True)
+class Topology:
+    """Everything that a demo runs."""
+
+    #: Entry hosts.
+    entry_hosts: tuple[DemoHost, ...]
+    #: Control hosts.
+    control_hosts: tuple[DemoHost, ...]
+    #: Stand-in targets.
+    targets: tuple[DemoTarget, ...]
+
+    @classmethod
+    def from_documents(
+        cls,
+        documents: Sequence[ServiceDocument],
+        zones: Sequence[str],
+        entry_per_zone: int,
+        rng: random.Random,
+    ) -> Topology:
+        """Lay out the processes of a deployment, spread over its zones.
+
+        :param documents: the services; their pools say how many targets to run.
+        :param zones: the availability zones; each gets one control host.
+        :param entry_per_zone: entry hosts in each zone.
+        :param rng: draws the ports.
+        :returns: the topology.
+        """
+        addresses = _draw_addresses(rng)
+        entry_hosts = tuple(
+            DemoHost(f"entry-{zone}-{number}", zone, next(addresses))
+            for zone in zones
+            for number in range(1, entry_per_zone + 1)
+        )
+        control_hosts = tuple(
+            DemoHost(f"control-{zone}", zone, next(addresses)) for zone in zones
+        )
+        targets = []
+        for document in documents:
+            service = ServiceName(document.service)
+            for pool in document.pools:
+                for number in range(pool.expected):
+                    name = f"{service}-{pool.name}-{number + 1}"
+                    zone = zones[number % len(zones)]
+                    full = PoolName(service, pool.name)
+                    place = next(addresses)
+                    targets.append(DemoTarget(name, zone, place, full, pool))
+        return cls(entry_hosts, control_hosts, tuple(targets))
+
+    def write_settings(self, folder: Path) -> None:
+        """Write a settings file for each host, and ``tool.yaml`` for the tool.
+
+        :param folder: where to; each file is named after its host.
+        """
+        for host in self.entry_hosts:
+            text = self._describe_host(host, folder)
+            (folder / f"{host.name}.yaml").write_text(
+                text + _list_hosts("entry_hosts", self.entry_hosts)
+            )
+        for host in self.control_hosts:
+            text = self._describe_host(host, folder)
+            data = f"data: {folder / (host.name + '-data')}\n"
+            (folder / f"{host.name}.yaml").write_text(text + data)
+        lines = ["author: demo"]
+        for key, hosts in (
+            ("control_hosts", self.control_hosts),
+            ("entry_hosts", self.entry_hosts),
+        ):
+            lines += [f"{key}:", *(f'  - "{host.address}"' for host in hosts)]
+        (folder / "tool.yaml").write_text("\n".join(lines) + "\n")
+
+    def _describe_host(self, host: DemoHost, folder: Path) -> str:
+        return (
+            f"host: {host.name}\n"
+            f"zone: {host.zone}\n"
+            f"listen: {{ip: {host.address.ip}, port: {host.address.port}}}\n"
+            f"timeline: {folder / (host.name + '.timeline')}\n"
+            "log: {level: INFO}\n" + _list_hosts("control_hosts", self.control_hosts)
+        )
+
+
+def _list_hosts(key: str, hosts: Sequence[DemoHost]) -> str:
+    lines = [
+        f'  - {{host: {host.name}, zone: {host.zone}, address: "{host.address}"}}\n'
+        for host in hosts
+    ]
+    return f"{key}:\n" + "".join(lines)
+
+
+def _draw_addresses(rng: random.Random) -> Iterator[Address]:
+    drawn = set()
+    while True:
+        port = rng.choice(PORTS)
+        if port not in drawn and _is_free(port):
+            drawn.add(port)
+            yield Address(LOOPBACK, port)
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
--- /dev/null
+++ b/packages/standins/bramleyspread_standins/tests/test_caller.py
@@ -0,0 +1,102 @@
+"""A caller against a scripted entry host."""
+
+import random
+from collections.abc import Sequence
+
+import curio
+import pytest
+
+from bramleyspread_core import Brand
+from bramleyspread_standins._asks import Ask
+from bramleyspread_standins._caller import Caller, CallerReport, EndedBody, WholeBody
+from bramleyspread_standins._http import Exchange, HttpRequest, serve_http
+from bramleyspread_standins._ready_hosts import ReadyHosts
+from bramleyspread_standins.tests.test_target import (
+    pick_address,
+    wait_until_listening,
+)
+from bramleyspread_standins.tests.test_verdict import CHARGE, STREAM
+
+WHOLE = b'{"request":"r","output":{"marker":"m"},"repeated":false}'
+ENDED = b'{"request":"r","ended":"%s","not_run":%s,"reason":"x"}'
+REFUSED = ENDED % (b"refused", b"true")
+RUNNING = ENDED % (b"refused", b"false")
+FAILED = ENDED % (b"failed", b"false")
+UNKNOWN = ENDED % (b"unknown", b"false")
+CUT = b""
+
+#: A status, a body and the milliseconds of Retry-After; 0 for none.
+Script = Sequence[tuple[int, bytes, int]]
+
+
+class ScriptedHost:
+    """Answers each ask by the next line of its script."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = list(script)
+        self.keys: list[str] = []
+
+    async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
+        if request.method == "GET":
+            await exchange.reply(404)
+            return
+        self.keys.append(request.headers.get("idempotency-key", ""))
+        status, body, wait = self.script.pop(0)
+        if body == CUT:
+            await exchange.break_off()
+            return
+        headers = (("X-Retry-After-Ms", str(wait)),) if wait else ()
+        await exchange.reply(status, body, headers)
+
+
+def run_caller(ask: Ask, host: ScriptedHost) -> CallerReport:
+    async def run() -> CallerReport:
+        address = pick_address()
+        serving = await curio.spawn(serve_http, "127.0.0.1", address.port, host.handle)
+        await wait_until_listening(address)
+        hosts = ReadyHosts((address,), random.Random(1))
+        hosts.report_ready(address)
+        watching = await curio.spawn(keep_ready, hosts)
+        report = await Caller(ask, hosts).run()
+        await watching.cancel()
+        await serving.cancel()
+        return report
+
+    async def keep_ready(hosts: ReadyHosts) -> None:
+        while True:
+            for host in hosts.all:
+                hosts.report_ready(host)
+            await curio.sleep(0.01)
+
+    report: CallerReport = curio.run(run)
+    return report
+
+
+@pytest.mark.parametrize(
+    ("key", "script", "ended"),
+    [
+        ("", [(200, WHOLE, 0)], "whole"),
+        ("", [(503, REFUSED, 5), (200, WHOLE, 0)], "whole"),
+        ("", [(503, REFUSED, 0)], "refused"),
+        ("", [(503, REFUSED, 500_000)], "refused"),
+        ("", [(502, FAILED, 0), (200, WHOLE, 0)], "whole"),
+        ("", [(200, CUT, 0), (200, WHOLE, 0)], "whole"),
+        ("k", [(200, CUT, 0), (409, RUNNING, 5), (200, WHOLE, 0)], "whole"),
+        ("k", [(504, UNKNOWN, 0), (503, REFUSED, 5), (200, WHOLE, 0)], "whole"),
+        ("k", [(504, UNKNOWN, 0), (504, UNKNOWN, 500_000)], "unknown"),
+        ("k", [(503, REFUSED, 0)], "refused"),
+    ],
+)
+def test_asks_again_as_the_answers_say(key: str, script: Script, ended: str) -> None:
+    pipeline = CHARGE if key else STREAM
+    ask = Ask("m", 0.0, "s", pipeline, Brand("a", "b"), 5, key, False, None)
+    host = ScriptedHost(script)
+    report = run_caller(ask, host)
+    assert host.script == []
+    assert set(host.keys) == {key}
+    result = report.asks[-1].result
+    if ended == "whole":
+        assert isinstance(result, WholeBody)
+    else:
+        assert isinstance(result, EndedBody)
+        assert result.ended == ended
--- /dev/null
+++ b/packages/standins/bramleyspread_standins/tests/test_demo.py
@@ -0,0 +1,42 @@
+"""What a demo is made of."""
+
+import random
+from pathlib import Path
+
+import yaml
+
+from bramleyspread_core import ServiceDocument
+from bramleyspread_standins._asks import AskSource
+from bramleyspread_standins._demo import ZONES, find_keyed_stages, load_documents
+from bramleyspread_standins._topology import Topology
+
+EXAMPLES = Path(__file__).parents[4] / "examples" / "consorcio"
+
+
+def load_example() -> list[ServiceDocument]:
+    return [document for document, _ in load_documents(EXAMPLES)]
+
+
+def test_submits_documents_behind_those_that_they_refer_to() -> None:
+    documents = load_example()
+    assert documents[-1].service == "booth-gateway"
+    assert find_keyed_stages(documents) == {"charge"}
+
+
+def test_draws_the_same_load_from_the_same_seed() -> None:
+    one, other = (AskSource(load_example(), 7, "r").draw_load(60, 5) for _ in range(2))
+    assert one == other
+    assert len({ask.marker for ask in one}) == 60
+    assert all(bool(ask.key) is not ask.pipeline.idempotent for ask in one)
+
+
+def test_lays_out_the_deployment_and_its_settings(tmp_path: Path) -> None:
+    topology = Topology.from_documents(load_example(), ZONES, 2, random.Random(1))
+    assert len(topology.entry_hosts) == 6
+    assert sum(target.is_engine for target in topology.targets) == 10
+    assert len(topology.targets) == 22
+    topology.write_settings(tmp_path)
+    settings = yaml.safe_load((tmp_path / "control-callao.yaml").read_text())
+    assert [host["host"] for host in settings["control_hosts"]] == [
+        f"control-{zone}" for zone in ZONES
+    ]
