--- a/packages/standins/bramleyspread_standins/_target.py
+++ b/packages/standins/bramleyspread_standins/_target.py
@@ -38,7 +38,7 @@
 #: How often the load is sampled, in seconds.
 LOAD_SAMPLE = 0.05
 #: How long a leaving target stays to refuse work, in seconds.
-LEAVING_STAY = 1.0
+LEAVING_STAY = 3.0
 
 
 @dataclass(frozen=True, slots=True)
