--- a/packages/core/bramleyspread_core/__init__.py
+++ b/packages/core/bramleyspread_core/__init__.py
@@ -66,6 +66,12 @@
     Contract,
     ContractWatch,
 )
+from bramleyspread_core._costs import (
+    Cost,
+    CostKind,
+    CostReport,
+    CostRow,
+)
 from bramleyspread_core._document import (
     BrandShare,
     Count,
@@ -187,6 +193,10 @@
     "ControlNode",
     "ControlOutput",
     "ControlStatus",
+    "Cost",
+    "CostKind",
+    "CostReport",
+    "CostRow",
     "Count",
     "Directory",
     "Dispatch",
--- a/packages/entry/bramleyspread_entry/__init__.py
+++ b/packages/entry/bramleyspread_entry/__init__.py
@@ -4,7 +4,6 @@
 from bramleyspread_entry._attempts import Attempt, AttemptKind
 from bramleyspread_entry._choice import Choice, Need, TwoChoices
 from bramleyspread_entry._config import EntryConfig
-from bramleyspread_entry._costs import Cost, CostKind, CostReport, CostRow
 from bramleyspread_entry._decisions import EntryDecisions
 from bramleyspread_entry._hedges import Hedging, LateHedging, NoHedging
 from bramleyspread_entry._ids import IdSource
@@ -26,10 +25,6 @@
     "Attempt",
     "AttemptKind",
     "Choice",
-    "Cost",
-    "CostKind",
-    "CostReport",
-    "CostRow",
     "EntryConfig",
     "EntryDecisions",
     "Hedging",
--- a/packages/entry/bramleyspread_entry/_decisions.py
+++ b/packages/entry/bramleyspread_entry/_decisions.py
@@ -10,6 +10,7 @@
     CallerRequest,
     CommandResult,
     ContractWatch,
+    CostReport,
     Directory,
     Effect,
     Fault,
@@ -24,7 +25,6 @@
 from bramleyspread_entry._claims import ClaimDesk
 from bramleyspread_entry._conclusion import Conclusion
 from bramleyspread_entry._config import EntryConfig
-from bramleyspread_entry._costs import CostReport
 from bramleyspread_entry._dispatch import Dispatcher
 from bramleyspread_entry._intake import Intake
 from bramleyspread_entry._pipeline import ClaimState
--- a/packages/entry/bramleyspread_entry/_dispatch.py
+++ b/packages/entry/bramleyspread_entry/_dispatch.py
@@ -9,6 +9,7 @@
     RUN_AT_MOST_ONCE,
     AttemptId,
     CancelAttempt,
+    CostKind,
     Dispatch,
     TargetCall,
     TargetState,
@@ -16,7 +17,6 @@
 )
 from bramleyspread_entry._attempts import Attempt, AttemptKind
 from bramleyspread_entry._choice import Need
-from bramleyspread_entry._costs import CostKind
 from bramleyspread_entry._ids import name_attempt
 from bramleyspread_entry._pipeline import Run
 from bramleyspread_entry._silence import allow_silence
--- a/packages/entry/bramleyspread_entry/_stages.py
+++ b/packages/entry/bramleyspread_entry/_stages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bramleyspread_core import (
+    CostKind,
     Done,
     DropConnections,
     Fault,
@@ -14,7 +15,6 @@
 )
 from bramleyspread_entry._attempts import Attempt, AttemptKind
 from bramleyspread_entry._conclusion import Conclusion
-from bramleyspread_entry._costs import CostKind
 from bramleyspread_entry._delivery import Delivery
 from bramleyspread_entry._dispatch import TYPICAL_SHARE, Dispatcher
 from bramleyspread_entry._occupancy import PoolState
--- a/packages/tool/bramleyspread_tool/_arguments.py
+++ b/packages/tool/bramleyspread_tool/_arguments.py
@@ -36,6 +36,12 @@
     timeline.add_argument("files", nargs="+", type=Path, metavar="FILE")
     timeline.add_argument("--request", help="only events of this request")
     cost = _add(commands, "cost", "show cost by service, organisation, brand and stage")
+    cost.add_argument(
+        "--by",
+        choices=("service", "organisation", "brand", "stage"),
+        default="stage",
+        help="sum up by this (default %(default)s)",
+    )
     _add_hosts(cost)
     return parser
 
--- a/packages/tool/bramleyspread_tool/_main.py
+++ b/packages/tool/bramleyspread_tool/_main.py
@@ -15,6 +15,7 @@
 from bramleyspread_tool._arguments import build_parser
 from bramleyspread_tool._check import check_files
 from bramleyspread_tool._control import ControlHosts
+from bramleyspread_tool._cost import ask_costs, list_cost_lines, merge_reports
 from bramleyspread_tool._exit import ExitCode
 from bramleyspread_tool._report import list_document_lines, list_status_lines
 from bramleyspread_tool._settings import ToolSettings, read_file
@@ -109,6 +110,20 @@
     return ExitCode.DONE
 
 
+def _run_cost(arguments: Namespace) -> int:
+    settings = ToolSettings.from_arguments(arguments)
+    reports, faults = ask_costs(settings.list_entry())
+    _complain(f"not counted: {fault}" for fault in faults)
+    if not reports:
+        return ExitCode.UNREACHABLE
+    report = merge_reports(reports)
+    if arguments.json:
+        _print_json(report)
+    else:
+        _print_lines(list_cost_lines(report, arguments.by))
+    return ExitCode.DONE
+
+
 def _complain(lines: Iterable[str]) -> None:
     for line in lines:
         print(line, file=sys.stderr)
@@ -129,4 +144,5 @@
     "show": _run_show,
     "status": _run_status,
     "timeline": _run_timeline,
+    "cost": _run_cost,
 }
