Let a settlement's answer be read from JSON

msgspec reads a union of raw JSON and None as None alone, so a settlement with an answer was refused. The field keeps its type for callers and is left out when there is no answer.

--- a/packages/core/bramleyspread_core/_commands.py
+++ b/packages/core/bramleyspread_core/_commands.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from bramleyspread_core._calls import Payload
@@ -57,7 +59,15 @@
     remaining_ms: int
 
 
-class Settle(msgspec.Struct, frozen=True, tag="settle"):
+if TYPE_CHECKING:
+    _OptionalPayload = Payload | None
+else:
+    # msgspec reads a union of raw JSON and None as None alone; raw JSON with
+    # None as its default, which is left out, goes both ways.
+    _OptionalPayload = Payload
+
+
+class Settle(msgspec.Struct, frozen=True, tag="settle", omit_defaults=True):
     """Record how a claimed request ended; only the claim's request may."""
 
     #: The claimed key.
@@ -67,7 +77,7 @@
     #: ``done``, ``not-run`` (frees the key) or ``unknown``.
     ended: str
     #: The whole answer, when done.
-    answer: Payload | None = None
+    answer: _OptionalPayload = None
 
 
 class IntendOrders(msgspec.Struct, frozen=True, tag="intend-orders"):
--- /dev/null
+++ b/packages/core/bramleyspread_core/tests/test_commands.py
@@ -0,0 +1,26 @@
+"""Tests of commands on their way between processes."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from bramleyspread_core import (
+    Brand,
+    ClaimKey,
+    Command,
+    RequestId,
+    ServiceName,
+    Settle,
+    decode_json,
+    encode_json,
+)
+
+KEY = ClaimKey(Brand("inkabooth", "fast"), ServiceName("ledger"), "pay-1")
+
+
+@pytest.mark.parametrize("answer", [None, msgspec.Raw(b'{"paid":true}')])
+def test_settlement_goes_both_ways(answer: msgspec.Raw | None) -> None:
+    settle = Settle(KEY, RequestId("r-1"), "done", answer)
+    decoded: Settle = decode_json(encode_json(settle), Command)
+    assert decoded.answer == answer
