--- /dev/null
+++ b/packages/control/bramleyspread_control/_documents.py
@@ -0,0 +1,200 @@
+"""Group 0's state: service documents, known changes, and intended orders."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterator
+
+import msgspec
+import xxhash
+
+from bramleyspread_control._entries import Change, PutDocument
+from bramleyspread_core import (
+    Accepted,
+    CommandResult,
+    Conflict,
+    DocumentInForce,
+    DocumentsPage,
+    Intended,
+    IntendOrders,
+    Order,
+    Rejected,
+    ServiceDocument,
+    ServiceName,
+    decode_json,
+    encode_json,
+    find_reference_faults,
+)
+
+#: Most bytes of documents on one page.
+PAGE_BYTES = 4_000_000
+
+
+class HeldDocument(msgspec.Struct, frozen=True):
+    """A document in force, as text and as what the text says."""
+
+    #: As it is handed out.
+    in_force: DocumentInForce
+    #: What it says.
+    document: ServiceDocument
+
+
+class KnownChange(msgspec.Struct, frozen=True):
+    """An accepted change, kept so that a resend is known."""
+
+    #: The change's id.
+    change: str
+    #: Digest of the submitted text.
+    digest: int
+    #: What was answered.
+    accepted: Accepted
+
+
+class _Image(msgspec.Struct, frozen=True):
+    """The whole state, for snapshots."""
+
+    #: Position in the order of all changes.
+    revision: int
+    #: The documents in force.
+    documents: tuple[HeldDocument, ...]
+    #: The changes, oldest first.
+    changes: tuple[KnownChange, ...]
+    #: The newest order of each target.
+    orders: tuple[Order, ...]
+    #: The highest fencing number of an order.
+    fence: int
+
+
+class DocumentsMachine:
+    """Builds documents and orders from committed entries."""
+
+    def __init__(self, changes_kept: int) -> None:
+        #: Position in the order of all changes.
+        self.revision = 0
+        #: The documents in force, by service.
+        self.documents: dict[str, HeldDocument] = {}
+        #: The newest order of each target.
+        self.orders: dict[str, Order] = {}
+        self._fence = 0
+        self._changes: OrderedDict[str, KnownChange] = OrderedDict()
+        self._changes_kept = changes_kept
+
+    def apply(self, change: Change) -> CommandResult | None:
+        """Apply a committed change.
+
+        :param change: the change.
+        :returns: the result of the command that made it.
+        """
+        match change:
+            case PutDocument():
+                return self._put(change)
+            case IntendOrders():
+                return self._intend(change)
+        return None
+
+    def find_page(self, revision: int) -> DocumentsPage:
+        """Find documents newer than a revision.
+
+        :param revision: everything up to here is known to the asker.
+        :returns: the documents, as many as one page takes.
+        """
+        newer = [
+            held.in_force
+            for held in self.documents.values()
+            if held.in_force.revision > revision
+        ]
+        newer.sort(key=lambda each: each.revision)
+        size = 0
+        for count, document in enumerate(newer):
+            size += len(document.text)
+            if count and size > PAGE_BYTES:
+                return DocumentsPage(newer[count - 1].revision, tuple(newer[:count]))
+        return DocumentsPage(self.revision, tuple(newer))
+
+    def encode(self) -> bytes:
+        """Write the whole state as JSON."""
+        image = _Image(
+            self.revision,
+            tuple(self.documents.values()),
+            tuple(self._changes.values()),
+            tuple(self.orders.values()),
+            self._fence,
+        )
+        return encode_json(image)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state.
+
+        :param data: what :meth:`encode` wrote.
+        :raises MessageError: when it is something else; then nothing changes.
+        """
+        image: _Image = decode_json(data, _Image)
+        self.revision = image.revision
+        self.documents = {each.in_force.service: each for each in image.documents}
+        self._changes = OrderedDict((each.change, each) for each in image.changes)
+        self.orders = {each.target: each for each in image.orders}
+        self._fence = image.fence
+
+    def _put(self, put: PutDocument) -> CommandResult:
+        digest = xxhash.xxh3_64_intdigest(put.text)
+        known = self._changes.get(put.change)
+        if known is not None:
+            if known.digest != digest:
+                fault = f"change {put.change!r} was another document; use a new id"
+                return Rejected((fault,))
+            return msgspec.structs.replace(known.accepted, resent=True)
+        document = put.document
+        held = self.documents.get(document.service)
+        version = held.in_force.version if held else 0
+        if document.version != version + 1:
+            author = held.in_force.author if held else ""
+            return Conflict(_name(document), version, author)
+        faults = tuple(self._find_faults(document))
+        if faults:
+            return Rejected(faults)
+        return self._accept(put, digest)
+
+    def _accept(self, put: PutDocument, digest: int) -> Accepted:
+        document = put.document
+        self.revision += 1
+        in_force = DocumentInForce(
+            _name(document), document.version, self.revision, put.author, put.text
+        )
+        self.documents[document.service] = HeldDocument(in_force, document)
+        accepted = Accepted(_name(document), document.version, self.revision)
+        self._changes[put.change] = KnownChange(put.change, digest, accepted)
+        while len(self._changes) > self._changes_kept:
+            self._changes.popitem(last=False)
+        return accepted
+
+    def _find_faults(self, document: ServiceDocument) -> Iterator[str]:
+        others = {name: held.document for name, held in self.documents.items()}
+        yield from find_reference_faults(document, others)
+        after = {**others, document.service: document}
+        for name, other in others.items():
+            if name == document.service or not _refers_to(other, document.service):
+                continue
+            for fault in find_reference_faults(other, after):
+                yield f"service {name!r} would break: {fault}"
+
+    def _intend(self, intent: IntendOrders) -> CommandResult:
+        lowest = min((order.fence for order in intent.orders), default=self._fence)
+        if lowest < self._fence:
+            fault = f"fencing number {lowest} is old; {self._fence} has given orders"
+            return Rejected((fault,))
+        for order in intent.orders:
+            self.orders[order.target] = order
+            self._fence = max(self._fence, order.fence)
+        return Intended()
+
+
+def _refers_to(document: ServiceDocument, service: str) -> bool:
+    return any(
+        document.resolve_pool(stage).service == service
+        for pipeline in document.pipelines
+        for stage in pipeline.stages
+    )
+
+
+def _name(document: ServiceDocument) -> ServiceName:
+    return ServiceName(document.service)
--- /dev/null
+++ b/packages/control/bramleyspread_control/_host.py
@@ -0,0 +1,257 @@
+"""A control host: its replicas of every group, behind one interface."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+
+import xxhash
+
+from bramleyspread_control._claim_times import ClaimTimes
+from bramleyspread_control._config import ControlConfig
+from bramleyspread_control._disk import Disk
+from bramleyspread_control._entries import Change, PutDocument
+from bramleyspread_control._exchange import Exchange
+from bramleyspread_control._replica import Replica
+from bramleyspread_control._standing import Role
+from bramleyspread_control._store import DOCUMENTS_GROUP, Store
+from bramleyspread_control._tickets import Tickets
+from bramleyspread_core import (
+    Address,
+    Claim,
+    ClaimKey,
+    Command,
+    ControlOutput,
+    ControlStatus,
+    DocumentInForce,
+    DocumentsPage,
+    DocumentsQuery,
+    Happening,
+    HostInForce,
+    IntendOrders,
+    InvalidFileError,
+    NotLeader,
+    Order,
+    PeerMessage,
+    Rejected,
+    ServiceDocument,
+    Settle,
+    SubmitDocument,
+    encode_json,
+)
+
+#: How long an entry host that does not ask is remembered, in seconds.
+ENTRY_HOST_KEPT = 60.0
+
+
+class ControlHost:
+    """All decisions of one control host; implements ``ControlNode``.
+
+    Drive it with ``receive``, ``propose`` and ``tick``, then call ``flush``
+    and let out what it returns. A ``DiskError`` must end the process.
+    """
+
+    def __init__(
+        self,
+        config: ControlConfig,
+        disk: Disk,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self._config = config
+        self._store = Store(config, disk, rng, now)
+        self._exchange = Exchange(config, self._store, f"{rng.getrandbits(64):016x}")
+        self._tickets = Tickets()
+        self._claim_times: dict[int, tuple[int, ClaimTimes]] = {}
+        self._entry_hosts: dict[str, tuple[DocumentsQuery, float]] = {}
+
+    @classmethod
+    def from_config(
+        cls,
+        config: ControlConfig,
+        disk: Disk,
+        rng: random.Random,
+        now: float,
+    ) -> ControlHost:
+        """Start a control host on a data folder.
+
+        :param config: its settings.
+        :param disk: its data folder.
+        :param rng: source of randomness; also of the folder's identity.
+        :param now: monotonic seconds.
+        :returns: the host.
+        :raises CorruptFileError: when a file is damaged.
+        :raises DiskError: when the data folder fails.
+        :raises SettingsError: when the settings do not fit the data folder.
+        """
+        return cls(config, disk, rng, now)
+
+    def receive(self, message: PeerMessage, now: float) -> None:
+        """Take a message from another control host."""
+        self._exchange.receive(message, now)
+
+    def propose(self, ticket: int, command: Command, now: float) -> None:
+        """Take a command; at most one reply with this ticket follows."""
+        replica = self._store.replicas[self._find_group(command)]
+        replica.observe(now)
+        leading = replica.leading
+        if leading is None or not leading.may_accept(now):
+            self._tickets.reply(ticket, NotLeader(self._find_leader(replica)))
+            return
+        change = self._prepare(command, now)
+        if isinstance(change, Rejected):
+            self._tickets.reply(ticket, change)
+            return
+        index = replica.propose(change, now)
+        if index is None:
+            self._tickets.reply(ticket, NotLeader(None))
+        else:
+            self._tickets.wait(ticket, replica, index)
+
+    def tick(self, now: float) -> None:
+        """Let time pass; call at least every 10 ms."""
+        for group, replica in self._store.replicas.items():
+            replica.tick(now)
+            self._exchange.change_members(replica, now)
+            if group != DOCUMENTS_GROUP:
+                self._watch_claims(group, replica, now)
+        self._exchange.tick(now)
+
+    def flush(self, now: float) -> ControlOutput:
+        """Write and sync what is due, then say what may leave the process."""
+        replicas = self._store.replicas
+        for replica in replicas.values():
+            replica.observe(now)
+            replica.replicate(now)
+        self._store.write()
+        happenings: list[Happening] = []
+        for group, replica in replicas.items():
+            for applied in replica.mark_synced():
+                self._tickets.take_applied(group, applied)
+            self._tickets.give_up(group, replica)
+            happenings += replica.standing.happenings
+            replica.standing.happenings.clear()
+        self._store.write_commits()
+        happenings += self._exchange.take_happenings()
+        return ControlOutput(
+            self._exchange.take_sends(),
+            self._tickets.take_replies(),
+            tuple(happenings),
+        )
+
+    def answer_query(self, query: DocumentsQuery, now: float) -> DocumentsPage:
+        """Hand out committed documents newer than the query's revision."""
+        self._entry_hosts[query.host] = (query, now)
+        return self._store.documents.find_page(query.revision)
+
+    def report_status(self, now: float) -> ControlStatus:
+        """Describe this host."""
+        replicas = {str(group): each for group, each in self._store.replicas.items()}
+        for replica in replicas.values():
+            replica.observe(now)
+        return ControlStatus(
+            host=self._config.host,
+            roles={group: each.standing.role.value for group, each in replicas.items()},
+            leaders={
+                group: each.standing.leader or "" for group, each in replicas.items()
+            },
+            terms={group: each.standing.term for group, each in replicas.items()},
+            applied={group: each.log.applied for group, each in replicas.items()},
+            voters={
+                group: tuple(member.host for member in each.log.members.voters)
+                for group, each in replicas.items()
+            },
+            revision=self._store.documents.revision,
+            entry_hosts=self._list_entry_hosts(now),
+        )
+
+    def hand_over(self, now: float) -> None:
+        """Pass leadership of every group on, before a planned stop."""
+        for replica in self._store.replicas.values():
+            replica.hand_over(now)
+
+    def list_documents(self) -> Sequence[DocumentInForce]:
+        """List the committed documents, the newest version of each."""
+        held = self._store.documents.documents
+        return [held[service].in_force for service in sorted(held)]
+
+    def list_intents(self) -> Sequence[Order]:
+        """List the newest committed order of each target."""
+        orders = self._store.documents.orders
+        return [orders[target] for target in sorted(orders)]
+
+    def order_fence(self, now: float) -> int | None:
+        """The fencing number to order with, or None when another may order."""
+        replica = self._store.replicas[DOCUMENTS_GROUP]
+        if not replica.has_lease(now) or replica.leading is None:
+            return None
+        leading = replica.leading
+        waited = now >= leading.elected_at + self._config.timings.order_wait
+        fits = leading.settled and leading.open and waited
+        return replica.standing.term if fits else None
+
+    def _find_group(self, command: Command) -> int:
+        match command:
+            case Claim() | Settle():
+                return find_claim_group(command.key, self._config.groups)
+        return DOCUMENTS_GROUP
+
+    def _find_leader(self, replica: Replica) -> Address | None:
+        standing = replica.standing
+        if standing.leader is None or standing.role is Role.LEADER:
+            return None
+        member = standing.log.members.find(standing.leader)
+        return member.address if member is not None else None
+
+    def _prepare(self, command: Command, now: float) -> Change | Rejected:
+        match command:
+            case SubmitDocument():
+                return _read_document(command)
+            case IntendOrders():
+                fence = self.order_fence(now)
+                if any(order.fence != fence for order in command.orders):
+                    return Rejected((f"orders must carry fencing number {fence}",))
+        return command
+
+    def _watch_claims(self, group: int, replica: Replica, now: float) -> None:
+        leading = replica.leading
+        if leading is None or not leading.settled:
+            return
+        term = replica.standing.term
+        known = self._claim_times.get(group)
+        if known is None or known[0] != term:
+            machine = self._store.claims[group]
+            known = (term, ClaimTimes(machine, self._config.timings, now))
+            self._claim_times[group] = known
+        for change in known[1].find_due(now):
+            replica.propose(change, now)
+
+    def _list_entry_hosts(self, now: float) -> tuple[HostInForce, ...]:
+        hosts = []
+        for host, (query, heard) in sorted(self._entry_hosts.items()):
+            age = now - heard
+            if age > ENTRY_HOST_KEPT:
+                del self._entry_hosts[host]
+                continue
+            hosts.append(HostInForce(query.host, query.zone, query.revision, age))
+        return tuple(hosts)
+
+
+def find_claim_group(key: ClaimKey, groups: int) -> int:
+    """Find the group that holds a key.
+
+    :param key: the key.
+    :param groups: groups that share the claims.
+    :returns: the group's id; the same for a key on every host and for ever.
+    """
+    return 1 + int(xxhash.xxh3_64_intdigest(encode_json(key)) % groups)
+
+
+def _read_document(submit: SubmitDocument) -> PutDocument | Rejected:
+    try:
+        document = ServiceDocument.from_yaml(submit.text.encode(), "document")
+    except InvalidFileError as error:
+        return Rejected(error.faults)
+    if not submit.change:
+        return Rejected(("change: give the change an id",))
+    return PutDocument(submit.change, submit.author, submit.text, document)
--- /dev/null
+++ b/packages/control/bramleyspread_control/_journal.py
@@ -0,0 +1,300 @@
+"""A host's durable state: one checkpoint, and one journal of what came after.
+
+``checkpoint-N`` holds every group's state and log as of its making, and
+``journal-N`` what was written since, for all groups, so that one sync serves
+them all. A new pair is made by writing the checkpoint under another name,
+syncing it, making the empty journal, renaming the checkpoint, and syncing the
+folder; only then is the old pair removed.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+
+import msgspec
+
+from bramleyspread_control._disk import CorruptFileError, Disk
+from bramleyspread_control._entries import Entry
+from bramleyspread_control._members import Members
+from bramleyspread_control._records import (
+    encode_record,
+    find_later_records,
+    read_records,
+)
+from bramleyspread_core import MessageError, decode_json, encode_json
+
+_NAME = re.compile(r"^(checkpoint|journal)-(\d{8})$")
+
+
+class Header(msgspec.Struct, frozen=True, tag="header"):
+    """The first record of a checkpoint."""
+
+    #: Identity of the data folder.
+    incarnation: str
+    #: The deployment that it belongs to; empty before it does.
+    deployment: str
+    #: The members that founded the deployment, where this one did.
+    founders: Members
+    #: Groups that share the claims.
+    groups: int
+
+
+class GroupState(msgspec.Struct, frozen=True, tag="group-state"):
+    """A group as of a checkpoint, without its log's entries."""
+
+    #: The group.
+    group: int
+    #: The newest term seen.
+    term: int
+    #: Who got this replica's vote in that term.
+    vote: str
+    #: The state holds everything up to here, and the log what is behind.
+    index: int
+    #: Term of that entry.
+    index_term: int
+    #: The members at that entry.
+    members: Members
+    #: The state at that entry.
+    state: msgspec.Raw
+
+
+class Voted(msgspec.Struct, frozen=True, tag="voted"):
+    """A new term, and who got the vote in it."""
+
+    #: The group.
+    group: int
+    #: The term.
+    term: int
+    #: Who got the vote; empty for nobody.
+    vote: str
+
+
+class Logged(msgspec.Struct, frozen=True, tag="logged"):
+    """An entry; it replaces those at its position and behind."""
+
+    #: The group.
+    group: int
+    #: The entry.
+    entry: Entry
+
+
+class Committed(msgspec.Struct, frozen=True, tag="committed"):
+    """Everything up to an entry is committed."""
+
+    #: The group.
+    group: int
+    #: The entry's position.
+    index: int
+
+
+class Mark(msgspec.Struct, frozen=True, tag="mark"):
+    """The journal's first bytes were synced."""
+
+    #: How many.
+    synced: int
+
+
+class End(msgspec.Struct, frozen=True, tag="end"):
+    """The last record of a checkpoint."""
+
+    #: Records before this one.
+    records: int
+
+
+#: What a journal holds.
+JournalRecord = Voted | Logged | Committed | Mark
+#: What a checkpoint holds.
+CheckpointRecord = Header | GroupState | Logged | End
+
+
+class Placed(msgspec.Struct, frozen=True):
+    """A record with the place that it was read from."""
+
+    #: The file.
+    name: str
+    #: Where the record begins, in bytes.
+    offset: int
+    #: The record.
+    record: Voted | Logged | Committed
+
+
+class Stored(msgspec.Struct):
+    """What was found in a data folder."""
+
+    #: The checkpoint's first record.
+    header: Header
+    #: The checkpoint's groups.
+    states: list[GroupState]
+    #: What came after them, in order.
+    records: list[Placed]
+
+
+class Journal:
+    """The files of one data folder."""
+
+    def __init__(self, disk: Disk) -> None:
+        self._disk = disk
+        self._number = 0
+        self._size = 0
+        #: Records written since the checkpoint.
+        self.records = 0
+        #: Bytes of the checkpoint.
+        self.checkpoint_bytes = 0
+
+    @property
+    def size(self) -> int:
+        """Bytes of the journal."""
+        return self._size
+
+    @property
+    def name(self) -> str:
+        """The journal's file name."""
+        return f"journal-{self._number:08d}"
+
+    @property
+    def checkpoint_name(self) -> str:
+        """The checkpoint's file name."""
+        return f"checkpoint-{self._number:08d}"
+
+    def load(self) -> Stored | None:
+        """Read what the folder holds, and clear away what a kill left.
+
+        :returns: what was found; None when the folder has never been used.
+        :raises CorruptFileError: naming file and offset.
+        :raises DiskError: when the folder fails.
+        """
+        names = [
+            match for name in self._disk.list_names() if (match := _NAME.match(name))
+        ]
+        checkpoints = [int(m[2]) for m in names if m[1] == "checkpoint"]
+        journals = [int(m[2]) for m in names if m[1] == "journal"]
+        if not checkpoints:
+            self._refuse_orphans(journals)
+            return None
+        self._number = max(checkpoints)
+        if self._number not in journals:
+            raise CorruptFileError(self.name, 0, "the file is missing")
+        stored = self._read_checkpoint(self.checkpoint_name)
+        stored.records += self._read_journal()
+        self._clear_away()
+        return stored
+
+    def write(self, records: list[JournalRecord], sync: bool) -> None:
+        """Add records.
+
+        :param records: the records.
+        :param sync: whether they must be durable on return.
+        :raises DiskError: when the folder fails.
+        """
+        data = b"".join(encode_record(encode_json(record)) for record in records)
+        self._append(data)
+        self.records += len(records)
+        if sync:
+            self._disk.sync(self.name)
+            self._append(encode_record(encode_json(Mark(self._size))))
+
+    def replace(self, records: list[CheckpointRecord]) -> None:
+        """Make a new checkpoint, with an empty journal.
+
+        :param records: all of it but its end.
+        :raises DiskError: when the folder fails.
+        """
+        former = self._number
+        self._number = former + 1
+        name = self.checkpoint_name
+        parts = [encode_record(encode_json(record)) for record in records]
+        parts.append(encode_record(encode_json(End(len(records)))))
+        data = b"".join(parts)
+        disk = self._disk
+        for stale in (f"{name}.new", self.name):
+            if stale in disk.list_names():
+                disk.remove(stale)
+        disk.append(f"{name}.new", data)
+        disk.sync(f"{name}.new")
+        disk.append(self.name, b"")
+        disk.sync(self.name)
+        disk.sync_folder()
+        disk.rename(f"{name}.new", name)
+        disk.sync_folder()
+        self._size = self.records = 0
+        self.checkpoint_bytes = len(data)
+        if former:
+            disk.remove(f"checkpoint-{former:08d}")
+            disk.remove(f"journal-{former:08d}")
+
+    def _append(self, data: bytes) -> None:
+        self._disk.append(self.name, data)
+        self._size += len(data)
+
+    def _refuse_orphans(self, journals: list[int]) -> None:
+        for number in journals:
+            name = f"journal-{number:08d}"
+            if self._disk.read(name):
+                raise CorruptFileError(name, 0, "its checkpoint is missing")
+
+    def _read_checkpoint(self, name: str) -> Stored:
+        data = self._disk.read(name)
+        self.checkpoint_bytes = len(data)
+        found, end = read_records(data)
+        if end != len(data):
+            raise CorruptFileError(name, end, "no sound record begins here")
+        records: list[CheckpointRecord] = [
+            _decode(name, offset, content, CheckpointRecord)
+            for offset, content in found
+        ]
+        if not records or records[-1] != End(len(records) - 1):
+            raise CorruptFileError(name, end, "the end is missing")
+        header = records[0]
+        if not isinstance(header, Header):
+            raise CorruptFileError(name, 0, "the header is missing")
+        states = [each for each in records if isinstance(each, GroupState)]
+        logged = [
+            Placed(name, offset, each)
+            for (offset, _), each in zip(found, records, strict=True)
+            if isinstance(each, Logged)
+        ]
+        return Stored(header, states, logged)
+
+    def _read_journal(self) -> list[Placed]:
+        data = self._disk.read(self.name)
+        found, end = read_records(data)
+        if end != len(data):
+            self._cut_tail(data, end)
+        self._size = end
+        records = []
+        for offset, content in found:
+            record: JournalRecord = _decode(self.name, offset, content, JournalRecord)
+            self.records += 1
+            if not isinstance(record, Mark):
+                records.append(Placed(self.name, offset, record))
+        return records
+
+    def _cut_tail(self, data: bytes, end: int) -> None:
+        """Cut what was never synced; refuse when synced bytes are damaged."""
+        for content in find_later_records(data, end):
+            try:
+                record: JournalRecord = decode_json(content, JournalRecord)
+            except MessageError:
+                continue
+            if isinstance(record, Mark) and record.synced > end:
+                raise CorruptFileError(self.name, end, "no sound record begins here")
+        self._disk.truncate(self.name, end)
+        self._disk.sync(self.name)
+
+    def _clear_away(self) -> None:
+        kept = {self.name, self.checkpoint_name}
+        for name in self._disk.list_names():
+            ours = _NAME.match(name.removesuffix(".new"))
+            if ours and name not in kept:
+                self._disk.remove(name)
+
+
+def _decode(name: str, offset: int, content: bytes, kind: Any) -> Any:  # noqa: ANN401
+    try:
+        record = decode_json(content, kind)
+        if isinstance(record, Logged):
+            record.entry.read_change()
+    except MessageError as error:
+        raise CorruptFileError(name, offset, str(error)) from None
+    return record
--- /dev/null
+++ b/packages/control/bramleyspread_control/_records.py
@@ -0,0 +1,82 @@
+"""Records in a file: a length, a checksum, and the bytes of one JSON value.
+
+The checksum covers the length too, so that no damage passes for a shorter or
+longer record.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator
+
+import crc32c
+
+_HEADER = struct.Struct("<II")
+#: Bytes before each record's content.
+HEADER_BYTES = _HEADER.size
+#: Largest content of one record, in bytes.
+MAX_RECORD_BYTES = 64_000_000
+
+
+def encode_record(content: bytes) -> bytes:
+    """Frame one record.
+
+    :param content: its bytes.
+    :returns: length, checksum and content.
+
+    >>> encode_record(b"{}").hex()
+    '02000000317bbc547b7d'
+    """
+    length = len(content)
+    return _HEADER.pack(length, _checksum(length, content)) + content
+
+
+def read_records(data: bytes) -> tuple[list[tuple[int, bytes]], int]:
+    """Read records up to the first byte that begins no whole, sound record.
+
+    :param data: a file's bytes.
+    :returns: offset and content of each record, and where reading stopped.
+
+    >>> read_records(encode_record(b"{}") + b"torn")
+    ([(0, b'{}')], 10)
+    """
+    found = []
+    offset = 0
+    while (content := _read_one(data, offset)) is not None:
+        found.append((offset, content))
+        offset += HEADER_BYTES + len(content)
+    return found, offset
+
+
+def find_later_records(data: bytes, offset: int) -> Iterator[bytes]:
+    """Look for sound records anywhere behind damage.
+
+    :param data: a file's bytes.
+    :param offset: where the damage begins.
+    :returns: the content of each.
+    """
+    offset += 1
+    while offset + HEADER_BYTES < len(data):
+        content = _read_one(data, offset)
+        if content is None:
+            offset += 1
+            continue
+        yield content
+        offset += HEADER_BYTES + len(content)
+
+
+def _read_one(data: bytes, offset: int) -> bytes | None:
+    begin = offset + HEADER_BYTES
+    if begin > len(data):
+        return None
+    length, checksum = _HEADER.unpack_from(data, offset)
+    if length == 0 or length > MAX_RECORD_BYTES or begin + length > len(data):
+        return None
+    content = data[begin : begin + length]
+    return content if _checksum(length, content) == checksum else None
+
+
+def _checksum(length: int, content: bytes) -> int:
+    seed = crc32c.crc32c(length.to_bytes(4, "little"))
+    value: int = crc32c.crc32c(content, seed)
+    return value
--- /dev/null
+++ b/packages/control/bramleyspread_control/tests/_cluster.py
@@ -0,0 +1,213 @@
+"""Control hosts on an in-memory network with virtual time, from one seed."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from typing import Any
+
+import msgspec
+
+from bramleyspread_control import (
+    ControlConfig,
+    ControlHost,
+    ControlMember,
+    ControlTimings,
+    MemoryDisk,
+)
+from bramleyspread_core import (
+    Address,
+    Brand,
+    Claim,
+    ClaimKey,
+    Command,
+    CommandResult,
+    Happening,
+    HostName,
+    NotLeader,
+    PeerSend,
+    RequestId,
+    ServiceName,
+    Settle,
+    SubmitDocument,
+    ZoneName,
+)
+
+#: Between two ticks, in seconds.
+STEP = 0.01
+#: One way through the network, in seconds.
+DELAY = 0.001
+
+
+class Cluster:
+    """Hosts ``a``, ``b``, ``c``…, their disks, and what joins or parts them."""
+
+    def __init__(
+        self,
+        size: int,
+        seed: int = 1,
+        groups: int = 1,
+        timings: ControlTimings | None = None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.timings = timings or ControlTimings()
+        names = "abcdefg"[:size]
+        self.members = tuple(
+            ControlMember(
+                HostName(name), ZoneName(f"z{name}"), Address("127.0.0.1", 7000 + i)
+            )
+            for i, name in enumerate(names)
+        )
+        self.groups = groups
+        self.disks: dict[str, Any] = {name: MemoryDisk() for name in names}
+        self.nodes: dict[str, ControlHost] = {}
+        #: Directions that lose everything.
+        self.cuts: set[tuple[str, str]] = set()
+        self.frozen: set[str] = set()
+        self.loss = 0.0
+        self.replies: dict[int, CommandResult] = {}
+        self.happenings: list[tuple[float, str, Happening]] = []
+        self._wire: list[tuple[float, int, PeerSend]] = []
+        self._count = 0
+        self._ticket = 0
+        for name in names:
+            self.start(name)
+
+    def config(self, name: str, **changes: bool) -> ControlConfig:
+        own = next(each for each in self.members if each.host == name)
+        return ControlConfig(
+            own.host,
+            own.zone,
+            own.address,
+            self.members,
+            self.groups,
+            timings=self.timings,
+            **changes,
+        )
+
+    def start(self, name: str, **changes: bool) -> None:
+        rng = random.Random(self.rng.getrandbits(64))
+        self.nodes[name] = ControlHost.from_config(
+            self.config(name, **changes), self.disks[name], rng, self.now
+        )
+
+    def kill(self, name: str, power: bool = False) -> None:
+        self.nodes.pop(name, None)
+        disk = self.disks[name]
+        self.disks[name] = disk.lose_power(self.rng) if power else disk.copy()
+
+    def lose_disk(self, name: str) -> None:
+        self.nodes.pop(name, None)
+        self.disks[name] = MemoryDisk()
+
+    def cut(self, name: str, inward: bool = True, outward: bool = True) -> None:
+        for other in self.disks:
+            if inward:
+                self.cuts.add((other, name))
+            if outward:
+                self.cuts.add((name, other))
+
+    def heal(self) -> None:
+        self.cuts.clear()
+
+    def step(self) -> None:
+        self.now += STEP
+        for name in list(self.nodes):
+            if name not in self.frozen:
+                self.nodes[name].tick(self.now)
+                self.flush(name)
+        self._deliver()
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            self.step()
+
+    def run_until_led(self, group: str = "0", seconds: float = 30.0) -> str:
+        until = self.now + seconds
+        while self.now < until:
+            self.step()
+            led = self.find_leader(group)
+            if led is not None:
+                return led
+        raise AssertionError("no leader")
+
+    def find_leader(self, group: str = "0") -> str | None:
+        best: tuple[int, str] | None = None
+        for name, node in self.nodes.items():
+            status = node.report_status(self.now)
+            replica = node._store.replicas[int(group)]
+            if status.roles[group] == "leader" and replica.has_lease(self.now):
+                best = max(best or (0, ""), (status.terms[group], name))
+        return best[1] if best else None
+
+    def flush(self, name: str) -> None:
+        output = self.nodes[name].flush(self.now)
+        for reply in output.replies:
+            assert reply.ticket not in self.replies, "two replies for a ticket"
+            self.replies[reply.ticket] = reply.result
+        for happening in output.happenings:
+            self.happenings.append((self.now, name, happening))
+        for send in output.sends:
+            self._count += 1
+            due = self.now + DELAY * (1 + self.rng.random())
+            heapq.heappush(self._wire, (due, self._count, send))
+
+    def _deliver(self) -> None:
+        """Deliver what is due and what it gives rise to within this step."""
+        horizon = self.now + STEP
+        while self._wire and self._wire[0][0] < horizon:
+            _, _, send = heapq.heappop(self._wire)
+            sender, receiver = send.message.sender, send.message.receiver
+            lost = (sender, receiver) in self.cuts or self.rng.random() < self.loss
+            if lost or receiver not in self.nodes or receiver in self.frozen:
+                continue
+            self.nodes[receiver].receive(send.message, self.now)
+            self.flush(receiver)
+
+    def ask(self, name: str, command: Command) -> int:
+        self._ticket += 1
+        self.nodes[name].propose(self._ticket, command, self.now)
+        return self._ticket
+
+    def call(
+        self, command: Command, name: str | None = None, seconds: float = 10.0
+    ) -> CommandResult | None:
+        """Ask one host, or else any until a leader answers."""
+        until = self.now + seconds
+        while self.now < until:
+            target = name or self.rng.choice(sorted(self.nodes))
+            ticket = self.ask(target, command)
+            while ticket not in self.replies and self.now < until:
+                self.step()
+            result = self.replies.get(ticket)
+            if name is not None or not isinstance(result, NotLeader | None):
+                return result
+            self.step()
+        return None
+
+
+def document(service: str = "photos", version: int = 1, extra: str = "") -> str:
+    return f"service: {service}\nversion: {version}\nteam: booths\n{extra}"
+
+
+def submit(
+    change: str, service: str = "photos", version: int = 1, author: str = "ana"
+) -> SubmitDocument:
+    return SubmitDocument(change, author, document(service, version))
+
+
+def key(name: str = "pay-1") -> ClaimKey:
+    return ClaimKey(Brand("inkabooth", "fast"), ServiceName("ledger"), name)
+
+
+def claim(
+    request: str, name: str = "pay-1", digest: str = "d", ms: int = 4_000
+) -> Claim:
+    return Claim(key(name), RequestId(request), digest, HostName("entry-1"), ms)
+
+
+def settle(request: str, ended: str, name: str = "pay-1") -> Settle:
+    answer = msgspec.Raw(b'{"paid":true}') if ended == "done" else None
+    return Settle(key(name), RequestId(request), ended, answer)
