--- a/packages/standins/bramleyspread_standins/_demo.py
+++ b/packages/standins/bramleyspread_standins/_demo.py
@@ -5,7 +5,6 @@
 import argparse
 import random
 import signal
-import subprocess
 import sys
 import tempfile
 import time
@@ -140,10 +139,9 @@
             command = [find_program("bramleyspread"), "submit", str(path)]
             command += ["--wait", "--settings", str(self._folder / "tool.yaml")]
             while True:
-                done = subprocess.run(command, capture_output=True, check=False)
-                if done.returncode == 0:
+                code, said = self._processes.run(command)
+                if code == 0:
                     break
-                said = (done.stdout + done.stderr).decode().strip()
                 if time.monotonic() >= until:
                     raise NotReadyError(f"{path.name} was not accepted: {said}")
                 time.sleep(SUBMIT_PAUSE)
--- a/packages/standins/bramleyspread_standins/_processes.py
+++ b/packages/standins/bramleyspread_standins/_processes.py
@@ -65,6 +65,22 @@
                 preexec_fn=_die_with_parent,
             )
 
+    @staticmethod
+    def run(command: Sequence[str]) -> tuple[int, str]:
+        """Run a command to its end.
+
+        :param command: the program and its arguments.
+        :returns: its exit code and what it printed.
+        """
+        done = subprocess.run(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            check=False,
+            preexec_fn=_die_with_parent,
+        )
+        return done.returncode, done.stdout.decode().strip()
+
     def kill(self, name: str) -> None:
         """Send SIGKILL.
 
