--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/_attempts.py
@@ -0,0 +1,290 @@
+"""Attempts at targets: one call each, and an outcome that is proved."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import h11
+import msgspec
+
+from bramleyspread_core import (
+    Address,
+    AttemptId,
+    CancelAttempt,
+    CancelCall,
+    Dispatch,
+    Done,
+    Fault,
+    MessageError,
+    NotRun,
+    Outcome,
+    Reason,
+    StreamToken,
+    TargetAnswer,
+    TargetRefusal,
+    Unknown,
+    decode_json,
+    encode_json,
+)
+from bramleyspread_daemon._client import ClientConnection, ClosedError, UnsentError
+from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon._events import EventReader, StreamEvent
+from bramleyspread_daemon._pool import CONNECT_S, ConnectionPool
+
+#: Where targets take calls.
+CALLS_PATH = "/v1/calls"
+#: Where targets take cancels.
+CANCELS_PATH = "/v1/cancels"
+#: Most time for telling a target to stop an attempt, in seconds.
+CANCEL_S = 1.0
+
+#: Takes the tokens of streaming attempts.
+TokenTaker = Callable[[AttemptId, StreamToken], Awaitable[None]]
+
+_token_decoder = msgspec.json.Decoder(StreamToken)
+
+
+class _CrossedError(Exception):
+    """The answer names another request, stage or attempt."""
+
+
+class _Attempt:
+    """An attempt on its way."""
+
+    __slots__ = ("cancelled", "connection", "dispatch", "expires", "progress", "why")
+
+    def __init__(self, dispatch: Dispatch, now: float) -> None:
+        #: What to do.
+        self.dispatch = dispatch
+        #: The connection that carries it, once there is one.
+        self.connection: ClientConnection | None = None
+        #: When it is given up, in monotonic seconds.
+        self.expires = now + dispatch.timeout
+        #: When the last byte came, in monotonic seconds.
+        self.progress = now
+        #: Whether nobody wants its outcome any more.
+        self.cancelled = False
+        #: Why this side cut its connection; None when it did not.
+        self.why: Fault | None = None
+
+    def blame(self, reason: Reason, detail: str) -> Fault:
+        """Make a fault of this attempt's stage and target."""
+        call = self.dispatch.call
+        return Fault(reason, call.stage, self.dispatch.target, detail)
+
+
+class AttemptRunner:
+    """Runs attempts over pooled connections.
+
+    *Not run* is said only on proof: no byte left, or the target's own word.
+    """
+
+    __slots__ = ("_attempts", "_on_token", "_pool", "crossed")
+
+    def __init__(self, pool: ConnectionPool, on_token: TokenTaker) -> None:
+        self._pool = pool
+        self._on_token = on_token
+        self._attempts: dict[AttemptId, _Attempt] = {}
+        #: Answers that named another attempt, so far.
+        self.crossed = 0
+
+    @property
+    def running(self) -> int:
+        """Attempts on their way."""
+        return len(self._attempts)
+
+    async def run(
+        self,
+        dispatch: Dispatch,
+        on_end: Callable[[AttemptId, Outcome], Awaitable[None]],
+    ) -> None:
+        """Run one attempt.
+
+        :param dispatch: what to call, and how long to wait.
+        :param on_end: awaited with the outcome, unless it was cancelled.
+        """
+        name = dispatch.call.attempt
+        attempt = _Attempt(dispatch, read_monotonic())
+        self._attempts[name] = attempt
+        try:
+            outcome = await self._run_to_end(attempt)
+            if not attempt.cancelled:
+                await on_end(name, outcome)
+        finally:
+            del self._attempts[name]
+
+    async def _run_to_end(self, attempt: _Attempt) -> Outcome:
+        dispatch = attempt.dispatch
+        limit = min(CONNECT_S, dispatch.progress_timeout, dispatch.timeout)
+        try:
+            connection = await self._pool.take(
+                dispatch.address, dispatch.fresh_connection, limit
+            )
+        except UnsentError as error:
+            return NotRun(attempt.blame(Reason.CONNECT, str(error)))
+        attempt.connection = connection
+        whole = False
+        try:
+            if attempt.cancelled:
+                return NotRun(attempt.blame(Reason.CANCELLED, "before it was sent"))
+            outcome = await self._talk(attempt, connection)
+            whole = attempt.why is None and _ended_whole(outcome)
+        finally:
+            if whole:
+                await self._pool.give_back(connection)
+            else:
+                await connection.close()
+        return outcome
+
+    async def _talk(self, attempt: _Attempt, connection: ClientConnection) -> Outcome:
+        attempt.progress = read_monotonic()
+        try:
+            body = encode_json(attempt.dispatch.call)
+            await connection.send("POST", CALLS_PATH, body)
+            return await self._read_outcome(attempt, connection)
+        except UnsentError as error:
+            return NotRun(attempt.blame(Reason.CONNECT, str(error)))
+        except ClosedError as error:
+            closed = attempt.blame(Reason.CLOSED, str(error))
+            return Unknown(attempt.why or closed)
+        except (h11.RemoteProtocolError, MessageError) as error:
+            broken = attempt.blame(Reason.PROTOCOL, str(error))
+            return Unknown(attempt.why or broken)
+        except _CrossedError as error:
+            self.crossed += 1
+            return Unknown(attempt.blame(Reason.CROSSED, str(error)))
+
+    async def _read_outcome(
+        self, attempt: _Attempt, connection: ClientConnection
+    ) -> Outcome:
+        head = await connection.read_head()
+        attempt.progress = read_monotonic()
+        status = head.status_code
+        if status == 200 and _is_event_stream(head):
+            return await self._read_stream(attempt, connection)
+        body = await connection.read_body()
+        if status == 200:
+            return _check_answer(attempt, decode_json(body, TargetAnswer))
+        if status == 503:
+            return _check_refusal(attempt, decode_json(body, TargetRefusal))
+        detail = f"status {status}: {body[:200].decode('utf-8', 'replace')}"
+        return Unknown(attempt.blame(Reason.TARGET, detail))
+
+    async def _read_stream(
+        self, attempt: _Attempt, connection: ClientConnection
+    ) -> Outcome:
+        reader = EventReader()
+        name = attempt.dispatch.call.attempt
+        outcome: Outcome | None = None
+        while piece := await connection.read_piece():
+            attempt.progress = read_monotonic()
+            for event in reader.feed(piece):
+                if outcome is not None:
+                    raise MessageError("events behind the end of the stream")
+                if event.kind == "":
+                    await self._take_token(name, event.data)
+                else:
+                    outcome = _end_stream(attempt, event)
+        if outcome is None:
+            raise ClosedError("the stream ended without its end event")
+        return outcome
+
+    async def _take_token(self, name: AttemptId, data: bytes) -> None:
+        try:
+            token = _token_decoder.decode(data)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise MessageError(str(error)) from None
+        if token.attempt != name:
+            raise _CrossedError(f"a token of attempt {token.attempt}")
+        await self._on_token(name, token)
+
+    def cancel(self, effect: CancelAttempt) -> None:
+        """Cut an attempt's connection; its outcome is not reported.
+
+        :param effect: which attempt.
+        """
+        attempt = self._attempts.get(effect.attempt)
+        if attempt is None:
+            return
+        attempt.cancelled = True
+        if attempt.connection is not None:
+            attempt.connection.abort()
+
+    async def tell_cancel(self, effect: CancelAttempt) -> None:
+        """Tell a target that it may stop an attempt; its answer is not needed.
+
+        :param effect: which attempt and where.
+        """
+        body = encode_json(CancelCall(effect.attempt))
+        try:
+            await self._pool.ask(effect.address, CANCELS_PATH, body, CANCEL_S)
+        except (UnsentError, ClosedError):
+            return
+
+    async def drop_connections(self, address: Address, name: AttemptId) -> int:
+        """Drop idle connections as old as the one that carried an attempt.
+
+        :param address: the far end.
+        :param name: the attempt whose connection went silent.
+        :returns: how many were dropped.
+        """
+        attempt = self._attempts.get(name)
+        if attempt is None or attempt.connection is None:
+            return 0
+        return await self._pool.drop_old(address, attempt.connection.opened_at)
+
+    def sweep(self, now: float) -> None:
+        """Give up attempts that are past their time or make no progress.
+
+        :param now: monotonic seconds.
+        """
+        for attempt in self._attempts.values():
+            if attempt.connection is None or attempt.why is not None:
+                continue
+            silent = now - attempt.progress
+            if silent > attempt.dispatch.progress_timeout:
+                detail = f"no byte for {silent:.3f} s"
+                attempt.why = attempt.blame(Reason.SILENT, detail)
+            elif now > attempt.expires:
+                detail = f"not done within {attempt.dispatch.timeout:.3f} s"
+                attempt.why = attempt.blame(Reason.DEADLINE, detail)
+            if attempt.why is not None:
+                attempt.connection.abort()
+
+
+def _ended_whole(outcome: Outcome) -> bool:
+    """Whether the response was read to its end and made sense."""
+    if isinstance(outcome, Done):
+        return True
+    if isinstance(outcome, NotRun):
+        return outcome.fault.reason is Reason.REFUSED
+    return outcome.fault.reason is Reason.TARGET
+
+
+def _is_event_stream(head: h11.Response) -> bool:
+    return any(
+        name == b"content-type" and value.startswith(b"text/event-stream")
+        for name, value in head.headers
+    )
+
+
+def _end_stream(attempt: _Attempt, event: StreamEvent) -> Outcome:
+    if event.kind == "end":
+        return _check_answer(attempt, decode_json(event.data, TargetAnswer))
+    detail = f"{event.kind}: {event.data[:200].decode('utf-8', 'replace')}"
+    return Unknown(attempt.blame(Reason.TARGET, detail))
+
+
+def _check_answer(attempt: _Attempt, answer: TargetAnswer) -> Outcome:
+    call = attempt.dispatch.call
+    own = (call.request, call.stage, call.attempt)
+    named = (answer.request, answer.stage, answer.attempt)
+    if named != own:
+        raise _CrossedError(f"an answer to {'/'.join(named)}")
+    return Done(answer)
+
+
+def _check_refusal(attempt: _Attempt, refusal: TargetRefusal) -> Outcome:
+    if refusal.attempt != attempt.dispatch.call.attempt:
+        raise _CrossedError(f"a refusal of attempt {refusal.attempt}")
+    return NotRun(attempt.blame(Reason.REFUSED, refusal.why), refusal.retry_after_ms)
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/_control.py
@@ -0,0 +1,224 @@
+"""The control process: its replicas behind HTTP, one sync for many commands."""
+
+from __future__ import annotations
+
+import curio
+from loguru import logger
+
+from bramleyspread_core import (
+    Address,
+    Command,
+    CommandResult,
+    ControlNode,
+    ControlOutput,
+    DocumentsQuery,
+    MessageError,
+    NotLeader,
+    TargetsReport,
+    Undecided,
+    decode_json,
+)
+from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon._exchange import HttpRequest, Reply
+from bramleyspread_daemon._messenger import read_messages
+from bramleyspread_daemon._metrics import Metrics
+from bramleyspread_daemon._process import Process, wait_for_stop, wait_until
+from bramleyspread_daemon._refusal import write_refusal
+from bramleyspread_daemon._routes import Routes
+from bramleyspread_daemon._server import HttpServer
+from bramleyspread_daemon._settings import ControlSettings
+
+#: How often the replicas see time pass, in seconds.
+TICK_S = 0.01
+#: A command not decided by then is answered as undecided, in seconds.
+COMMAND_S = 10.0
+
+
+class _Ticket:
+    """A command that waits for its result."""
+
+    __slots__ = ("reply", "until")
+
+    def __init__(self, reply: Reply, until: float) -> None:
+        #: Where the result goes.
+        self.reply = reply
+        #: When it is answered as undecided, in monotonic seconds.
+        self.until = until
+
+
+class ControlProcess:
+    """One control host: replicates commands and hands out documents."""
+
+    def __init__(
+        self, process: Process, settings: ControlSettings, node: ControlNode
+    ) -> None:
+        self._process = process
+        self._settings = settings
+        self._node = node
+        self._tickets: dict[int, _Ticket] = {}
+        self._last_ticket = 0
+        self._due = curio.Event()
+        #: Its HTTP server.
+        self.server = HttpServer(self._list_routes(), settings.limits, process.clock)
+
+    def _list_routes(self) -> Routes:
+        routes = self._process.list_routes(self._find_unready, self._fill_metrics)
+        routes[("POST", "/v1/control/commands")] = self._take_command
+        routes[("POST", "/v1/control/documents")] = self._hand_out_documents
+        routes[("POST", "/v1/control/targets")] = self._hear_targets
+        routes[("GET", "/v1/control/status")] = self._answer_status
+        routes[("GET", "/v1/control/documents-in-force")] = self._answer_documents
+        routes[("POST", "/v1/peer")] = self._receive
+        return Routes(routes)
+
+    def _find_unready(self) -> str:
+        leaders = self._node.report_status(read_monotonic()).leaders
+        unled = [group for group, leader in leaders.items() if not leader]
+        return f"no leader known of group {', '.join(unled)}" if unled else ""
+
+    async def _take_command(self, http: HttpRequest, reply: Reply) -> None:
+        try:
+            command: Command = decode_json(http.body, Command)
+        except MessageError as error:
+            reply.send(400, write_refusal(400, str(error)))
+            return
+        now = read_monotonic()
+        self._last_ticket += 1
+        ticket = self._last_ticket
+        self._tickets[ticket] = _Ticket(reply, now + COMMAND_S)
+        self._node.propose(ticket, command, now)
+        await self._due.set()
+
+    async def _receive(self, http: HttpRequest, reply: Reply) -> None:
+        try:
+            messages = read_messages(http.body)
+        except MessageError as error:
+            reply.send(400, write_refusal(400, str(error)))
+            return
+        reply.send(204, b"")
+        for message in messages:
+            self._node.receive(message, read_monotonic())
+        await self._due.set()
+
+    async def _hand_out_documents(self, http: HttpRequest, reply: Reply) -> None:
+        try:
+            query: DocumentsQuery = decode_json(http.body, DocumentsQuery)
+        except MessageError as error:
+            reply.send(400, write_refusal(400, str(error)))
+            return
+        reply.send_json(self._node.answer_query(query, read_monotonic()))
+
+    async def _hear_targets(self, http: HttpRequest, reply: Reply) -> None:
+        try:
+            decode_json(http.body, TargetsReport)
+        except MessageError as error:
+            reply.send(400, write_refusal(400, str(error)))
+            return
+        if self._node.order_fence(read_monotonic()) is None:
+            reply.send_json(self._find_leader())
+            return
+        reply.send(204, b"")
+
+    def _find_leader(self) -> NotLeader:
+        leader = self._node.report_status(read_monotonic()).leaders.get("0", "")
+        for each in self._settings.control_hosts:
+            if each.host == leader:
+                return NotLeader(Address.from_text(each.address))
+        return NotLeader()
+
+    async def _answer_status(self, _: HttpRequest, reply: Reply) -> None:
+        reply.send_json(self._node.report_status(read_monotonic()))
+
+    async def _answer_documents(self, _: HttpRequest, reply: Reply) -> None:
+        reply.send_json(list(self._node.list_documents()))
+
+    def _fill_metrics(self, metrics: Metrics) -> None:
+        self._process.fill_server_metrics(metrics, self.server)
+        status = self._node.report_status(read_monotonic())
+        metrics.gauge("revision", "Changes committed.", status.revision)
+        for group, term in status.terms.items():
+            metrics.gauge("term", "Term by group.", term, group=group)
+        for group, applied in status.applied.items():
+            metrics.gauge("applied", "Last applied index.", applied, group=group)
+        for group, role in status.roles.items():
+            leads = float(role == "leader")
+            metrics.gauge("is_leader", "1 for the leader.", leads, group=group)
+        metrics.gauge("commands_waiting", "Not yet decided.", len(self._tickets))
+
+    async def _beat(self) -> None:
+        """Wake the flusher so often that the replicas see time pass."""
+        while True:
+            await curio.sleep(TICK_S)
+            await self._due.set()
+
+    async def _flush_for_ever(self) -> None:
+        while True:
+            await self._due.wait()
+            self._due.clear()
+            now = read_monotonic()
+            self._node.tick(now)
+            await self._carry_out(self._node.flush(now))
+            self._expire_tickets(now)
+
+    async def _carry_out(self, output: ControlOutput) -> None:
+        await self._process.messenger.send(output.sends)
+        for reply in output.replies:
+            self._answer(reply.ticket, reply.result)
+        for happening in output.happenings:
+            self._process.timeline.write(happening)
+
+    def _answer(self, ticket: int, result: CommandResult) -> None:
+        waiting = self._tickets.pop(ticket, None)
+        if waiting is not None:
+            waiting.reply.send_json(result)
+
+    def _expire_tickets(self, now: float) -> None:
+        late = [name for name, each in self._tickets.items() if each.until <= now]
+        for name in late:
+            self._answer(name, Undecided("no quorum answered in time"))
+
+    async def start(self) -> Address:
+        """Listen, and start what goes on by itself.
+
+        :returns: where it listens.
+        :raises OSError: when the address cannot be had.
+        """
+        address = await self.server.start(self._settings.listen.address)
+        await curio.spawn(self._flush_for_ever, daemon=True)
+        await curio.spawn(self._beat, daemon=True)
+        await curio.spawn(self._process.keep_pool, daemon=True)
+        self._process.report("started", detail=f"control at {address}")
+        logger.bind(step="start", peer="-").info(f"control host at {address}")
+        return address
+
+    async def stop(self) -> bool:
+        """Stop as planned: hand leadership over, finish what waits, then end.
+
+        :returns: whether everything that waited was finished.
+        """
+        limits = self._settings.limits
+        self._process.stopping = True
+        self.server.draining = True
+        self._process.report("draining")
+        self._node.hand_over(read_monotonic())
+        await self._due.set()
+        await curio.sleep(limits.grace_s)
+        await self.server.stop_accepting()
+        finished = await wait_until(self._is_finished, limits.drain_s)
+        await self.server.close_connections()
+        self._process.report("stopped", detail="" if finished else "cut off")
+        return finished
+
+    def _is_finished(self) -> bool:
+        return not self._tickets and self.server.replies_open == 0
+
+    async def run(self) -> int:
+        """Run until asked to stop.
+
+        :returns: the exit code.
+        """
+        await self.start()
+        name = await wait_for_stop()
+        logger.bind(step="stop", peer="-").info(f"{name}: handing over")
+        finished = await self.stop()
+        return 0 if finished else 1
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/_entry.py
@@ -0,0 +1,245 @@
+"""The entry process: callers and targets on one side, the decisions on the other."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from random import Random
+
+import curio
+from loguru import logger
+
+from bramleyspread_core import (
+    Address,
+    Announcement,
+    AnnouncementAnswer,
+    Directory,
+    DocumentsQuery,
+    HostName,
+    MessageError,
+    RequestDecisions,
+    RequestId,
+    TargetName,
+    ZoneName,
+    decode_json,
+)
+from bramleyspread_daemon._callers import (
+    SERVICES_PREFIX,
+    CallerError,
+    describe_caller_fault,
+    read_caller_request,
+)
+from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon._control_link import ControlLink
+from bramleyspread_daemon._entry_effects import EffectRunner
+from bramleyspread_daemon._exchange import HttpRequest, Reply
+from bramleyspread_daemon._messenger import read_messages
+from bramleyspread_daemon._metrics import Metrics
+from bramleyspread_daemon._process import Process, repeat, wait_for_stop, wait_until
+from bramleyspread_daemon._refusal import write_refusal
+from bramleyspread_daemon._routes import Routes
+from bramleyspread_daemon._server import HttpServer
+from bramleyspread_daemon._settings import EntrySettings
+
+#: How often the decisions see time pass, in seconds.
+TICK_S = 0.005
+#: How often the directory sees time pass, in seconds.
+DIRECTORY_TICK_S = 0.1
+#: How often documents are asked for, in seconds; jitter comes on top.
+POLL_S = 0.45
+#: Most jitter between questions for documents, in seconds.
+POLL_JITTER_S = 0.1
+#: How often the control hosts are told of targets, in seconds.
+REPORT_S = 2.0
+#: A target not heard for this long is not reported, in seconds.
+REPORT_AGE_S = 5.0
+#: When targets are asked to announce themselves again, in milliseconds.
+AGAIN_MS = 500
+
+#: Gives the cost of each stage so far, as rows that can be written as JSON.
+CostLister = Callable[[], Sequence[object]]
+
+
+class EntryProcess:
+    """One entry host: takes requests, calls targets, follows the control hosts."""
+
+    def __init__(
+        self,
+        process: Process,
+        settings: EntrySettings,
+        directory: Directory,
+        decisions: RequestDecisions,
+        make_id: Callable[[], RequestId],
+        list_costs: CostLister,
+        rng: Random,
+    ) -> None:
+        self._process = process
+        self._settings = settings
+        self._directory = directory
+        self._decisions = decisions
+        self._make_id = make_id
+        self._list_costs = list_costs
+        self._rng = rng
+        self._heard: dict[TargetName, tuple[Announcement, float]] = {}
+        hosts = [
+            (Address.from_text(each.address), ZoneName(each.zone))
+            for each in settings.control_hosts
+        ]
+        zone = ZoneName(settings.zone)
+        self._link = ControlLink(hosts, zone, process.pool, rng)
+        self._effects = EffectRunner(
+            decisions,
+            directory,
+            process.pool,
+            self._link,
+            process.timeline,
+            lambda: process.stopping,
+        )
+        #: Its HTTP server.
+        self.server = HttpServer(self._list_routes(), settings.limits, process.clock)
+
+    def _list_routes(self) -> Routes:
+        routes = self._process.list_routes(self._find_unready, self._fill_metrics)
+        routes[("POST", "/v1/announcements")] = self._hear
+        routes[("POST", "/v1/peer")] = self._receive
+        routes[("GET", "/v1/in-force")] = self._answer_in_force
+        routes[("GET", "/v1/cost")] = self._answer_cost
+        return Routes(routes, {("POST", SERVICES_PREFIX): self._serve_caller})
+
+    def _find_unready(self) -> str:
+        return "" if self._directory.list_documents() else "no documents yet"
+
+    async def _serve_caller(self, http: HttpRequest, reply: Reply) -> None:
+        name = self._make_id()
+        try:
+            request = read_caller_request(http, name)
+        except CallerError as error:
+            reply.send(400, describe_caller_fault(name, str(error)))
+            return
+        await self._effects.arrive(request, reply)
+
+    async def _hear(self, http: HttpRequest, reply: Reply) -> None:
+        try:
+            announcement: Announcement = decode_json(http.body, Announcement)
+        except MessageError as error:
+            reply.send(400, write_refusal(400, str(error)))
+            return
+        now = read_monotonic()
+        self._heard[announcement.target] = (announcement, now)
+        sends = self._directory.hear(announcement, now)
+        reply.send_json(AnnouncementAnswer(self._settings.host, AGAIN_MS))
+        await self._process.messenger.send(sends)
+
+    async def _receive(self, http: HttpRequest, reply: Reply) -> None:
+        try:
+            messages = read_messages(http.body)
+        except MessageError as error:
+            reply.send(400, write_refusal(400, str(error)))
+            return
+        reply.send(204, b"")
+        for message in messages:
+            sends = self._directory.receive(message, read_monotonic())
+            await self._process.messenger.send(sends)
+
+    async def _answer_in_force(self, _: HttpRequest, reply: Reply) -> None:
+        reply.send_json(list(self._directory.list_hosts(read_monotonic())))
+
+    async def _answer_cost(self, _: HttpRequest, reply: Reply) -> None:
+        reply.send_json(list(self._list_costs()))
+
+    def _fill_metrics(self, metrics: Metrics) -> None:
+        self._process.fill_server_metrics(metrics, self.server)
+        counts = self._effects.counts
+        for status, number in counts.answers.items():
+            what = "Final answers to callers."
+            metrics.count("answers_total", what, number, status=str(status))
+        for (kind, reason), number in counts.outcomes.items():
+            labels = {"outcome": kind.lower(), "reason": reason}
+            metrics.count("attempts_total", "Attempts by end.", number, **labels)
+        metrics.count("tokens_total", "Tokens passed on.", counts.tokens)
+        attempts = self._effects.attempts
+        metrics.count("crossed_total", "Answers to other attempts.", attempts.crossed)
+        metrics.gauge("attempts_running", "Attempts on their way.", attempts.running)
+        in_flight = self._decisions.in_flight
+        metrics.gauge("requests_in_flight", "Not yet answered or settled.", in_flight)
+        metrics.gauge("revision", "Changes in force.", self._directory.revision)
+        metrics.count("control_tries_total", "Commands sent.", self._link.tries)
+        metrics.count("control_misses_total", "Met no leader.", self._link.misses)
+
+    async def _tick_directory(self) -> None:
+        sends = self._directory.tick(read_monotonic())
+        await self._process.messenger.send(sends)
+
+    async def _poll_documents(self) -> None:
+        query = DocumentsQuery(
+            HostName(self._settings.host),
+            self._settings.zone,
+            self._settings.listen.address,
+            self._directory.revision,
+        )
+        page = await self._link.poll(query)
+        if page is None:
+            return
+        for happening in self._directory.apply_documents(page, read_monotonic()):
+            self._process.timeline.write(happening)
+
+    async def _report_targets(self) -> None:
+        oldest = read_monotonic() - REPORT_AGE_S
+        self._heard = {
+            name: heard for name, heard in self._heard.items() if heard[1] >= oldest
+        }
+        targets = tuple(announcement for announcement, _ in self._heard.values())
+        if targets:
+            await self._link.report_targets(self._settings.host, targets)
+
+    def _draw_poll_pause(self) -> float:
+        return POLL_S + self._rng.uniform(0, POLL_JITTER_S)
+
+    async def start(self) -> Address:
+        """Listen, and start what goes on by itself.
+
+        :returns: where it listens.
+        :raises OSError: when the address cannot be had.
+        """
+        address = await self.server.start(self._settings.listen.address)
+        for action, name, pause in (
+            (self._effects.tick, "tick", lambda: TICK_S),
+            (self._tick_directory, "directory", lambda: DIRECTORY_TICK_S),
+            (self._poll_documents, "documents", self._draw_poll_pause),
+            (self._report_targets, "targets", lambda: REPORT_S),
+        ):
+            await curio.spawn(repeat, action, name, pause, daemon=True)
+        await curio.spawn(self._process.keep_pool, daemon=True)
+        self._process.report("started", detail=f"entry at {address}")
+        logger.bind(step="start", peer="-").info(f"entry host at {address}")
+        return address
+
+    async def stop(self) -> bool:
+        """Stop as planned: finish what is in flight, then end.
+
+        :returns: whether everything in flight was finished.
+        """
+        limits = self._settings.limits
+        self._process.stopping = True
+        self.server.draining = True
+        self._process.report("draining")
+        await curio.sleep(limits.grace_s)
+        await self._effects.apply(self._decisions.begin_drain(read_monotonic()))
+        await self.server.stop_accepting()
+        finished = await wait_until(self._is_finished, limits.drain_s)
+        await self.server.close_connections()
+        self._process.report("stopped", detail="" if finished else "cut off")
+        return finished
+
+    def _is_finished(self) -> bool:
+        return self._decisions.in_flight == 0 and self.server.replies_open == 0
+
+    async def run(self) -> int:
+        """Run until asked to stop.
+
+        :returns: the exit code.
+        """
+        await self.start()
+        name = await wait_for_stop()
+        logger.bind(step="stop", peer="-").info(f"{name}: draining")
+        finished = await self.stop()
+        return 0 if finished else 1
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -0,0 +1,177 @@
+"""What every process of the system does, whatever its role."""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import curio
+from loguru import logger
+
+from bramleyspread_core import Breach, ContractWatch, Happening
+from bramleyspread_daemon._clock import ProcessClock, read_monotonic
+from bramleyspread_daemon._exchange import HttpRequest, Reply
+from bramleyspread_daemon._messenger import PeerMessenger
+from bramleyspread_daemon._metrics import Metrics, send_metrics
+from bramleyspread_daemon._pool import ConnectionPool
+from bramleyspread_daemon._refusal import write_refusal
+from bramleyspread_daemon._routes import Route
+from bramleyspread_daemon._server import HttpServer
+from bramleyspread_daemon._settings import ControlSettings, EntrySettings
+from bramleyspread_daemon._timeline import TimelineFile
+
+#: How often idle connections are looked through, in seconds.
+POOL_SWEEP_S = 5.0
+#: How often a stopping process looks whether it is done, in seconds.
+DRAIN_CHECK_S = 0.02
+
+
+class Process:
+    """The parts that an entry and a control process have in common."""
+
+    def __init__(self, settings: EntrySettings | ControlSettings) -> None:
+        #: Its settings.
+        self.settings = settings
+        #: Stamps messages and events.
+        self.clock = ProcessClock()
+        #: Its part of the time line.
+        self.timeline = TimelineFile(Path(settings.timeline), settings.host, self.clock)
+        #: Connections to other processes.
+        self.pool = ConnectionPool(self.clock)
+        #: Messages to other processes.
+        self.messenger = PeerMessenger(self.pool)
+        #: Where breaches of contracts are reported.
+        self.watch = ContractWatch(on_breach=self._report_breach)
+        #: Rises with each start, in milliseconds since 1970.
+        self.incarnation = time.time_ns() // 1_000_000
+        #: Whether a planned stop has begun.
+        self.stopping = False
+
+    def report(self, kind: str, peer: str = "", detail: str = "") -> None:
+        """Write an event of the process itself to the time line.
+
+        :param kind: what happened.
+        :param peer: the other side.
+        :param detail: what a person should know besides.
+        """
+        self.timeline.write(Happening(kind, peer=peer, detail=detail))
+
+    def _report_breach(self, breach: Breach) -> None:
+        happening = Happening(
+            "contract-breach",
+            request=breach.subject,
+            step=breach.contract,
+            detail=breach.detail,
+        )
+        self.timeline.write(happening)
+        log = logger.bind(step=breach.contract, peer=breach.subject)
+        log.error(f"contract broken: {breach.detail}")
+
+    def list_routes(
+        self, is_ready: Callable[[], str], fill: Callable[[Metrics], None]
+    ) -> dict[tuple[str, str], Route]:
+        """List the routes that every role has.
+
+        :param is_ready: says why the process is not ready; empty when it is.
+        :param fill: sets the role's own metrics.
+        :returns: handlers by method and path.
+        """
+
+        async def answer_live(_: HttpRequest, reply: Reply) -> None:
+            reply.send_json({"live": True})
+
+        async def answer_ready(_: HttpRequest, reply: Reply) -> None:
+            why = "stopping" if self.stopping else is_ready()
+            if why:
+                reply.send(503, write_refusal(503, why))
+            else:
+                reply.send_json({"ready": True})
+
+        async def answer_metrics(_: HttpRequest, reply: Reply) -> None:
+            metrics = Metrics(self.settings.host)
+            self._fill_metrics(metrics)
+            fill(metrics)
+            send_metrics(metrics, reply)
+
+        return {
+            ("GET", "/v1/live"): answer_live,
+            ("GET", "/v1/ready"): answer_ready,
+            ("GET", "/metrics"): answer_metrics,
+        }
+
+    def _fill_metrics(self, metrics: Metrics) -> None:
+        count = metrics.count
+        count("breaches_total", "Contracts found broken.", self.watch.count)
+        count("timeline_events_total", "Events written.", self.timeline.written)
+        count("peer_messages_total", "Sent to hosts.", self.messenger.sent)
+        count("peer_messages_lost_total", "Not delivered.", self.messenger.lost)
+        count("peer_bytes_total", "Bytes sent to hosts.", self.messenger.bytes_sent)
+        opened = self.pool.counts
+        count("connections_opened_total", "To others.", opened.opened)
+        count("connections_reused_total", "To others.", opened.reused)
+        count("connections_dropped_total", "As old as a silent one.", opened.dropped)
+        spent = time.process_time()
+        count("processor_seconds_total", "Processor time of this process.", spent)
+
+    def fill_server_metrics(self, metrics: Metrics, server: HttpServer) -> None:
+        """Set the metrics of the process's server.
+
+        :param metrics: where to set them.
+        :param server: the server.
+        """
+        metrics.gauge("open_connections", "From others.", server.open_connections)
+        metrics.count("accepted_total", "Connections taken.", server.accepted)
+        metrics.count("http_requests_total", "HTTP requests.", server.requests)
+        for status, number in server.refusals.items():
+            name = "http_refusals_total"
+            metrics.count(name, "Not taken as HTTP.", number, status=str(status))
+
+    async def keep_pool(self) -> None:
+        """Close connections that have been idle for too long, for ever."""
+        while True:
+            await curio.sleep(POOL_SWEEP_S)
+            await self.pool.close_idle(read_monotonic())
+
+
+async def repeat(
+    action: Callable[[], Awaitable[None]], name: str, pause: Callable[[], float]
+) -> None:
+    """Run an action again and again; a fault in it is logged, not fatal.
+
+    :param action: the action.
+    :param name: what it is called in the log.
+    :param pause: gives the pause behind each run, in seconds.
+    """
+    while True:
+        try:
+            await action()
+        except Exception:
+            logger.bind(step=name, peer="-").exception("broke off; trying on")
+        await curio.sleep(pause())
+
+
+async def wait_for_stop() -> str:
+    """Wait until the process is asked to stop.
+
+    :returns: the signal's name.
+    """
+    async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
+        number = await signals.get()
+    return signal.Signals(number).name
+
+
+async def wait_until(is_done: Callable[[], bool], limit: float) -> bool:
+    """Wait until something is done.
+
+    :param is_done: whether it is.
+    :param limit: most time for it, in seconds.
+    :returns: whether it was done in time.
+    """
+    until = read_monotonic() + limit
+    while not is_done():
+        if read_monotonic() >= until:
+            return False
+        await curio.sleep(DRAIN_CHECK_S)
+    return True
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/_routes.py
@@ -0,0 +1,55 @@
+"""Which handler answers which path."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping
+
+from bramleyspread_daemon._exchange import HttpRequest, Reply
+from bramleyspread_daemon._refusal import write_refusal
+
+#: Answers the requests to one path.
+Route = Callable[[HttpRequest, Reply], Awaitable[None]]
+
+
+class Routes:
+    """Handlers by method and path, exact ones before prefixes."""
+
+    __slots__ = ("_exact", "_prefixes")
+
+    def __init__(
+        self,
+        exact: Mapping[tuple[str, str], Route],
+        prefixes: Mapping[tuple[str, str], Route] | None = None,
+    ) -> None:
+        self._exact = dict(exact)
+        self._prefixes = dict(prefixes or {})
+
+    async def handle(self, request: HttpRequest, reply: Reply) -> None:
+        """Pass a request to its handler, or answer 404 or 405.
+
+        :param request: the request.
+        :param reply: the reply.
+        """
+        route = self._exact.get((request.method, request.path))
+        if route is None:
+            route = self._find_by_prefix(request)
+        if route is not None:
+            await route(request, reply)
+            return
+        methods = self._list_methods(request.path)
+        if methods:
+            why = f"{request.path} takes {', '.join(methods)}"
+            reply.send(405, write_refusal(405, why))
+        else:
+            reply.send(404, write_refusal(404, f"nothing at {request.path}"))
+
+    def _find_by_prefix(self, request: HttpRequest) -> Route | None:
+        for (method, prefix), route in self._prefixes.items():
+            if request.method == method and request.path.startswith(prefix):
+                return route
+        return None
+
+    def _list_methods(self, path: str) -> list[str]:
+        exact = {method for method, known in self._exact if known == path}
+        loose = {method for method, known in self._prefixes if path.startswith(known)}
+        return sorted(exact | loose)
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/_served.py
@@ -0,0 +1,299 @@
+"""One connection that this process accepted, and the requests on it."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import curio
+import h11
+
+from bramleyspread_daemon._clock import STAMP_HEADER, ProcessClock, read_monotonic
+from bramleyspread_daemon._connection import Connection
+from bramleyspread_daemon._exchange import Headers, HttpRequest, Reply
+from bramleyspread_daemon._refusal import write_refusal
+from bramleyspread_daemon._settings import Limits
+
+#: Most bytes of a request's head.
+MAX_HEAD_BYTES = 16_384
+#: Most bytes of a request's body.
+MAX_BODY_BYTES = 1_048_576
+#: Bytes taken from a caller while its reply is not finished.
+MAX_EARLY_BYTES = 65_536
+#: How long a connection that this side finished is read before it is cut, in seconds.
+LINGER_S = 1.0
+#: How often bytes that wait for slow readers are tried again, in seconds.
+FLUSH_S = 0.005
+
+
+class Owner(Protocol):
+    """What a connection needs of the server that accepted it."""
+
+    #: Bounds on peers.
+    limits: Limits
+    #: Stamps what is sent.
+    clock: ProcessClock
+    #: Whether peers are told to close their connections.
+    draining: bool
+
+    async def answer(self, request: HttpRequest, reply: Reply) -> None:
+        """Pass a request to the handler."""
+
+    def note_stalled(self, served: ServedConnection) -> None:
+        """Remember a connection with bytes that wait for a slow reader."""
+
+    def count_refusal(self, status: int) -> None:
+        """Count a request that was not taken as HTTP."""
+
+
+class _BadRequestError(Exception):
+    """A request that cannot be taken, with its HTTP status."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class ServedConnection:
+    """One connection from a caller, target, operator or other host."""
+
+    __slots__ = (
+        "_connection",
+        "_early_bytes",
+        "_head_only",
+        "_http",
+        "_reply",
+        "_server",
+        "closing",
+        "due",
+    )
+
+    def __init__(self, connection: Connection, server: Owner) -> None:
+        self._connection = connection
+        self._server = server
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._reply: Reply | None = None
+        self._early_bytes = 0
+        self._head_only = False
+        #: Whether nothing more is sent on it.
+        self.closing = False
+        #: When its present phase must be over; None while a reply is awaited.
+        self.due: float | None = read_monotonic() + server.limits.idle_s
+
+    @property
+    def is_replying(self) -> bool:
+        """Whether a reply is not yet finished, or not yet fully sent."""
+        awaited = self._reply is not None and not self._reply.ended
+        unsent = self._connection.pending_bytes > 0
+        return (awaited or unsent) and not self._connection.aborted
+
+    async def run(self) -> None:
+        """Serve requests one after the other until the connection ends."""
+        try:
+            while not self.closing and await self._serve_one():
+                pass
+            await self._linger()
+        finally:
+            self._connection.abort()
+            await self._leave()
+            await self._connection.close()
+
+    async def _serve_one(self) -> bool:
+        try:
+            request = await self._read_request()
+        except _BadRequestError as error:
+            self._refuse(error.status, str(error))
+            return False
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint, str(error))
+            return False
+        if request is None:
+            return False
+        self.due = None
+        self._early_bytes = 0
+        self._reply = reply = Reply(self)
+        await self._server.answer(request, reply)
+        return reply.ended or await self._await_end(reply)
+
+    async def _await_end(self, reply: Reply) -> bool:
+        """Wait for a reply that comes later, and notice when the caller leaves.
+
+        A reply that ends while this waits leaves it waiting for the next
+        request's first bytes, which is what comes next.
+        """
+        while not reply.ended:
+            data = await self._connection.read()
+            if not data:
+                return False
+            self._early_bytes += len(data)
+            if self._early_bytes > MAX_EARLY_BYTES:
+                return False
+            self._feed(data)
+        return True
+
+    async def _leave(self) -> None:
+        reply = self._reply
+        if reply is None or reply.ended or reply.left:
+            return
+        reply.left = True
+        if reply.on_left is not None:
+            await reply.on_left()
+
+    async def _read_request(self) -> HttpRequest | None:
+        head = None
+        body: list[bytes] = []
+        size = 0
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                if not await self._read_more():
+                    return None
+            elif isinstance(event, h11.Request):
+                head = event
+                self._check_head(event)
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > MAX_BODY_BYTES:
+                    raise _BadRequestError(413, f"body over {MAX_BODY_BYTES} bytes")
+                body.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return _build_request(head, b"".join(body))
+            else:
+                return None
+
+    def _check_head(self, head: h11.Request) -> None:
+        self._head_only = head.method == b"HEAD"
+        for name, value in head.headers:
+            if name == b"content-length" and int(value) > MAX_BODY_BYTES:
+                raise _BadRequestError(413, f"body over {MAX_BODY_BYTES} bytes")
+        if self._http.they_are_waiting_for_100_continue:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            self._connection.write(self._http.send(interim) or b"")
+
+    async def _read_more(self) -> bool:
+        data = await self._connection.read()
+        if not data and self._connection.aborted:
+            return False
+        self._feed(data)
+        return True
+
+    def _feed(self, data: bytes) -> None:
+        if self._http.their_state is h11.IDLE and not self._http.trailing_data[0]:
+            self.due = read_monotonic() + self._server.limits.receive_s
+        self._http.receive_data(data)
+
+    def refuse_late(self) -> None:
+        """End a connection that is past its time, telling a slow sender why."""
+        if self.closing:
+            self._connection.abort()
+        elif self._http.trailing_data[0] or self._http.their_state is h11.SEND_BODY:
+            self._refuse(408, "the request did not arrive in time; send it faster")
+        else:
+            self._connection.abort()
+
+    def refuse_full(self) -> None:
+        """Turn a connection away because too many are open."""
+        self._refuse(503, "too many connections; try again or another host")
+
+    def _refuse(self, status: int, why: str) -> None:
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self._connection.abort()
+            return
+        body = write_refusal(status, why)
+        self._server.count_refusal(status)
+        headers = (("content-type", "application/json"), ("connection", "close"))
+        self.send_whole(status, headers, body)
+
+    def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole reply in one piece.
+
+        :param status: the HTTP status.
+        :param headers: headers besides length and stamp.
+        :param body: the body.
+        """
+        sized = [*headers, ("content-length", str(len(body)))]
+        pieces = [self._http.send(self._build_head(status, sized))]
+        if body and not self._head_only:
+            pieces.append(self._http.send(h11.Data(data=body)))
+        pieces.append(self._http.send(h11.EndOfMessage()))
+        self._write(b"".join(piece for piece in pieces if piece))
+        self._finish_cycle()
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Send the head of a reply of unknown length.
+
+        :param status: the HTTP status.
+        :param headers: headers besides the stamp.
+        """
+        head = self._build_head(status, headers)
+        self._write(self._http.send(head) or b"")
+
+    def send_piece(self, piece: bytes) -> None:
+        """Send a piece of a reply's body.
+
+        :param piece: bytes.
+        """
+        self._write(self._http.send(h11.Data(data=piece)) or b"")
+
+    def send_end(self) -> None:
+        """Send the end of a reply of unknown length."""
+        self._write(self._http.send(h11.EndOfMessage()) or b"")
+        self._finish_cycle()
+
+    def _write(self, data: bytes) -> None:
+        self._connection.write(data)
+        if self._connection.pending_bytes:
+            self._server.note_stalled(self)
+
+    def _build_head(self, status: int, headers: Headers) -> h11.Response:
+        sent = [*headers, (STAMP_HEADER, self._server.clock.tick_text())]
+        if self._server.draining:
+            sent.append(("connection", "close"))
+        return h11.Response(status_code=status, headers=sent)
+
+    def _finish_cycle(self) -> None:
+        reusable = (
+            self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+            and not self._http.trailing_data[0]
+        )
+        if reusable:
+            self._http.start_next_cycle()
+            self.due = read_monotonic() + self._server.limits.idle_s
+            return
+        self.closing = True
+        self.due = read_monotonic() + LINGER_S
+        if self._connection.pending_bytes == 0:
+            self._connection.finish_writing()
+
+    async def _linger(self) -> None:
+        """Let the last bytes reach the peer before the connection is cut."""
+        while self._connection.pending_bytes and not self._connection.aborted:
+            self.due = read_monotonic() + LINGER_S
+            await curio.sleep(FLUSH_S)
+        if self.closing and not self._connection.aborted:
+            self._connection.finish_writing()
+            while await self._connection.read():
+                pass
+
+    def flush(self, now: float) -> bool:
+        """Try to send what waits for a slow reader.
+
+        :param now: monotonic seconds.
+        :returns: True when nothing waits any more.
+        """
+        self._connection.flush(now)
+        return self._connection.pending_bytes == 0
+
+    def abort(self) -> None:
+        """Cut the connection."""
+        self._connection.abort()
+
+
+def _build_request(head: h11.Request, body: bytes) -> HttpRequest:
+    path, _, query = head.target.decode("ascii").partition("?")
+    headers = {
+        name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
+    }
+    return HttpRequest(head.method.decode("ascii"), path, query, headers, body)
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/tests/loopback.py
@@ -0,0 +1,105 @@
+"""Small parts that the daemon's tests share: servers and raw connections."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import curio
+
+from bramleyspread_core import Address
+from bramleyspread_daemon._clock import ProcessClock
+from bramleyspread_daemon._exchange import HttpRequest, Reply
+from bramleyspread_daemon._routes import Route, Routes
+from bramleyspread_daemon._server import HttpServer
+from bramleyspread_daemon._settings import Limits
+
+T = TypeVar("T")
+
+#: Where test servers listen; any free port.
+ANYWHERE = Address("127.0.0.1", 0)
+
+
+def run(action: Callable[[], Awaitable[T]]) -> T:
+    """Run an action in a kernel of its own; a hang is a failure, not a verdict."""
+
+    async def guard() -> T:
+        result: T = await curio.timeout_after(20, action)
+        return result
+
+    outcome: T = curio.run(guard)
+    return outcome
+
+
+async def start_server(
+    *routes: tuple[str, str, Route], limits: Limits | None = None
+) -> tuple[HttpServer, Address]:
+    """Start a server on a free port."""
+    exact = {(method, path): route for method, path, route in routes}
+    server = HttpServer(Routes(exact), limits or Limits(), ProcessClock())
+    return server, await server.start(ANYWHERE)
+
+
+async def start_raw(
+    script: Callable[[Any], Awaitable[None]],
+) -> tuple[Any, Address]:
+    """Start a server that treats each connection as a script says."""
+    listening = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_STREAM)
+    listening.bind(("127.0.0.1", 0))
+    listening.listen(16)
+
+    async def accept() -> None:
+        while True:
+            connected, _ = await listening.accept()
+            await curio.spawn(script, connected, daemon=True)
+
+    task = await curio.spawn(accept, daemon=True)
+    return task, Address(*listening.getsockname())
+
+
+async def connect(address: Address) -> Any:  # noqa: ANN401
+    """Open a plain connection."""
+    return await curio.open_connection(address.ip, address.port)
+
+
+async def read_all(connected: Any) -> bytes:  # noqa: ANN401
+    """Read until the other side closes."""
+    pieces = []
+    try:
+        while piece := await connected.recv(65_536):
+            pieces.append(piece)
+    except ConnectionError:
+        pass
+    return b"".join(pieces)
+
+
+async def read_until(connected: Any, end: bytes) -> bytes:  # noqa: ANN401
+    """Read until some bytes came."""
+    data = b""
+    while end not in data:
+        piece = await connected.recv(65_536)
+        assert piece, data
+        data += piece
+    return data
+
+
+async def read_request(connected: Any) -> bytes:  # noqa: ANN401
+    """Read one request with a length, as a scripted server."""
+    data = await read_until(connected, b"\r\n\r\n")
+    head, _, body = data.partition(b"\r\n\r\n")
+    for line in head.split(b"\r\n"):
+        if line.lower().startswith(b"content-length:"):
+            while len(body) < int(line.split(b":")[1]):
+                body += await connected.recv(65_536)
+    return head + b"\r\n\r\n" + body
+
+
+def write_answer(body: bytes, status: str = "200 OK") -> bytes:
+    """Write a whole JSON response."""
+    head = f"HTTP/1.1 {status}\r\ncontent-type: application/json\r\n"
+    return head.encode() + b"content-length: %d\r\n\r\n" % len(body) + body
+
+
+async def echo(request: HttpRequest, reply: Reply) -> None:
+    """Answer with the body."""
+    reply.send(200, request.body)
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/tests/test_attempts.py
@@ -0,0 +1,285 @@
+"""Outcomes of attempts are said by proof only."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import pytest
+
+from bramleyspread_core import (
+    Address,
+    AttemptId,
+    Brand,
+    CancelAttempt,
+    Dispatch,
+    Done,
+    NotRun,
+    Outcome,
+    Payload,
+    Reason,
+    RequestId,
+    StreamToken,
+    TargetAnswer,
+    TargetCall,
+    TargetName,
+    TargetRefusal,
+    Unknown,
+    encode_json,
+)
+from bramleyspread_daemon._attempts import AttemptRunner
+from bramleyspread_daemon._clock import ProcessClock, read_monotonic
+from bramleyspread_daemon._events import write_event
+from bramleyspread_daemon._pool import ConnectionPool
+from bramleyspread_daemon.tests.loopback import (
+    read_request,
+    run,
+    start_raw,
+    write_answer,
+)
+
+Script = Callable[[Any], Awaitable[None]]
+
+NAME = AttemptId("r-1-1")
+ANSWER = TargetAnswer(RequestId("r-1"), "generate", NAME, Payload(b'{"a":1}'))
+HEAD = b"HTTP/1.1 200 OK\r\n"
+STREAM = HEAD + b"content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+def _dispatch(address: Address, attempt: AttemptId = NAME, **more: Any) -> Dispatch:  # noqa: ANN401
+    call = TargetCall(
+        request=RequestId("r-1"),
+        stage="generate",
+        attempt=attempt,
+        brand=Brand("o", "b"),
+        priority=5,
+        remaining_ms=1_000,
+        input=Payload(b"{}"),
+        stream=True,
+    )
+    return Dispatch(TargetName("t-1"), 1, address, call, 60.0, 60.0, **more)
+
+
+class _Rig:
+    """A runner that keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.pool = ConnectionPool(ProcessClock())
+        self.runner = AttemptRunner(self.pool, self._take_token)
+        self.tokens: list[StreamToken] = []
+        self.outcomes: list[Outcome] = []
+
+    async def _take_token(self, _: AttemptId, token: StreamToken) -> None:
+        self.tokens.append(token)
+
+    async def end(self, _: AttemptId, outcome: Outcome) -> None:
+        self.outcomes.append(outcome)
+
+    async def run(self, dispatch: Dispatch) -> Outcome:
+        await self.runner.run(dispatch, self.end)
+        return self.outcomes[-1]
+
+
+def _answering(*pieces: bytes) -> Script:
+    async def script(connected: Any) -> None:  # noqa: ANN401
+        async with connected:
+            await read_request(connected)
+            await connected.sendall(b"".join(pieces))
+
+    return script
+
+
+def _chunk(event: bytes) -> bytes:
+    return b"%x\r\n" % len(event) + event + b"\r\n"
+
+
+def _token(index: int, attempt: AttemptId = NAME) -> bytes:
+    return _chunk(write_event(encode_json(StreamToken(attempt, index, "t"))))
+
+
+END = _chunk(write_event(encode_json(ANSWER), "end"))
+OTHER = TargetAnswer(RequestId("r-1"), "generate", AttemptId("r-1-2"), Payload(b"1"))
+REFUSAL = encode_json(TargetRefusal(NAME, "full", 70))
+FOREIGN = encode_json(TargetRefusal(AttemptId("r-9-1"), "full", 70))
+
+
+@pytest.mark.parametrize(
+    ("sent", "kind", "reason"),
+    [
+        ([write_answer(encode_json(ANSWER))], Done, None),
+        ([write_answer(REFUSAL, "503 No")], NotRun, Reason.REFUSED),
+        ([write_answer(FOREIGN, "503 No")], Unknown, Reason.CROSSED),
+        ([write_answer(b"busy", "503 No")], Unknown, Reason.PROTOCOL),
+        ([write_answer(b"{}", "500 No")], Unknown, Reason.TARGET),
+        ([write_answer(encode_json(OTHER))], Unknown, Reason.CROSSED),
+        ([write_answer(b"{}")], Unknown, Reason.PROTOCOL),
+        ([write_answer(encode_json(ANSWER))[:-1]], Unknown, Reason.CLOSED),
+        ([], Unknown, Reason.CLOSED),
+        ([HEAD], Unknown, Reason.CLOSED),
+        ([b"what?\r\n\r\n"], Unknown, Reason.PROTOCOL),
+        ([STREAM, _token(0), _token(1), END, b"0\r\n\r\n"], Done, None),
+        ([STREAM, _token(0), _token(1)], Unknown, Reason.CLOSED),
+        ([STREAM, _token(0), b"0\r\n\r\n"], Unknown, Reason.CLOSED),
+        ([STREAM, _token(0), END], Unknown, Reason.CLOSED),
+        ([STREAM, _token(0, AttemptId("x"))], Unknown, Reason.CROSSED),
+        ([STREAM, _chunk(b"data: {\n\n")], Unknown, Reason.PROTOCOL),
+        ([STREAM, END, _token(0), b"0\r\n\r\n"], Unknown, Reason.PROTOCOL),
+        (
+            [STREAM, _chunk(b"event: error\ndata: {}\n\n"), b"0\r\n\r\n"],
+            Unknown,
+            Reason.TARGET,
+        ),
+    ],
+)
+def test_outcome_of_each_answer(
+    sent: list[bytes], kind: type, reason: Reason | None
+) -> None:
+    async def main() -> None:
+        rig = _Rig()
+        _, address = await start_raw(_answering(*sent))
+        outcome = await rig.run(_dispatch(address))
+        assert isinstance(outcome, kind)
+        if not isinstance(outcome, Done):
+            assert outcome.fault.reason is reason
+            assert outcome.fault.step == "generate"
+            assert outcome.fault.peer == "t-1"
+        assert rig.runner.crossed == (reason is Reason.CROSSED)
+        assert rig.runner.running == 0
+
+    run(main)
+
+
+def test_refused_connection_is_not_run() -> None:
+    async def main() -> None:
+        outcome = await _Rig().run(_dispatch(Address("127.0.0.1", 1)))
+        assert isinstance(outcome, NotRun)
+        assert outcome.fault.reason is Reason.CONNECT
+
+    run(main)
+
+
+def test_stream_passes_tokens_on_and_keeps_the_connection() -> None:
+    async def script(connected: Any) -> None:  # noqa: ANN401
+        async with connected:
+            for _ in range(2):
+                await read_request(connected)
+                sent = [STREAM, _token(0), _token(1), END, b"0\r\n\r\n"]
+                await connected.sendall(b"".join(sent))
+
+    async def main() -> None:
+        rig = _Rig()
+        _, address = await start_raw(script)
+        for _ in range(2):
+            assert isinstance(await rig.run(_dispatch(address)), Done)
+        assert [token.index for token in rig.tokens] == [0, 1, 0, 1]
+        assert (rig.pool.counts.opened, rig.pool.counts.reused) == (1, 1)
+
+    run(main)
+
+
+def test_pooled_connection_closed_after_the_request_is_unknown() -> None:
+    """A target may have run what it read before its connection died."""
+
+    async def script(connected: Any) -> None:  # noqa: ANN401
+        async with connected:
+            await read_request(connected)
+            await connected.sendall(write_answer(encode_json(ANSWER)))
+            await read_request(connected)
+
+    async def main() -> None:
+        rig = _Rig()
+        _, address = await start_raw(script)
+        assert isinstance(await rig.run(_dispatch(address)), Done)
+        outcome = await rig.run(_dispatch(address))
+        assert rig.pool.counts.reused == 1
+        assert isinstance(outcome, Unknown)
+        assert outcome.fault.reason is Reason.CLOSED
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    ("later", "reason"), [(61.0, Reason.SILENT), (30.0, Reason.DEADLINE)]
+)
+def test_silent_and_late_attempts_are_unknown(later: float, reason: Reason) -> None:
+    async def main() -> None:
+        came = curio.Event()
+
+        async def script(connected: Any) -> None:  # noqa: ANN401
+            await read_request(connected)
+            await came.set()
+            await connected.recv(1)
+
+        rig = _Rig()
+        _, address = await start_raw(script)
+        dispatch = _dispatch(address)
+        if reason is Reason.DEADLINE:
+            dispatch = Dispatch(
+                dispatch.target, 1, address, dispatch.call, 20.0, dispatch.timeout
+            )
+        task = await curio.spawn(rig.run, dispatch)
+        await came.wait()
+        rig.runner.sweep(read_monotonic())
+        assert not rig.outcomes
+        rig.runner.sweep(read_monotonic() + later)
+        outcome = await task.join()
+        assert isinstance(outcome, Unknown)
+        assert outcome.fault.reason is reason
+
+    run(main)
+
+
+def test_cancelled_attempt_closes_its_connection_and_tells_nobody() -> None:
+    async def main() -> None:
+        came, gone = curio.Event(), curio.Event()
+
+        async def script(connected: Any) -> None:  # noqa: ANN401
+            await read_request(connected)
+            await came.set()
+            assert await connected.recv(1) == b""
+            await gone.set()
+
+        rig = _Rig()
+        _, address = await start_raw(script)
+        task = await curio.spawn(rig.runner.run, _dispatch(address), rig.end)
+        await came.wait()
+        rig.runner.cancel(CancelAttempt(NAME, TargetName("t-1"), address))
+        await gone.wait()
+        await task.join()
+        assert rig.outcomes == []
+
+    run(main)
+
+
+def test_silent_connection_takes_its_elders_along() -> None:
+    async def main() -> None:
+        silent = curio.Event()
+
+        async def script(connected: Any) -> None:  # noqa: ANN401
+            async with connected:
+                while b"r-1-2" not in await read_request(connected):
+                    await connected.sendall(write_answer(encode_json(ANSWER)))
+                await silent.set()
+                await connected.recv(1)
+
+        rig = _Rig()
+        _, address = await start_raw(script)
+        elder = await rig.pool.take(address)
+        assert isinstance(await rig.run(_dispatch(address)), Done)
+        await rig.pool.give_back(elder)
+        dropped = []
+
+        async def end(name: AttemptId, _: Outcome) -> None:
+            dropped.append(await rig.runner.drop_connections(address, name))
+
+        late = _dispatch(address, AttemptId("r-1-2"), fresh_connection=True)
+        task = await curio.spawn(rig.runner.run, late, end)
+        await silent.wait()
+        rig.runner.sweep(read_monotonic() + 61)
+        await task.join()
+        assert dropped == [2]
+        await rig.pool.take(address)
+        assert rig.pool.counts.reused == 0
+
+    run(main)
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/tests/test_control_link.py
@@ -0,0 +1,182 @@
+"""The link finds the leader and resends the same command until it is decided."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from random import Random
+
+from bramleyspread_core import (
+    Address,
+    Announcement,
+    Brand,
+    Claim,
+    Claimed,
+    ClaimKey,
+    CommandResult,
+    DocumentsPage,
+    DocumentsQuery,
+    HostName,
+    NotLeader,
+    PoolName,
+    RequestId,
+    ServiceName,
+    Settle,
+    Settled,
+    TargetName,
+    TargetsReport,
+    Undecided,
+    ZoneName,
+    decode_json,
+    encode_json,
+)
+from bramleyspread_daemon._clock import ProcessClock
+from bramleyspread_daemon._control_link import (
+    COMMANDS_PATH,
+    DOCUMENTS_PATH,
+    TARGETS_PATH,
+    ControlLink,
+)
+from bramleyspread_daemon._exchange import HttpRequest, Reply
+from bramleyspread_daemon._pool import ConnectionPool
+from bramleyspread_daemon.tests.loopback import run, start_server
+
+KEY = ClaimKey(Brand("o", "b"), ServiceName("s"), "k")
+CLAIM = Claim(KEY, RequestId("r-1"), "d", HostName("entry-1"), 1_000)
+UNUSED = Address("127.0.0.1", 1)
+
+
+class _Control:
+    """A control host that answers from a list, the last one for ever."""
+
+    def __init__(self, results: Sequence[CommandResult]) -> None:
+        self.results = list(results)
+        self.bodies: list[bytes] = []
+        self.polls = 0
+        self.address = UNUSED
+
+    async def start(self) -> None:
+        _, self.address = await start_server(
+            ("POST", COMMANDS_PATH, self._command),
+            ("POST", DOCUMENTS_PATH, self._documents),
+            ("POST", TARGETS_PATH, self._targets),
+        )
+
+    async def _command(self, request: HttpRequest, reply: Reply) -> None:
+        self.bodies.append(request.body)
+        many = len(self.results) > 1
+        reply.send_json(self.results.pop(0) if many else self.results[0])
+
+    async def _documents(self, _: HttpRequest, reply: Reply) -> None:
+        self.polls += 1
+        reply.send_json(DocumentsPage(7))
+
+    async def _targets(self, request: HttpRequest, reply: Reply) -> None:
+        self.bodies.append(request.body)
+        if isinstance(self.results[0], NotLeader):
+            reply.send_json(self.results[0])
+        else:
+            reply.send(204, b"")
+
+
+def _link(*addresses: Address) -> ControlLink:
+    hosts = [(each, ZoneName(f"z-{n}")) for n, each in enumerate(addresses)]
+    return ControlLink(
+        hosts, ZoneName("z-0"), ConnectionPool(ProcessClock()), Random(1)
+    )
+
+
+def test_follows_the_hint_and_remembers_the_leader() -> None:
+    async def main() -> None:
+        leader, other = _Control([Claimed()]), _Control([])
+        await leader.start()
+        other.results = [NotLeader(leader.address)]
+        await other.start()
+        link = _link(other.address, leader.address)
+        for _ in range(3):
+            assert await link.ask(CLAIM, 10) == Claimed()
+        assert len(other.bodies) <= 1
+        assert leader.bodies == [encode_json(CLAIM)] * 3
+
+    run(main)
+
+
+def test_resends_the_same_command_over_failures() -> None:
+    async def main() -> None:
+        control = _Control([Undecided("x"), NotLeader(), Claimed()])
+        await control.start()
+        link = _link(UNUSED, control.address)
+        assert await link.ask(CLAIM, 10) == Claimed()
+        assert control.bodies == [encode_json(CLAIM)] * 3
+
+    run(main)
+
+
+def test_foreign_hint_is_not_followed() -> None:
+    async def main() -> None:
+        control = _Control([NotLeader(Address("127.0.0.1", 2)), Claimed()])
+        await control.start()
+        link = _link(control.address)
+        assert await link.ask(CLAIM, 10) == Claimed()
+
+    run(main)
+
+
+def test_no_leader_in_time_is_undecided() -> None:
+    async def main() -> None:
+        result = await _link(UNUSED).ask(CLAIM, 0.05)
+        assert isinstance(result, Undecided)
+        assert "127.0.0.1:1" in result.why
+        assert isinstance(await _link().ask(CLAIM, 1), Undecided)
+
+    run(main)
+
+
+def test_settlement_is_sent_until_it_is_durable() -> None:
+    async def main() -> None:
+        control = _Control([Undecided("x")] * 4 + [Settled()])
+        await control.start()
+        link = _link(control.address)
+        settle = Settle(KEY, RequestId("r-1"), "unknown")
+        assert await link.ask_settle(settle, lambda: False) == Settled()
+        assert control.bodies == [encode_json(settle)] * 5
+
+    run(main)
+
+
+def test_polls_move_over_all_hosts_but_favour_the_own_zone() -> None:
+    async def main() -> None:
+        controls = [_Control([Claimed()]) for _ in range(3)]
+        for each in controls:
+            await each.start()
+        link = _link(*(each.address for each in controls))
+        query = DocumentsQuery(HostName("e"), "z-0", UNUSED, 0)
+        for _ in range(12):
+            assert await link.poll(query) == DocumentsPage(7)
+        assert controls[0].polls == 8
+        assert controls[1].polls == controls[2].polls == 2
+        assert await _link(UNUSED).poll(query) is None
+
+    run(main)
+
+
+def test_targets_are_reported_to_the_leader() -> None:
+    async def main() -> None:
+        leader, other = _Control([Claimed()]), _Control([])
+        await leader.start()
+        other.results = [NotLeader(leader.address)]
+        await other.start()
+        heard = Announcement(
+            TargetName("t"),
+            1,
+            1,
+            PoolName(ServiceName("s"), "p"),
+            UNUSED,
+            ZoneName("z"),
+        )
+        link = _link(other.address, leader.address)
+        assert await link.report_targets("entry-1", (heard,))
+        report: TargetsReport = decode_json(leader.bodies[0], TargetsReport)
+        assert report == TargetsReport("entry-1", (heard,))
+        assert not await _link(UNUSED).report_targets("entry-1", (heard,))
+
+    run(main)
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/tests/test_server.py
@@ -0,0 +1,204 @@
+"""What one peer does wrong costs only itself its connection."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+
+from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon._connection import MAX_PENDING_BYTES
+from bramleyspread_daemon._exchange import HttpRequest, Reply
+from bramleyspread_daemon._served import MAX_BODY_BYTES, MAX_HEAD_BYTES
+from bramleyspread_daemon._settings import Limits
+from bramleyspread_daemon.tests.loopback import (
+    connect,
+    echo,
+    read_all,
+    read_until,
+    run,
+    start_server,
+)
+
+GOOD = b"POST /echo HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nhi"
+
+
+async def _check_good(address: object) -> None:
+    async with await connect(address) as connected:  # type: ignore[arg-type]
+        await connected.sendall(GOOD)
+        assert b"hi" in await read_until(connected, b"hi")
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\n\r\n", b"400"),
+        (b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * MAX_HEAD_BYTES, b"431"),
+        (
+            b"POST /echo HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n"
+            % (MAX_BODY_BYTES + 1),
+            b"413",
+        ),
+        (
+            b"POST /echo HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+            + (b"10000\r\n" + b"x" * 65_536 + b"\r\n") * 17,
+            b"413",
+        ),
+        (b"POST /echo HTTP/1.1\r\nhost: a\r\ncontent-length: x\r\n\r\n", b"400"),
+        (b"GET /nothing HTTP/1.1\r\nhost: a\r\n\r\n", b"404"),
+        (b"GET /echo HTTP/1.1\r\nhost: a\r\n\r\n", b"405"),
+        (b"HEAD /echo HTTP/1.1\r\nhost: a\r\n\r\n", b"405"),
+    ],
+)
+def test_bad_input_gets_its_status_and_hurts_nobody(sent: bytes, status: bytes) -> None:
+    async def main() -> None:
+        server, address = await start_server(("POST", "/echo", echo))
+        async with await connect(address) as connected:
+            await connected.sendall(sent)
+            answer = await read_until(connected, b"\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 " + status)
+        await _check_good(address)
+        await server.close_connections()
+
+    run(main)
+
+
+def test_slow_senders_get_408_and_idle_ones_are_closed() -> None:
+    async def main() -> None:
+        limits = Limits(receive_s=0.0, idle_s=3_600.0)
+        server, address = await start_server(("POST", "/echo", echo), limits=limits)
+        async with await connect(address) as connected:
+            await connected.sendall(GOOD[:-1])
+            answer = await read_all(connected)
+        assert answer.startswith(b"HTTP/1.1 408")
+        async with await connect(address) as connected:
+            while not server.open_connections:
+                await curio.sleep(0)
+            server.sweep(read_monotonic() + 3_601)
+            assert await read_all(connected) == b""
+
+    run(main)
+
+
+def test_endless_body_ends() -> None:
+    async def main() -> None:
+        _, address = await start_server(("POST", "/echo", echo))
+        async with await connect(address) as connected:
+            await connected.sendall(
+                b"POST /echo HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+            )
+            with pytest.raises(ConnectionError):
+                while True:
+                    await connected.sendall(b"10000\r\n" + b"x" * 65_536 + b"\r\n")
+
+    run(main)
+
+
+def test_too_many_connections_are_turned_away() -> None:
+    async def main() -> None:
+        server, address = await start_server(
+            ("POST", "/echo", echo), limits=Limits(connections=1)
+        )
+        async with await connect(address) as first:
+            await first.sendall(GOOD)
+            await read_until(first, b"hi")
+            async with await connect(address) as second:
+                assert b"503" in await read_until(second, b"\r\n\r\n")
+        await server.close_connections()
+        await _check_good(address)
+
+    run(main)
+
+
+def test_requests_sent_ahead_are_not_answered_twice_or_crossed() -> None:
+    async def main() -> None:
+        _, address = await start_server(("POST", "/echo", echo))
+        async with await connect(address) as connected:
+            await connected.sendall(GOOD + GOOD.replace(b"hi", b"ho"))
+            answer = await read_all(connected)
+        assert answer.count(b"HTTP/1.1 200") == 1
+        assert b"hi" in answer
+        assert b"ho" not in answer.split(b"\r\n\r\n")[1]
+
+    run(main)
+
+
+def test_handler_fault_is_500_and_claims_nothing() -> None:
+    async def fail(request: HttpRequest, reply: Reply) -> None:
+        raise KeyError(request.path)
+
+    async def main() -> None:
+        _, address = await start_server(("GET", "/fail", fail), ("POST", "/echo", echo))
+        async with await connect(address) as connected:
+            await connected.sendall(b"GET /fail HTTP/1.1\r\nhost: a\r\n\r\n")
+            answer = await read_until(connected, b"}")
+        assert answer.startswith(b"HTTP/1.1 500")
+        assert b'"not_run":false' in answer
+        await _check_good(address)
+
+    run(main)
+
+
+def test_leaving_caller_is_noticed_once() -> None:
+    async def main() -> None:
+        left = curio.Event()
+        calls = []
+
+        async def note() -> None:
+            calls.append(1)
+            await left.set()
+
+        async def wait(_: HttpRequest, reply: Reply) -> None:
+            reply.on_left = note
+
+        server, address = await start_server(("GET", "/wait", wait))
+        async with await connect(address) as connected:
+            await connected.sendall(b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n")
+            while not server.replies_open:
+                await curio.sleep(0)
+        await left.wait()
+        await server.close_connections()
+        assert calls == [1]
+
+    run(main)
+
+
+def test_reader_that_stops_reading_is_cut() -> None:
+    async def main() -> None:
+        replies: list[Reply] = []
+
+        async def stream(_: HttpRequest, reply: Reply) -> None:
+            reply.begin_events()
+            replies.append(reply)
+
+        server, address = await start_server(("GET", "/s", stream))
+        async with await connect(address) as connected:
+            await connected.sendall(b"GET /s HTTP/1.1\r\nhost: a\r\n\r\n")
+            await read_until(connected, b"\r\n\r\n")
+            piece = b"x" * 1_000_000
+            for _ in range(40 + MAX_PENDING_BYTES // len(piece)):
+                replies[0].send_piece(piece)
+            while server.open_connections:
+                await curio.sleep(0)
+            assert replies[0].left
+
+    run(main)
+
+
+def test_draining_answers_and_asks_to_close() -> None:
+    async def main() -> None:
+        server, address = await start_server(("POST", "/echo", echo))
+        async with await connect(address) as connected:
+            await connected.sendall(GOOD)
+            await read_until(connected, b"hi")
+            server.draining = True
+            await connected.sendall(GOOD)
+            answer = await read_all(connected)
+        assert b"connection: close" in answer.lower()
+        assert answer.endswith(b"hi")
+        await server.stop_accepting()
+        with pytest.raises(ConnectionError):
+            await connect(address)
+
+    run(main)
