--- a/packages/daemon/bramleyspread_daemon/_process.py
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -24,6 +24,8 @@
 
 #: How often idle connections are looked through, in seconds.
 POOL_SWEEP_S = 5.0
+#: How often a process looks whether it was asked to stop, in seconds.
+STOP_CHECK_S = 0.05
 #: How often a stopping process looks whether it is done, in seconds.
 DRAIN_CHECK_S = 0.02
 
@@ -157,9 +159,12 @@
 
     :returns: the signal's name.
     """
-    async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
-        number = await signals.get()
-    return signal.Signals(number).name
+    caught: list[int] = []
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda which, _: caught.append(which))
+    while not caught:
+        await curio.sleep(STOP_CHECK_S)
+    return signal.Signals(caught[0]).name
 
 
 async def wait_until(is_done: Callable[[], bool], limit: float) -> bool:
