--- a/packages/entry/bramleyspread_entry/__init__.py
+++ b/packages/entry/bramleyspread_entry/__init__.py
@@ -2,6 +2,7 @@
 
 from bramleyspread_entry._admission import Admission, AdmitAll, LoadAdmission, Refusal
 from bramleyspread_entry._attempts import Attempt, AttemptKind
+from bramleyspread_entry._baselines import LeastInFlight, RandomTarget, RoundRobin
 from bramleyspread_entry._choice import Choice, Need, TwoChoices
 from bramleyspread_entry._config import EntryConfig
 from bramleyspread_entry._costs import Cost, CostKind, CostReport, CostRow
@@ -35,6 +36,7 @@
     "Hedging",
     "IdSource",
     "LateHedging",
+    "LeastInFlight",
     "LoadAdmission",
     "Need",
     "NoBudget",
@@ -45,8 +47,10 @@
     "Outliers",
     "PeerComparison",
     "Policies",
+    "RandomTarget",
     "Refusal",
     "RetryBudget",
+    "RoundRobin",
     "SharedBudget",
     "Shares",
     "StageTimes",
--- a/packages/entry/bramleyspread_entry/_dispatch.py
+++ b/packages/entry/bramleyspread_entry/_dispatch.py
@@ -89,6 +89,7 @@
         state.policies.outliers.sent(target, now)
         due = now + timeout + state.config.report_grace
         state.timers.set((TimerKind.ATTEMPT, attempt.id), due)
+        state.counts[f"attempt-{kind.value}"] += 1
         state.report("attempt-sent", run, target, f"{attempt.id} {kind.value}")
         state.emit(
             Dispatch(
