--- a/packages/proof/bramleyspread_proof/_control_process.py
+++ b/packages/proof/bramleyspread_proof/_control_process.py
@@ -14,6 +14,7 @@
     PeerMessage,
 )
 from bramleyspread_proof._agenda import Agenda
+from bramleyspread_proof._ledger import Ledger
 from bramleyspread_proof._network import Network
 from bramleyspread_proof._process import Process
 
@@ -31,6 +32,7 @@
         groups: int,
         agenda: Agenda,
         network: Network,
+        ledger: Ledger,
         rng: Random,
     ) -> None:
         super().__init__(member.host, member.zone, agenda, rng)
@@ -38,6 +40,7 @@
             member.host, member.zone, member.address, members, groups
         )
         self._network = network
+        self._ledger = ledger
         self._disk = MemoryDisk()
         self._node: ControlHost | None = None
         self._replies: dict[int, Callable[[CommandResult], None]] = {}
@@ -116,6 +119,8 @@
             peer = self._network.find(send.address)
             assert isinstance(peer, ControlProcess)
             self._network.send(self, peer, _bind(peer, send.message))
+        for happening in output.happenings:
+            self._ledger.note(self._agenda.now, self.name, happening)
         for each in output.replies:
             reply = self._replies.pop(each.ticket, None)
             if reply is not None:
--- a/packages/proof/bramleyspread_proof/_entry_process.py
+++ b/packages/proof/bramleyspread_proof/_entry_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from random import Random
 
 from bramleyspread_core import (
@@ -19,15 +20,18 @@
     Dispatch,
     DocumentsPage,
     DocumentsQuery,
+    Done,
     DropConnections,
     Effect,
     Fault,
+    Happening,
     HostName,
     NotRun,
     Outcome,
     PeerMessage,
     PeerSend,
     Reason,
+    Report,
     RequestId,
     SendAnswer,
     Unknown,
@@ -54,6 +58,34 @@
 #: How long a target may still get work after it said that it leaves, in seconds.
 LEAVING_BOUND = 3.0
 
+#: Idle connections kept to one target.
+MAX_IDLE = 64
+
+
+class Connection:
+    """A connection to a target; once silent, it loses all without a word."""
+
+    __slots__ = ("life", "opened_at", "silent")
+
+    def __init__(self, life: int, opened_at: float) -> None:
+        #: The life of the target that accepted it.
+        self.life = life
+        #: When it was opened, on the entry host's clock.
+        self.opened_at = opened_at
+        #: Whether something between the ends has forgotten it.
+        self.silent = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Flight:
+    """An attempt on its way."""
+
+    #: What was asked for.
+    dispatch: Dispatch
+    #: The connection that carries it; None while one is being opened.
+    connection: Connection | None
+
+
 #: Called with a request's answer, or with None when the connection broke.
 AnswerTaker = Callable[[Answer | None], None]
 
@@ -80,13 +112,12 @@
         self.control_hosts: Sequence[ControlProcess] = ()
         #: Whether it was told to stop.
         self.draining = False
-        #: Targets whose pooled connection has gone silent.
-        self.silent: set[str] = set()
         self._network = network
         self._ledger = ledger
         self._waiting: dict[RequestId, AnswerTaker] = {}
-        self._open: dict[AttemptId, Dispatch] = {}
-        self._pool: dict[str, int] = {}
+        self._open: dict[AttemptId, _Flight] = {}
+        self._idle: dict[str, list[Connection]] = {}
+        self._ending: Connection | None = None
         self._polls = 0
         self._due = float("inf")
         network.register(address, self)
@@ -97,8 +128,7 @@
         self.draining = False
         self._waiting.clear()
         self._open.clear()
-        self._pool.clear()
-        self.silent.clear()
+        self._idle.clear()
         self._due = float("inf")
         host, zone = HostName(self.name), ZoneName(self.zone)
         watch = ContractWatch(
@@ -150,12 +180,15 @@
         return self.alive and not self.draining and self.directory.revision > 0
 
     def silence(self, share: float) -> None:
-        """Make pooled connections forget themselves without a word.
+        """Make connections forget themselves without a word.
 
-        :param share: share of them.
+        :param share: share of them, idle and in use.
         """
-        pooled = sorted(self._pool)
-        self.silent |= {name for name in pooled if self.rng.random() < share}
+        used = [each.connection for each in self._open.values()]
+        idle = [each for name in sorted(self._idle) for each in self._idle[name]]
+        for connection in (*idle, *used):
+            if connection is not None and self.rng.random() < share:
+                connection.silent = True
 
     def hear(self, announcement: Announcement) -> None:
         """Take a target's announcement."""
@@ -194,7 +227,8 @@
         self._network.send(self, control, lambda: control.take_query(query, reply))
 
     def _take_page(self, page: DocumentsPage) -> None:
-        self.directory.apply_documents(page, self.now)
+        for happening in self.directory.apply_documents(page, self.now):
+            self._note(happening)
 
     def _gossip(self, sends: Sequence[PeerSend]) -> None:
         for send in sends:
@@ -214,15 +248,18 @@
             elif isinstance(effect, CancelAttempt):
                 self._cancel(effect)
             elif isinstance(effect, DropConnections):
-                target = self._network.find(effect.address)
-                self._pool.pop(target.name, None)
-                self.silent.discard(target.name)
+                self._drop_connections(effect)
             elif isinstance(effect, AskClaim):
                 self._ask_claim(effect)
             elif isinstance(effect, AskSettle):
                 self._ask_settle(effect)
+            elif isinstance(effect, Report):
+                self._note(effect.happening)
         self._plan_tick()
 
+    def _note(self, happening: Happening) -> None:
+        self._ledger.note(self._agenda.now, self.name, happening)
+
     def _plan_tick(self) -> None:
         due = self.decisions.next_due()
         if due is not None and due < self._due:
@@ -259,26 +296,40 @@
             ),
         )
 
+    def _drop_connections(self, effect: DropConnections) -> None:
+        name = self._network.find(effect.address).name
+        if self._ending is not None:
+            oldest = self._ending.opened_at
+            idle = self._idle.get(name, [])
+            self._idle[name] = [each for each in idle if each.opened_at > oldest]
+
     def _dispatch(self, dispatch: Dispatch) -> None:
         target = self._network.find(dispatch.address)
         assert isinstance(target, TargetProcess)
         self._check_leaving(dispatch, target)
         attempt = dispatch.call.attempt
-        self._open[attempt] = dispatch
-        pooled = target.name in self._pool and not dispatch.fresh_connection
-        if not pooled and not self._connect(dispatch, target):
+        idle = self._idle.get(target.name, [])
+        if idle and not dispatch.fresh_connection:
+            connection: Connection | None = idle.pop()
+        else:
+            connection = self._connect(dispatch, target)
+        self._open[attempt] = _Flight(dispatch, connection)
+        if connection is None:
             return
-        if self._pool[target.name] != target.life or not target.alive:
-            self._pool.pop(target.name)
+        if connection.life != target.life or not target.alive:
             fault = Fault(Reason.CLOSED, dispatch.call.stage, target.name)
             self.later(CONNECT, lambda: self._end(attempt, Unknown(fault)))
             return
         self._arm(dispatch)
-        if pooled and target.name in self.silent:
-            return
+        if not connection.silent:
+            self._submit(dispatch, target, connection)
 
+    def _submit(
+        self, dispatch: Dispatch, target: TargetProcess, connection: Connection
+    ) -> None:
         def reply(outcome: Outcome) -> None:
-            self._end(attempt, outcome)
+            if not connection.silent:
+                self._end(dispatch.call.attempt, outcome)
 
         self._network.send(
             self, target, lambda: target.take(dispatch.call, self, reply)
@@ -292,30 +343,36 @@
             detail = f"{self.name} sent to {target.name} {late:.3f} s after it left"
             self._ledger.breach("leaving-left-alone", detail)
 
-    def _connect(self, dispatch: Dispatch, target: TargetProcess) -> bool:
+    def _connect(self, dispatch: Dispatch, target: TargetProcess) -> Connection | None:
         if self._network.can_connect(self, target) and target.alive:
-            self._pool[target.name] = target.life
-            self.silent.discard(target.name)
-            return True
+            return Connection(target.life, self.now)
         attempt = dispatch.call.attempt
         fault = Fault(Reason.CONNECT, dispatch.call.stage, target.name)
-        wait = (
-            2 * self._network.draw_delay(self, target) if not target.alive else CONNECT
-        )
+        wait = CONNECT
+        if not target.alive:
+            wait = 2 * self._network.draw_delay(self, target)
         self.later(wait, lambda: self._end(attempt, NotRun(fault)))
-        return False
+        return None
 
     def _arm(self, dispatch: Dispatch) -> None:
         attempt = dispatch.call.attempt
-        silent = dispatch.progress_timeout < dispatch.timeout
+        silent = dispatch.progress_timeout <= dispatch.timeout
         reason = Reason.SILENT if silent else Reason.DEADLINE
         fault = Fault(reason, dispatch.call.stage, dispatch.target)
         wait = min(dispatch.timeout, dispatch.progress_timeout)
         self.later(wait, lambda: self._end(attempt, Unknown(fault)))
 
     def _end(self, attempt: AttemptId, outcome: Outcome) -> None:
-        if self._open.pop(attempt, None) is not None:
-            self._do(self.decisions.attempt_ended(attempt, outcome, self.now))
+        flight = self._open.pop(attempt, None)
+        if flight is None:
+            return
+        self._ending = flight.connection
+        if flight.connection is not None and _ended_whole(outcome):
+            idle = self._idle.setdefault(flight.dispatch.target, [])
+            if len(idle) < MAX_IDLE:
+                idle.append(flight.connection)
+        self._do(self.decisions.attempt_ended(attempt, outcome, self.now))
+        self._ending = None
 
     def _cancel(self, effect: CancelAttempt) -> None:
         self._open.pop(effect.attempt, None)
@@ -324,5 +381,11 @@
         self._network.send(self, target, lambda: target.cancel(effect.attempt))
 
 
+def _ended_whole(outcome: Outcome) -> bool:
+    if isinstance(outcome, Done):
+        return True
+    return isinstance(outcome, NotRun) and outcome.fault.reason is Reason.REFUSED
+
+
 def _bind(peer: EntryProcess, message: PeerMessage) -> Callable[[], None]:
     return lambda: peer._take_message(message)
--- a/packages/proof/bramleyspread_proof/_ledger.py
+++ b/packages/proof/bramleyspread_proof/_ledger.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from bramleyspread_core import Happening, Stamp, TimelineEvent
+
+#: Events kept for the time line of a breach.
+KEPT_EVENTS = 2_000
+
 
 @dataclass(frozen=True, slots=True)
 class Run:
@@ -33,6 +38,8 @@
         self.refused: set[str] = set()
         #: What was found broken on the way, a line each.
         self.breaches: list[str] = []
+        #: The newest events of all processes, in virtual time.
+        self.timeline: deque[TimelineEvent] = deque(maxlen=KEPT_EVENTS)
         self._answered: Counter[str] = Counter()
 
     def enter_answer(self, request: str, refused: bool) -> None:
@@ -45,6 +52,26 @@
         if refused:
             self.refused.add(request)
 
+    def note(self, seconds: float, host: str, happening: Happening) -> None:
+        """Note an event for the time line.
+
+        :param seconds: virtual time.
+        :param host: where it happened.
+        :param happening: what happened.
+        """
+        stamp = Stamp(round(seconds * 1000), len(self.timeline))
+        self.timeline.append(
+            TimelineEvent(
+                stamp,
+                host,
+                happening.kind,
+                happening.request,
+                happening.step,
+                happening.peer,
+                happening.detail,
+            )
+        )
+
     def breach(self, contract: str, detail: str) -> None:
         """Enter a breach.
 
--- a/packages/proof/bramleyspread_proof/_scenario.py
+++ b/packages/proof/bramleyspread_proof/_scenario.py
@@ -32,7 +32,7 @@
     Submit,
 )
 from bramleyspread_proof._target_process import TargetProcess
-from bramleyspread_proof._world import Topology, World
+from bramleyspread_proof._world import LEADER, Topology, World
 
 #: What a step does to each process that it names.
 ProcessAction = Callable[[Process], None]
@@ -186,6 +186,8 @@
 
     def _do_cut(self, cut: Cut) -> str | None:
         sources = self.world.find(cut.source)
+        if not sources and cut.source == LEADER:
+            return None
         if not sources:
             return f"nothing is named {cut.source!r}"
         if cut.target == "rest":
@@ -221,29 +223,27 @@
         return self._each(name, lambda process: process.thaw())
 
     def _do_lose_disk(self, name: str) -> str | None:
-        return self._each(
-            name,
-            lambda process: process.lose_disk()
-            if isinstance(process, ControlProcess)
-            else None,
-        )
+        def lose(process: Process) -> None:
+            if isinstance(process, ControlProcess):
+                process.lose_disk()
+
+        return self._each(name, lose)
 
     def _do_drain(self, name: str) -> str | None:
         def drain(process: Process) -> None:
             if isinstance(process, EntryProcess):
-                process.drain()
+                process.deliver(process.drain)
             elif isinstance(process, ControlProcess):
-                process.hand_over()
+                process.deliver(process.hand_over)
 
         return self._each(name, drain)
 
     def _do_leave(self, name: str) -> str | None:
-        return self._each(
-            name,
-            lambda process: process.leave()
-            if isinstance(process, TargetProcess)
-            else None,
-        )
+        def leave(process: Process) -> None:
+            if isinstance(process, TargetProcess):
+                process.deliver(process.leave)
+
+        return self._each(name, leave)
 
     def _do_silence(self, silence: Silence) -> None:
         for host in self.world.entry:
@@ -259,7 +259,7 @@
 
     def _each(self, name: str, action: ProcessAction) -> str | None:
         found = self.world.find(name)
-        if not found:
+        if not found and name != LEADER:
             return f"nothing is named {name!r}"
         for process in found:
             action(process)
--- a/packages/proof/bramleyspread_proof/_world.py
+++ b/packages/proof/bramleyspread_proof/_world.py
@@ -32,6 +32,8 @@
 from bramleyspread_proof._process import Process
 from bramleyspread_proof._target_process import TargetPlace, TargetProcess
 
+#: Stands for whichever control host leads at the moment, if one does.
+LEADER = "leader"
 #: How long an operator waits for a submission, in seconds.
 SUBMIT = 10.0
 #: Within this an accepted document is in force on all that can be reached, in seconds.
@@ -109,7 +111,7 @@
         :param name: a process, a zone, or ``leader``.
         :returns: what the name stands for; empty when nothing does.
         """
-        if name == "leader":
+        if name == LEADER:
             return [each for each in self.control if each.leads()][:1]
         processes = self.processes
         if name in processes:
@@ -216,7 +218,13 @@
         )
         return tuple(
             ControlProcess(
-                member, members, topology.groups, self.agenda, self.network, self.rng
+                member,
+                members,
+                topology.groups,
+                self.agenda,
+                self.network,
+                self.ledger,
+                self.rng,
             )
             for member in members
         )
