Trust a restarted replica's vote only when its log is surely complete

Now a folder is trusted when it is as this host left it on the same boot of the machine (a witness by the operating system's stamps, which names the groups whose logs were complete), when a leader confirmed the log, or when no voter is missing.

--- a/packages/control/bramleyspread_control/_config.py
+++ b/packages/control/bramleyspread_control/_config.py
@@ -36,9 +36,6 @@
     order_wait: float = 2.0
     #: Most time that handing leadership over may take, in seconds.
     hand_over: float = 1.0
-    #: How long a voter may be away and still be vouched for by the leader that
-    #: it left, in seconds.
-    restart_window: float = 10.0
     #: Records in the journal before a snapshot is taken.
     snapshot_every: int = 1_000
     #: Applied entries kept for replicas that lag.
--- a/packages/control/bramleyspread_control/_disk.py
+++ b/packages/control/bramleyspread_control/_disk.py
@@ -4,11 +4,14 @@
 
 import fcntl
 import os
+from collections.abc import Sequence
 from pathlib import Path
 from typing import IO, Protocol
 
 #: Held while a process uses a data folder, so that no second one does.
 LOCK_FILE = "lock"
+#: Where the operating system shows an identity that is new at every boot.
+BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
 
 
 class DiskError(Exception):
@@ -76,6 +79,17 @@
     def remove(self, name: str) -> None:
         """Remove a file."""
 
+    def note(self, name: str, data: bytes) -> None:
+        """Replace the content of a small file, neither durably nor at once."""
+
+    def stamp(self, names: Sequence[str]) -> str:
+        """Describe the folder and some files as the operating system sees them.
+
+        The stamp differs after anything was written to them, also by a restore
+        of an older copy, after the folder was moved, and after a restart of the
+        machine, since then nobody can say what its storage did meanwhile.
+        """
+
 
 class FileDisk:
     """A data folder of the operating system, locked by this process."""
@@ -192,6 +206,31 @@
         except OSError as error:
             raise DiskError("remove", name, str(error)) from None
 
+    def note(self, name: str, data: bytes) -> None:
+        """Replace the content of a small file, neither durably nor at once."""
+        try:
+            file = self._files.get(name)
+            if file is None:
+                path = self._folder / name
+                path.touch()
+                file = path.open("r+b", buffering=0)
+                self._files[name] = file
+            os.pwrite(file.fileno(), data, 0)
+            os.ftruncate(file.fileno(), len(data))
+        except OSError as error:
+            raise DiskError("write", name, str(error)) from None
+
+    def stamp(self, names: Sequence[str]) -> str:
+        """Describe the folder and some files as the operating system sees them."""
+        try:
+            parts = [BOOT_ID.read_text().strip() if BOOT_ID.exists() else ""]
+            for name in (".", *names):
+                found = (self._folder / name).stat()
+                parts.append(f"{found.st_dev}:{found.st_ino}:{found.st_ctime_ns}")
+        except OSError as error:
+            raise DiskError("stat", ".", str(error)) from None
+        return " ".join(parts) if parts[0] else ""
+
     def _forget(self, name: str) -> None:
         file = self._files.pop(name, None)
         if file is not None:
--- a/packages/control/bramleyspread_control/_election.py
+++ b/packages/control/bramleyspread_control/_election.py
@@ -8,16 +8,17 @@
 
 
 class Ballot:
-    """The votes that a candidate has got, by how far they can be trusted.
+    """The votes that a candidate has got, by whether they can be trusted.
 
     A voter that restarted may have come back with an older data folder and
-    not know it. Until a leader has confirmed its log, its vote counts only
-    where the candidate can vouch for it, or where no voter is missing: each
-    one votes or is known to have lost its folder. Then one that holds every
-    accepted change is among them.
+    not know it. Its vote is trusted once a leader has confirmed its log, or
+    when the candidate's own log was complete after that restart. Untrusted
+    votes count only where no voter is missing: each one votes or is known to
+    have lost its folder. Then one that holds every accepted change is among
+    them.
     """
 
-    __slots__ = ("term", "trial", "_confirmed", "_given")
+    __slots__ = ("term", "trial", "_given", "_trusted")
 
     def __init__(self, term: int, trial: bool) -> None:
         #: The term stood for.
@@ -25,17 +26,17 @@
         #: Whether it only asks what would be.
         self.trial = trial
         self._given: set[str] = set()
-        self._confirmed: set[str] = set()
+        self._trusted: set[str] = set()
 
-    def add(self, host: str, confirmed: bool) -> None:
+    def add(self, host: str, trusted: bool) -> None:
         """Count a vote once.
 
         :param host: the voter.
-        :param confirmed: whether a leader confirmed its log.
+        :param trusted: whether its log is surely complete.
         """
         self._given.add(host)
-        if confirmed:
-            self._confirmed.add(host)
+        if trusted:
+            self._trusted.add(host)
 
     def wins(self, standing: Standing) -> bool:
         """Whether the votes are enough."""
@@ -43,7 +44,7 @@
         voters = {member.host for member in members.voters}
         if len(self._given & voters) < members.quorum:
             return False
-        enough = len(self._confirmed & voters) >= members.quorum
+        enough = len(self._trusted & voters) >= members.quorum
         return enough or voters <= self._given | standing.lost
 
 
@@ -119,7 +120,7 @@
             return False
         if (vote.term, vote.trial) != (ballot.term, ballot.trial):
             return False
-        trusted = vote.confirmed or standing.vouches(vote.uptime, now)
+        trusted = vote.confirmed or standing.in_touch_since(now - vote.uptime)
         ballot.add(sender, trusted)
         return self._count(now)
 
--- a/packages/control/bramleyspread_control/_journal.py
+++ b/packages/control/bramleyspread_control/_journal.py
@@ -24,9 +24,24 @@
 )
 from bramleyspread_core import MessageError, decode_json, encode_json
 
+#: Holds the stamp of the folder as this host left it.
+WITNESS_FILE = "witness"
 _NAME = re.compile(r"^(checkpoint|journal)-(\d{8})$")
 
 
+class Witness(msgspec.Struct, frozen=True):
+    """What the data folder looked like when this host last wrote to it.
+
+    It is not durable and need not be: it is of use only to a process that
+    starts on the same boot of the machine.
+    """
+
+    #: The folder's and the files' stamp; empty when there is none.
+    stamp: str
+    #: Groups whose logs were surely complete.
+    groups: tuple[int, ...]
+
+
 class Header(msgspec.Struct, frozen=True, tag="header"):
     """The first record of a checkpoint."""
 
@@ -141,6 +156,9 @@
         self.records = 0
         #: Bytes of the checkpoint.
         self.checkpoint_bytes = 0
+        #: Groups whose logs were complete when this host left the folder, if it
+        #: was found as it was left.
+        self.complete_groups: tuple[int, ...] = ()
 
     @property
     def size(self) -> int:
@@ -175,11 +193,20 @@
         self._number = max(checkpoints)
         if self._number not in journals:
             raise CorruptFileError(self.name, 0, "the file is missing")
+        self.complete_groups = self._read_witness()
         stored = self._read_checkpoint(self.checkpoint_name)
         stored.records += self._read_journal()
         self._clear_away()
         return stored
 
+    def leave_witness(self, complete_groups: tuple[int, ...]) -> None:
+        """Note what the folder looks like now, for the next start.
+
+        :param complete_groups: groups whose logs are surely complete here.
+        """
+        witness = Witness(self._describe(), complete_groups)
+        self._disk.note(WITNESS_FILE, encode_json(witness))
+
     def write(self, records: list[JournalRecord], sync: bool) -> None:
         """Add records.
 
@@ -223,6 +250,19 @@
             disk.remove(f"checkpoint-{former:08d}")
             disk.remove(f"journal-{former:08d}")
 
+    def _read_witness(self) -> tuple[int, ...]:
+        if WITNESS_FILE not in self._disk.list_names():
+            return ()
+        try:
+            witness: Witness = decode_json(self._disk.read(WITNESS_FILE), Witness)
+        except MessageError:
+            return ()
+        same = bool(witness.stamp) and witness.stamp == self._describe()
+        return witness.groups if same else ()
+
+    def _describe(self) -> str:
+        return self._disk.stamp((self.name, self.checkpoint_name))
+
     def _append(self, data: bytes) -> None:
         self._disk.append(self.name, data)
         self._size += len(data)
--- a/packages/control/bramleyspread_control/_memory_disk.py
+++ b/packages/control/bramleyspread_control/_memory_disk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 
 from bramleyspread_control._disk import DiskError
 
@@ -14,9 +15,11 @@
 class _File:
     """One file: its content now, and how much of it is durable."""
 
-    __slots__ = ("content", "synced")
+    __slots__ = ("changed", "content", "synced")
 
-    def __init__(self) -> None:
+    def __init__(self, changed: int = 0) -> None:
+        #: When it was last changed.
+        self.changed = changed
         #: What a read sees.
         self.content = bytearray()
         #: What surely survives a power cut.
@@ -37,6 +40,7 @@
     def __init__(self) -> None:
         self._names: dict[str, _File] = {}
         self._synced_names: dict[str, _File] = {}
+        self._boot = 0
         #: Steps taken that change the folder.
         self.steps = 0
         #: Syncs of file contents taken.
@@ -53,6 +57,7 @@
         :returns: a new folder.
         """
         after = MemoryDisk()
+        after._boot = rng.getrandbits(64)
         names = self._names if rng.random() < 0.5 else self._synced_names
         for name, file in names.items():
             kept = _File()
@@ -65,14 +70,27 @@
     def copy(self) -> MemoryDisk:
         """Copy the folder as a killed process leaves it: nothing is lost."""
         after = MemoryDisk()
+        after._boot, after.steps = self._boot, self.steps
         for name, file in self._names.items():
-            kept = _File()
+            kept = _File(file.changed)
             kept.content = bytearray(file.content)
             kept.synced = bytes(kept.content)
             after._names[name] = kept
         after._synced_names = dict(after._names)
         return after
 
+    def restore(self, copy: MemoryDisk) -> MemoryDisk:
+        """Make the folder that is found after a copy was put back in its place.
+
+        :param copy: the copy.
+        :returns: a new folder.
+        """
+        after = copy.copy()
+        after.steps = self.steps + 1
+        for file in after._names.values():
+            file.changed = after.steps
+        return after
+
     def corrupt(self, name: str, offset: int, mask: int = 0xFF) -> None:
         """Flip bits of one durable byte.
 
@@ -97,6 +115,7 @@
         self._step()
         file = self._names.setdefault(name, _File())
         file.content += data
+        file.changed = self.steps
         self.written += len(data)
 
     def sync(self, name: str) -> None:
@@ -120,7 +139,9 @@
     def truncate(self, name: str, size: int) -> None:
         """Cut a file to its first bytes."""
         self._step()
-        del self._find("truncate", name).content[size:]
+        file = self._find("truncate", name)
+        del file.content[size:]
+        file.changed = self.steps
 
     def remove(self, name: str) -> None:
         """Remove a file."""
@@ -128,6 +149,16 @@
         self._find("remove", name)
         del self._names[name]
 
+    def note(self, name: str, data: bytes) -> None:
+        """Replace the content of a small file, neither durably nor at once."""
+        self._step()
+        self._names.setdefault(name, _File()).content = bytearray(data)
+
+    def stamp(self, names: Sequence[str]) -> str:
+        """Describe the folder and some files as the operating system sees them."""
+        changed = [self._find("stat", name).changed for name in names]
+        return f"{self._boot} {changed}"
+
     def _find(self, step: str, name: str) -> _File:
         file = self._names.get(name)
         if file is None:
--- a/packages/control/bramleyspread_control/_messages.py
+++ b/packages/control/bramleyspread_control/_messages.py
@@ -52,7 +52,7 @@
     trial: bool
     #: Whether the vote is given.
     given: bool
-    #: Whether a leader has confirmed the voter's log since it started.
+    #: Whether the voter's log is surely complete.
     confirmed: bool
     #: How long the voter has been running, in seconds.
     uptime: float
--- a/packages/control/bramleyspread_control/_replica.py
+++ b/packages/control/bramleyspread_control/_replica.py
@@ -238,7 +238,6 @@
     def _lead(self, now: float) -> None:
         self.standing.role = Role.LEADER
         self.standing.confirmed = True
-        self.standing.led_term = self.standing.term
         self.leading = Leading(self.standing, self.machine.encode, now)
         self.leading.tick(now)
 
--- a/packages/control/bramleyspread_control/_standing.py
+++ b/packages/control/bramleyspread_control/_standing.py
@@ -57,14 +57,13 @@
         #: When the leader was last heard; a start counts as hearing one, since
         #: the promise made to it before may still hold.
         self.heard = now
-        #: Whether a leader has found this replica's log complete since it started.
+        #: Whether its log is surely complete: the folder is as this host left it,
+        #: or a leader has found the log complete since the start.
         self.confirmed = False
         #: When a leader last found this replica complete, or a quorum followed it.
         self.in_touch = -math.inf
         #: When this process started.
         self.started = now
-        #: The last term that this process led; 0 for none.
-        self.led_term = 0
         #: Hosts of voters that are known to have lost their data folder.
         self.lost: set[str] = set()
         #: Whether it may stand for election.
@@ -83,21 +82,12 @@
         """Whether this replica is a voter."""
         return self.log.members.has_voter(self.host, self.incarnation)
 
-    def vouches(self, uptime: float, now: float) -> bool:
-        """Whether a voter that restarted lately can hold nothing unknown here.
+    def in_touch_since(self, moment: float) -> bool:
+        """Whether this replica was complete, or led a quorum, at or after a moment.
 
-        So it is when this replica was complete after that restart, or led
-        until shortly before it: what the voter may have lost is in this log.
-
-        :param uptime: how long the voter has been running, in seconds.
-        :param now: monotonic seconds.
+        What a voter lost in a restart before that moment is in this log.
         """
-        if not self.confirmed:
-            return False
-        restarted = now - uptime
-        if self.led_term and self.led_term == self.log.last_term:
-            restarted -= self.timings.restart_window
-        return self.in_touch >= restarted
+        return self.confirmed and self.in_touch >= moment
 
     def send(self, host: HostName, message: GroupMessage) -> None:
         """Queue a message to another host's replica."""
--- a/packages/control/bramleyspread_control/_store.py
+++ b/packages/control/bramleyspread_control/_store.py
@@ -68,6 +68,8 @@
             group: self._make_replica(group, states.get(group), rng, now)
             for group in range(config.groups + 1)
         }
+        self._touched = False
+        self._witnessed: tuple[int, ...] = ()
         self._written_commits: dict[int, int] = {}
         #: Whether the next write must be a checkpoint.
         self.checkpoint_due = False
@@ -76,6 +78,7 @@
         self._finish_loading()
         if stored is None:
             self._write_checkpoint()
+        self._leave_witness()
 
     @property
     def header(self) -> Header:
@@ -108,10 +111,12 @@
         """
         if self._is_checkpoint_due():
             self._write_checkpoint()
+            self._touched = True
             return
         records = self._collect()
         if records:
             self._journal.write(records, sync=True)
+            self._touched = True
 
     def write_commits(self) -> None:
         """Add how far the groups are committed; a loss of it harms nothing."""
@@ -122,6 +127,21 @@
                 records.append(Committed(group, replica.log.commit))
         if records:
             self._journal.write(records, sync=False)
+            self._touched = True
+        if self._touched or self._list_complete() != self._witnessed:
+            self._leave_witness()
+
+    def _list_complete(self) -> tuple[int, ...]:
+        return tuple(
+            group
+            for group, replica in self.replicas.items()
+            if replica.standing.confirmed
+        )
+
+    def _leave_witness(self) -> None:
+        self._witnessed = self._list_complete()
+        self._journal.leave_witness(self._witnessed)
+        self._touched = False
 
     def _check_settings(self) -> None:
         header = self._header
@@ -159,7 +179,11 @@
         )
         if state is not None:
             replica.standing.term, replica.standing.vote = state.term, state.vote
-        replica.standing.confirmed = self._config.trust_folder
+        replica.standing.confirmed = (
+            state is None
+            or group in self._journal.complete_groups
+            or self._config.trust_folder
+        )
         return replica
 
     def _replay(self, placed: Placed) -> None:
--- /dev/null
+++ b/packages/control/bramleyspread_control/tests/_chaos.py
@@ -0,0 +1,236 @@
+"""A random run with faults, from one seed, that checks what must always hold."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from bramleyspread_control import ControlTimings, MemoryDisk
+from bramleyspread_control.tests._cluster import Cluster, claim, settle, submit
+from bramleyspread_core import Accepted, Claimed, Command
+
+SERVICES = ("photos", "ledger", "portal")
+TIMINGS = ControlTimings(snapshot_every=40, log_kept=10, order_wait=0.5)
+
+
+class Chaos:
+    """A cluster, what was promised to callers, and the faults under way."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.cluster = Cluster(size, seed, timings=TIMINGS)
+        self.leaders: dict[tuple[int, int], str] = {}
+        self.committed: dict[tuple[int, int], tuple[int, bytes]] = {}
+        self.seen: dict[tuple[str, int, int], int] = {}
+        self.tickets: dict[int, tuple[str, str]] = {}
+        self.accepted: dict[str, Accepted] = {}
+        self.claimed: dict[str, set[str]] = {}
+        self.fences: list[int] = [0]
+        self.old_disks: dict[str, MemoryDisk] = {}
+        self.mending: str | None = None
+        self.count = 0
+
+    def run(self, seconds: float) -> None:
+        cluster = self.cluster
+        cluster.run_until_led()
+        until = cluster.now + seconds
+        while cluster.now < until:
+            self.act()
+            for _ in range(self.rng.randint(1, 60)):
+                self.step()
+        self.settle_down()
+
+    def step(self) -> None:
+        self.cluster.step()
+        self.check()
+
+    def act(self) -> None:
+        actions: list[tuple[int, Callable[[], None]]] = [
+            (30, self.do_submit),
+            (20, self.do_claim),
+            (10, self.do_settle),
+            (4, self.do_cut),
+            (5, self.cluster.heal),
+            (4, self.do_kill),
+            (8, self.do_start),
+            (3, self.do_freeze),
+            (5, self.cluster.frozen.clear),
+            (2, self.do_damage),
+            (2, self.do_copy),
+            (2, self.do_loss),
+            (1, self.do_hand_over),
+        ]
+        weights = [weight for weight, _ in actions]
+        self.rng.choices([action for _, action in actions], weights)[0]()
+
+    def do_submit(self) -> None:
+        self.count += 1
+        service = self.rng.choice(SERVICES)
+        version = 1
+        for node in self.cluster.nodes.values():
+            for each in node.list_documents():
+                if each.service == service:
+                    version = max(version, each.version + 1)
+        version = max(1, version - self.rng.randint(0, 1))
+        author = f"author-{self.count}"
+        change = f"{service}:{version}:{author}"
+        self.ask(change, "submit", submit(change, service, version, author))
+
+    def do_claim(self) -> None:
+        self.count += 1
+        name = f"key-{self.rng.randint(0, 15)}"
+        self.ask(name, f"r-{self.count}", claim(f"r-{self.count}", name, ms=800))
+
+    def do_settle(self) -> None:
+        name = f"key-{self.rng.randint(0, 15)}"
+        for request in self.claimed.get(name, set()):
+            self.ask(name, "settle", settle(request, "done", name))
+
+    def ask(self, name: str, kind: str, command: Command) -> None:
+        nodes = [each for each in self.cluster.nodes if each not in self.cluster.frozen]
+        for node in self.rng.sample(nodes, min(len(nodes), 2)):
+            ticket = self.cluster.ask(node, command)
+            self.tickets[ticket] = (name, kind)
+            self.cluster.flush(node)
+            self.take_replies()
+
+    def do_cut(self) -> None:
+        both, inward = self.rng.random() < 0.4, self.rng.random() < 0.5
+        name = self.rng.choice(sorted(self.cluster.disks))
+        self.cluster.cut(name, both or inward, both or not inward)
+
+    def do_kill(self) -> None:
+        if self.cluster.nodes:
+            name = self.rng.choice(sorted(self.cluster.nodes))
+            self.cluster.kill(name, power=self.rng.random() < 0.5)
+
+    def do_start(self) -> None:
+        for name in sorted(self.cluster.disks):
+            if name not in self.cluster.nodes and self.rng.random() < 0.7:
+                self.cluster.start(name)
+
+    def do_freeze(self) -> None:
+        self.cluster.frozen.add(self.rng.choice(sorted(self.cluster.disks)))
+
+    def do_loss(self) -> None:
+        self.cluster.loss = self.rng.choice((0.0, 0.0, 0.05, 0.3))
+
+    def do_hand_over(self) -> None:
+        leader = self.cluster.find_leader()
+        if leader is not None:
+            self.cluster.nodes[leader].hand_over(self.cluster.now)
+
+    def do_copy(self) -> None:
+        name = self.rng.choice(sorted(self.cluster.disks))
+        self.old_disks[name] = self.cluster.disks[name].copy()
+
+    def do_damage(self) -> None:
+        """Lose a folder, or put an older copy back; one at a time."""
+        if self.mending is not None and not self.is_mended(self.mending):
+            return
+        name = self.rng.choice(sorted(self.cluster.disks))
+        self.mending = name
+        older = self.old_disks.pop(name, None)
+        former = self.cluster.disks[name]
+        self.cluster.lose_disk(name)
+        if older is not None:
+            self.cluster.disks[name] = former.restore(older)
+        if self.rng.random() < 0.8:
+            self.cluster.start(name)
+
+    def is_mended(self, name: str) -> bool:
+        node = self.cluster.nodes.get(name)
+        if node is None:
+            return False
+        for replica in node._store.replicas.values():
+            standing = replica.standing
+            members = standing.log.find_members_at(standing.log.commit)
+            if not standing.confirmed or not members.has_voter(
+                name, standing.incarnation
+            ):
+                return False
+        self.old_disks.pop(name, None)
+        return True
+
+    def take_replies(self) -> None:
+        for ticket, result in self.cluster.replies.items():
+            name, kind = self.tickets.pop(ticket, ("", ""))
+            if isinstance(result, Accepted) and kind == "submit":
+                known = self.accepted.setdefault(name, result)
+                assert (known.version, known.revision) == (
+                    result.version,
+                    result.revision,
+                ), f"{name} was accepted as {known}, and again as {result}"
+            elif isinstance(result, Claimed):
+                holders = self.claimed.setdefault(name, set())
+                holders.add(kind)
+                assert len(holders) == 1, f"{name} claimed by {holders}"
+        self.cluster.replies.clear()
+
+    def check(self) -> None:
+        self.take_replies()
+        leases: set[int] = set()
+        fences = []
+        for name, node in self.cluster.nodes.items():
+            for group, replica in node._store.replicas.items():
+                if replica.leading is not None:
+                    term = (group, replica.standing.term)
+                    assert self.leaders.setdefault(term, name) == name, f"two in {term}"
+                self.check_log(name, group)
+                if name not in self.cluster.frozen and replica.has_lease(
+                    self.cluster.now
+                ):
+                    assert group not in leases, f"two leases in group {group}"
+                    leases.add(group)
+            if name not in self.cluster.frozen:
+                fences.append(node.order_fence(self.cluster.now))
+        given = [fence for fence in fences if fence is not None]
+        assert len(given) <= 1, "two hosts may give orders"
+        for fence in given:
+            assert fence >= self.fences[-1], "a fencing number fell"
+            self.fences.append(fence)
+
+    def check_log(self, name: str, group: int) -> None:
+        node = self.cluster.nodes[name]
+        log = node._store.replicas[group].log
+        seen_key = (name, group, id(node))
+        first = max(self.seen.get(seen_key, 0), log.base_index) + 1
+        for index in range(first, log.commit + 1):
+            entry = log.get(index)
+            found = (entry.term, bytes(entry.change))
+            known = self.committed.setdefault((group, index), found)
+            assert known == found, f"{name} group {group} entry {index} differs"
+        self.seen[seen_key] = log.commit
+
+    def settle_down(self) -> None:
+        """Mend everything; then all that was accepted must be there."""
+        cluster = self.cluster
+        cluster.heal()
+        cluster.frozen.clear()
+        cluster.loss = 0.0
+        for name in sorted(cluster.disks):
+            if name in cluster.nodes:
+                cluster.kill(name)
+            cluster.start(name)
+        for _ in range(1_500):
+            self.step()
+        newest: dict[str, int] = {}
+        for change, accepted in self.accepted.items():
+            newest[accepted.service] = max(
+                newest.get(accepted.service, 0), accepted.version
+            )
+            service, version, author = change.split(":")
+            again = cluster.call(submit(change, service, int(version), author))
+            assert again == Accepted(
+                accepted.service, accepted.version, accepted.revision, resent=True
+            ), f"{change}: {accepted} became {again}"
+        for node in cluster.nodes.values():
+            versions: dict[str, int] = {
+                each.service: each.version for each in node.list_documents()
+            }
+            for service, accepted_version in newest.items():
+                assert versions.get(service, 0) >= accepted_version, (
+                    f"{service} reverted"
+                )
+        voters = cluster.nodes["a"].report_status(cluster.now).voters["0"]
+        assert len(voters) == len(cluster.disks), f"only {voters} are voters"
