Bound what membership sends, and measure it at growing sizes

Change: hosts of a large zone form a ring and send at fixed distances, one partner in each other zone gets a sample, a short budget drops the same targets always, and details outlive their lease so that a renewal needs no question.

--- a/packages/membership/bramleyspread_membership/_config.py
+++ b/packages/membership/bramleyspread_membership/_config.py
@@ -41,20 +41,19 @@
     #: Shortest time between two rounds of gossip.
     gossip_every: float = 0.5
     #: Most messages a second on average; rounds to many hosts are further apart.
-    messages_per_second: float = 40.0
-    #: With more other hosts than this, only one of each other zone is sent to.
-    send_to_all_up_to: int = 16
+    messages_per_second: float = 14.0
+    #: Up to this many other hosts, all are sent to; with more, some of this zone
+    #: and one of each other.
+    most_peers: int = 13
     #: An entry host is forgotten when it was not heard of for this long.
     host_lease: float = 10.0
     #: Added to that for each host known, since rows about many take turns.
-    host_lease_each: float = 0.1
+    host_lease_each: float = 0.5
     #: An incarnation that left is remembered for this long.
     remember_left: float = 60.0
-    #: Targets of a pool that one host is told of in its own zone, about.
-    detail: int = 160
-    #: Targets of a pool that one host is told of in each other zone, about.
-    sample: int = 16
-    #: Mean bytes a second that gossip may send.
-    bytes_per_second: int = 10_000
+    #: Targets of other zones that one host is told of, with partners, about.
+    sample: int = 36
+    #: Most bytes a second that gossip may send on average, with HTTP around it.
+    bytes_per_second: int = 20_000
     #: Bytes that gossip may send at once after a quiet time.
     burst_bytes: int = 256_000
--- a/packages/membership/bramleyspread_membership/_directory.py
+++ b/packages/membership/bramleyspread_membership/_directory.py
@@ -200,9 +200,8 @@
         heard = [
             record.announcement
             for pool in self._targets.list_pools()
-            for record in self._targets.list_pool(pool)
+            for record in self._targets.list_usable(pool, now)
             if record.source == self._config.host
-            and self._targets.is_usable(record, now)
         ]
         return TargetsReport(self._config.host, tuple(heard))
 
--- a/packages/membership/bramleyspread_membership/_gossip.py
+++ b/packages/membership/bramleyspread_membership/_gossip.py
@@ -12,10 +12,9 @@
     HostName,
     PeerMessage,
     PeerSend,
-    PoolName,
     encode_json,
 )
-from bramleyspread_membership._budget import ByteBudget
+from bramleyspread_membership._budget import ENVELOPE_BYTES, ByteBudget, Ration
 from bramleyspread_membership._config import DirectoryConfig
 from bramleyspread_membership._documents import DocumentShelf
 from bramleyspread_membership._hosts import HostTable
@@ -27,7 +26,7 @@
     LeftRow,
     PoolSummary,
 )
-from bramleyspread_membership._peers import Peer, PeerState, choose_peers
+from bramleyspread_membership._peers import Circle, Peer, PeerState, choose_circle
 from bramleyspread_membership._record import NEVER, TargetRecord
 from bramleyspread_membership._rows import Rows, make_rows, pick_relayed
 from bramleyspread_membership._targets import TargetTable
@@ -45,11 +44,14 @@
 
     __slots__ = (
         "_budget",
+        "_circle",
+        "_circle_epoch",
         "_config",
         "_heartbeat",
         "_hosts",
         "_interval",
         "_next_round",
+        "_ration",
         "_rng",
         "_shelf",
         "_sizes",
@@ -74,6 +76,9 @@
         self._hosts = hosts
         self._shelf = shelf
         self._sizes = sizes
+        self._circle: Circle | None = None
+        self._circle_epoch = -1
+        self._ration = Ration(config.bytes_per_second)
         self._budget = ByteBudget(config.bytes_per_second, config.burst_bytes, now)
         self._states: dict[HostName, PeerState] = {}
         self._interval = config.gossip_every
@@ -120,15 +125,21 @@
         return (self._write(host, address, encode_json(body), now),)
 
     def broadcast(self, body: DirectoryMessage, now: float) -> Sequence[PeerSend]:
-        """Write the same message to every peer.
+        """Write the same message to every host of this zone and every peer.
 
         :param body: what to send.
         :param now: monotonic seconds.
         :returns: the messages.
         """
         data = encode_json(body)
-        peers = choose_peers(self._config, self._hosts)
-        return [self._write(peer.host, peer.address, data, now) for peer in peers]
+        own = self._config.zone
+        receivers = {
+            host: address
+            for host, zone, address in self._hosts.list_peers()
+            if zone == own
+        }
+        receivers |= {peer.host: peer.address for peer in self._find_circle().peers}
+        return [self._write(host, to, data, now) for host, to in receivers.items()]
 
     def write_round(self, now: float) -> Sequence[PeerSend]:
         """Write a round of gossip when one is due.
@@ -139,21 +150,24 @@
         if now < self._next_round:
             return ()
         self._heartbeat += 1
-        peers = choose_peers(self._config, self._hosts)
+        circle = self._find_circle()
+        peers = list(circle.peers)
         rate = self._config.messages_per_second
         self._interval = max(self._config.gossip_every, len(peers) / rate)
         jitter = 1 + JITTER * (2 * self._rng.random() - 1)
         self._next_round = now + self._interval * jitter
-        unheard = tuple(self._hosts.list_unheard(now - self._interval * UNHEARD_ROUNDS))
+        heard_since = now - self._interval * UNHEARD_ROUNDS
+        unheard = tuple(self._hosts.list_unheard(circle.senders, heard_since))
         left = tuple(
             LeftRow(*row) for row in self._targets.list_left(now - self._config.lease)
         )
+        share = self._ration.start_round(len(peers), self._interval)
         # The order is drawn anew, so that a short budget is short for all alike.
         self._rng.shuffle(peers)
         sends = []
         for turn, peer in enumerate(peers):
             room = self._budget.left(now) / (len(peers) - turn)
-            body = self._compose(peer, unheard, left, room, len(peers), now)
+            body = self._compose(peer, unheard, left, room, share, now)
             sends.append(self._write(peer.host, peer.address, encode_json(body), now))
         return sends
 
@@ -163,11 +177,11 @@
         unheard: tuple[HostName, ...],
         left: tuple[LeftRow, ...],
         room: float,
-        peers: int,
+        share: float,
         now: float,
     ) -> Gossip:
         state = self._find_state(peer.host, self._hosts.find_incarnation(peer.host))
-        rows = self._select(peer, state, room, peers, now)
+        rows = self._select(peer, state, room, share, now)
         state.reached = rows.reached
         state.turn += 1
         other = self._hosts.pick_row(state.turn, peer.host, now)
@@ -184,46 +198,46 @@
         )
 
     def _select(
-        self, peer: Peer, state: PeerState, room: float, peers: int, now: float
+        self, peer: Peer, state: PeerState, room: float, share: float, now: float
     ) -> Rows:
         newest = self._targets.newest
         # A peer that is new gets everything in full, and need not ask.
         since = NEVER if state.reached == 0 else now - 2 * self._interval
-        relays = self._rng.random() * peers < RELAYS
+        relays = self._rng.random() * len(self._find_circle().peers) < RELAYS
         unheard = state.unheard if relays else frozenset()
-        shares: dict[PoolName, float] = {}
-        chosen = [
+        changed = [
             record
             for record in self._targets.list_changed(state.reached)
-            if self._is_for(peer, record, unheard, shares)
+            if self._is_for(peer, record, unheard)
+        ]
+        if peer.is_partner:
+            share = min(share, self._find_sample_share())
+        else:
+            self._ration.count(len(changed))
+        chosen = [
+            record
+            for record in changed
+            if is_interested(peer.host, record.announcement.target, share)
         ]
         return make_rows(chosen, newest, since, room, now)
 
     def _is_for(
-        self,
-        peer: Peer,
-        record: TargetRecord,
-        unheard: frozenset[HostName],
-        shares: dict[PoolName, float],
+        self, peer: Peer, record: TargetRecord, unheard: frozenset[HostName]
     ) -> bool:
-        announcement = record.announcement
         if peer.is_partner:
-            if announcement.zone != self._config.zone:
-                return False
-        elif not pick_relayed(record, self._config.host, unheard):
-            return False
-        pool = announcement.pool
-        if pool not in shares:
-            shares[pool] = self._find_share(peer, pool)
-        return is_interested(peer.host, announcement.target, shares[pool])
+            return record.announcement.zone == self._config.zone
+        return pick_relayed(record, self._config.host, unheard)
 
-    def _find_share(self, peer: Peer, pool: PoolName) -> float:
-        if peer.is_partner:
-            known = len(self._targets.list_pool(pool))
-            return self._config.sample / max(known, 1)
-        hosts = self._hosts.count_zone(self._config.zone) + 1
-        size = self._sizes.estimate(pool, hosts)
-        return self._config.detail / max(size, 1.0)
+    def _find_sample_share(self) -> float:
+        partners = sum(peer.is_partner for peer in self._find_circle().peers)
+        sample = self._config.sample / partners
+        return sample / max(len(self._targets), 1)
+
+    def _find_circle(self) -> Circle:
+        if self._circle is None or self._circle_epoch != self._hosts.epoch:
+            self._circle = choose_circle(self._config, self._hosts)
+            self._circle_epoch = self._hosts.epoch
+        return self._circle
 
     def _summarise(self, now: float) -> tuple[PoolSummary, ...]:
         hosts = self._hosts.count_zone(self._config.zone) + 1
@@ -231,9 +245,8 @@
         for pool in self._targets.list_pools():
             loads = [
                 (record.announcement.load.running + record.announcement.load.waiting)
-                for record in self._targets.list_pool(pool)
+                for record in self._targets.list_usable(pool, now)
                 if record.announcement.zone == self._config.zone
-                and self._targets.is_usable(record, now)
             ]
             if not loads:
                 continue
@@ -264,6 +277,6 @@
     def _write(
         self, host: HostName, address: Address, data: bytes, now: float
     ) -> PeerSend:
-        self._budget.spend(len(data), now)
+        self._budget.spend(len(data) + ENVELOPE_BYTES, now)
         self.bytes_sent += len(data)
         return PeerSend(address, PeerMessage(self._config.host, host, Raw(data)))
--- a/packages/membership/bramleyspread_membership/_hosts.py
+++ b/packages/membership/bramleyspread_membership/_hosts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -24,13 +24,14 @@
 class HostTable:
     """Other entry hosts: named by settings, or learned and still beating."""
 
-    __slots__ = ("_config", "_heard", "_records", "_started_at")
+    __slots__ = ("_config", "_epoch", "_heard", "_records", "_started_at")
 
     def __init__(self, config: DirectoryConfig, now: float) -> None:
         self._config = config
         self._records: dict[HostName, HostRecord] = {}
         self._heard: dict[HostName, float] = {}
         self._started_at = now
+        self._epoch = 0
 
     def merge(self, row: HostRow, late: float, now: float) -> bool:
         """Take a row about another host.
@@ -48,6 +49,8 @@
             newest = (known.row.incarnation, known.row.heartbeat)
             if (row.incarnation, row.heartbeat) <= newest:
                 return False
+        if known is None or known.row.address != row.address:
+            self._epoch += 1
         self._records[row.host] = HostRecord(row, beaten_at)
         return True
 
@@ -71,6 +74,7 @@
             if self._is_over(record.beaten_at, now)
         ]
         for host in over:
+            self._epoch += 1
             del self._records[host]
             self._heard.pop(host, None)
         return over
@@ -83,6 +87,11 @@
             if neighbour.host not in self._records:
                 yield neighbour.host, neighbour.zone, neighbour.address
 
+    @property
+    def epoch(self) -> int:
+        """Rises when hosts come, go, or move."""
+        return self._epoch
+
     def find_address(self, host: HostName) -> Address | None:
         """Find where a host listens.
 
@@ -103,15 +112,6 @@
         record = self._records.get(host)
         return record.row.incarnation if record else 0
 
-    def list_zone(self, zone: ZoneName) -> list[HostName]:
-        """List the beating hosts of a zone by name, without this host.
-
-        :param zone: the zone.
-        :returns: the hosts.
-        """
-        hosts = self._records.items()
-        return sorted(host for host, each in hosts if each.row.zone == zone)
-
     def count_zone(self, zone: ZoneName) -> int:
         """Count the beating hosts of a zone.
 
@@ -120,16 +120,17 @@
         """
         return sum(each.row.zone == zone for each in self._records.values())
 
-    def list_unheard(self, since: float) -> list[HostName]:
+    def list_unheard(self, senders: Iterable[HostName], since: float) -> list[HostName]:
         """List hosts that beat but were not heard directly lately.
 
+        :param senders: the hosts that should be heard.
         :param since: monotonic seconds.
-        :returns: the hosts, but for those that do not send here.
+        :returns: the hosts.
         """
         return [
             host
-            for host in self._records
-            if self._heard.get(host, self._started_at) < since
+            for host in senders
+            if host in self._records and self._heard.get(host, self._started_at) < since
         ]
 
     def pick_row(self, turn: int, receiver: HostName, now: float) -> HostRow | None:
@@ -140,10 +141,17 @@
         :param now: monotonic seconds.
         :returns: the row with its age, or None.
         """
-        if not self._records:
+        # Hosts of this zone get every other turn: they matter more, and are fewer.
+        own = self._config.zone
+        is_near = turn % 2 == 0
+        hosts = [
+            host
+            for host, each in self._records.items()
+            if (each.row.zone == own) == is_near
+        ]
+        if not hosts:
             return None
-        hosts = list(self._records)
-        host = hosts[turn % len(hosts)]
+        host = hosts[turn // 2 % len(hosts)]
         if host == receiver:
             return None
         record = self._records[host]
--- a/packages/membership/bramleyspread_membership/_interest.py
+++ b/packages/membership/bramleyspread_membership/_interest.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from xxhash import xxh32_intdigest
 
 from bramleyspread_core import HostName, PoolName, TargetName
@@ -78,7 +76,3 @@
         :returns: targets.
         """
         return self._rates.get(pool, 0.0) * self._every * hosts
-
-
-#: Finds the share of a pool's targets that a host is told of.
-ShareOf = Callable[[PoolName], float]
--- a/packages/membership/bramleyspread_membership/_messages.py
+++ b/packages/membership/bramleyspread_membership/_messages.py
@@ -54,11 +54,9 @@
 
     #: The target.
     target: TargetName
-    #: Its incarnation.
-    incarnation: int
     #: Number of the announcement.
     sequence: int
-    #: Digest of the details, by which the receiver sees whether it holds them.
+    #: Digest of incarnation and details; tells whether the receiver holds them.
     detail: int
     #: Time since a host heard it from the target, in milliseconds.
     age_ms: int
--- a/packages/membership/bramleyspread_membership/_peers.py
+++ b/packages/membership/bramleyspread_membership/_peers.py
@@ -8,6 +8,9 @@
 from bramleyspread_membership._config import DirectoryConfig
 from bramleyspread_membership._hosts import HostTable
 
+#: Fewest hosts of its own zone that a host sends to, where there are as many.
+LEAST_ZONE_PEERS = 4
+
 
 class Peer(Struct, frozen=True):
     """An entry host that this one sends gossip to."""
@@ -18,7 +21,7 @@
     zone: ZoneName
     #: Where it listens.
     address: Address
-    #: True when this host alone speaks to it for a whole other zone.
+    #: True when this host speaks to it for a whole other zone.
     is_partner: bool
 
 
@@ -34,27 +37,68 @@
         self.reached = 0
         #: Whose row about hosts it is sent next.
         self.turn = turn
-        #: Hosts that it does not hear directly.
+        #: Hosts that it should hear directly and does not.
         self.unheard: frozenset[HostName] = frozenset()
 
 
-def choose_peers(config: DirectoryConfig, hosts: HostTable) -> list[Peer]:
-    """Choose whom to send to: everybody, or this zone and one of each other.
+class Circle(Struct, frozen=True):
+    """Whom a host sends to, and whom it should hear, until hosts come or go."""
+
+    #: The peers to send to.
+    peers: tuple[Peer, ...]
+    #: The hosts that choose this one by the same rule.
+    senders: frozenset[HostName]
+
+
+def choose_circle(config: DirectoryConfig, hosts: HostTable) -> Circle:
+    """Choose whom to send to: everybody, or some of this zone and partners.
+
+    With many hosts, those of a zone form a ring and each sends to the ones at
+    fixed distances, so that each is sent to by equally many and news crosses
+    the zone in few rounds. To each other zone it sends through one partner.
 
     :param config: this host's settings.
     :param hosts: the entry hosts known.
-    :returns: the peers.
+    :returns: the circle.
     """
-    known = list(hosts.list_peers())
-    if len(known) <= config.send_to_all_up_to:
-        return [Peer(host, zone, address, False) for host, zone, address in known]
+    known = sorted(hosts.list_peers())
+    if len(known) <= config.most_peers:
+        peers = tuple(Peer(*each, is_partner=False) for each in known)
+        return Circle(peers, frozenset(peer.host for peer in peers))
     zones: dict[ZoneName, list[Peer]] = {}
-    for host, zone, address in sorted(known):
-        is_partner = zone != config.zone
-        zones.setdefault(zone, []).append(Peer(host, zone, address, is_partner))
+    for host, zone, address in known:
+        peer = Peer(host, zone, address, is_partner=zone != config.zone)
+        zones.setdefault(zone, []).append(peer)
     own = zones.pop(config.zone, [])
+    count = max(LEAST_ZONE_PEERS, config.most_peers - len(zones))
+    distances = list_distances(len(own) + 1, count)
     rank = sum(peer.host < config.host for peer in own)
-    peers = own
-    for others in zones.values():
-        peers += others[rank :: len(own) + 1] or [others[rank % len(others)]]
-    return peers
+    # A peer at this distance ahead; the list leaves this host itself out.
+    ahead = [own[(rank + far - 1) % len(own)] for far in distances]
+    behind = [own[(rank - far) % len(own)] for far in distances]
+    partners = [
+        partner
+        for others in zones.values()
+        for partner in _choose_partners(others, rank, len(own) + 1)
+    ]
+    return Circle((*ahead, *partners), frozenset(peer.host for peer in behind))
+
+
+def list_distances(hosts: int, count: int) -> list[int]:
+    """List the distances on a ring at which a host sends to others.
+
+    :param hosts: hosts on the ring.
+    :param count: most distances wanted.
+    :returns: powers of two first, since they cross the ring in fewest rounds.
+
+    >>> list_distances(44, 4)
+    [1, 2, 4, 8]
+    >>> list_distances(4, 4)
+    [1, 2, 3]
+    """
+    farthest_first = sorted(range(1, hosts), key=lambda far: (far.bit_count(), far))
+    return sorted(farthest_first[:count])
+
+
+def _choose_partners(others: list[Peer], rank: int, hosts: int) -> list[Peer]:
+    return others[rank::hosts] or [others[rank % len(others)]]
--- a/packages/membership/bramleyspread_membership/_rows.py
+++ b/packages/membership/bramleyspread_membership/_rows.py
@@ -13,7 +13,7 @@
 #: About how long a row in full is, in bytes.
 DETAIL_BYTES = 400
 #: About how long a short row is, in bytes.
-RENEWAL_BYTES = 50
+RENEWAL_BYTES = 45
 #: About how long a prefix-cache event is, in bytes.
 EVENT_BYTES = 60
 #: Prefix-cache events passed on with a row; they are hints, and may be lost.
@@ -56,7 +56,6 @@
     load = announcement.load
     return RenewalRow(
         announcement.target,
-        announcement.incarnation,
         announcement.sequence,
         record.detail,
         round_age(now - record.heard_at),
--- a/packages/membership/bramleyspread_membership/_targets.py
+++ b/packages/membership/bramleyspread_membership/_targets.py
@@ -25,6 +25,9 @@
     digest_detail,
 )
 
+#: Details are kept for this long after their lease, in seconds.
+REMEMBER_DETAILS = 30.0
+
 
 class TargetTable:
     """Every target known, by lease; old news never undoes newer news.
@@ -122,13 +125,13 @@
         :param now: monotonic seconds.
         :returns: what it did.
         """
-        if self._is_old(row.target, row.incarnation, row.sequence):
-            return Merge.NOTHING
-        if heard_at + self._lease <= now:
-            return Merge.NOTHING
         known = self._records.get(row.target)
         if known is None or known.detail != row.detail:
             return Merge.UNKNOWN
+        if row.sequence <= known.announcement.sequence:
+            return Merge.NOTHING
+        if heard_at + self._lease <= now:
+            return Merge.NOTHING
         load = replace(
             known.announcement.load,
             running=row.running,
@@ -187,13 +190,16 @@
         changed.reverse()
         return changed
 
-    def list_pool(self, pool: PoolName) -> list[TargetRecord]:
-        """List the records of one pool, usable or not.
+    def list_usable(self, pool: PoolName, now: float) -> list[TargetRecord]:
+        """List the records of one pool whose leases run.
 
         :param pool: the pool.
+        :param now: monotonic seconds.
         :returns: the records.
         """
-        return [self._records[name] for name in self._pools.get(pool, ())]
+        oldest = now - self._lease
+        records = (self._records[name] for name in self._pools.get(pool, ()))
+        return [record for record in records if record.heard_at > oldest]
 
     def find_epoch(self, pool: PoolName) -> int:
         """Find a number that rises when a pool's targets come, go or change.
@@ -207,23 +213,24 @@
         """List the pools that have records."""
         return [pool for pool, names in self._pools.items() if names]
 
-    def expire(self, now: float) -> list[TargetRecord]:
-        """Forget leases that ran out and leavings too old to matter.
+    def expire(self, now: float) -> None:
+        """Forget what is too old to matter.
+
+        Details outlive their lease for a while, so that a target heard again
+        needs no answer in full.
 
         :param now: monotonic seconds.
-        :returns: the records dropped.
         """
-        over = [
-            record
-            for record in self._records.values()
-            if not self.is_usable(record, now)
-        ]
-        for record in over:
-            self._drop(record.announcement.target)
+        oldest = now - self._lease - REMEMBER_DETAILS
+        for record in list(self._records.values()):
+            if record.heard_at < oldest:
+                self._drop(record.announcement.target)
         oldest = now - self._remember_left
         for target in [name for name, (_, at) in self._left.items() if at < oldest]:
             del self._left[target]
-        return over
+
+    def _is_over(self, record: TargetRecord, now: float) -> bool:
+        return not self.is_usable(record, now)
 
     def _is_old(self, target: TargetName, incarnation: int, sequence: int) -> bool:
         left = self._left.get(target)
@@ -254,13 +261,14 @@
         self._newest += 1
         view = TargetView(announcement, heard_at - announcement.load.age_ms / 1000)
         known = self._records.get(announcement.target)
-        self._move(announcement, known is None or known.detail != detail)
+        comes = known is None or known.detail != detail or self._is_over(known, now)
+        self._move(announcement, comes)
         self._records[announcement.target] = TargetRecord(
             view, detail, heard_at, source, changed_at, self._newest
         )
 
-    def _move(self, announcement: Announcement, changed: bool) -> None:
-        if not changed:
+    def _move(self, announcement: Announcement, comes: bool) -> None:
+        if not comes:
             del self._records[announcement.target]
             return
         self._drop(announcement.target)
--- a/packages/membership/bramleyspread_membership/_usable.py
+++ b/packages/membership/bramleyspread_membership/_usable.py
@@ -66,9 +66,7 @@
         near: list[TargetView] = []
         far: list[TargetView] = []
         ends_at = float("inf")
-        for record in self._table.list_pool(pool):
-            if not self._table.is_usable(record, now):
-                continue
+        for record in self._table.list_usable(pool, now):
             ends_at = min(ends_at, record.heard_at + self._lease)
             is_near = record.announcement.zone == self._zone
             (near if is_near else far).append(record.view)
--- /dev/null
+++ b/packages/proof/bramleyspread_proof/_bench_membership.py
@@ -0,0 +1,284 @@
+"""What the spread of membership costs one entry host, measured in one process.
+
+Every host is a real directory; only the network between them is a queue.
+"""
+
+from __future__ import annotations
+
+import random
+import resource
+import sys
+import time
+from collections import deque
+from collections.abc import Iterable, Sequence
+
+from msgspec import Struct
+from msgspec.structs import replace
+
+from bramleyspread_core import (
+    Address,
+    Announcement,
+    HostName,
+    Load,
+    LoadedModel,
+    PeerMessage,
+    PeerSend,
+    PoolName,
+    ServiceName,
+    TargetName,
+    ZoneName,
+    encode_json,
+)
+from bramleyspread_membership import DirectoryConfig, EntryDirectory, Neighbour
+
+#: Time between two calls of ``tick``, in seconds.
+TICK = 0.1
+#: Bytes of an HTTP request's and its answer's lines and headers, about.
+HTTP_BYTES = 160
+#: Time that directories run before anything is measured, in seconds.
+WARM_UP = 5.0
+#: Zones, hosts and targets of the measurements.
+SIZES = (
+    (4, 8, 40),
+    (4, 8, 160),
+    (4, 8, 640),
+    (4, 16, 160),
+    (4, 32, 160),
+    (10, 60, 1_375),
+    (10, 120, 2_750),
+)
+#: Zones, hosts and targets of the size that the system is to reach.
+TARGET_SIZE = (10, 480, 11_000)
+
+
+class MembershipCost(Struct, frozen=True):
+    """What one entry host spends on membership, on average."""
+
+    #: Availability zones.
+    zones: int
+    #: Entry hosts.
+    hosts: int
+    #: Targets, spread evenly over the zones.
+    targets: int
+    #: Time between two announcements of a target, in seconds.
+    announce_every: float
+    #: True when a target's announcements reach one host as long as it lives.
+    sticky: bool
+    #: Messages sent to other entry hosts a second.
+    messages: float
+    #: Bytes sent a second in the bodies of these messages.
+    bytes_sent: float
+    #: The same with HTTP around them.
+    wire_bytes_sent: float
+    #: Bytes of announcements heard from targets a second, without HTTP.
+    bytes_heard: float
+    #: Processor time, as a share of one core.
+    core_share: float
+    #: Memory that a directory took, in bytes.
+    memory: float
+    #: Targets usable on a host of its own zone: fewest, and mean.
+    usable_near_least: int
+    #: Mean of the same.
+    usable_near: float
+    #: Mean of targets usable on a host of other zones.
+    usable_far: float
+
+
+class _Deployment:
+    """Directories joined by a queue."""
+
+    def __init__(
+        self,
+        zones: int,
+        hosts: int,
+        targets: int,
+        announce_every: float,
+        sticky: bool,
+        seed: int,
+    ) -> None:
+        self.sticky = sticky
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.announce_every = announce_every
+        self.zones = [ZoneName(f"zone-{number % zones}") for number in range(hosts)]
+        self.names = [HostName(f"entry-{number}") for number in range(hosts)]
+        self.nodes = [self._start(number) for number in range(hosts)]
+        self.indices = {name: number for number, name in enumerate(self.names)}
+        self.targets = [_make_target(n, zones) for n in range(targets)]
+        self.hosts_of = {
+            zone: [n for n in range(hosts) if self.zones[n] == zone]
+            for zone in set(self.zones)
+        }
+        self.queue: deque[PeerMessage] = deque()
+        self.messages = 0
+        self.bytes_sent = 0
+        self.bytes_heard = 0
+        self.busy = 0.0
+
+    def _start(self, number: int) -> EntryDirectory:
+        # Settings name the hosts of the own zone and the first of each other.
+        zone = self.zones[number]
+        firsts = {self.zones.index(each) for each in self.zones}
+        neighbours = tuple(
+            Neighbour(self.names[other], self.zones[other], _make_address(other))
+            for other in range(len(self.zones))
+            if other != number and (self.zones[other] == zone or other in firsts)
+        )
+        config = DirectoryConfig(
+            self.names[number],
+            zone,
+            _make_address(number),
+            1,
+            neighbours,
+            announce_every=self.announce_every,
+        )
+        rng = random.Random(self.rng.random())
+        return EntryDirectory.from_config(config, rng, self.now)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        steps = round(seconds / TICK)
+        every = round(self.announce_every / TICK)
+        for _ in range(steps):
+            step = round(self.now / TICK)
+            began = time.process_time()
+            for number in range(step % every, len(self.targets), every):
+                self._announce(number)
+            for node in self.nodes:
+                self._post(node.tick(self.now))
+            while self.queue:
+                message = self.queue.popleft()
+                node = self.nodes[self.indices[message.receiver]]
+                self._post(node.receive(message, self.now))
+            self.busy += time.process_time() - began
+            self.now += TICK
+
+    def _announce(self, number: int) -> None:
+        target = self.targets[number]
+        load = Load(self.rng.randrange(8), self.rng.randrange(3), 8, 0.5, 40)
+        target = replace(target, sequence=target.sequence + 1, load=load)
+        self.targets[number] = target
+        choices = self.hosts_of[target.zone]
+        zone_number = number // len(self.hosts_of)
+        host = choices[zone_number % len(choices)]
+        if not self.sticky:
+            host = self.rng.choice(choices)
+        self._post(self.nodes[host].hear(target, self.now))
+
+    def _post(self, sends: Iterable[PeerSend]) -> None:
+        for send in sends:
+            self.messages += 1
+            self.bytes_sent += len(bytes(send.message.body)) + ENVELOPE_BYTES
+            self.queue.append(send.message)
+
+    def start_measuring(self) -> None:
+        """Forget what was counted so far."""
+        self.messages = self.bytes_sent = 0
+        self.busy = 0.0
+
+    def count_usable(self) -> tuple[int, float, float]:
+        """Count usable targets on each host: least near, mean near, mean far."""
+        near, far = [], []
+        for node, zone in zip(self.nodes, self.zones, strict=True):
+            views = node.list_usable(_POOL, self.now)
+            here = sum(view.announcement.zone == zone for view in views)
+            near.append(here)
+            far.append(len(views) - here)
+        return min(near), sum(near) / len(near), sum(far) / len(far)
+
+
+_POOL = PoolName(ServiceName("language-model"), "engines")
+#: Bytes of JSON around a message's body.
+ENVELOPE_BYTES = len('{"sender":"entry-100","receiver":"entry-100","body":}')
+
+
+def _make_address(number: int) -> Address:
+    return Address(f"10.0.{number // 250}.{number % 250 + 1}", 7000)
+
+
+def _make_target(number: int, zones: int) -> Announcement:
+    return Announcement(
+        TargetName(f"engine-{number}"),
+        1_700_000_000_000 + number,
+        0,
+        _POOL,
+        _make_address(number),
+        ZoneName(f"zone-{number % zones}"),
+        models=(LoadedModel("reviewer", "2026-11", ("feedback", "summary")),),
+        role="generate",
+        checks_fencing=True,
+    )
+
+
+def measure_membership(
+    zones: int,
+    hosts: int,
+    targets: int,
+    seconds: float = 10.0,
+    announce_every: float = 0.5,
+    sticky: bool = True,
+    seed: int = 1,
+) -> MembershipCost:
+    """Measure what one entry host spends on membership.
+
+    :param zones: availability zones.
+    :param hosts: entry hosts over all zones.
+    :param targets: targets over all zones, all of one pool.
+    :param seconds: virtual time to measure over, after the warm-up.
+    :param announce_every: time between two announcements of a target, in seconds.
+    :param sticky: whether the balancer keeps a target's connection on one host.
+    :param seed: decides loads and whom the balancer chooses.
+    :returns: means for one host.
+    """
+    before = _read_memory()
+    deployment = _Deployment(zones, hosts, targets, announce_every, sticky, seed)
+    deployment.run(WARM_UP)
+    memory = (_read_memory() - before) / hosts
+    deployment.start_measuring()
+    deployment.run(seconds)
+    least, near, far = deployment.count_usable()
+    share = 1 / hosts / seconds
+    messages, sent = deployment.messages * share, deployment.bytes_sent * share
+    size = len(encode_json(deployment.targets[0]))
+    return MembershipCost(
+        zones,
+        hosts,
+        targets,
+        announce_every,
+        sticky,
+        round(messages, 1),
+        round(sent),
+        round(sent + messages * HTTP_BYTES),
+        round(size * targets / announce_every / hosts),
+        round(deployment.busy * share, 5),
+        round(memory),
+        least,
+        round(near, 1),
+        round(far, 1),
+    )
+
+
+def measure_sizes(
+    sizes: Sequence[tuple[int, int, int]] = SIZES, seconds: float = 10.0
+) -> list[MembershipCost]:
+    """Measure one size after the other.
+
+    :param sizes: zones, hosts and targets of each.
+    :param seconds: virtual time to measure over.
+    :returns: a line for each size.
+    """
+    return [measure_membership(*size, seconds=seconds) for size in sizes]
+
+
+def _read_memory() -> int:
+    """Peak memory of this process in bytes; measure small sizes first."""
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
+
+
+if __name__ == "__main__":
+    numbers = [int(text) for text in sys.argv[1:4]]
+    is_sticky = "random" not in sys.argv
+    wanted = [(numbers[0], numbers[1], numbers[2])] if numbers else SIZES
+    for zones, hosts, targets in wanted:
+        cost = measure_membership(zones, hosts, targets, sticky=is_sticky)
+        print(encode_json(cost).decode(), flush=True)
