--- /dev/null
+++ b/packages/membership/bramleyspread_membership/tests/test_random_runs.py
@@ -0,0 +1,117 @@
+"""What must hold of directories whatever happens, over random runs."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from bramleyspread_membership.tests.network import POOL, Network
+from bramleyspread_membership.tests.test_directory import ZONES, make_page
+
+#: A target that stopped serving is unusable after this long, in seconds.
+BOUND = 3.0
+
+
+class Run:
+    """A network to which random things happen, and what it owes."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = Random(seed)
+        self.net = Network(ZONES, seed)
+        self.stopped: dict[tuple[str, int], float] = {}
+        self.versions = dict.fromkeys(self.net.hosts, 0)
+        self.version = 0
+        for number in range(12):
+            self.net.add_target(f"t-{number}", "abc"[number % 3])
+
+    def disturb(self) -> None:
+        net, rng = self.net, self.rng
+        acts = [self.cut, self.heal, self.leave, self.vanish, self.freeze]
+        acts += [self.thaw, self.restart, self.submit, self.lose]
+        rng.choice(acts)()
+        net.run(rng.uniform(0.1, 2.0))
+
+    def cut(self) -> None:
+        one, other = self.rng.sample(list(self.net.zones), 2)
+        self.net.cuts.add((one, other))
+
+    def heal(self) -> None:
+        self.net.cuts.clear()
+        self.net.late_by.clear()
+
+    def lose(self) -> None:
+        self.net.loss = self.rng.choice([0.0, 0.05, 0.3])
+        self.net.doubled = self.rng.choice([0.0, 0.3])
+        host = self.rng.choice(list(self.net.zones))
+        self.net.late_by[host] = self.rng.choice([0.0, 0.4])
+
+    def leave(self) -> None:
+        name = self.rng.choice(list(self.net.targets))
+        self.note_stopped(name)
+        self.net.leave(name)
+        self.net.announce(name)
+
+    def vanish(self) -> None:
+        name = self.rng.choice(list(self.net.targets))
+        self.note_stopped(name)
+        old = self.net.targets.pop(name)
+        self.net.add_target(name, old.zone)
+        self.net.change(name, incarnation=old.incarnation + 1)
+
+    def note_stopped(self, name: str) -> None:
+        key = name, self.net.targets[name].incarnation
+        self.stopped.setdefault(key, self.net.now)
+
+    def freeze(self) -> None:
+        self.net.frozen.add(self.rng.choice(list(self.net.hosts)))
+
+    def thaw(self) -> None:
+        self.net.frozen.clear()
+
+    def restart(self) -> None:
+        host = self.rng.choice(list(self.net.hosts))
+        self.net.kill(host)
+        self.versions[host] = 0
+        self.net.start(host)
+
+    def submit(self) -> None:
+        self.version += 1
+        host = self.rng.choice(list(self.net.hosts))
+        page = make_page(self.version, self.version)
+        self.net.hosts[host].apply_documents(page, self.net.clock(host))
+
+    def check(self) -> None:
+        for host, node in self.net.hosts.items():
+            self.check_targets(host)
+            for document in node.list_documents():
+                assert document.version >= self.versions[host]
+                self.versions[host] = document.version
+
+    def check_targets(self, host: str) -> None:
+        for view in self.net.hosts[host].list_usable(POOL, self.net.clock(host)):
+            key = view.announcement.target, view.announcement.incarnation
+            since = self.net.now - self.stopped.get(key, self.net.now)
+            assert since <= BOUND, f"{key} is usable on {host} after {since:.2f} s"
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_promises_hold_and_all_is_known_in_the_end(seed: int) -> None:
+    run = Run(seed)
+    for _ in range(60):
+        run.disturb()
+        run.check()
+    run.net.loss = run.net.doubled = 0.0
+    run.heal()
+    run.thaw()
+    run.submit()
+    run.net.run(6)
+    run.check()
+    serving = {
+        name
+        for name, each in run.net.targets.items()
+        if (name, each.incarnation) not in run.stopped
+    }
+    for host, node in run.net.hosts.items():
+        assert run.net.usable(host) == serving
+        assert node.revision == run.version
