--- a/packages/entry/bramleyspread_entry/_config.py
+++ b/packages/entry/bramleyspread_entry/_config.py
@@ -43,12 +43,8 @@
     max_tries: int = 4
     #: Pause before looking again for a usable target, in seconds.
     target_pause: float = 0.05
-    #: Shortest time without an answer after which a connection counts as silent.
-    min_silence: float = 0.3
-    #: The same between streamed tokens, and before the first of them.
+    #: Time without a byte of a stream after which its connection counts as silent.
     stream_silence: float = 1.0
-    #: Silence counts from this many times the late latency of the stage.
-    silence_factor: float = 4.0
     #: How long an attempt with an effect may go on after its caller's deadline.
     effect_grace: float = 5.0
     #: How long the process may take to report that an attempt ran out of time.
@@ -56,6 +52,6 @@
     #: Bytes at the start of an input that tell prefixes apart.
     prefix_bytes: int = 256
     #: Part of a request's slack that it may wait in queues, within a fair share.
-    patience: float = 0.7
+    patience: float = 0.85
     #: The same beyond a fair share.
-    patience_beyond_share: float = 0.2
+    patience_beyond_share: float = 0.1
--- a/packages/entry/bramleyspread_entry/_dispatch.py
+++ b/packages/entry/bramleyspread_entry/_dispatch.py
@@ -23,8 +23,6 @@
 
 #: Typical latency of a stage, as a share of its latencies.
 TYPICAL_SHARE = 0.5
-#: The late end of a stage's latencies, as a share.
-LATE_SHARE = 0.95
 #: Part of the later stages' typical latencies that an attempt must leave.
 RESERVED_SHARE = 0.5
 
@@ -99,7 +97,7 @@
                 address=announcement.address,
                 call=self._make_call(run, attempt.id, now),
                 timeout=timeout,
-                progress_timeout=self._allow_silence(run, timeout, now),
+                progress_timeout=self._allow_silence(run, timeout),
                 fresh_connection=fresh,
             )
         )
@@ -210,16 +208,13 @@
         owner = f"{run.request.brand.key}/{run.request.service}"
         return f"{owner}/{stage.model}/{stage.adapter or ''}/{digest}"
 
-    def _allow_silence(self, run: Run, timeout: float, now: float) -> float:
+    def _allow_silence(self, run: Run, timeout: float) -> float:
         """Find how long a connection may be without a byte, in seconds.
 
-        An answer that is not streamed comes as a whole, so that its connection
-        is silent for as long as the target works.
+        An answer that is not streamed comes as a whole, and waiting for it looks
+        like silence; giving it up would lose its place in the target's queue. A
+        hedge over a new connection finds the silent ones among such attempts.
         """
-        config = self._state.config
-        if run.streams:
-            return min(timeout, config.stream_silence)
-        late = self._state.policies.times.quantile(run.key, LATE_SHARE, now)
-        if late is None:
-            return timeout
-        return min(timeout, max(config.min_silence, config.silence_factor * late))
+        return (
+            min(timeout, self._state.config.stream_silence) if run.streams else timeout
+        )
--- a/packages/entry/bramleyspread_entry/_occupancy.py
+++ b/packages/entry/bramleyspread_entry/_occupancy.py
@@ -25,7 +25,8 @@
     targets: int
     #: Requests that they can run side by side, in all.
     slots: float
-    #: Requests reported on them, in all, corrected by own work since.
+    #: Requests reported on them, in all, corrected for what came since as if
+    #: every entry host's own work had changed like this one's.
     occupied: float
     #: Part of the slots that this host may count as its own.
     own_slots: float
@@ -95,7 +96,8 @@
         own = self._own[pool]
         if now >= look.at + LOOK_PAUSE:
             self._look(pool, look, own, now)
-        occupied = max(float(own), look.reported + own - look.own_then)
+        since = (own - look.own_then) * self._hosts
+        occupied = max(float(own), look.reported + since)
         own_slots = look.slots / max(1, self._hosts)
         return PoolState(look.targets, look.slots, occupied, own_slots, own)
 
--- a/packages/entry/bramleyspread_entry/_stages.py
+++ b/packages/entry/bramleyspread_entry/_stages.py
@@ -10,6 +10,7 @@
     Outcome,
     Reason,
     StreamToken,
+    TargetView,
     Unknown,
 )
 from bramleyspread_entry._attempts import Attempt, AttemptKind
@@ -17,7 +18,6 @@
 from bramleyspread_entry._costs import CostKind
 from bramleyspread_entry._delivery import Delivery
 from bramleyspread_entry._dispatch import TYPICAL_SHARE, Dispatcher
-from bramleyspread_entry._occupancy import PoolState
 from bramleyspread_entry._pipeline import Run
 from bramleyspread_entry._state import EntryState, TimerKind
 
@@ -131,12 +131,11 @@
         alone = len(run.live) == 1 and run.speaker is None
         if run.answered or not alone or run.tries >= self._state.config.max_tries:
             return
-        state = self._state.policies.occupancy.read(run.pool, now)
-        if not _has_room(state):
-            return
         view = self._dispatcher.choose(run, now)
         if view is None or view.announcement.target in run.tried:
             return
+        if not _has_room(view):
+            return
         if self._state.policies.budget.spend():
             self._dispatcher.send(run, AttemptKind.HEDGE, view, now)
 
@@ -265,6 +264,7 @@
         return Fault(reason, run.stage.name, "-", detail)
 
 
-def _has_room(state: PoolState) -> bool:
-    """Whether a pool has room for added work."""
-    return state.occupied < state.slots
+def _has_room(view: TargetView) -> bool:
+    """Whether a target has a slot free for added work, by its own report."""
+    load = view.announcement.load
+    return load.running + load.waiting < load.slots
