Tell typical latency by the newest samples and late latency by older ones

Stages of which little is known are taken to be like others of their pool, and a hedge that found no room is tried again.

--- a/packages/entry/bramleyspread_entry/_admission.py
+++ b/packages/entry/bramleyspread_entry/_admission.py
@@ -13,8 +13,6 @@
 from bramleyspread_entry._pipeline import Run
 from bramleyspread_entry._shares import Shares
 
-#: What a request's stages typically take, as a share of their latencies.
-TYPICAL_SHARE = 0.5
 #: Pause between two requests let through to see whether a stage is fast again.
 TRIAL_PAUSE = 0.05
 #: Shortest and longest time after which a refused caller may come back.
@@ -111,9 +109,7 @@
         return refusal
 
     def _judge_time(self, run: Run, now: float) -> Refusal | None:
-        expected = sum(
-            self._times.quantile(key, TYPICAL_SHARE, now) or 0.0 for key in run.keys
-        )
+        expected = sum(self._times.typical(key, now) or 0.0 for key in run.keys)
         if expected <= run.deadline - now:
             return None
         name = (run.document.service, run.pipeline.name)
@@ -154,7 +150,7 @@
                 return Refusal(fault, self._spread(1.0))
             took = self._times.work(key)
             if took is None:
-                took = self._times.quantile(key, TYPICAL_SHARE, now) or 0.0
+                took = self._times.typical(key, now) or 0.0
             headroom = 1.0 + (work + wait) / took if took else 1.0
             waits = took * max(0.0, measure_fullness(state, headroom) - 1.0)
             work += took
--- a/packages/entry/bramleyspread_entry/_config.py
+++ b/packages/entry/bramleyspread_entry/_config.py
@@ -49,9 +49,11 @@
     effect_grace: float = 5.0
     #: How long the process may take to report that an attempt ran out of time.
     report_grace: float = 1.0
+    #: Pause before a hedge that found no room is tried again, in seconds.
+    hedge_pause: float = 0.1
     #: Bytes at the start of an input that tell prefixes apart.
     prefix_bytes: int = 256
     #: Part of a request's slack that it may wait in queues, within a fair share.
-    patience: float = 0.85
+    patience: float = 0.5
     #: The same beyond a fair share.
     patience_beyond_share: float = 0.1
--- a/packages/entry/bramleyspread_entry/_dispatch.py
+++ b/packages/entry/bramleyspread_entry/_dispatch.py
@@ -21,8 +21,6 @@
 from bramleyspread_entry._pipeline import Run
 from bramleyspread_entry._state import EntryState, TimerKind
 
-#: Typical latency of a stage, as a share of its latencies.
-TYPICAL_SHARE = 0.5
 #: Part of the later stages' typical latencies that an attempt must leave.
 RESERVED_SHARE = 0.5
 
@@ -125,10 +123,7 @@
         :returns: seconds; what is not known counts nothing.
         """
         times = self._state.policies.times
-        return sum(
-            times.quantile(key, TYPICAL_SHARE, now) or 0.0
-            for key in run.keys[position:]
-        )
+        return sum(times.typical(key, now) or 0.0 for key in run.keys[position:])
 
     def close(self, run: Run, attempt: Attempt, now: float) -> None:
         """Close an attempt's accounts; whatever still comes for it is dropped.
--- a/packages/entry/bramleyspread_entry/_hedges.py
+++ b/packages/entry/bramleyspread_entry/_hedges.py
@@ -8,8 +8,6 @@
 
 #: An attempt is late when it takes longer than this share of its kind.
 LATE_SHARE = 0.95
-#: Latency of a typical attempt, as a share of its kind.
-TYPICAL_SHARE = 0.5
 #: Shortest wait before a hedge, in seconds.
 MIN_DELAY = 0.02
 
@@ -38,7 +36,7 @@
         :returns: seconds to wait; None when too little is known or time is short.
         """
         late = self._times.quantile(key, LATE_SHARE, now)
-        typical = self._times.quantile(key, TYPICAL_SHARE, now)
+        typical = self._times.typical(key, now)
         if late is None or typical is None:
             return None
         delay = max(MIN_DELAY, late * 1.1)
--- a/packages/entry/bramleyspread_entry/_latency.py
+++ b/packages/entry/bramleyspread_entry/_latency.py
@@ -8,33 +8,38 @@
 
 #: Samples kept for one stage.
 KEPT_SAMPLES = 128
+#: Newest samples that the typical latency is taken from.
+NEWEST_SAMPLES = 16
+#: Age at which a sample does not count as new, in seconds.
+NEW_AGE = 5.0
 #: Age at which a sample says nothing any more, in seconds.
-SAMPLE_AGE = 5.0
+SAMPLE_AGE = 30.0
 #: Fewest samples that an estimate is made from.
 FEWEST_SAMPLES = 8
 #: Weight of the newest report in the smoothed work of a stage.
 NEWEST_WEIGHT = 0.1
 
-#: Service, pipeline and stage.
-StageKey = tuple[str, str, str]
+#: Service, pipeline, stage, and the pool that the stage calls.
+StageKey = tuple[str, str, str, str]
 
 
 class LatencyWindow:
     """The newest latencies of one stage.
 
     >>> window = LatencyWindow()
-    >>> for number in range(10):
+    >>> for number in range(20):
     ...     window.record(0.1 * number, now=1.0)
-    >>> window.quantile(0.5, now=1.0)
-    0.5
-    >>> window.quantile(0.5, now=9.0) is None
-    True
+    >>> window.quantile(0.5, now=1.0), window.typical(now=1.0)
+    (1.0, 1.2000000000000002)
+    >>> window.quantile(0.5, now=9.0), window.typical(now=9.0)
+    (1.0, None)
     """
 
-    __slots__ = ("_ordered", "_samples")
+    __slots__ = ("_newest", "_ordered", "_samples")
 
     def __init__(self) -> None:
         self._samples: deque[tuple[float, float]] = deque()
+        self._newest: deque[tuple[float, float]] = deque(maxlen=NEWEST_SAMPLES)
         self._ordered = SortedList()
 
     def record(self, latency: float, now: float) -> None:
@@ -44,6 +49,7 @@
         :param now: monotonic seconds.
         """
         self._samples.append((now, latency))
+        self._newest.append((now, latency))
         self._ordered.add(latency)
         if len(self._samples) > KEPT_SAMPLES:
             self._drop_oldest()
@@ -53,7 +59,7 @@
 
         :param share: from 0 to 1.
         :param now: monotonic seconds.
-        :returns: seconds, or None while there are too few fresh samples.
+        :returns: seconds, or None while there are too few samples.
         """
         while self._samples and self._samples[0][0] < now - SAMPLE_AGE:
             self._drop_oldest()
@@ -62,13 +68,30 @@
             return None
         return float(self._ordered[min(count - 1, int(share * count))])
 
+    def typical(self, now: float) -> float | None:
+        """Find the median of the newest samples.
+
+        :param now: monotonic seconds.
+        :returns: seconds, or None while there are too few new samples.
+        """
+        newest = self._newest
+        while newest and newest[0][0] < now - NEW_AGE:
+            newest.popleft()
+        if len(newest) < FEWEST_SAMPLES:
+            return None
+        return sorted(latency for _, latency in newest)[len(newest) // 2]
+
     def _drop_oldest(self) -> None:
         _, latency = self._samples.popleft()
         self._ordered.remove(latency)
 
 
 class StageTimes:
-    """Latency windows of all stages, and the work that targets report."""
+    """Latency windows of all stages, and the work that targets report.
+
+    A stage of which too little is known is taken to be like the other stages
+    that call the same pool.
+    """
 
     __slots__ = ("_windows", "_work")
 
@@ -83,10 +106,11 @@
         :param latency: seconds; for an attempt given up on, how long it took so far.
         :param now: monotonic seconds.
         """
-        window = self._windows.get(key)
-        if window is None:
-            window = self._windows[key] = LatencyWindow()
-        window.record(latency, now)
+        for each in (key, _name_pool(key)):
+            window = self._windows.get(each)
+            if window is None:
+                window = self._windows[each] = LatencyWindow()
+            window.record(latency, now)
 
     def quantile(self, key: StageKey, share: float, now: float) -> float | None:
         """Find a quantile of a stage's latency.
@@ -96,8 +120,26 @@
         :param now: monotonic seconds.
         :returns: seconds, or None while too little is known.
         """
-        window = self._windows.get(key)
-        return window.quantile(share, now) if window is not None else None
+        for each in (key, _name_pool(key)):
+            window = self._windows.get(each)
+            found = window.quantile(share, now) if window is not None else None
+            if found is not None:
+                return found
+        return None
+
+    def typical(self, key: StageKey, now: float) -> float | None:
+        """Find what a stage typically takes now.
+
+        :param key: the stage.
+        :param now: monotonic seconds.
+        :returns: seconds, or None while too little is known.
+        """
+        for each in (key, _name_pool(key)):
+            window = self._windows.get(each)
+            found = window.typical(now) if window is not None else None
+            if found is not None:
+                return found
+        return None
 
     def record_work(self, key: StageKey, seconds: float) -> None:
         """Take how long a target worked on a stage, without the wait before it.
@@ -105,9 +147,11 @@
         :param key: the stage.
         :param seconds: as the target counted it; 0 when it does not count.
         """
-        if seconds > 0:
-            held = self._work.get(key, seconds)
-            self._work[key] = held + NEWEST_WEIGHT * (seconds - held)
+        if seconds <= 0:
+            return
+        for each in (key, _name_pool(key)):
+            held = self._work.get(each, seconds)
+            self._work[each] = held + NEWEST_WEIGHT * (seconds - held)
 
     def work(self, key: StageKey) -> float | None:
         """Find how long targets work on a stage.
@@ -115,4 +159,10 @@
         :param key: the stage.
         :returns: seconds, or None while no target has said so.
         """
-        return self._work.get(key)
+        held = self._work.get(key)
+        return self._work.get(_name_pool(key)) if held is None else held
+
+
+def _name_pool(key: StageKey) -> StageKey:
+    """Name what all stages that call one pool have in common."""
+    return ("", "", "", key[3])
--- a/packages/entry/bramleyspread_entry/_pipeline.py
+++ b/packages/entry/bramleyspread_entry/_pipeline.py
@@ -87,7 +87,8 @@
         )
         #: The latency key of each stage.
         self.keys: tuple[StageKey, ...] = tuple(
-            (document.service, pipeline.name, stage.name) for stage in pipeline.stages
+            (document.service, pipeline.name, stage.name, str(pool))
+            for stage, pool in zip(pipeline.stages, self.pools, strict=True)
         )
         #: When it came, in monotonic seconds.
         self.arrived = now
--- a/packages/entry/bramleyspread_entry/_stages.py
+++ b/packages/entry/bramleyspread_entry/_stages.py
@@ -17,7 +17,7 @@
 from bramleyspread_entry._conclusion import Conclusion
 from bramleyspread_entry._costs import CostKind
 from bramleyspread_entry._delivery import Delivery
-from bramleyspread_entry._dispatch import TYPICAL_SHARE, Dispatcher
+from bramleyspread_entry._dispatch import Dispatcher
 from bramleyspread_entry._pipeline import Run
 from bramleyspread_entry._state import EntryState, TimerKind
 
@@ -134,10 +134,11 @@
         view = self._dispatcher.choose(run, now)
         if view is None or view.announcement.target in run.tried:
             return
-        if not _has_room(view):
-            return
-        if self._state.policies.budget.spend():
+        if _has_room(view) and self._state.policies.budget.spend():
             self._dispatcher.send(run, AttemptKind.HEDGE, view, now)
+        else:
+            due = now + self._state.config.hedge_pause
+            self._state.timers.set((TimerKind.HEDGE, attempt.id), due)
 
     def _take_answer(self, run: Run, attempt: Attempt, done: Done, now: float) -> None:
         state, answer = self._state, done.answer
@@ -182,7 +183,7 @@
             self._conclusion.give_up(run, fault, now)
             return
         config, policies = self._state.config, self._state.policies
-        typical = policies.times.quantile(run.key, TYPICAL_SHARE, now) or 0.0
+        typical = policies.times.typical(run.key, now) or 0.0
         if run.tries >= config.max_tries or now + typical >= run.deadline:
             self._conclusion.give_up(run, fault, now, retry_after_ms)
         elif not policies.budget.spend():
@@ -227,7 +228,7 @@
     def _credit_target(self, run: Run, attempt: Attempt, now: float) -> None:
         policies = self._state.policies
         took = now - attempt.sent_at
-        typical = policies.times.quantile(run.key, TYPICAL_SHARE, now)
+        typical = policies.times.typical(run.key, now)
         relative = took / typical if typical else None
         policies.outliers.succeeded(attempt.target, relative, now)
         policies.times.record(run.key, took, now)
