--- a/packages/entry/bramleyspread_entry/_choice.py
+++ b/packages/entry/bramleyspread_entry/_choice.py
@@ -9,6 +9,8 @@
 from random import Random
 from typing import Protocol
 
+import xxhash
+
 from bramleyspread_core import PoolName, Stage, TargetName, TargetView
 from bramleyspread_entry._affinity import PrefixHints
 from bramleyspread_entry._outliers import Outliers
@@ -22,7 +24,7 @@
 #: Load from which other availability zones are looked at, in shares of slots.
 FAR_FROM = 0.9
 #: Load up to which a cached prefix draws a request, above the best other target.
-AFFINITY_MARGIN = 0.3
+AFFINITY_MARGIN = 0.5
 #: Age beyond which own sends are forgotten whatever was reported, in seconds.
 SENT_AGE = 5.0
 
@@ -268,8 +270,18 @@
         load: float,
         now: float,
     ) -> TargetView:
-        holder = self._hints.find(need.pool, need.prefix, views, now)
-        if holder is None or not self._is_good(holder, need, now):
-            return best
-        held_load = self.traffic.estimate(holder)
-        return holder if held_load <= load + AFFINITY_MARGIN else best
+        """Prefer a target that may hold the prefix, while its load allows it.
+
+        All hosts of a zone that know the same targets draw a prefix to the same
+        ones, so that they fill few caches with it.
+        """
+        near = find_zone_end(views, self._zone) or len(views)
+        drawn = xxhash.xxh3_64_intdigest(need.prefix)
+        first, second = views[drawn % near], views[(drawn >> 32) % near]
+        held = self._hints.find(need.pool, need.prefix, views, now)
+        for view in (first, held, second):
+            if view is None or not self._is_good(view, need, now):
+                continue
+            if self.traffic.estimate(view) <= load + AFFINITY_MARGIN:
+                return view
+        return best
--- a/packages/entry/bramleyspread_entry/_hedges.py
+++ b/packages/entry/bramleyspread_entry/_hedges.py
@@ -8,6 +8,8 @@
 
 #: An attempt is late when it takes longer than this share of its kind.
 LATE_SHARE = 0.95
+#: A hedge waits for this many times the late latency.
+LATE_FACTOR = 1.2
 #: Shortest wait before a hedge, in seconds.
 MIN_DELAY = 0.02
 
@@ -39,7 +41,7 @@
         typical = self._times.typical(key, now)
         if late is None or typical is None:
             return None
-        delay = max(MIN_DELAY, late * 1.1)
+        delay = max(MIN_DELAY, late * LATE_FACTOR)
         return delay if delay + typical < remaining else None
 
 
