--- a/packages/proof/bramleyspread_proof/_daemon_load.py
+++ b/packages/proof/bramleyspread_proof/_daemon_load.py
@@ -110,6 +110,7 @@
             await curio.spawn(self._serve, connected, daemon=True)
 
     async def _announce(self, address: Address) -> None:
+        connected = await curio.open_connection(self._entry.ip, self._entry.port)
         sequence = 0
         while True:
             sequence += 1
@@ -126,7 +127,7 @@
                         models=(LoadedModel("m", "1"),) if pool == "engines" else (),
                     )
                     body = encode_json(announcement)
-                    await post(self._entry, "/v1/announcements", body)
+                    await ask(connected, "/v1/announcements", body)
             await curio.sleep(ANNOUNCE_S)
 
     async def _beat(self) -> None:
@@ -212,9 +213,20 @@
     """
     connected = await curio.open_connection(address.ip, address.port)
     async with connected:
-        head = f"POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {len(body)}\r\n\r\n"
-        await connected.sendall(head.encode() + body)
-        _, answer, _ = await read_message(connected, b"")
+        return await ask(connected, path, body)
+
+
+async def ask(connected: Any, path: str, body: bytes) -> bytes:  # noqa: ANN401
+    """Send one request over an open connection.
+
+    :param connected: the connection.
+    :param path: the path.
+    :param body: JSON.
+    :returns: the body of the answer.
+    """
+    head = f"POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {len(body)}\r\n\r\n"
+    await connected.sendall(head.encode() + body)
+    _, answer, _ = await read_message(connected, b"")
     return answer
 
 
