--- a/packages/daemon/bramleyspread_daemon/_build.py
+++ b/packages/daemon/bramleyspread_daemon/_build.py
@@ -19,6 +19,7 @@
 from bramleyspread_daemon._settings import ControlSettings, EntrySettings
 from bramleyspread_entry import EntryConfig, EntryDecisions, IdSource
 from bramleyspread_membership import DirectoryConfig, EntryDirectory, Neighbour
+from bramleyspread_orders import Reconciler, ReconcilerConfig
 
 
 def build_entry(settings: EntrySettings) -> EntryProcess:
@@ -85,8 +86,10 @@
         members,
     )
     disk = FileDisk.from_folder(settings.data)
-    node = ControlHost.from_config(config, disk, _make_rng(), read_monotonic())
-    return ControlProcess(process, settings, node)
+    rng = _make_rng()
+    node = ControlHost.from_config(config, disk, rng, read_monotonic())
+    reconciler = Reconciler.from_config(ReconcilerConfig(), rng)
+    return ControlProcess(process, settings, node, reconciler)
 
 
 def _make_rng() -> Random:
--- a/packages/daemon/bramleyspread_daemon/_client.py
+++ b/packages/daemon/bramleyspread_daemon/_client.py
@@ -197,6 +197,10 @@
         """Cut the connection; a waiting read ends with :class:`ClosedError`."""
         self._connection.abort()
 
+    async def reset(self) -> None:
+        """Release the connection; bytes not yet sent are dropped."""
+        await self._connection.reset()
+
     async def close(self) -> None:
         """Release the connection."""
         await self._connection.close()
--- a/packages/daemon/bramleyspread_daemon/_connection.py
+++ b/packages/daemon/bramleyspread_daemon/_connection.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket as stdlib_socket
+import struct
 from collections import deque
 from typing import Any
 
@@ -19,6 +21,9 @@
 #: A reader that takes nothing for this long is cut, in seconds.
 MAX_STALL_S = 10.0
 
+#: Tells the operating system to drop unsent bytes at once.
+_NO_LINGER = struct.pack("ii", 1, 0)
+
 
 class Connection:
     """A TCP connection: reads wait, writes are queued when they would.
@@ -176,6 +181,14 @@
             return False
         return False
 
+    async def reset(self) -> None:
+        """Release the socket and drop bytes that have not left this host."""
+        with contextlib.suppress(OSError):
+            self._raw.setsockopt(
+                stdlib_socket.SOL_SOCKET, stdlib_socket.SO_LINGER, _NO_LINGER
+            )
+        await self.close()
+
     async def close(self) -> None:
         """Release the socket; only the task that reads may call this."""
         self.aborted = True
--- a/packages/daemon/bramleyspread_daemon/_control.py
+++ b/packages/daemon/bramleyspread_daemon/_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -24,14 +25,18 @@
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._messenger import read_messages
 from bramleyspread_daemon._metrics import Metrics
-from bramleyspread_daemon._process import Process, wait_for_stop, wait_until
+from bramleyspread_daemon._ordering import OrderDesk
+from bramleyspread_daemon._process import Process, repeat, wait_for_stop, wait_until
 from bramleyspread_daemon._refusal import write_refusal
 from bramleyspread_daemon._routes import Routes
 from bramleyspread_daemon._server import HttpServer
 from bramleyspread_daemon._settings import ControlSettings
+from bramleyspread_orders import Reconciler
 
 #: How often the replicas see time pass, in seconds.
 TICK_S = 0.01
+#: How often orders are looked after, in seconds.
+ORDER_S = 0.25
 #: A command not decided by then is answered as undecided, in seconds.
 COMMAND_S = 10.0
 
@@ -39,11 +44,13 @@
 class _Ticket:
     """A command that waits for its result."""
 
-    __slots__ = ("reply", "until")
+    __slots__ = ("on_result", "until")
 
-    def __init__(self, reply: Reply, until: float) -> None:
-        #: Where the result goes.
-        self.reply = reply
+    def __init__(
+        self, on_result: Callable[[CommandResult], None], until: float
+    ) -> None:
+        #: Takes the result.
+        self.on_result = on_result
         #: When it is answered as undecided, in monotonic seconds.
         self.until = until
 
@@ -52,7 +59,11 @@
     """One control host: replicates commands and hands out documents."""
 
     def __init__(
-        self, process: Process, settings: ControlSettings, node: ControlNode
+        self,
+        process: Process,
+        settings: ControlSettings,
+        node: ControlNode,
+        reconciler: Reconciler,
     ) -> None:
         self._process = process
         self._settings = settings
@@ -61,6 +72,10 @@
         self._last_ticket = 0
         self._due = curio.Event()
         self._flusher: Any = None
+        #: Gives orders while this host holds the lease.
+        self.orders = OrderDesk(
+            node, reconciler, self._propose, process.timeline, process.clock
+        )
         #: Its HTTP server.
         self.server = HttpServer(self._list_routes(), settings.limits, process.clock)
 
@@ -85,10 +100,15 @@
         except MessageError as error:
             reply.send(400, write_refusal(400, str(error)))
             return
+        await self._propose(command, reply.send_json)
+
+    async def _propose(
+        self, command: Command, on_result: Callable[[CommandResult], None]
+    ) -> None:
         now = read_monotonic()
         self._last_ticket += 1
         ticket = self._last_ticket
-        self._tickets[ticket] = _Ticket(reply, now + COMMAND_S)
+        self._tickets[ticket] = _Ticket(on_result, now + COMMAND_S)
         self._node.propose(ticket, command, now)
         await self._due.set()
 
@@ -113,10 +133,11 @@
 
     async def _hear_targets(self, http: HttpRequest, reply: Reply) -> None:
         try:
-            decode_json(http.body, TargetsReport)
+            report: TargetsReport = decode_json(http.body, TargetsReport)
         except MessageError as error:
             reply.send(400, write_refusal(400, str(error)))
             return
+        self.orders.hear(report)
         if self._node.order_fence(read_monotonic()) is None:
             reply.send_json(self._find_leader())
             return
@@ -146,6 +167,7 @@
         for group, role in status.roles.items():
             leads = float(role == "leader")
             metrics.gauge("is_leader", "1 for the leader.", leads, group=group)
+        metrics.count("orders_sent_total", "To targets.", self.orders.sent)
         metrics.gauge("commands_waiting", "Not yet decided.", len(self._tickets))
 
     async def _beat(self) -> None:
@@ -173,7 +195,7 @@
     def _answer(self, ticket: int, result: CommandResult) -> None:
         waiting = self._tickets.pop(ticket, None)
         if waiting is not None:
-            waiting.reply.send_json(result)
+            waiting.on_result(result)
 
     def _expire_tickets(self, now: float) -> None:
         late = [name for name, each in self._tickets.items() if each.until <= now]
@@ -189,6 +211,8 @@
         address = await self.server.start(self._settings.listen.address)
         self._flusher = await curio.spawn(self._flush_for_ever, daemon=True)
         await curio.spawn(self._beat, daemon=True)
+        work = self.orders.work
+        await curio.spawn(repeat, work, "order", lambda: ORDER_S, daemon=True)
         await curio.spawn(self._process.keep_pool, daemon=True)
         self._process.report("started", detail=f"control at {address}")
         logger.bind(step="start", peer="-").info(f"control host at {address}")
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/_ordering.py
@@ -0,0 +1,153 @@
+"""Gives the orders of a control host: durable first, then sent, never late."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Iterable
+
+import curio
+import h11
+from loguru import logger
+
+from bramleyspread_core import (
+    Command,
+    CommandResult,
+    ControlNode,
+    DocumentInForce,
+    Fault,
+    IntendOrders,
+    InvalidFileError,
+    MessageError,
+    Order,
+    OrderAnswer,
+    Reason,
+    ServiceDocument,
+    ServiceName,
+    TargetsReport,
+    decode_json,
+    encode_json,
+)
+from bramleyspread_daemon._client import (
+    ClientConnection,
+    ClosedError,
+    UnsentError,
+    fetch,
+)
+from bramleyspread_daemon._clock import ProcessClock, read_monotonic
+from bramleyspread_daemon._timeline import TimelineFile
+from bramleyspread_orders import OrderSend, Reconciler
+
+#: Where targets take orders.
+ORDERS_PATH = "/v1/orders"
+#: Most time for opening a connection to a target, in seconds.
+CONNECT_S = 0.25
+
+#: Proposes a command, and hands its result over when there is one.
+Propose = Callable[[Command, Callable[[CommandResult], None]], Awaitable[None]]
+
+
+class OrderDesk:
+    """Runs the reconciler's plans; idle without the lease to give orders."""
+
+    def __init__(
+        self,
+        node: ControlNode,
+        reconciler: Reconciler,
+        propose: Propose,
+        timeline: TimelineFile,
+        clock: ProcessClock,
+    ) -> None:
+        self._node = node
+        self._reconciler = reconciler
+        self._propose = propose
+        self._timeline = timeline
+        self._clock = clock
+        self._read: dict[ServiceName, tuple[int, ServiceDocument]] = {}
+        #: Orders sent, answered or not.
+        self.sent = 0
+
+    def hear(self, report: TargetsReport) -> None:
+        """Take an entry host's report on targets.
+
+        :param report: the report.
+        """
+        self._reconciler.hear(report, read_monotonic())
+
+    async def work(self) -> None:
+        """Do what is to be done now."""
+        now = read_monotonic()
+        fence = self._node.order_fence(now)
+        documents = () if fence is None else self._read_documents()
+        intents = self._node.list_intents()
+        plan = self._reconciler.plan(tuple(documents), intents, fence, now)
+        for happening in plan.happenings:
+            self._timeline.write(happening)
+        if plan.intend is not None:
+            await self._intend(plan.intend)
+        for send in plan.sends:
+            await curio.spawn(self._send, send, daemon=True)
+
+    def _read_documents(self) -> Iterable[ServiceDocument]:
+        for each in self._node.list_documents():
+            known = self._read.get(each.service)
+            if known is None or known[0] != each.version:
+                document = _read_document(each)
+                if document is None:
+                    continue
+                known = self._read[each.service] = (each.version, document)
+            yield known[1]
+
+    async def _intend(self, intend: IntendOrders) -> None:
+        def take(result: CommandResult) -> None:
+            self._reconciler.intent_answered(intend, result, read_monotonic())
+
+        await self._propose(intend, take)
+
+    async def _send(self, send: OrderSend) -> None:
+        answer = await self._try_send(send)
+        now = read_monotonic()
+        self._reconciler.order_answered(send.order, answer, now)
+
+    async def _try_send(self, send: OrderSend) -> OrderAnswer | Fault:
+        order = send.order
+        try:
+            connection = await ClientConnection.open(
+                send.address, self._clock, CONNECT_S
+            )
+        except UnsentError as error:
+            return _blame(order, Reason.CONNECT, str(error))
+        try:
+            if not self._may_leave(send):
+                return _blame(order, Reason.DEADLINE, "too late to be sent")
+            self.sent += 1
+            body = encode_json(order)
+            response = await curio.timeout_after(
+                send.timeout, fetch, connection, "POST", ORDERS_PATH, body
+            )
+            answer: OrderAnswer = decode_json(response.body, OrderAnswer)
+        except curio.TaskTimeout:
+            return _blame(order, Reason.SILENT, f"no answer in {send.timeout} s")
+        except (UnsentError, ClosedError) as error:
+            return _blame(order, Reason.CLOSED, str(error))
+        except (MessageError, h11.RemoteProtocolError) as error:
+            return _blame(order, Reason.PROTOCOL, str(error))
+        finally:
+            await connection.reset()
+        return answer
+
+    def _may_leave(self, send: OrderSend) -> bool:
+        """Whether this host may still give the order, right before it leaves."""
+        now = read_monotonic()
+        fence = self._node.order_fence(now)
+        return now <= send.send_before and fence == send.order.fence
+
+
+def _read_document(document: DocumentInForce) -> ServiceDocument | None:
+    try:
+        return ServiceDocument.from_yaml(document.text.encode(), document.service)
+    except InvalidFileError as error:
+        logger.bind(step="order", peer=document.service).error(str(error))
+        return None
+
+
+def _blame(order: Order, reason: Reason, detail: str) -> Fault:
+    return Fault(reason, "order", order.target, detail)
--- a/packages/daemon/bramleyspread_daemon/tests/small_deployment.py
+++ b/packages/daemon/bramleyspread_daemon/tests/small_deployment.py
@@ -28,12 +28,13 @@
     DocumentsPage,
     DocumentsQuery,
     HostName,
+    Intended,
     LoadedModel,
     Order,
+    OrderAnswer,
     Payload,
     PeerMessage,
     PoolName,
-    Rejected,
     ServiceName,
     Settle,
     Settled,
@@ -42,6 +43,7 @@
     TargetAnswer,
     TargetCall,
     TargetName,
+    TargetsReport,
     TargetState,
     Usage,
     ZoneName,
@@ -64,6 +66,7 @@
 from bramleyspread_daemon.tests.loopback import start_server
 from bramleyspread_entry import EntryConfig, EntryDecisions, IdSource
 from bramleyspread_membership import DirectoryConfig, EntryDirectory
+from bramleyspread_orders import Reconciler, ReconcilerConfig
 
 DOCUMENT = """
 service: photos
@@ -94,6 +97,9 @@
         self.claims: dict[ClaimKey, CommandResult] = {}
         self.replies: list[CommandReply] = []
         self.handed_over = False
+        self.fence: int | None = None
+        self.intents: tuple[Order, ...] = ()
+        self.questions_left: int | None = None
 
     def receive(self, message: PeerMessage, now: float) -> None:
         """Take nothing."""
@@ -118,7 +124,8 @@
                 done = ClaimDone(command.request, command.answer)
                 self.claims[command.key] = done
             return Settled()
-        return Rejected(("not taken here",))
+        self.intents = command.orders
+        return Intended()
 
     def tick(self, now: float) -> None:
         """Nothing is due."""
@@ -144,10 +151,18 @@
         return self.documents
 
     def list_intents(self) -> Sequence[Order]:
-        return ()
+        return self.intents
+
+    def lose_lease_after(self, questions: int) -> None:
+        """Lose the lease to give orders once it was asked for so often."""
+        self.questions_left = questions
 
     def order_fence(self, now: float) -> int | None:
-        return None
+        if self.questions_left is not None:
+            self.questions_left -= 1
+            if self.questions_left < 0:
+                return None
+        return self.fence
 
 
 class FakeTarget:
@@ -157,6 +172,8 @@
         self.pool = PoolName(ServiceName("photos"), pool)
         self.calls: list[TargetCall] = []
         self.cancels = 0
+        self.orders: list[Order] = []
+        self.models = (LoadedModel("m", "1"),) if pool == "engines" else ()
         self.hold = False
         self.go = curio.Event()
         self.address = Address("", 0)
@@ -164,9 +181,16 @@
 
     async def start(self) -> None:
         _, self.address = await start_server(
-            ("POST", "/v1/calls", self._call), ("POST", "/v1/cancels", self._cancel)
+            ("POST", "/v1/calls", self._call),
+            ("POST", "/v1/cancels", self._cancel),
+            ("POST", "/v1/orders", self._order),
         )
 
+    async def _order(self, http: HttpRequest, reply: Reply) -> None:
+        order: Order = decode_json(http.body, Order)
+        self.orders.append(order)
+        reply.send_json(OrderAnswer(True, order.fence))
+
     async def _cancel(self, _: HttpRequest, reply: Reply) -> None:
         self.cancels += 1
         reply.send_json({})
@@ -195,7 +219,6 @@
 
     def announce(self, state: TargetState = TargetState.SERVING) -> Announcement:
         self.sequence += 1
-        models = (LoadedModel("m", "1"),) if self.pool.pool == "engines" else ()
         return Announcement(
             target=TargetName(str(self.pool)),
             incarnation=1,
@@ -204,7 +227,8 @@
             address=self.address,
             zone=ZoneName("z"),
             state=state,
-            models=models,
+            models=self.models,
+            checks_fencing=True,
         )
 
 
@@ -232,7 +256,8 @@
         )
         process = Process(settings)
         self.pool = ConnectionPool(process.clock)
-        self.control = ControlProcess(process, settings, self.node)
+        reconciler = Reconciler.from_config(ReconcilerConfig(learn_for=0.0), Random(2))
+        self.control = ControlProcess(process, settings, self.node, reconciler)
         self.control_address = await self.control.start()
         await self._start_entry(listen)
         await self.submit()
@@ -281,5 +306,13 @@
         answer = await self.pool.ask(self.entry_address, path, body, 10)
         assert msgspec.json.decode(answer.body)["heard_by"] == "entry-1"
 
+    async def report_targets(self) -> None:
+        """Tell the control host of the targets, as an entry host does."""
+        report = TargetsReport(
+            "entry-1", tuple(each.announce() for each in self.targets)
+        )
+        path = "/v1/control/targets"
+        await self.pool.ask(self.control_address, path, encode_json(report), 10)
+
     async def get(self, path: str) -> Any:  # noqa: ANN401
         return await self.pool.ask(self.entry_address, path, b"", 10, "GET")
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/tests/test_ordering.py
@@ -0,0 +1,54 @@
+"""Orders are durable before they are sent, and need the lease to leave."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import curio
+
+from bramleyspread_core import LoadedModel
+from bramleyspread_daemon.tests.loopback import run
+from bramleyspread_daemon.tests.small_deployment import Deployment
+
+
+def test_target_is_brought_to_the_state_of_the_document(tmp_path: Path) -> None:
+    async def main() -> None:
+        deployment = Deployment(tmp_path)
+        engines = deployment.targets[1]
+        engines.models = (LoadedModel("m", "0"),)
+        await deployment.start()
+        await deployment.report_targets()
+        assert not engines.orders
+        deployment.node.fence = 7
+        while not engines.orders:
+            await deployment.report_targets()
+            await curio.sleep(0.05)
+        order = engines.orders[0]
+        assert (order.fence, order.models) == (7, (LoadedModel("m", "1"),))
+        assert order in deployment.node.intents
+        assert not deployment.targets[0].orders
+
+    run(main)
+
+
+def test_order_stays_here_when_the_lease_is_lost(tmp_path: Path) -> None:
+    async def main() -> None:
+        deployment = Deployment(tmp_path)
+        engines = deployment.targets[1]
+        engines.models = ()
+        await deployment.start()
+        await deployment.report_targets()
+        deployment.node.fence = 7
+        desk = deployment.control.orders
+        while not deployment.node.intents:
+            await desk.work()
+            await curio.sleep(0)
+        deployment.node.lose_lease_after(1)
+        for _ in range(20):
+            await desk.work()
+            await curio.sleep(0.01)
+        assert b"too late to be sent" in (tmp_path / "control.jsonl").read_bytes()
+        assert desk.sent == 0
+        assert not engines.orders
+
+    run(main)
