Test that an order stays when the lease is lost right before it leaves

The test that came with the order loop waited for an event that the plan only reports together with the send, so it could not see the second question; it now counts the questions of each round. Without the second question it fails.

--- a/packages/daemon/bramleyspread_daemon/tests/test_ordering.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_ordering.py
@@ -5,8 +5,10 @@
 from pathlib import Path
 
 import curio
+import pytest
 
 from bramleyspread_core import LoadedModel
+from bramleyspread_daemon import _control
 from bramleyspread_daemon.tests.loopback import run
 from bramleyspread_daemon.tests.small_deployment import Deployment
 
@@ -31,7 +33,12 @@
     run(main)
 
 
-def test_order_stays_here_when_the_lease_is_lost(tmp_path: Path) -> None:
+def test_order_stays_here_when_the_lease_is_lost(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The lease is asked for once more right before an order leaves."""
+    monkeypatch.setattr(_control, "ORDER_S", 3_600.0)
+
     async def main() -> None:
         deployment = Deployment(tmp_path)
         engines = deployment.targets[1]
@@ -40,14 +47,12 @@
         await deployment.report_targets()
         deployment.node.fence = 7
         desk = deployment.control.orders
-        while not deployment.node.intents:
-            await desk.work()
-            await curio.sleep(0)
-        deployment.node.lose_lease_after(1)
-        for _ in range(20):
+        timeline = tmp_path / "control.jsonl"
+        while b"too late to be sent" not in timeline.read_bytes():
+            deployment.node.lose_lease_after(1)
             await desk.work()
             await curio.sleep(0.01)
-        assert b"too late to be sent" in (tmp_path / "control.jsonl").read_bytes()
+        assert deployment.node.intents
         assert desk.sent == 0
         assert not engines.orders
 
