--- a/packages/standins/bramleyspread_standins/_demo.py
+++ b/packages/standins/bramleyspread_standins/_demo.py
@@ -142,6 +142,9 @@
                 code, said = self._processes.run(command)
                 if code == 0:
                     break
+                died = self._processes.list_died()
+                if died:
+                    raise NotReadyError(f"died at the start: {', '.join(died)}")
                 if time.monotonic() >= until:
                     raise NotReadyError(f"{path.name} was not accepted: {said}")
                 time.sleep(SUBMIT_PAUSE)
