--- a/packages/entry/bramleyspread_entry/__init__.py
+++ b/packages/entry/bramleyspread_entry/__init__.py
@@ -2,6 +2,7 @@
 
 from bramleyspread_entry._admission import Admission, AdmitAll, LoadAdmission, Refusal
 from bramleyspread_entry._attempts import Attempt, AttemptKind
+from bramleyspread_entry._baselines import LeastInFlight, RandomTarget, RoundRobin
 from bramleyspread_entry._choice import Choice, Need, TwoChoices
 from bramleyspread_entry._config import EntryConfig
 from bramleyspread_entry._decisions import EntryDecisions
@@ -30,6 +31,7 @@
     "Hedging",
     "IdSource",
     "LateHedging",
+    "LeastInFlight",
     "LoadAdmission",
     "Need",
     "NoBudget",
@@ -40,8 +42,10 @@
     "Outliers",
     "PeerComparison",
     "Policies",
+    "RandomTarget",
     "Refusal",
     "RetryBudget",
+    "RoundRobin",
     "SharedBudget",
     "Shares",
     "StageTimes",
