--- a/packages/standins/bramleyspread_standins/_commands.py
+++ b/packages/standins/bramleyspread_standins/_commands.py
@@ -15,13 +15,9 @@
 from bramleyspread_standins._engine import EngineSize
 from bramleyspread_standins._engine_target import EngineTarget
 from bramleyspread_standins._faults import Faults, FaultSettings
+from bramleyspread_standins._ledger import ignore_line, open_ledger
 from bramleyspread_standins._orders import OrderSettings
-from bramleyspread_standins._plain import (
-    PlainService,
-    PlainSize,
-    ignore_line,
-    open_ledger,
-)
+from bramleyspread_standins._plain import PlainService, PlainSize
 from bramleyspread_standins._target import Target, TargetSettings
 
 #: Milliseconds in a second.
@@ -72,7 +68,6 @@
     add("--slots", type=int, default=16, help="calls that run side by side")
     add("--waiting", type=int, default=64, help="calls that may wait")
     add("--work-ms", type=float, default=10, help="mean time of a call")
-    add("--ledger", type=Path, help="file that gets one JSON line a run")
     return parser
 
 
@@ -89,6 +84,7 @@
         required=True,
         help="ip:port of an entry host to announce to; repeat for more",
     )
+    add("--ledger", type=Path, help="file that gets one JSON line a run")
     add("--seed", type=int, default=1, help="seed of whatever is drawn")
     add("--load-lag-ms", type=float, default=200, help="age of the load reported")
     add("--latency-ms", type=float, default=0, help="fault: added to each call")
@@ -134,6 +130,7 @@
     """
     settings = _read_settings(options)
     faults = _make_faults(options)
+    ledger = open_ledger(options.ledger) if options.ledger else ignore_line
     if options.kind == "engine":
         return EngineTarget.from_settings(
             settings,
@@ -144,9 +141,9 @@
             OrderSettings(not options.ignore_fencing, options.load_ms / MS),
             tuple(options.model),
             options.seed,
+            ledger,
         )
     size = PlainSize(options.slots, options.waiting, options.work_ms / MS)
-    ledger = open_ledger(options.ledger) if options.ledger else ignore_line
     rng = random.Random(options.seed)
     service = PlainService(options.name, size, ledger, rng)
     return Target(settings, service, faults)
--- a/packages/standins/bramleyspread_standins/_demo.py
+++ b/packages/standins/bramleyspread_standins/_demo.py
@@ -14,9 +14,9 @@
 import curio
 
 from bramleyspread_core import ServiceDocument, decode_json, encode_json
-from bramleyspread_standins._asks import AskSource
+from bramleyspread_standins._asks import BURST_TIME, AskSource
+from bramleyspread_standins._ledger import LedgerLine
 from bramleyspread_standins._load import LoadPlan, LoadTool, NotReadyError
-from bramleyspread_standins._plain import LedgerLine
 from bramleyspread_standins._processes import ProcessGroup
 from bramleyspread_standins._topology import DemoHost, DemoTarget, Topology
 from bramleyspread_standins._verdict import Verdict
@@ -29,6 +29,8 @@
 START_TIME = 20.0
 #: How long the load lasts, in seconds.
 LOAD_TIME = 12.0
+#: When the disturbance comes: in the middle of a burst, in seconds.
+DISTURB_AT = LOAD_TIME / 2 + BURST_TIME / 2
 #: Most time for the load and all its answers, in seconds.
 ANSWER_TIME = 28.0
 #: Pause between two tries to submit a document, in seconds.
@@ -95,7 +97,7 @@
             return 3
         up = time.monotonic() - began
         asks = source.draw_load(self._options.requests, LOAD_TIME)
-        plan = LoadPlan(tuple(asks), LOAD_TIME / 2, self._disturb, ANSWER_TIME)
+        plan = LoadPlan(tuple(asks), DISTURB_AT, self._disturb, ANSWER_TIME)
         curio.run(self._tool.run, hosts, plan)
         loaded = time.monotonic() - began - up
         stops = self._processes.stop()
@@ -121,6 +123,7 @@
         command += [f"--name={target.name}", f"--pool={target.pool}"]
         command += [f"--zone={target.zone}", f"--listen={target.address}"]
         command += [f"--seed={self._options.seed * 1_000 + number}"]
+        command.append(f"--ledger={self._folder / (target.name + '.ledger')}")
         hosts = list(self._topology.entry_hosts)
         random.Random(number).shuffle(hosts)
         command += [f"--entry-host={host.address}" for host in hosts]
@@ -130,8 +133,6 @@
                 command.append(f"--model={model.name}:{model.version}:{adapters}")
             if not target.declared.checks_fencing:
                 command.append("--ignore-fencing")
-        else:
-            command.append(f"--ledger={self._folder / (target.name + '.ledger')}")
         return command
 
     def _submit(self, until: float) -> None:
@@ -170,8 +171,8 @@
 
     def _report(self, stops: Sequence[str]) -> int:
         keyed = find_keyed_stages([document for document, _ in self._documents])
-        lines = [line for line in self._read_ledgers() if line.stage in keyed]
-        verdict = Verdict.from_reports(self._tool.reports.values(), lines)
+        reports = self._tool.reports.values()
+        verdict = Verdict.from_reports(reports, self._read_ledgers(), keyed)
         broken = verdict.counts.list_broken(bool(self._options.drain))
         self._notes += [f"stopped badly: {stop}" for stop in stops]
         print_summary(verdict, self._notes, broken)
--- a/packages/standins/bramleyspread_standins/_engine.py
+++ b/packages/standins/bramleyspread_standins/_engine.py
@@ -14,6 +14,7 @@
     encode_json,
 )
 from bramleyspread_standins._cache import PrefixCache, owns_prefix
+from bramleyspread_standins._ledger import Ledger
 from bramleyspread_standins._run import Run, Stopped
 from bramleyspread_standins._scheduling import WaitingRuns
 from bramleyspread_standins._work import TrailStep, make_token
@@ -54,6 +55,7 @@
     __slots__ = (
         "_batch",
         "_cache",
+        "_ledger",
         "_next_step",
         "_size",
         "_waiting",
@@ -61,13 +63,16 @@
         "name",
     )
 
-    def __init__(self, name: str, size: EngineSize, cache: PrefixCache) -> None:
+    def __init__(
+        self, name: str, size: EngineSize, cache: PrefixCache, ledger: Ledger
+    ) -> None:
         #: The target's name.
         self.name = name
         #: Models ready to serve.
         self.models: tuple[LoadedModel, ...] = ()
         self._size = size
         self._cache = cache
+        self._ledger = ledger
         self._waiting = WaitingRuns()
         self._batch: list[_Place] = []
         self._next_step: float | None = None
@@ -148,6 +153,7 @@
 
     def _begin(self, run: Run, now: float) -> _Place:
         run.begun = now
+        self._ledger(run.describe(self.name))
         prompt = run.work.prompt_tokens
         prefix = run.call.prefix
         cached = min(prompt, self._cache.find(prefix)) if prefix else 0
--- a/packages/standins/bramleyspread_standins/_engine_target.py
+++ b/packages/standins/bramleyspread_standins/_engine_target.py
@@ -21,11 +21,14 @@
 from bramleyspread_standins._engine import Engine, EngineSize
 from bramleyspread_standins._faults import Faults
 from bramleyspread_standins._http import Exchange, HttpRequest
+from bramleyspread_standins._ledger import Ledger
 from bramleyspread_standins._orders import OrderSettings, OrderTaker
 from bramleyspread_standins._target import Target, TargetSettings
 
 #: The path below which KV caches are exported and imported.
 KV_PATH = "/v1/kv/"
+#: The role that an engine starts in.
+START_ROLE = "generate"
 
 
 class KvExport(msgspec.Struct, frozen=True):
@@ -45,18 +48,17 @@
     def __init__(
         self,
         settings: TargetSettings,
-        size: EngineSize,
+        engine: Engine,
         cache: PrefixCache,
         faults: Faults,
         orders: OrderSettings,
         models: tuple[LoadedModel, ...],
-        role: str,
     ) -> None:
-        self._engine = Engine(settings.name, size, cache)
+        self._engine = engine
         super().__init__(settings, self._engine, faults)
         self._cache = cache
         name = settings.name
-        self._orders = OrderTaker(name, self.incarnation, orders, models, role)
+        self._orders = OrderTaker(name, self.incarnation, orders, models, START_ROLE)
         self._engine.models = models
 
     @classmethod
@@ -70,6 +72,7 @@
         orders: OrderSettings,
         models: tuple[LoadedModel, ...],
         seed: int,
+        ledger: Ledger,
     ) -> EngineTarget:
         """Make an engine whose cache is empty.
 
@@ -81,10 +84,12 @@
         :param orders: what it does with orders.
         :param models: models loaded at the start.
         :param seed: the seed of lost cache events.
+        :param ledger: writes its runs down.
         :returns: the engine.
         """
         cache = PrefixCache(cache_capacity, cache_timing, random.Random(seed))
-        return cls(settings, size, cache, faults, orders, models, "generate")
+        engine = Engine(settings.name, size, cache, ledger)
+        return cls(settings, engine, cache, faults, orders, models)
 
     def describe(self, sequence: int) -> Announcement:
         """Make an announcement.
--- a/packages/standins/bramleyspread_standins/_plain.py
+++ b/packages/standins/bramleyspread_standins/_plain.py
@@ -3,56 +3,17 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
-from pathlib import Path
-
-import msgspec
 
 from bramleyspread_core import Load, Payload, TargetAnswer, Usage, encode_json
 from bramleyspread_standins._engine import RETRY_AFTER_MS
+from bramleyspread_standins._ledger import Ledger
 from bramleyspread_standins._run import Run
 from bramleyspread_standins._scheduling import WaitingRuns
 from bramleyspread_standins._work import TrailStep
 
 
-class LedgerLine(msgspec.Struct, frozen=True):
-    """One run of one attempt, written down before the work is done."""
-
-    #: The caller's mark of its request.
-    marker: str
-    #: The stage.
-    stage: str
-    #: The attempt.
-    attempt: str
-    #: The request.
-    request: str
-    #: The target that ran it.
-    target: str
-
-
-#: Writes down one run.
-Ledger = Callable[[LedgerLine], None]
-
-
-def ignore_line(_line: LedgerLine) -> None:
-    """A ledger that keeps nothing."""
-
-
-def open_ledger(path: Path) -> Ledger:
-    """Open a ledger that survives its process.
-
-    :param path: the file, appended to.
-    :returns: a ledger that hands each line to the system at once.
-    """
-    file = path.open("ab", buffering=0)
-
-    def write(line: LedgerLine) -> None:
-        file.write(encode_json(line) + b"\n")
-
-    return write
-
-
 @dataclass(frozen=True, slots=True)
 class PlainSize:
     """What a plain service can do."""
@@ -132,17 +93,10 @@
                 changed.append(run)
                 continue
             run.begun = now
-            self._write_down(run)
+            self._ledger(run.describe(self.name))
             took = self._size.work * self._rng.uniform(0.5, 1.5)
             self._due.append((now + took, run))
 
-    def _write_down(self, run: Run) -> None:
-        call = run.call
-        line = LedgerLine(
-            run.work.marker, call.stage, call.attempt, call.request, self.name
-        )
-        self._ledger(line)
-
     def _finish(self, run: Run, now: float) -> None:
         call = run.call
         spent = round((now - run.arrived) * 1e6)
--- a/packages/standins/bramleyspread_standins/_run.py
+++ b/packages/standins/bramleyspread_standins/_run.py
@@ -11,6 +11,7 @@
     TargetCall,
     TargetRefusal,
 )
+from bramleyspread_standins._ledger import LedgerLine
 from bramleyspread_standins._work import StageWork
 
 #: Attempts that a book remembers at least.
@@ -51,6 +52,15 @@
         """When its request's deadline is over, in monotonic seconds."""
         return self.arrived + self.call.remaining_ms / 1_000
 
+    def describe(self, target: str) -> LedgerLine:
+        """Write its beginning down.
+
+        :param target: the target that runs it.
+        """
+        call = self.call
+        marker = self.work.marker
+        return LedgerLine(marker, call.stage, call.attempt, call.request, target)
+
     def refuse(self, why: str, retry_after_ms: int = 0) -> None:
         """End the attempt as not run.
 
--- a/packages/standins/bramleyspread_standins/_verdict.py
+++ b/packages/standins/bramleyspread_standins/_verdict.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Sequence
 from enum import Enum
 
 import msgspec
@@ -18,7 +18,7 @@
     NoAnswer,
     WholeBody,
 )
-from bramleyspread_standins._plain import LedgerLine
+from bramleyspread_standins._ledger import LedgerLine
 from bramleyspread_standins._work import StageWork, make_token
 
 #: Longest time that histograms tell apart, in microseconds.
@@ -82,12 +82,16 @@
 
     @classmethod
     def from_reports(
-        cls, reports: Iterable[CallerReport], ledger: Sequence[LedgerLine]
+        cls,
+        reports: Iterable[CallerReport],
+        ledger: Sequence[LedgerLine],
+        once: Container[str],
     ) -> Verdict:
         """Judge a whole demo.
 
         :param reports: each request's report, resends included.
-        :param ledger: runs of stages that may not be repeated.
+        :param ledger: what the targets ran.
+        :param once: the names of the stages that may not be repeated.
         """
         verdict = cls(ledger)
         groups: dict[str, list[CallerReport]] = defaultdict(list)
@@ -95,7 +99,7 @@
             groups[report.ask.marker].append(report)
         for group in groups.values():
             verdict._judge(sorted(group, key=lambda report: report.resend))
-        verdict._judge_ledger(ledger)
+        verdict._judge_ledger([line for line in ledger if line.stage in once])
         verdict._finish()
         return verdict
 
--- a/packages/standins/bramleyspread_standins/tests/test_engine.py
+++ b/packages/standins/bramleyspread_standins/tests/test_engine.py
@@ -19,6 +19,7 @@
 )
 from bramleyspread_standins._cache import CacheTiming, PrefixCache
 from bramleyspread_standins._engine import Engine, EngineSize
+from bramleyspread_standins._ledger import ignore_line
 from bramleyspread_standins._run import Run, Stopped
 from bramleyspread_standins._work import StageWork, make_token
 
@@ -39,7 +40,9 @@
 
 def make_engine(slots: int = 2, waiting: int = 2) -> Engine:
     cache = PrefixCache(4, CacheTiming(), random.Random(1))
-    engine = Engine("engine-1", EngineSize(slots, waiting, STEP, 64), cache)
+    engine = Engine(
+        "engine-1", EngineSize(slots, waiting, STEP, 64), cache, ignore_line
+    )
     engine.models = (LoadedModel("rules", "1", ("spanish",)),)
     return engine
 
--- a/packages/standins/bramleyspread_standins/tests/test_plain.py
+++ b/packages/standins/bramleyspread_standins/tests/test_plain.py
@@ -4,12 +4,8 @@
 from pathlib import Path
 
 from bramleyspread_core import AttemptId, TargetAnswer, TargetRefusal, decode_json
-from bramleyspread_standins._plain import (
-    LedgerLine,
-    PlainService,
-    PlainSize,
-    open_ledger,
-)
+from bramleyspread_standins._ledger import LedgerLine, open_ledger
+from bramleyspread_standins._plain import PlainService, PlainSize
 from bramleyspread_standins._run import AttemptBook, Run
 from bramleyspread_standins.tests.test_engine import make_run
 
--- a/packages/standins/bramleyspread_standins/tests/test_verdict.py
+++ b/packages/standins/bramleyspread_standins/tests/test_verdict.py
@@ -19,7 +19,7 @@
     Token,
     WholeBody,
 )
-from bramleyspread_standins._plain import LedgerLine
+from bramleyspread_standins._ledger import LedgerLine
 from bramleyspread_standins._verdict import Counts, Verdict
 from bramleyspread_standins._work import StageWork, TrailStep, make_token
 
@@ -66,7 +66,7 @@
 def judge(
     *reports: CallerReport, ledger: tuple[LedgerLine, ...] = ()
 ) -> tuple[Counts, list[str]]:
-    verdict = Verdict.from_reports(reports, ledger)
+    verdict = Verdict.from_reports(reports, ledger, {"charge"})
     return verdict.counts, verdict.counts.list_broken(with_drain=False)
 
 
