--- a/packages/standins/bramleyspread_standins/_caller.py
+++ b/packages/standins/bramleyspread_standins/_caller.py
@@ -23,8 +23,11 @@
 
 #: How long past its deadline an answer may stay out, in seconds.
 ANSWER_SLACK = 1.0
-#: Pause before asking again when no answer said how long, in seconds.
+#: Pause before asking again when no answer said how long, in seconds; doubled
+#: with each ask.
 ASK_AGAIN_PAUSE = 0.1
+#: Longest such pause, in seconds.
+LONGEST_PAUSE = 1.0
 #: How long behind its deadline a keyed request's outcome is asked for, in seconds.
 SETTLE_TIME = 10.0
 #: Least time that an ask allows, in milliseconds.
@@ -144,7 +147,10 @@
     def _choose_pause(self, asked: Asked, deadline: float) -> float | None:
         """Choose when to ask again, in seconds; None for never."""
         result = asked.result
-        pause = ASK_AGAIN_PAUSE if asked.retry_after is None else asked.retry_after
+        pause = asked.retry_after
+        if pause is None:
+            doubled = ASK_AGAIN_PAUSE * 2 ** min(len(self._asks) - 1, 10)
+            pause = min(doubled, LONGEST_PAUSE)
         left = deadline - time.monotonic() - pause
         if isinstance(result, WholeBody):
             return None
--- a/packages/standins/bramleyspread_standins/_demo.py
+++ b/packages/standins/bramleyspread_standins/_demo.py
@@ -66,7 +66,7 @@
         self._options = options
         self._folder = folder
         self._processes = processes
-        self._rng = random.Random(options.seed)
+        self._rng = random.Random(f"victim {options.seed}")
         self._documents = load_documents(options.examples)
         self._topology = Topology.from_documents(
             [document for document, _ in self._documents],
