--- a/packages/proof/bramleyspread_proof/_explore.py
+++ b/packages/proof/bramleyspread_proof/_explore.py
@@ -130,10 +130,19 @@
         shows="A drawn sequence of work and faults.",
         seed=seed,
         topology=Zones(zones=ZONES, entry=entry, groups=groups),
-        steps=(*steps, *_repair_all()),
+        steps=(*_base_load(), *steps, *_repair_all()),
     )
 
 
+def _base_load() -> tuple[Step, ...]:
+    """Work under way whatever else happens."""
+    photos = Ask(service="booth-gateway", pipeline="photo-check", count=30, over_s=20)
+    payments = Ask(
+        service="partner-ledger", pipeline="payment", key=True, count=20, over_s=20
+    )
+    return (Step(ask=photos), Step(ask=payments))
+
+
 def _repair_all() -> tuple[Step, ...]:
     return (
         Step(heal=True),
