--- /dev/null
+++ b/packages/control/bramleyspread_control/tests/test_disk.py
@@ -0,0 +1,69 @@
+"""Tests of data folders of the operating system."""
+
+from __future__ import annotations
+
+import shutil
+from pathlib import Path
+
+import pytest
+
+from bramleyspread_control import DiskError, FileDisk
+
+
+def test_verbs(tmp_path: Path) -> None:
+    disk = FileDisk.from_folder(tmp_path / "data")
+    disk.append("x", b"one")
+    disk.append("x", b"two")
+    disk.sync("x")
+    disk.rename("x", "y")
+    disk.append("y", b"!")
+    disk.truncate("y", 4)
+    disk.note("z", b"long")
+    disk.note("z", b"it")
+    disk.sync_folder()
+    assert (disk.read("y"), disk.read("z")) == (b"onet", b"it")
+    disk.remove("z")
+    assert disk.list_names() == ["y"]
+    disk.close()
+
+
+def test_a_folder_serves_one_process(tmp_path: Path) -> None:
+    disk = FileDisk.from_folder(tmp_path)
+    with pytest.raises(DiskError, match="another process"):
+        FileDisk.from_folder(tmp_path)
+    disk.close()
+    FileDisk.from_folder(tmp_path).close()
+
+
+@pytest.mark.parametrize("step", ["read", "sync", "remove", "rename"])
+def test_errors_name_step_and_file(tmp_path: Path, step: str) -> None:
+    disk = FileDisk.from_folder(tmp_path)
+    arguments = ("x", "y") if step == "rename" else ("x",)
+    with pytest.raises(DiskError, match=f"{step} x"):
+        getattr(disk, step)(*arguments)
+
+
+@pytest.mark.parametrize("how", ["copied", "overwritten", "moved", "written"])
+def test_a_stamp_shows_that_a_folder_was_touched(tmp_path: Path, how: str) -> None:
+    folder, other = tmp_path / "data", tmp_path / "other"
+    disk = FileDisk.from_folder(folder)
+    disk.append("x", b"one")
+    stamp = disk.stamp(("x",))
+    assert stamp == disk.stamp(("x",))
+    disk.close()
+    match how:
+        case "copied":
+            shutil.copytree(folder, other)
+            shutil.rmtree(folder)
+            shutil.copytree(other, folder)
+        case "overwritten":
+            shutil.copytree(folder, other)
+            shutil.copytree(other, folder, dirs_exist_ok=True)
+        case "moved":
+            folder.rename(other)
+            other.rename(folder)
+        case "written":
+            (folder / "x").write_bytes(b"one")
+    again = FileDisk.from_folder(folder)
+    assert again.stamp(("x",)) != stamp
+    again.close()
--- /dev/null
+++ b/packages/control/bramleyspread_control/tests/test_election.py
@@ -0,0 +1,146 @@
+"""Tests of elections: who leads, and who must not."""
+
+from __future__ import annotations
+
+import pytest
+
+from bramleyspread_control.tests._cluster import Cluster, claim, submit
+from bramleyspread_core import (
+    Accepted,
+    IntendOrders,
+    NotLeader,
+    Order,
+    Rejected,
+    TargetName,
+    Undecided,
+)
+
+
+def list_others(cluster: Cluster, name: str) -> list[str]:
+    return [other for other in sorted(cluster.nodes) if other != name]
+
+
+@pytest.mark.parametrize(("inward", "outward"), [(True, True), (True, False)])
+def test_a_host_cut_off_for_long_deposes_nobody(inward: bool, outward: bool) -> None:
+    cluster = Cluster(3)
+    leader = cluster.run_until_led()
+    cut = list_others(cluster, leader)[0]
+    cluster.cut(cut, inward, outward)
+    before = cluster.nodes[leader].report_status(cluster.now).terms["0"]
+    for _ in range(60):
+        cluster.run(1.0)
+        assert cluster.find_leader() == leader
+    cluster.heal()
+    cluster.run(5.0)
+    assert cluster.find_leader() == leader
+    assert cluster.nodes[leader].report_status(cluster.now).terms["0"] == before
+
+
+@pytest.mark.parametrize(("inward", "outward"), [(True, True), (True, False)])
+def test_a_leader_without_quorum_stops_before_another_begins(
+    inward: bool, outward: bool
+) -> None:
+    cluster = Cluster(3)
+    leader = cluster.run_until_led()
+    cluster.cut(leader, inward, outward)
+    while cluster.find_leader() == leader:
+        replica = cluster.nodes[leader]._store.replicas[0]
+        assert replica.has_lease(cluster.now)
+        cluster.step()
+    assert cluster.call(submit("c1"), leader) in (
+        NotLeader(None),
+        Undecided("leadership was lost; resend it"),
+    )
+    assert cluster.run_until_led() != leader
+
+
+def test_a_frozen_leader_that_wakes_does_nothing_as_leader() -> None:
+    cluster = Cluster(3)
+    leader = cluster.run_until_led()
+    cluster.run(3.0)
+    node = cluster.nodes[leader]
+    fence = node.order_fence(cluster.now)
+    assert fence is not None
+    cluster.frozen.add(leader)
+    cluster.run(6.0)
+    other = cluster.run_until_led()
+    assert other != leader
+    cluster.frozen.clear()
+    assert node.order_fence(cluster.now) is None
+    order = Order(TargetName("t"), 1, fence, 1, ())
+    tickets = [
+        cluster.ask(leader, command)
+        for command in (submit("c1"), claim("r1"), IntendOrders((order,)))
+    ]
+    cluster.flush(leader)
+    assert all(isinstance(cluster.replies[each], NotLeader) for each in tickets)
+    newer = cluster.nodes[other].order_fence(cluster.now)
+    assert newer is not None
+    assert newer > fence
+
+
+def test_a_vote_is_not_given_while_a_leader_is_heard() -> None:
+    """A restarted voter keeps the promise that it made before its restart."""
+    cluster = Cluster(3)
+    leader = cluster.run_until_led()
+    voter, other = list_others(cluster, leader)
+    cluster.cuts |= {(leader, other), (other, leader), (leader, voter)}
+    cluster.kill(voter)
+    cluster.start(voter)
+    while (held := cluster.find_leader()) == leader:
+        cluster.step()
+    assert held is None
+
+
+def test_a_resend_over_a_change_of_leader_is_the_same_change() -> None:
+    cluster = Cluster(3)
+    first = cluster.run_until_led()
+    cluster.nodes[first].propose(99, submit("c1"), cluster.now)
+    cluster.flush(first)
+    cluster.run(0.02)
+    cluster.kill(first)
+    cluster.replies.clear()
+    again = cluster.call(submit("c1"))
+    assert isinstance(again, Accepted)
+    cluster.start(first)
+    cluster.run(3.0)
+    second = cluster.run_until_led()
+    cluster.kill(second, power=True)
+    cluster.start(second)
+    assert cluster.call(submit("c1")) == Accepted(
+        again.service, 1, again.revision, resent=True
+    )
+
+
+def test_leadership_is_handed_over_with_nothing_lost() -> None:
+    cluster = Cluster(3)
+    leader = cluster.run_until_led()
+    cluster.run(3.0)
+    fence = cluster.nodes[leader].order_fence(cluster.now)
+    ticket = cluster.ask(leader, submit("c1"))
+    cluster.nodes[leader].hand_over(cluster.now)
+    assert cluster.nodes[leader].order_fence(cluster.now) is None
+    began = cluster.now
+    successor = cluster.run_until_led()
+    assert successor != leader
+    assert cluster.now - began < cluster.timings.election_min
+    cluster.run(0.2)
+    assert isinstance(cluster.replies[ticket], Accepted)
+    assert cluster.nodes[successor].order_fence(cluster.now) is None
+    cluster.run(3.0)
+    assert cluster.find_leader() == successor
+    newer = cluster.nodes[successor].order_fence(cluster.now)
+    assert fence is not None
+    assert newer is not None
+    assert newer > fence
+
+
+def test_old_orders_are_refused() -> None:
+    cluster = Cluster(1)
+    cluster.run_until_led()
+    cluster.run(3.0)
+    fence = cluster.nodes["a"].order_fence(cluster.now)
+    assert fence is not None
+    order = Order(TargetName("t"), 1, fence - 1, 1, ())
+    assert isinstance(cluster.call(IntendOrders((order,))), Rejected)
+    assert not cluster.nodes["a"].list_intents()
--- /dev/null
+++ b/packages/control/bramleyspread_control/tests/test_exchange.py
@@ -0,0 +1,114 @@
+"""Fuzzed messages, files and records: errors, never a crash."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bramleyspread_control import CorruptFileError, MemoryDisk
+from bramleyspread_control._records import encode_record, read_records
+from bramleyspread_control.tests._cluster import Cluster, submit
+from bramleyspread_control.tests.test_store import COMMANDS, run, start
+from bramleyspread_core import HostName, PeerMessage
+
+FUZZ = settings(derandomize=True, deadline=None, max_examples=150)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers(-5, 2**40) | st.text(max_size=5),
+    lambda children: st.lists(children, max_size=3)
+    | st.dictionaries(st.text(max_size=5), children, max_size=3),
+    max_leaves=8,
+)
+
+
+def gather_bodies() -> list[Any]:
+    """Bodies that passed between three hosts in a short run."""
+    cluster = Cluster(3)
+    bodies: list[Any] = []
+    cluster.run_until_led()
+    deliver = cluster.nodes["b"].receive
+
+    def keep(message: PeerMessage, now: float) -> None:
+        bodies.append(msgspec.json.decode(bytes(message.body)))
+        deliver(message, now)
+
+    cluster.nodes["b"].receive = keep  # type: ignore[method-assign]
+    cluster.call(submit("c1"))
+    cluster.run(1.0)
+    return bodies
+
+
+BODIES = gather_bodies()
+
+
+def mutate(value: Any, rng: random.Random, junk: Any) -> Any:  # noqa: ANN401
+    """Replace one part of a JSON value, deep in it or near the top."""
+    if isinstance(value, dict) and value and rng.random() < 0.85:
+        key = rng.choice(sorted(value))
+        return {**value, key: mutate(value[key], rng, junk)}
+    if isinstance(value, list) and value and rng.random() < 0.85:
+        place = rng.randrange(len(value))
+        return [*value[:place], mutate(value[place], rng, junk), *value[place + 1 :]]
+    return junk
+
+
+@FUZZ
+@given(seed=st.integers(0, 2**32), junk=JSON)
+def test_no_message_crashes_a_host(seed: int, junk: Any) -> None:  # noqa: ANN401
+    rng = random.Random(seed)
+    cluster = Cluster(3)
+    cluster.run(0.3)
+    for _ in range(4):
+        body = msgspec.Raw(msgspec.json.encode(mutate(rng.choice(BODIES), rng, junk)))
+        for receiver in "ab":
+            message = PeerMessage(HostName("c"), HostName(receiver), body)
+            cluster.nodes[receiver].receive(message, cluster.now)
+            cluster.flush(receiver)
+        cluster.run(0.1)
+
+
+@FUZZ
+@given(data=st.binary(max_size=200))
+def test_no_bytes_crash_a_host(data: bytes) -> None:
+    cluster = Cluster(1)
+    cluster.run_until_led()
+    body = msgspec.Raw(data)
+    for sender in ("a", "b"):
+        message = PeerMessage(HostName(sender), HostName("a"), body)
+        cluster.nodes["a"].receive(message, cluster.now)
+    refused = cluster.nodes["a"].flush(cluster.now).happenings
+    assert refused[-1].kind == "message-refused"
+
+
+@FUZZ
+@given(contents=st.lists(st.binary(min_size=1, max_size=30)), tail=st.binary())
+def test_records_come_back(contents: list[bytes], tail: bytes) -> None:
+    data = b"".join(encode_record(each) for each in contents)
+    found, end = read_records(data + tail)
+    assert [content for _, content in found][: len(contents)] == contents
+    assert end >= len(data)
+
+
+@FUZZ
+@given(seed=st.integers(0, 2**32), junk=JSON)
+def test_no_record_crashes_a_start(seed: int, junk: Any) -> None:  # noqa: ANN401
+    """Sound checksums around senseless content: an error with its place."""
+    rng = random.Random(seed)
+    disk = MemoryDisk()
+    run(start(disk), COMMANDS)
+    name = rng.choice([each for each in disk.list_names() if each != "witness"])
+    found, _ = read_records(disk.read(name))
+    records = [msgspec.json.decode(content) for _, content in found]
+    place = rng.randrange(len(records))
+    records[place] = mutate(records[place], rng, junk)
+    disk.truncate(name, 0)
+    disk.append(
+        name, b"".join(encode_record(msgspec.json.encode(each)) for each in records)
+    )
+    try:
+        start(disk)
+    except CorruptFileError as error:
+        assert error.name in disk.list_names()
