--- a/packages/entry/bramleyspread_entry/_intake.py
+++ b/packages/entry/bramleyspread_entry/_intake.py
@@ -5,10 +5,12 @@
 from bramleyspread_core import (
     ANSWERED_ONCE,
     AnswerRefused,
+    Brand,
     CallerRequest,
     Fault,
     Reason,
     SendAnswer,
+    ServiceDocument,
 )
 from bramleyspread_entry._admission import Refusal
 from bramleyspread_entry._conclusion import Conclusion
@@ -25,12 +27,13 @@
 class Intake:
     """Takes a request on, or answers it at once with why not."""
 
-    __slots__ = ("_conclusion", "_drain", "_state")
+    __slots__ = ("_brands", "_conclusion", "_drain", "_state")
 
     def __init__(self, state: EntryState, conclusion: Conclusion) -> None:
         self._state = state
         self._conclusion = conclusion
         self._drain = Drain(state.config.drain_grace)
+        self._brands: dict[str, tuple[int, frozenset[Brand]]] = {}
 
     def begin_drain(self, now: float) -> None:
         """Take no new requests once the balancer has caught up.
@@ -72,10 +75,22 @@
         pipeline = document.find_pipeline(request.pipeline)
         if pipeline is None:
             return f"no pipeline {request.pipeline!r}"
-        if not document.knows_brand(request.brand.organisation, request.brand.name):
+        if request.brand not in self._list_brands(document):
             return f"no brand {request.brand.key!r}"
         return Run(request, document, pipeline, now)
 
+    def _list_brands(self, document: ServiceDocument) -> frozenset[Brand]:
+        """List a document's brands, once for each version of it."""
+        version, brands = self._brands.get(document.service, (0, frozenset()))
+        if version != document.version:
+            brands = frozenset(
+                Brand(organisation.name, brand.name)
+                for organisation in document.organisations
+                for brand in organisation.brands
+            )
+            self._brands[document.service] = (document.version, brands)
+        return brands
+
     def _refuse(self, request: CallerRequest, detail: str) -> None:
         self._state.counts["refused-unknown-name"] += 1
         fault = Fault(Reason.UNKNOWN_NAME, "admission", self._state.config.host, detail)
--- a/packages/entry/bramleyspread_entry/_latency.py
+++ b/packages/entry/bramleyspread_entry/_latency.py
@@ -35,12 +35,13 @@
     (1.0, None)
     """
 
-    __slots__ = ("_newest", "_ordered", "_samples")
+    __slots__ = ("_median", "_newest", "_ordered", "_samples")
 
     def __init__(self) -> None:
         self._samples: deque[tuple[float, float]] = deque()
         self._newest: deque[tuple[float, float]] = deque(maxlen=NEWEST_SAMPLES)
         self._ordered = SortedList()
+        self._median: float | None = None
 
     def record(self, latency: float, now: float) -> None:
         """Take a latency.
@@ -51,6 +52,7 @@
         self._samples.append((now, latency))
         self._newest.append((now, latency))
         self._ordered.add(latency)
+        self._median = None
         if len(self._samples) > KEPT_SAMPLES:
             self._drop_oldest()
 
@@ -77,9 +79,12 @@
         newest = self._newest
         while newest and newest[0][0] < now - NEW_AGE:
             newest.popleft()
+            self._median = None
         if len(newest) < FEWEST_SAMPLES:
             return None
-        return sorted(latency for _, latency in newest)[len(newest) // 2]
+        if self._median is None:
+            self._median = sorted(latency for _, latency in newest)[len(newest) // 2]
+        return self._median
 
     def _drop_oldest(self) -> None:
         _, latency = self._samples.popleft()
