Send first to an own slice of the zone's targets

Cause: with three slots an engine and 48 hosts choosing by reports 0.2 to 0.7 s old, one attempt in six met a full engine although a third of the slots was free. Change: each host sends first to its own part of the zone's targets, whose work it knows at once, then to the zone, then farther; few targets are one slice.

--- a/packages/entry/bramleyspread_entry/_choice.py
+++ b/packages/entry/bramleyspread_entry/_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable, Sequence
 from collections.abc import Set as AbstractSet
@@ -14,6 +15,7 @@
 from bramleyspread_core import PoolName, Stage, TargetName, TargetView
 from bramleyspread_entry._affinity import PrefixHints
 from bramleyspread_entry._outliers import Outliers
+from bramleyspread_entry._slices import Slice, Slices
 
 #: Targets looked at before the whole list is searched.
 LOOKS = 8
@@ -21,10 +23,12 @@
 COMPARED = 2
 #: Added to the load of a target in another availability zone, in shares of slots.
 FAR_PENALTY = 0.25
-#: Load from which other availability zones are looked at, in shares of slots.
-FAR_FROM = 0.9
+#: Load from which targets farther away are looked at, in shares of slots.
+FULL = 0.9
 #: Load up to which a cached prefix draws a request, above the best other target.
 AFFINITY_MARGIN = 0.5
+#: Load up to which it does so at all, in shares of slots.
+AFFINITY_BOUND = 0.8
 #: Age beyond which own sends are forgotten whatever was reported, in seconds.
 SENT_AGE = 5.0
 
@@ -160,13 +164,18 @@
     The time it takes does not depend on the number of targets: a few are drawn
     and the whole list is only searched when none of them fits. Drawing also
     keeps hosts with the same stale load reports from choosing the same target.
+    The first draw is among this host's own slice of its zone, the next among
+    the zone, the last among all other zones.
     """
 
-    __slots__ = ("_hints", "_outliers", "_rng", "_zone", "traffic")
+    __slots__ = ("_hints", "_outliers", "_rng", "_slices", "_zone", "traffic")
 
-    def __init__(self, zone: str, outliers: Outliers, rng: Random) -> None:
+    def __init__(
+        self, zone: str, outliers: Outliers, slices: Slices, rng: Random
+    ) -> None:
         self._zone = zone
         self._outliers = outliers
+        self._slices = slices
         self._rng = rng
         self._hints = PrefixHints()
         #: This host's own attempts.
@@ -184,19 +193,21 @@
         """
         if not views:
             return None
-        near_end = find_zone_end(views, self._zone)
-        best = self._draw(need, views, 0, near_end, now)
-        load = self.traffic.estimate(best) if best is not None else 0.0
-        if best is None or load >= FAR_FROM:
-            far = self._draw(need, views, near_end, len(views), now)
-            if far is not None:
-                far_load = self.traffic.estimate(far)
-                if best is None or far_load + FAR_PENALTY < load:
-                    best, load = far, far_load
+        near = find_zone_end(views, self._zone)
+        own = self._slices.find(near, now)
+        best, load = self._draw(need, views, own, now)
+        if load >= FULL and own.size < near:
+            zone = Slice(0, near, max(1, near))
+            best, load = self._draw_better(need, views, zone, best, load, 0.0, now)
+        if load >= FULL:
+            far = Slice(near, len(views) - near, len(views))
+            best, load = self._draw_better(
+                need, views, far, best, load, FAR_PENALTY, now
+            )
         if best is None:
-            return self._take_any(need, views)
+            return self._search(views, lambda view: fits(view, need.stage))
         if need.prefix:
-            return self._follow_prefix(need, views, best, load, now)
+            return self._follow_prefix(need, views, own, best, load, now)
         return best
 
     def sent(self, target: TargetName, now: float) -> None:
@@ -212,28 +223,44 @@
         if prefix:
             self._hints.store(prefix, target, now)
 
-    def _draw(
+    def _draw_better(
         self,
         need: Need,
         views: Sequence[TargetView],
-        start: int,
-        end: int,
+        part: Slice,
+        best: TargetView | None,
+        load: float,
+        penalty: float,
         now: float,
-    ) -> TargetView | None:
-        if start >= end:
-            return None
-        found: list[TargetView] = []
-        for _ in range(LOOKS):
-            view = views[start + int(self._rng.random() * (end - start))]
-            if self._is_good(view, need, now) and view not in found:
-                found.append(view)
-                if len(found) == COMPARED:
-                    break
-        if not found:
-            return self._search(
-                views, start, end, lambda v: self._is_good(v, need, now)
-            )
-        return min(found, key=self.traffic.estimate)
+    ) -> tuple[TargetView | None, float]:
+        """Draw from a part of the list; keep the best so far unless it is worse."""
+        other, other_load = self._draw(need, views, part, now)
+        if other_load + penalty < load:
+            return other, other_load
+        return best, load
+
+    def _draw(
+        self, need: Need, views: Sequence[TargetView], part: Slice, now: float
+    ) -> tuple[TargetView | None, float]:
+        """Draw a target and its load; None and an infinite one when none fits."""
+        best: TargetView | None = None
+        load = math.inf
+        found = 0
+        for _ in range(LOOKS if part.size else 0):
+            view = views[part.place(int(self._rng.random() * part.size))]
+            if view is best or not self._is_good(view, need, now):
+                continue
+            found += 1
+            view_load = self.traffic.estimate(view)
+            if view_load < load:
+                best, load = view, view_load
+            if found == COMPARED:
+                break
+        if best is None and part.size:
+            members = [views[part.place(number)] for number in range(part.size)]
+            best = self._search(members, lambda view: self._is_good(view, need, now))
+            load = self.traffic.estimate(best) if best is not None else math.inf
+        return best, load
 
     def _is_good(self, view: TargetView, need: Need, now: float) -> bool:
         target = view.announcement.target
@@ -243,21 +270,14 @@
             and self._outliers.allows(target, now)
         )
 
-    def _take_any(self, need: Need, views: Sequence[TargetView]) -> TargetView | None:
-        """Choose among targets excluded or tried before: better than none."""
-        return self._search(views, 0, len(views), lambda view: fits(view, need.stage))
-
     def _search(
-        self,
-        views: Sequence[TargetView],
-        start: int,
-        end: int,
-        is_good: Callable[[TargetView], bool],
+        self, views: Sequence[TargetView], is_good: Callable[[TargetView], bool]
     ) -> TargetView | None:
-        size = end - start
+        """Search a list from anywhere on."""
+        size = len(views)
         offset = int(self._rng.random() * size)
         for step in range(size):
-            view = views[start + (offset + step) % size]
+            view = views[(offset + step) % size]
             if is_good(view):
                 return view
         return None
@@ -266,22 +286,26 @@
         self,
         need: Need,
         views: Sequence[TargetView],
+        own: Slice,
         best: TargetView,
         load: float,
         now: float,
     ) -> TargetView:
         """Prefer a target that may hold the prefix, while its load allows it.
 
-        All hosts of a zone that know the same targets draw a prefix to the same
-        ones, so that they fill few caches with it.
+        All hosts that share a slice draw a prefix to the same targets of it, so
+        that they fill few caches with it.
         """
-        near = find_zone_end(views, self._zone) or len(views)
+        part = own if own.size else Slice(0, len(views), len(views))
         drawn = xxhash.xxh3_64_intdigest(need.prefix)
-        first, second = views[drawn % near], views[(drawn >> 32) % near]
+        first = views[part.place(drawn % part.size)]
+        second = views[part.place((drawn >> 32) % part.size)]
         held = self._hints.find(need.pool, need.prefix, views, now)
         for view in (first, held, second):
             if view is None or not self._is_good(view, need, now):
                 continue
-            if self.traffic.estimate(view) <= load + AFFINITY_MARGIN:
+            held_load = self.traffic.estimate(view)
+            bound = max(load, min(AFFINITY_BOUND, load + AFFINITY_MARGIN))
+            if held_load <= bound:
                 return view
         return best
--- a/packages/entry/bramleyspread_entry/_policies.py
+++ b/packages/entry/bramleyspread_entry/_policies.py
@@ -15,6 +15,7 @@
 from bramleyspread_entry._outliers import Outliers, PeerComparison
 from bramleyspread_entry._retries import RetryBudget, SharedBudget
 from bramleyspread_entry._shares import WeightedShares
+from bramleyspread_entry._slices import HostSlices
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +54,7 @@
         times = StageTimes()
         occupancy = Occupancy(directory, rng)
         outliers = PeerComparison()
+        slices = HostSlices(directory, config.host, config.zone)
         budget = SharedBudget(
             config.retry_share, config.retry_savings, config.retry_seed
         )
@@ -60,7 +62,7 @@
             times=times,
             occupancy=occupancy,
             admission=LoadAdmission(config, occupancy, WeightedShares(), times, rng),
-            choice=TwoChoices(config.zone, outliers, rng),
+            choice=TwoChoices(config.zone, outliers, slices, rng),
             outliers=outliers,
             budget=budget,
             hedging=LateHedging(times),
--- a/packages/entry/bramleyspread_entry/tests/harness.py
+++ b/packages/entry/bramleyspread_entry/tests/harness.py
@@ -105,6 +105,14 @@
         self.pools = pools
         self.document = ServiceDocument.from_yaml(DOCUMENT, "booth.yaml")
         self.revision = 1
+        self.hosts = [HostInForce(HostName("e1"), "a", 1, 0.0)]
+
+    def set_deadline(self, deadline_ms: int) -> None:
+        pipelines = tuple(
+            msgspec.structs.replace(pipeline, deadline_ms=deadline_ms)
+            for pipeline in self.document.pipelines
+        )
+        self.document = msgspec.structs.replace(self.document, pipelines=pipelines)
 
     def list_usable(self, pool: PoolName, now: float) -> Sequence[TargetView]:
         return self.pools.get(pool.pool, [])
@@ -113,7 +121,7 @@
         return self.document if service == self.document.service else None
 
     def list_hosts(self, now: float) -> Sequence[HostInForce]:
-        return [HostInForce(HostName("e1"), "a", 1, 0.0)]
+        return self.hosts
 
     def hear(self, announcement: Announcement, now: float) -> Sequence[PeerSend]:
         return ()
@@ -180,8 +188,14 @@
     def end(self, dispatch: Dispatch, outcome: Outcome) -> None:
         self.take(self.host.attempt_ended(dispatch.call.attempt, outcome, self.now))
 
-    def done(self, dispatch: Dispatch, output: str = '"out"', tokens: int = 0) -> None:
-        self.end(dispatch, make_done(dispatch, output, tokens))
+    def done(
+        self,
+        dispatch: Dispatch,
+        output: str = '"out"',
+        tokens: int = 0,
+        us: int = 1_000,
+    ) -> None:
+        self.end(dispatch, make_done(dispatch, output, tokens, us))
 
     def token(self, dispatch: Dispatch, index: int) -> None:
         attempt = dispatch.call.attempt
@@ -196,9 +210,11 @@
         self.now = until
 
 
-def make_done(dispatch: Dispatch, output: str = '"out"', tokens: int = 0) -> Done:
+def make_done(
+    dispatch: Dispatch, output: str = '"out"', tokens: int = 0, us: int = 1_000
+) -> Done:
     call = dispatch.call
-    usage = Usage(target_us=1_000, tokens_out=tokens)
+    usage = Usage(target_us=us, tokens_out=tokens)
     raw = msgspec.Raw(output.encode())
     return Done(TargetAnswer(call.request, call.stage, call.attempt, raw, usage))
 
--- /dev/null
+++ b/packages/entry/bramleyspread_entry/tests/test_choice.py
@@ -0,0 +1,165 @@
+"""Choosing targets: load, zones, slices, prefixes, outliers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import pytest
+from msgspec.structs import replace
+
+from bramleyspread_core import (
+    CacheEvent,
+    HostInForce,
+    HostName,
+    Load,
+    PoolName,
+    Reason,
+    ServiceName,
+    Stage,
+    TargetName,
+    TargetView,
+)
+from bramleyspread_entry._choice import Need, OwnTraffic, TwoChoices
+from bramleyspread_entry._outliers import PeerComparison
+from bramleyspread_entry._slices import HostSlices, WholeZone
+from bramleyspread_entry.tests.harness import FakeDirectory, make_view
+
+POOL = PoolName(ServiceName("booth"), "engines")
+STAGE = Stage(name="explain", pool="engines", model="m")
+
+
+def make_choice() -> TwoChoices:
+    return TwoChoices("a", PeerComparison(), WholeZone(), Random(1))
+
+
+def need(prefix: str = "", avoid: frozenset[TargetName] = frozenset()) -> Need:
+    return Need(POOL, STAGE, prefix, avoid)
+
+
+def count(choice: TwoChoices, views: list[TargetView], wanted: Need) -> Counter[str]:
+    found: Counter[str] = Counter()
+    for _ in range(200):
+        view = choice.choose(wanted, views, 1.0)
+        assert view is not None
+        found[view.announcement.target] += 1
+    return found
+
+
+def views_with(loads: list[tuple[str, int]]) -> list[TargetView]:
+    return [
+        make_view(f"e{number}", "engines", zone, Load(running=running, slots=4))
+        for number, (zone, running) in enumerate(loads)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("loads", "chosen"),
+    [
+        ([("a", 0), ("b", 0)], {"e0"}),
+        ([("a", 4), ("b", 0)], {"e1"}),
+        ([("a", 4), ("b", 4)], {"e0"}),
+        ([("b", 0)], {"e0"}),
+        ([("a", 0), ("a", 3)], {"e0"}),
+    ],
+)
+def test_near_and_little_loaded_first(
+    loads: list[tuple[str, int]], chosen: set[str]
+) -> None:
+    found = count(make_choice(), views_with(loads), need())
+    assert max(found, key=found.__getitem__) in chosen
+    assert sum(found[name] for name in chosen) > 190
+
+
+def test_hosts_with_one_stale_report_do_not_choose_one_target() -> None:
+    views = views_with([("a", 0)] * 10)
+    found = count(make_choice(), views, need())
+    assert max(found.values()) < 60
+
+
+def test_own_sends_since_the_report_count() -> None:
+    traffic = OwnTraffic()
+    view = views_with([("a", 1)])[0]
+    for at in (-1.0, 0.5, 0.6):
+        traffic.note(view.announcement.target, 1, at)
+    assert traffic.estimate(view) == 3 / 4
+    assert traffic.estimate(replace(view, load_as_of=0.55)) == 3 / 4
+    traffic.note(view.announcement.target, -1, 0.7)
+    assert traffic.estimate(replace(view, load_as_of=0.65)) == 2 / 4
+
+
+def test_targets_without_the_model_are_not_chosen() -> None:
+    plain = make_view("p", "encoders")
+    assert make_choice().choose(need(), [plain], 1.0) is None
+    assert make_choice().choose(need(), [], 1.0) is None
+
+
+def test_avoided_targets_only_when_there_is_no_other() -> None:
+    views = views_with([("a", 0), ("a", 3)])
+    wanted = need(avoid=frozenset({TargetName("e0")}))
+    assert count(make_choice(), views, wanted) == {"e1": 200}
+    assert count(make_choice(), views[:1], wanted) == {"e0": 200}
+
+
+def test_prefixes_go_where_they_were_while_load_allows() -> None:
+    views = views_with([("a", 0)] * 8)
+    choice = make_choice()
+    home = count(choice, views, need("inka/fast/1")).most_common(1)[0]
+    assert home[1] == 200
+    number = int(home[0][1:])
+    views[number] = views_with([("a", 0)] * number + [("a", 4)])[-1]
+    moved = count(choice, views, need("inka/fast/1"))
+    assert moved[home[0]] == 0
+
+
+def test_hints_expire_and_end_with_an_eviction() -> None:
+    views = views_with([("a", 0)] * 8)
+    choice = make_choice()
+    choice.answered(TargetName("e5"), "k", 1.0)
+    hints = choice._hints  # noqa: SLF001
+    assert hints.find(POOL, "k", views, 2.0) is views[5]
+    assert hints.find(POOL, "k", views, 40.0) is None
+    choice.answered(TargetName("e5"), "k", 41.0)
+    event = CacheEvent(1, "k", stored=False)
+    announcement = replace(views[5].announcement, cache_events=(event,))
+    views[5] = replace(views[5], announcement=announcement)
+    assert hints.find(POOL, "k", views, 41.0) is None
+
+
+def test_slices_cover_a_zone_and_follow_its_hosts() -> None:
+    directory = FakeDirectory({})
+    hosts = [HostInForce(HostName(f"h{n}"), "a", 1, 0.0) for n in range(4)]
+    directory.hosts = [*hosts, HostInForce(HostName("far"), "b", 1, 0.0)]
+    slices = [HostSlices(directory, f"h{n}", "a") for n in range(4)]
+    parts = [each.find(100, 1.0) for each in slices]
+    places = [part.place(n) for part in parts for n in range(part.size)]
+    assert sorted(places) == list(range(100))
+    assert all(each.find(5, 1.0).size == 5 for each in slices)
+    directory.hosts = directory.hosts[:2]
+    assert slices[0].find(100, 3.0).size == 50
+
+
+def test_outliers_are_excluded_and_tried_again() -> None:
+    outliers = PeerComparison()
+    target = TargetName("e0")
+    outliers.failed(target, Reason.CLOSED, 0.0)
+    assert outliers.allows(target, 0.0)
+    outliers.failed(target, Reason.CLOSED, 0.0)
+    assert not outliers.allows(target, 0.4)
+    assert outliers.allows(target, 0.5)
+    outliers.sent(target, 0.5)
+    assert not outliers.allows(target, 0.6)
+    outliers.failed(target, Reason.CLOSED, 0.7)
+    assert not outliers.allows(target, 1.6)
+    outliers.sent(target, 1.8)
+    outliers.succeeded(target, 1.0, 1.9)
+    assert outliers.allows(target, 1.9)
+
+
+def test_slow_targets_are_found_by_their_peers() -> None:
+    outliers = PeerComparison()
+    for _ in range(12):
+        outliers.succeeded(TargetName("slow"), 5.0, 1.0)
+        outliers.succeeded(TargetName("usual"), 1.2, 1.0)
+    assert not outliers.allows(TargetName("slow"), 1.0)
+    assert outliers.allows(TargetName("usual"), 1.0)
--- a/packages/proof/bramleyspread_proof/_fleet.py
+++ b/packages/proof/bramleyspread_proof/_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from functools import partial
 from random import Random
 
 from bramleyspread_core import (
@@ -26,6 +27,8 @@
 
 #: Time between two announcements of a target, in seconds.
 ANNOUNCE_PAUSE = 0.5
+#: Groups of targets that announce themselves at different times.
+ANNOUNCE_GROUPS = 5
 #: Time from an announcement to its being known, in seconds.
 ANNOUNCE_LAG = 0.2
 #: Time without an announcement after which a target is not used, in seconds.
@@ -56,7 +59,13 @@
                 self.targets[target.name] = target
                 self.names[address] = target.name
         self.directories = {zone: ZoneDirectory(self, zone) for zone in size.zones}
-        self._announce()
+        targets = list(self.targets.values())
+        self._groups = [targets[n::ANNOUNCE_GROUPS] for n in range(ANNOUNCE_GROUPS)]
+        self._known: dict[TargetName, TargetView] = {}
+        for group in range(ANNOUNCE_GROUPS):
+            pause = group * ANNOUNCE_PAUSE / ANNOUNCE_GROUPS
+            agenda.after(pause, partial(self._announce, group))
+        self._learn([TargetView(target.announce(0), 0.0) for target in targets])
 
     def is_cut(self, one: str, other: str) -> bool:
         """Whether nothing passes between two zones."""
@@ -66,27 +75,30 @@
         """Find the time of one way, in seconds."""
         return NEAR if one == other else self.size.far
 
-    def _announce(self) -> None:
-        """Take all targets' reports; hosts know them after the lag."""
+    def _announce(self, group: int) -> None:
+        """Take the reports of some targets; hosts know them after the lag."""
         self._sequence += 1
         taken_at = self._agenda.now
         reports = [
             TargetView(target.announce(self._sequence), taken_at)
-            for target in self.targets.values()
-            if target.alive or taken_at < target.died_at + LEASE
+            for target in self._groups[group]
+            if target.alive
         ]
-        lag = ANNOUNCE_LAG if taken_at else 0.0
-        self._agenda.after(lag, lambda: self._learn(reports))
-        self._agenda.after(ANNOUNCE_PAUSE, self._announce)
+        self._agenda.after(ANNOUNCE_LAG, lambda: self._learn(reports))
+        self._agenda.after(ANNOUNCE_PAUSE, lambda: self._announce(group))
 
     def _learn(self, reports: list[TargetView]) -> None:
+        for view in reports:
+            self._known[view.announcement.target] = view
+        oldest = self._agenda.now - LEASE
+        known = [view for view in self._known.values() if view.load_as_of >= oldest]
         expired = self._agenda.now >= self.cut_at + LEASE
         for zone, directory in self.directories.items():
-            heard = reports
+            heard = known
             if self.cut_zone is not None and expired:
                 heard = [
                     view
-                    for view in reports
+                    for view in known
                     if not self.is_cut(zone, view.announcement.zone)
                 ]
             directory.learn(heard)
@@ -99,9 +111,9 @@
         self._fleet = fleet
         self._zone = zone
         self._views: dict[str, list[TargetView]] = {}
-        count = fleet.size.hosts
+        count, zones = fleet.size.hosts, fleet.size.zones
         self._hosts = [
-            HostInForce(HostName(f"entry-{number}"), "", 1, 0.0)
+            HostInForce(HostName(f"entry-{number}"), zones[number % len(zones)], 1, 0.0)
             for number in range(count)
         ]
         self.revision = 1
