--- a/packages/daemon/bramleyspread_daemon/_client.py
+++ b/packages/daemon/bramleyspread_daemon/_client.py
@@ -15,6 +15,9 @@
 #: Most bytes of a whole response.
 MAX_RESPONSE_BYTES = 16_777_216
 
+#: What is left to read of a chunk whose data was handed out.
+_CHUNK_END = b"\r\n"
+
 
 class ClosedError(Exception):
     """The peer, or this side, closed the connection before the response's end."""
@@ -36,7 +39,7 @@
 class ClientConnection:
     """A connection that this process opened; it carries one request at a time."""
 
-    __slots__ = ("_clock", "_connection", "_http", "address", "idle_since")
+    __slots__ = ("_clock", "_connection", "_ended", "_http", "address", "idle_since")
 
     def __init__(
         self, connection: Connection, address: Address, clock: ProcessClock
@@ -46,6 +49,7 @@
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
+        self._ended = False
         #: The far end.
         self.address = address
         #: When its last response ended, in monotonic seconds.
@@ -135,20 +139,28 @@
     async def read_piece(self) -> bytes:
         """Wait for the next piece of the response's body.
 
-        :returns: bytes; none at the end.
+        :returns: all that came of it so far; nothing at the end.
         :raises ClosedError: when the connection ends before the response does.
         :raises h11.RemoteProtocolError: when it is not HTTP.
         """
-        while True:
-            event = await self._read_event()
+        pieces: list[bytes] = []
+        while not self._ended:
+            event: object = self._http.next_event()
+            if event is h11.NEED_DATA:
+                if pieces:
+                    break
+                event = await self._read_event()
             if isinstance(event, h11.Data):
-                if event.data:
-                    return bytes(event.data)
+                pieces.append(event.data)
+                if event.chunk_end and self._http.trailing_data[0] == _CHUNK_END:
+                    break
             elif isinstance(event, h11.EndOfMessage):
-                self._end_cycle()
-                return b""
+                self._ended = True
             else:
                 raise ClosedError("closed in the middle of the answer")
+        if not pieces:
+            self._end_cycle()
+        return b"".join(pieces)
 
     async def read_body(self) -> bytes:
         """Wait for the whole body of the response.
@@ -189,6 +201,7 @@
                 self._clock.merge_text(value.decode("ascii", "replace"))
 
     def _end_cycle(self) -> None:
+        self._ended = False
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
             self.idle_since = read_monotonic()
--- a/packages/daemon/bramleyspread_daemon/_connection.py
+++ b/packages/daemon/bramleyspread_daemon/_connection.py
@@ -10,6 +10,7 @@
 
 import curio.io
 import curio.socket
+from curio.traps import _read_wait
 
 from bramleyspread_core import Address
 from bramleyspread_daemon._clock import read_monotonic
@@ -33,6 +34,7 @@
     """
 
     __slots__ = (
+        "_drained",
         "_pending",
         "_raw",
         "_socket",
@@ -46,6 +48,7 @@
         self._socket = connected
         self._raw: stdlib_socket.socket = connected._socket
         self._raw.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
+        self._drained = False
         self._pending: deque[bytes] = deque()
         #: Bytes that wait to be sent.
         self.pending_bytes = 0
@@ -78,10 +81,13 @@
 
         :returns: bytes; none when the peer, or :meth:`abort`, closed it.
         """
+        if self._drained:
+            await _read_wait(self._socket._fileno)
         try:
             data: bytes = await self._socket.recv(READ_BYTES)
         except OSError:
             return b""
+        self._drained = len(data) < READ_BYTES
         return data
 
     async def send_all(self, data: bytes) -> None:
