--- a/packages/membership/bramleyspread_membership/_config.py
+++ b/packages/membership/bramleyspread_membership/_config.py
@@ -42,17 +42,23 @@
     gossip_every: float = 0.5
     #: Most messages a second on average; rounds to many hosts are further apart.
     messages_per_second: float = 14.0
-    #: Up to this many other hosts, all are sent to; with more, some of this zone
-    #: and one of each other.
+    #: Up to this many other hosts, all are sent to; with more, those of this zone
+    #: and one of each of some other zones.
     most_peers: int = 13
-    #: An entry host is forgotten when it was not heard of for this long.
+    #: Hosts that each sends to on the ring of a zone whose hosts are too many for that.
+    ring_peers: int = 4
+    #: Shortest time between two rounds on such a ring.
+    ring_every: float = 1.0
+    #: Other zones that a host sends to when not all hosts are sent to.
+    other_zones: int = 4
+    #: An entry host is forgotten when it was not heard of for this long,
     host_lease: float = 10.0
-    #: Added to that for each host known, since rows about many take turns.
-    host_lease_each: float = 0.5
+    #: or for this long for each host known, since rows about many take turns.
+    host_lease_each: float = 1.0
     #: An incarnation that left is remembered for this long.
     remember_left: float = 60.0
     #: Targets of other zones that one host is told of, with partners, about.
-    sample: int = 36
+    sample: int = 16
     #: Most bytes a second that gossip may send on average, with HTTP around it.
     bytes_per_second: int = 20_000
     #: Bytes that gossip may send at once after a quiet time.
--- a/packages/membership/bramleyspread_membership/_gossip.py
+++ b/packages/membership/bramleyspread_membership/_gossip.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 from msgspec import Raw
 
@@ -88,11 +88,15 @@
         self.bytes_sent = 0
 
     def hasten(self, now: float) -> None:
-        """Hold the next round at once.
+        """Hold the next round at once, unless that costs too much.
+
+        Where there are too many hosts for all to be sent to, news of documents
+        keeps to the rounds: each host also asks control for it.
 
         :param now: monotonic seconds.
         """
-        self._next_round = now
+        if not self._find_circle().is_ring:
+            self._next_round = now
 
     def note_peer(self, row: HostRow, unheard: frozenset[HostName]) -> None:
         """Note what a peer said of itself.
@@ -153,7 +157,7 @@
         circle = self._find_circle()
         peers = list(circle.peers)
         rate = self._config.messages_per_second
-        self._interval = max(self._config.gossip_every, len(peers) / rate)
+        self._interval = max(circle.every, len(peers) / rate)
         jitter = 1 + JITTER * (2 * self._rng.random() - 1)
         self._next_round = now + self._interval * jitter
         heard_since = now - self._interval * UNHEARD_ROUNDS
@@ -184,10 +188,8 @@
         rows = self._select(peer, state, room, share, now)
         state.reached = rows.reached
         state.turn += 1
-        other = self._hosts.pick_row(state.turn, peer.host, now)
-        own = self._make_own_row()
         return Gossip(
-            (own,) if other is None else (own, other),
+            (self._make_own_row(), *self._pick_rows(peer, state.turn, now)),
             int(now * 1000),
             self._shelf.digest,
             unheard,
@@ -197,6 +199,16 @@
             self._summarise(now) if peer.is_partner else (),
         )
 
+    def _pick_rows(self, peer: Peer, turn: int, now: float) -> Iterator[HostRow]:
+        """Pick rows about others: of this zone and of others, by turns or both."""
+        both = self._find_circle().is_ring
+        step = 1 if both else 2
+        for near in (True, False):
+            if both or near == (turn % 2 == 0):
+                row = self._hosts.pick_row(turn // step, near, peer.host, now)
+                if row is not None:
+                    yield row
+
     def _select(
         self, peer: Peer, state: PeerState, room: float, share: float, now: float
     ) -> Rows:
--- a/packages/membership/bramleyspread_membership/_hosts.py
+++ b/packages/membership/bramleyspread_membership/_hosts.py
@@ -133,28 +133,26 @@
             if host in self._records and self._heard.get(host, self._started_at) < since
         ]
 
-    def pick_row(self, turn: int, receiver: HostName, now: float) -> HostRow | None:
+    def pick_row(
+        self, turn: int, near: bool, receiver: HostName, now: float
+    ) -> HostRow | None:
         """Pick a row to pass on; rows take turns.
 
         :param turn: rises by one with each pick.
+        :param near: whether to pick a host of this zone or of another.
         :param receiver: whose own row is no news to it.
         :param now: monotonic seconds.
         :returns: the row with its age, or None.
         """
-        # Hosts of this zone get every other turn: they matter more, and are fewer.
         own = self._config.zone
-        is_near = turn % 2 == 0
-        hosts = [
-            host
+        records = [
+            each
             for host, each in self._records.items()
-            if (each.row.zone == own) == is_near
+            if (each.row.zone == own) == near and host != receiver
         ]
-        if not hosts:
-            return None
-        host = hosts[turn // 2 % len(hosts)]
-        if host == receiver:
+        if not records:
             return None
-        record = self._records[host]
+        record = records[turn % len(records)]
         return replace(record.row, age_ms=round_age(now - record.beaten_at))
 
     def list_in_force(self, now: float) -> list[HostInForce]:
@@ -172,7 +170,8 @@
 
     def _is_over(self, beaten_at: float, now: float) -> bool:
         config = self._config
-        lease = config.host_lease + config.host_lease_each * len(self._records)
+        rows_take = config.host_lease_each * len(self._records)
+        lease = max(config.host_lease, rows_take)
         return beaten_at + lease <= now
 
 
--- a/packages/membership/bramleyspread_membership/_peers.py
+++ b/packages/membership/bramleyspread_membership/_peers.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from msgspec import Struct
 
 from bramleyspread_core import Address, HostName, ZoneName
 from bramleyspread_membership._config import DirectoryConfig
 from bramleyspread_membership._hosts import HostTable
 
-#: Fewest hosts of its own zone that a host sends to, where there are as many.
-LEAST_ZONE_PEERS = 4
-
 
 class Peer(Struct, frozen=True):
     """An entry host that this one sends gossip to."""
@@ -48,12 +47,16 @@
     peers: tuple[Peer, ...]
     #: The hosts that choose this one by the same rule.
     senders: frozenset[HostName]
+    #: Shortest time between two rounds, in seconds.
+    every: float
+    #: True when there are too many hosts for rows about each to come often.
+    is_ring: bool
 
 
 def choose_circle(config: DirectoryConfig, hosts: HostTable) -> Circle:
     """Choose whom to send to: everybody, or some of this zone and partners.
 
-    With many hosts, those of a zone form a ring and each sends to the ones at
+    With many hosts, those of a zone form a ring, and each sends to the ones at
     fixed distances, so that each is sent to by equally many and news crosses
     the zone in few rounds. To each other zone it sends through one partner.
 
@@ -64,24 +67,26 @@
     known = sorted(hosts.list_peers())
     if len(known) <= config.most_peers:
         peers = tuple(Peer(*each, is_partner=False) for each in known)
-        return Circle(peers, frozenset(peer.host for peer in peers))
-    zones: dict[ZoneName, list[Peer]] = {}
+        senders = frozenset(peer.host for peer in peers)
+        return Circle(peers, senders, config.gossip_every, is_ring=False)
+    zones: dict[ZoneName, list[Peer]] = {config.zone: []}
     for host, zone, address in known:
         peer = Peer(host, zone, address, is_partner=zone != config.zone)
         zones.setdefault(zone, []).append(peer)
-    own = zones.pop(config.zone, [])
-    count = max(LEAST_ZONE_PEERS, config.most_peers - len(zones))
-    distances = list_distances(len(own) + 1, count)
+    own = zones[config.zone]
     rank = sum(peer.host < config.host for peer in own)
-    # A peer at this distance ahead; the list leaves this host itself out.
+    partners = _choose_partners(config, zones, rank)
+    is_ring = len(own) + len(partners) > config.most_peers
+    distances = list_distances(len(own) + 1, config.ring_peers if is_ring else len(own))
+    # The list leaves this host itself out, hence the step of one ahead.
     ahead = [own[(rank + far - 1) % len(own)] for far in distances]
     behind = [own[(rank - far) % len(own)] for far in distances]
-    partners = [
-        partner
-        for others in zones.values()
-        for partner in _choose_partners(others, rank, len(own) + 1)
-    ]
-    return Circle((*ahead, *partners), frozenset(peer.host for peer in behind))
+    return Circle(
+        (*ahead, *partners),
+        frozenset(peer.host for peer in behind),
+        config.ring_every if is_ring else config.gossip_every,
+        is_ring,
+    )
 
 
 def list_distances(hosts: int, count: int) -> list[int]:
@@ -100,5 +105,15 @@
     return sorted(farthest_first[:count])
 
 
-def _choose_partners(others: list[Peer], rank: int, hosts: int) -> list[Peer]:
-    return others[rank::hosts] or [others[rank % len(others)]]
+def _choose_partners(
+    config: DirectoryConfig, zones: Mapping[ZoneName, list[Peer]], rank: int
+) -> list[Peer]:
+    """Choose one host each of the zones at fixed distances on a ring of zones."""
+    names = sorted(zones)
+    place = names.index(config.zone)
+    hosts = len(zones[config.zone]) + 1
+    partners = []
+    for far in list_distances(len(names), config.other_zones):
+        others = zones[names[(place + far) % len(names)]]
+        partners += others[rank::hosts] or [others[rank % len(others)]]
+    return partners
