--- a/packages/standins/bramleyspread_standins/_demo.py
+++ b/packages/standins/bramleyspread_standins/_demo.py
@@ -5,7 +5,6 @@
 import argparse
 import random
 import signal
-import sys
 import tempfile
 import time
 from collections.abc import Sequence
@@ -13,8 +12,18 @@
 
 import curio
 
-from bramleyspread_core import ServiceDocument, decode_json, encode_json
+from bramleyspread_core import (
+    ServiceDocument,
+    TimelineEvent,
+    decode_json,
+    encode_json,
+)
 from bramleyspread_standins._asks import BURST_TIME, AskSource
+from bramleyspread_standins._launch import (
+    find_program,
+    make_host_command,
+    make_target_command,
+)
 from bramleyspread_standins._ledger import LedgerLine
 from bramleyspread_standins._load import LoadPlan, LoadTool, NotReadyError
 from bramleyspread_standins._processes import ProcessGroup
@@ -105,35 +114,18 @@
         return self._report(stops)
 
     def _start(self) -> None:
-        self._topology.write_settings(self._folder)
+        topology, folder = self._topology, self._folder
+        topology.write_settings(folder)
         for role, hosts in (
-            ("control", self._topology.control_hosts),
-            ("entry", self._topology.entry_hosts),
+            ("control", topology.control_hosts),
+            ("entry", topology.entry_hosts),
         ):
             for host in hosts:
-                settings = str(self._folder / f"{host.name}.yaml")
-                command = [find_program("bramleyspreadd"), role]
-                self._processes.start(host.name, [*command, "--settings", settings])
-        for number, target in enumerate(self._topology.targets):
-            self._processes.start(target.name, self._make_command(target, number))
-
-    def _make_command(self, target: DemoTarget, number: int) -> list[str]:
-        kind = "engine" if target.is_engine else "plain"
-        command = [sys.executable, "-m", "bramleyspread_standins", kind]
-        command += [f"--name={target.name}", f"--pool={target.pool}"]
-        command += [f"--zone={target.zone}", f"--listen={target.address}"]
-        command += [f"--seed={self._options.seed * 1_000 + number}"]
-        command.append(f"--ledger={self._folder / (target.name + '.ledger')}")
-        hosts = list(self._topology.entry_hosts)
-        random.Random(number).shuffle(hosts)
-        command += [f"--entry-host={host.address}" for host in hosts]
-        if target.is_engine:
-            for model in target.declared.models:
-                adapters = "+".join(model.adapters)
-                command.append(f"--model={model.name}:{model.version}:{adapters}")
-            if not target.declared.checks_fencing:
-                command.append("--ignore-fencing")
-        return command
+                command = make_host_command(role, host, folder)
+                self._processes.start(host.name, command)
+        for number, target in enumerate(topology.targets):
+            command = make_target_command(topology, number, folder, self._options.seed)
+            self._processes.start(target.name, command)
 
     def _submit(self, until: float) -> None:
         for _, path in self._documents:
@@ -174,10 +166,19 @@
         reports = self._tool.reports.values()
         verdict = Verdict.from_reports(reports, self._read_ledgers(), keyed)
         broken = verdict.counts.list_broken(bool(self._options.drain))
+        self._notes.append(f"orders to engines carried out: {self._count_orders()}")
         self._notes += [f"stopped badly: {stop}" for stop in stops]
         print_summary(verdict, self._notes, broken)
         return 1 if broken else 0
 
+    def _count_orders(self) -> int:
+        count = 0
+        for path in self._folder.glob("*.timeline"):
+            for line in path.read_bytes().splitlines():
+                event: TimelineEvent = decode_json(line, TimelineEvent)
+                count += event.kind == "order-reached"
+        return count
+
     def _read_ledgers(self) -> list[LedgerLine]:
         lines: list[LedgerLine] = []
         for path in sorted(self._folder.glob("*.ledger")):
@@ -215,14 +216,6 @@
     }
 
 
-def find_program(name: str) -> str:
-    """Find a program beside the interpreter.
-
-    :param name: its name.
-    """
-    return str(Path(sys.executable).parent / name)
-
-
 def print_summary(
     verdict: Verdict, notes: Sequence[str], broken: Sequence[str]
 ) -> None:
--- /dev/null
+++ b/packages/standins/bramleyspread_standins/_launch.py
@@ -0,0 +1,73 @@
+"""The command lines that a demo starts its processes with."""
+
+from __future__ import annotations
+
+import random
+import sys
+from pathlib import Path
+
+from bramleyspread_core import ModelWanted
+from bramleyspread_standins._topology import DemoHost, DemoTarget, Topology
+
+#: Every so many targets, an engine starts without models and waits for orders.
+EMPTY_EVERY = 2
+
+
+def find_program(name: str) -> str:
+    """Find a program beside the interpreter.
+
+    :param name: its name.
+    """
+    return str(Path(sys.executable).parent / name)
+
+
+def make_host_command(role: str, host: DemoHost, folder: Path) -> list[str]:
+    """Make the command line of a host of the system.
+
+    :param role: ``entry`` or ``control``.
+    :param host: the host.
+    :param folder: where its settings are.
+    """
+    settings = str(folder / f"{host.name}.yaml")
+    return [find_program("bramleyspreadd"), role, "--settings", settings]
+
+
+def make_target_command(
+    topology: Topology, number: int, folder: Path, seed: int
+) -> list[str]:
+    """Make the command line of a stand-in target.
+
+    :param topology: what the demo runs.
+    :param number: the target's place in the topology.
+    :param folder: where it keeps its ledger.
+    :param seed: the demo's seed.
+    """
+    target = topology.targets[number]
+    kind = "engine" if target.is_engine else "plain"
+    hosts = list(topology.entry_hosts)
+    random.Random(number).shuffle(hosts)
+    return [
+        *(sys.executable, "-m", "bramleyspread_standins", kind),
+        f"--name={target.name}",
+        f"--pool={target.pool}",
+        f"--zone={target.zone}",
+        f"--listen={target.address}",
+        f"--seed={seed * 1_000 + number}",
+        f"--ledger={folder / (target.name + '.ledger')}",
+        *(f"--entry-host={host.address}" for host in hosts),
+        *(_list_engine_options(target, number) if target.is_engine else ()),
+    ]
+
+
+def _list_engine_options(target: DemoTarget, number: int) -> list[str]:
+    options = []
+    if number % EMPTY_EVERY:
+        models = target.declared.models
+        options += [f"--model={_write_model(model)}" for model in models]
+    if not target.declared.checks_fencing:
+        options.append("--ignore-fencing")
+    return options
+
+
+def _write_model(model: ModelWanted) -> str:
+    return f"{model.name}:{model.version}:{'+'.join(model.adapters)}"
