Plant fourteen faults and show that a scenario catches each

An empty folder counted as its old self is caught only with the trust in votes taken out too: either mechanism alone holds the promise.

--- a/packages/proof/bramleyspread_proof/_control_process.py
+++ b/packages/proof/bramleyspread_proof/_control_process.py
@@ -5,12 +5,19 @@
 from collections.abc import Callable
 from random import Random
 
-from bramleyspread_control import ControlConfig, ControlHost, ControlMember, MemoryDisk
+from bramleyspread_control import (
+    ControlConfig,
+    ControlHost,
+    ControlMember,
+    CorruptFileError,
+    MemoryDisk,
+)
 from bramleyspread_core import (
     Command,
     CommandResult,
     DocumentsPage,
     DocumentsQuery,
+    Happening,
     PeerMessage,
 )
 from bramleyspread_proof._agenda import Agenda
@@ -58,7 +65,15 @@
         super().start()
         self._replies.clear()
         rng = Random(self.rng.getrandbits(64))
-        self._node = ControlHost.from_config(self._config, self._disk, rng, self.now)
+        try:
+            self._node = ControlHost.from_config(
+                self._config, self._disk, rng, self.now
+            )
+        except CorruptFileError as error:
+            refused = Happening("start-refused", step="load", detail=str(error))
+            self._ledger.note(self._agenda.now, self.name, refused)
+            super().kill()
+            return
         self.every(TICK, self._tick)
 
     def kill(self) -> None:
--- a/packages/proof/bramleyspread_proof/_scenario.py
+++ b/packages/proof/bramleyspread_proof/_scenario.py
@@ -23,6 +23,7 @@
 from bramleyspread_proof._process import Process
 from bramleyspread_proof._steps import (
     Ask,
+    Cross,
     Cut,
     Expect,
     Scenario,
@@ -257,6 +258,13 @@
 
         return self._each(slow.target, slow_down)
 
+    def _do_cross(self, cross: Cross) -> str | None:
+        def mix_up(process: Process) -> None:
+            if isinstance(process, TargetProcess):
+                process.crossing = cross.share
+
+        return self._each(cross.target, mix_up)
+
     def _each(self, name: str, action: ProcessAction) -> str | None:
         found = self.world.find(name)
         if not found and name != LEADER:
--- a/packages/proof/bramleyspread_proof/_steps.py
+++ b/packages/proof/bramleyspread_proof/_steps.py
@@ -71,6 +71,15 @@
     factor: Annotated[float, msgspec.Meta(gt=0, le=1_000)]
 
 
+class Cross(_Part, frozen=True, kw_only=True):
+    """Targets give answers to the wrong calls."""
+
+    #: A target, or a zone.
+    target: str
+    #: Share of their answers.
+    share: Share
+
+
 class Expect(_Part, frozen=True, kw_only=True):
     """What must be true now, over all callers and submissions so far."""
 
@@ -123,6 +132,8 @@
     silence: Silence | UnsetType = UNSET
     #: Targets become slow.
     slow: Slow | UnsetType = UNSET
+    #: Answers are crossed.
+    cross: Cross | UnsetType = UNSET
     #: What must be true.
     expect: Expect | UnsetType = UNSET
 
--- a/packages/proof/bramleyspread_proof/_target_process.py
+++ b/packages/proof/bramleyspread_proof/_target_process.py
@@ -42,7 +42,7 @@
 #: Between two announcements, in seconds.
 ANNOUNCE = 0.5
 #: Shortest and longest run of a call, in seconds.
-RUN_TIME = (0.005, 0.05)
+RUN_TIME = (0.02, 0.4)
 #: Calls that a target runs side by side.
 SLOTS = 8
 
@@ -103,6 +103,8 @@
         self.entry_hosts: Sequence[EntryProcess] = ()
         #: Factor on the time of each run.
         self.slowness = 1.0
+        #: Share of its answers that it gives to another call than the one they are of.
+        self.crossing = 0.0
         self._effects = effects
         self._network = network
         self._ledger = ledger
@@ -172,6 +174,9 @@
         output = Payload(encode_json(Work(work.marker, (*work.trail, call.stage))))
         usage = Usage(target_us=round(seconds * 1_000_000))
         answer = TargetAnswer(call.request, call.stage, call.attempt, output, usage)
+        if self._calls and self.rng.random() < self.crossing:
+            other = self.rng.choice(sorted(self._calls))
+            waiting, self._calls[other] = self._calls[other], waiting
         self._answer(waiting, Done(answer))
 
     def _answer(self, call: _Call, outcome: Outcome) -> None:
--- /dev/null
+++ b/packages/proof/bramleyspread_proof/tests/test_planted.py
@@ -0,0 +1,203 @@
+"""The checks bite: each planted fault is caught by a scenario."""
+
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+from msgspec.structs import replace
+
+import bramleyspread_entry._conclusion as conclusion
+from bramleyspread_control import MemoryDisk
+from bramleyspread_control._documents import DocumentsMachine
+from bramleyspread_control._election import Ballot
+from bramleyspread_control._members import Members
+from bramleyspread_control._store import Store
+from bramleyspread_core import (
+    AnswerRefused,
+    Claimed,
+    DocumentsPage,
+    Fault,
+    NotRun,
+    Reason,
+    SendAnswer,
+    TargetState,
+    Unknown,
+)
+from bramleyspread_entry import EntryDecisions
+from bramleyspread_entry._delivery import Delivery
+from bramleyspread_entry._state import EntryState
+from bramleyspread_membership._documents import DocumentShelf
+from bramleyspread_membership._targets import TargetTable
+from bramleyspread_proof.__main__ import read_documents
+from bramleyspread_proof._scenario import read_scenario, run_scenario
+
+HERE = Path(__file__).parent
+SCENARIOS = HERE.parent / "scenarios"
+DOCUMENTS = read_documents(HERE.parents[3] / "examples" / "consorcio")
+
+Patch = pytest.MonkeyPatch
+
+
+def drop_the_sync(patch: Patch) -> None:
+    patch.setattr(MemoryDisk, "sync", lambda disk, name: None)
+
+
+def commit_without_quorum(patch: Patch) -> None:
+    patch.setattr(Members, "quorum", property(lambda members: 1))
+
+
+def count_empty_disk_as_old_self(patch: Patch) -> None:
+    """Identity is the host's name, and every vote counts as a complete one."""
+    load, join = Store.__init__, Store.join
+    founders: list[Members] = []
+
+    def load_by_name(
+        store: Store, config: Any, disk: Any, rng: Any, now: float
+    ) -> None:
+        named = Random(config.host)
+        load(store, config, disk, named, now)
+
+    def join_as_founder(store: Store, deployment: str, members: Members) -> None:
+        if members.listed:
+            founders[:] = [members]
+        join(store, deployment, members if members.listed else founders[0])
+
+    def count_votes(ballot: Ballot, standing: Any) -> bool:
+        quorum: int = standing.log.members.quorum
+        return len(ballot._given) >= quorum
+
+    patch.setattr(Store, "__init__", load_by_name)
+    patch.setattr(Store, "join", join_as_founder)
+    patch.setattr(Ballot, "wins", count_votes)
+
+
+def skip_compare_and_set(patch: Patch) -> None:
+    put = DocumentsMachine._put
+
+    def accept_any(machine: DocumentsMachine, change: Any) -> Any:
+        held = machine.documents.get(change.document.service)
+        if held is not None:
+            before = replace(held.in_force, version=change.document.version - 1)
+            machine.documents[held.document.service] = replace(held, in_force=before)
+        return put(machine, change)
+
+    patch.setattr(DocumentsMachine, "_put", accept_any)
+
+
+def forget_change_ids(patch: Patch) -> None:
+    put = DocumentsMachine._put
+
+    def forget(machine: DocumentsMachine, change: Any) -> Any:
+        machine._changes.clear()
+        return put(machine, change)
+
+    patch.setattr(DocumentsMachine, "_put", forget)
+
+
+def apply_older_documents(patch: Patch) -> None:
+    def apply(shelf: DocumentShelf, page: DocumentsPage) -> list[Any]:
+        return [shelf._put(document) for document in page.documents]
+
+    def find_page(machine: DocumentsMachine, revision: int) -> DocumentsPage:
+        held = [each.in_force for each in machine.documents.values()]
+        return DocumentsPage(machine.revision, tuple(held))
+
+    patch.setattr(DocumentShelf, "apply", apply)
+    patch.setattr(DocumentsMachine, "find_page", find_page)
+
+
+def retry_an_unknown_outcome(patch: Patch) -> None:
+    ended = EntryDecisions.attempt_ended
+
+    def as_not_run(self: EntryDecisions, attempt: Any, outcome: Any, now: float) -> Any:
+        if isinstance(outcome, Unknown):
+            outcome = NotRun(Fault(Reason.CONNECT, "stage", "target"))
+        return ended(self, attempt, outcome, now)
+
+    patch.setattr(EntryDecisions, "attempt_ended", as_not_run)
+
+
+def dispatch_without_the_claim(patch: Patch) -> None:
+    answered = EntryDecisions.claim_answered
+
+    def granted(self: EntryDecisions, request: Any, result: Any, now: float) -> Any:
+        return answered(self, request, Claimed(), now)
+
+    patch.setattr(EntryDecisions, "claim_answered", granted)
+
+
+def call_everything_refused(patch: Patch) -> None:
+    patch.setattr(
+        conclusion,
+        "choose_answer",
+        lambda run, fault, retry_after_ms: AnswerRefused(fault, retry_after_ms),
+    )
+
+
+def answer_twice(patch: Patch) -> None:
+    emit = EntryState.emit
+
+    def doubled(state: EntryState, effect: Any) -> None:
+        emit(state, effect)
+        if isinstance(effect, SendAnswer):
+            emit(state, effect)
+
+    patch.setattr(EntryState, "emit", doubled)
+
+
+def pass_on_crossed_answers(patch: Patch) -> None:
+    patch.setattr(Delivery, "find_fault", lambda *_: None)
+
+
+def ignore_leaving(patch: Patch) -> None:
+    merge = TargetTable.merge
+
+    def serving(table: TargetTable, announcement: Any, *rest: Any) -> Any:
+        return merge(table, replace(announcement, state=TargetState.SERVING), *rest)
+
+    patch.setattr(TargetTable, "merge", serving)
+
+
+def never_end_a_lease(patch: Patch) -> None:
+    init = TargetTable.__init__
+
+    def longer(table: TargetTable, lease: float, *rest: Any) -> None:
+        init(table, 100 * lease, *rest)
+
+    patch.setattr(TargetTable, "__init__", longer)
+
+
+def end_a_drain_at_once(patch: Patch) -> None:
+    patch.setattr(EntryDecisions, "in_flight", property(lambda decisions: 0))
+
+
+PLANTED = [
+    (drop_the_sync, "power-lost", "submissions ended as"),
+    (commit_without_quorum, "lost-disk-does-not-vote", ""),
+    (count_empty_disk_as_old_self, "lost-disk-does-not-vote", ""),
+    (skip_compare_and_set, "operators-race", "accepted twice"),
+    (forget_change_ids, "resend-after-lost-answer", "Conflict"),
+    (apply_older_documents, "regions-lose-each-other", "never-reverts"),
+    (retry_an_unknown_outcome, "target-killed", "run-at-most-once"),
+    (dispatch_without_the_claim, "entries-killed-twice", "run-at-most-once"),
+    (call_everything_refused, "target-killed", "refused-not-run"),
+    (answer_twice, "steady", "answered-once"),
+    (pass_on_crossed_answers, "answers-crossed", "answered-whole"),
+    (ignore_leaving, "targets-leave", "leaving-left-alone"),
+    (never_end_a_lease, "targets-leave", "leaving-left-alone"),
+    (end_a_drain_at_once, "entry-drained", "stop-cuts-nothing"),
+]
+
+
+@pytest.mark.parametrize(
+    ("plant", "scenario", "seen"), PLANTED, ids=[each[0].__name__ for each in PLANTED]
+)
+def test_planted_fault_is_caught(
+    monkeypatch: Patch, plant: Callable[[Patch], None], scenario: str, seen: str
+) -> None:
+    plant(monkeypatch)
+    verdict = run_scenario(read_scenario(SCENARIOS / f"{scenario}.yaml"), DOCUMENTS)
+    assert not verdict.holds
+    assert any(seen in fault for fault in verdict.faults), verdict.faults[:5]
