--- /dev/null
+++ b/packages/control/bramleyspread_control/tests/test_claims.py
@@ -0,0 +1,115 @@
+"""Tests of the claims' state and of the leader's watch on it."""
+
+from __future__ import annotations
+
+import pytest
+
+from bramleyspread_control import ControlTimings, find_claim_group
+from bramleyspread_control._claim_times import ClaimTimes
+from bramleyspread_control._claims import ClaimsMachine
+from bramleyspread_control._entries import ExpireClaims, ForgetClaims
+from bramleyspread_control.tests._cluster import claim, key, settle
+from bramleyspread_core import (
+    ClaimDone,
+    Claimed,
+    ClaimUnknown,
+    MessageError,
+    Rejected,
+    Settled,
+)
+
+TIMINGS = ControlTimings(claim_retention=100.0, claim_grace=1.0)
+
+
+def make_machine(most: int = 10, most_bytes: int = 1_000) -> ClaimsMachine:
+    return ClaimsMachine(most, most_bytes)
+
+
+def run_watch(machine: ClaimsMachine, times: ClaimTimes, now: float) -> list[str]:
+    kinds = []
+    for change in times.find_due(now):
+        machine.apply(change)
+        kinds.append(type(change).__name__)
+    return kinds
+
+
+def test_a_full_table_refuses_and_forgets_nothing_early() -> None:
+    machine = make_machine(most=2)
+    for number in (1, 2):
+        assert machine.apply(claim(f"r{number}", f"k{number}")) == Claimed()
+        assert machine.apply(settle(f"r{number}", "done", f"k{number}")) == Settled()
+    assert isinstance(machine.apply(claim("r3", "k3")), Rejected)
+    assert isinstance(machine.apply(claim("r4", "k1")), ClaimDone)
+    machine.apply(ForgetClaims(1))
+    assert machine.apply(claim("r5", "k3")) == Claimed()
+    assert isinstance(machine.apply(claim("r6", "k2")), ClaimDone)
+
+
+def test_answers_are_bounded_by_their_bytes() -> None:
+    machine = make_machine(most_bytes=10)
+    machine.apply(claim("r1"))
+    machine.apply(settle("r1", "done"))
+    assert isinstance(machine.apply(claim("r2", "k2")), Rejected)
+    machine.apply(ForgetClaims(1))
+    assert machine.answer_bytes == 0
+    assert machine.apply(claim("r2", "k2")) == Claimed()
+
+
+def test_finished_claims_are_kept_for_the_whole_retention() -> None:
+    machine, now = make_machine(), 0.0
+    times = ClaimTimes(machine, TIMINGS, now)
+    machine.apply(claim("r1"))
+    machine.apply(settle("r1", "done"))
+    run_watch(machine, times, 1.0)
+    assert run_watch(machine, times, 100.9) == []
+    successor = ClaimTimes(machine, TIMINGS, 100.9)
+    run_watch(machine, successor, 100.9)
+    assert run_watch(machine, successor, 200.5) == []
+    assert run_watch(machine, successor, 201.0) == [ForgetClaims.__name__]
+    assert machine.apply(claim("r2")) == Claimed()
+
+
+def test_running_claims_end_after_their_time_and_grace() -> None:
+    machine = make_machine()
+    times = ClaimTimes(machine, TIMINGS, 0.0)
+    machine.apply(claim("r1", ms=500))
+    run_watch(machine, times, 1.0)
+    assert run_watch(machine, times, 2.4) == []
+    assert run_watch(machine, times, 2.6) == [ExpireClaims.__name__]
+    assert machine.apply(claim("r2")) == ClaimUnknown(claim("r1").request)
+
+
+def test_an_expiry_of_a_former_holder_changes_nothing() -> None:
+    machine = make_machine()
+    times = ClaimTimes(machine, TIMINGS, 0.0)
+    machine.apply(claim("r1", ms=500))
+    times.find_due(1.0)
+    late = times.find_due(9.0)
+    machine.apply(settle("r1", "not-run"))
+    machine.apply(claim("r2"))
+    for change in late:
+        machine.apply(change)
+    assert machine.apply(claim("r2")) == Claimed()
+
+
+def test_state_comes_back_from_a_snapshot() -> None:
+    machine = make_machine()
+    for number, ended in enumerate(("done", "unknown", "not-run")):
+        machine.apply(claim(f"r{number}", f"k{number}"))
+        machine.apply(settle(f"r{number}", ended, f"k{number}"))
+    machine.apply(claim("r9", "k9"))
+    copy = make_machine()
+    copy.restore(machine.encode())
+    assert copy.encode() == machine.encode()
+    assert copy.running == machine.running
+    assert list(copy.finished) == list(machine.finished)
+    assert copy.answer_bytes == machine.answer_bytes
+    assert isinstance(copy.apply(claim("r2", "k2")), Rejected)
+    with pytest.raises(MessageError):
+        copy.restore(b"[]")
+    assert copy.encode() == machine.encode()
+
+
+def test_groups_of_keys_never_change() -> None:
+    groups = [find_claim_group(key(f"k{number}"), 4) for number in range(8)]
+    assert groups == [1, 2, 4, 1, 2, 2, 1, 2]
--- /dev/null
+++ b/packages/control/bramleyspread_control/tests/test_following.py
@@ -0,0 +1,72 @@
+"""Tests of replicas that lag: batches, snapshots in pieces, lost messages."""
+
+from __future__ import annotations
+
+import crc32c
+import msgspec
+import pytest
+
+from bramleyspread_control import ControlTimings
+from bramleyspread_control._documents import DocumentsMachine
+from bramleyspread_control._entries import Entry, Noop
+from bramleyspread_control._messages import Append, SnapshotPiece
+from bramleyspread_control.tests._cluster import Cluster, document
+from bramleyspread_control.tests.test_leading import MEMBERS, B, make_replica
+from bramleyspread_core import Accepted, SubmitDocument
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.3])
+@pytest.mark.parametrize("log_kept", [1, 500])
+def test_a_replica_far_behind_gets_everything(loss: float, log_kept: int) -> None:
+    """Seven documents of 200 kB are several pieces, and several batches."""
+    timings = ControlTimings(snapshot_every=4, log_kept=log_kept)
+    cluster = Cluster(3, timings=timings)
+    leader = cluster.run_until_led()
+    behind = next(name for name in "abc" if name != leader)
+    cluster.kill(behind)
+    padding = f"# {'x' * 200_000}\n"
+    for number in range(7):
+        text = document(f"s{number}", extra=padding)
+        submitted = SubmitDocument(f"c{number}", "ana", text)
+        assert isinstance(cluster.call(submitted), Accepted)
+    cluster.run(1.0)
+    cluster.loss = loss
+    cluster.start(behind)
+    cluster.run(10.0)
+    assert len(cluster.nodes[behind].list_documents()) == 7
+    kinds = {each.kind for _, host, each in cluster.happenings if host == behind}
+    assert ("snapshot-installed" in kinds) == (log_kept == 1)
+
+
+GOOD = Entry.from_change(1, 3, Noop())
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        msgspec.structs.replace(GOOD, index=3),
+        msgspec.structs.replace(GOOD, term=9),
+        msgspec.structs.replace(GOOD, change=msgspec.Raw(b"{}")),
+        msgspec.structs.replace(GOOD, change=msgspec.Raw(b'{"type":"claim"}')),
+    ],
+)
+def test_entries_that_make_no_sense_are_refused(entry: Entry) -> None:
+    replica = make_replica()
+    replica.receive(B, Append(0, 3, 0, 0, (GOOD, entry), 0, True, 1.0), 1.0, True)
+    assert replica.log.last_index == 0
+    assert [each.kind for each in replica.standing.happenings] == ["message-refused"]
+
+
+@pytest.mark.parametrize("fault", ["", "checksum", "content"])
+def test_a_snapshot_is_taken_whole_and_sound(fault: str) -> None:
+    replica = make_replica()
+    data = DocumentsMachine(10).encode() if fault != "content" else b"[]"
+    checksum = crc32c.crc32c(data) + (fault == "checksum")
+    halves = (0, data[:1]), (1, data[1:])
+    for offset, half in halves:
+        piece = SnapshotPiece(
+            0, 3, 7, 2, MEMBERS, len(data), checksum, offset, half, 1.0
+        )
+        replica.receive(B, piece, 1.0, True)
+    assert replica.log.last_index == (0 if fault else 7)
+    assert replica.following.replaced == (not fault)
