--- a/packages/proof/bramleyspread_proof/_bench_daemon.py
+++ b/packages/proof/bramleyspread_proof/_bench_daemon.py
@@ -9,7 +9,7 @@
 import tempfile
 import time
 from collections.abc import Iterator, Sequence
-from contextlib import ExitStack
+from contextlib import ExitStack, contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -25,7 +25,12 @@
     decode_json,
     encode_json,
 )
-from bramleyspread_proof._daemon_load import POOLS, SERVICE, post
+from bramleyspread_proof._daemon_load import (
+    POOLS,
+    SERVICE,
+    TARGETS_EACH,
+    post,
+)
 from bramleyspread_proof._figures import Figure
 
 BENCH = "daemon"
@@ -40,10 +45,14 @@
 LOAD_S = 8.0
 #: Caller processes and target processes.
 LOADERS = 2
+#: How long the idle process is watched, in seconds.
+IDLE_S = 4.0
 #: Connections opened to see what an idle one costs.
 IDLE = 1_000
 #: Requests held back to see what a waiting one costs.
 WAITING = 400
+#: Time for connections and requests to be taken, in seconds.
+SETTLE_S = 1.5
 #: Time that processes have to come up or go, in seconds.
 UP_S = 15.0
 
@@ -53,12 +62,31 @@
 
     :returns: the figures.
     """
-    with ExitStack() as stack:
-        folder = tempfile.TemporaryDirectory(prefix="bramleyspread-bench-")
-        rig = _Rig(Path(stack.enter_context(folder)), stack)
+    # Freed memory is used again, so each figure of memory has its own process.
+    with _start_rig() as rig:
+        yield _measure_memory(rig, "an idle connection", IDLE, b"")
+    with _start_rig() as rig:
+        held = rig.write_request("hold")
+        yield _measure_memory(rig, "a waiting request", WAITING, held)
+    with _start_rig() as rig:
+        yield from _measure_idle(rig)
         yield from _measure_load(rig)
         yield from _measure_slopes(rig)
-        yield from _measure_memory(rig)
+
+
+@contextmanager
+def _start_rig() -> Iterator[_Rig]:
+    with ExitStack() as stack:
+        folder = tempfile.TemporaryDirectory(prefix="bramleyspread-bench-")
+        yield _Rig(Path(stack.enter_context(folder)), stack)
+
+
+def _measure_idle(rig: _Rig) -> Iterator[Figure]:
+    began = rig.read_processor()
+    time.sleep(IDLE_S)
+    spent = (rig.read_processor() - began) / IDLE_S
+    what = f"processor idle, {LOADERS * TARGETS_EACH * len(POOLS)} targets"
+    yield Figure(BENCH, what, round(spent, 4), "cores")
 
 
 def _measure_load(rig: _Rig) -> Iterator[Figure]:
@@ -71,6 +99,7 @@
     yield at_most(BENCH, "gap p95", load.gap_p95, "ms", GAP_MS)
     yield Figure(BENCH, "token delay p95", load.delay_p95, "ms")
     yield at_most(BENCH, "processor", load.processor, "cores", 1.0)
+    yield Figure(BENCH, "waited for a core", load.waited, "s/s")
 
 
 def _measure_slopes(rig: _Rig) -> Iterator[Figure]:
@@ -85,21 +114,16 @@
     yield Figure(BENCH, "processor a request besides", round(rest, 1), "us")
 
 
-def _measure_memory(rig: _Rig) -> Iterator[Figure]:
-    for name, count, text in (
-        ("idle connection", IDLE, b""),
-        ("waiting request", WAITING, rig.write_request("hold")),
-    ):
-        before = rig.read_memory()
-        connected = [socket.create_connection(rig.entry) for _ in range(count)]
-        for each in connected:
-            each.sendall(text)
-        time.sleep(1.0)
-        grown = (rig.read_memory() - before) / count
-        for each in connected:
-            each.close()
-        time.sleep(1.0)
-        yield Figure(BENCH, f"memory of a {name}", round(grown, 2), "KiB")
+def _measure_memory(rig: _Rig, name: str, count: int, text: bytes) -> Figure:
+    before = rig.read_memory()
+    connected = [socket.create_connection(rig.entry) for _ in range(count)]
+    for each in connected:
+        each.sendall(text)
+    time.sleep(SETTLE_S)
+    grown = (rig.read_memory() - before) / count
+    for each in connected:
+        each.close()
+    return Figure(BENCH, f"memory of {name}", round(grown, 2), "KiB")
 
 
 class _Load(msgspec.Struct):
@@ -119,6 +143,8 @@
     delay_p95: float
     #: Cores' worth of processor time of the entry process while loaded.
     processor: float
+    #: Time that it was ready to run and got no core, a second of sending.
+    waited: float
     #: Its processor time a request, in microseconds.
     per_request: float
 
@@ -190,6 +216,7 @@
     def load(self, pipeline: str, rate: float, seconds: float) -> _Load:
         """Load the entry process for some time."""
         began = self.read_processor()
+        waited = self.read_wait()
         each = (str(rate / LOADERS), str(seconds))
         started = [
             self._start_load("callers", str(self._address), pipeline, *each)
@@ -209,6 +236,7 @@
             gap_p95=_find_p95(told, "gaps"),
             delay_p95=_find_p95(told, "delays"),
             processor=round(spent / seconds, 3),
+            waited=round((self.read_wait() - waited) / seconds, 3),
             per_request=spent / counts["sent"] * 1e6,
         )
 
@@ -225,6 +253,11 @@
         fields = Path(f"/proc/{self._daemon.pid}/stat").read_text().split()
         return (int(fields[13]) + int(fields[14])) / 100
 
+    def read_wait(self) -> float:
+        """Read how long it was ready to run and got no core, in seconds."""
+        text = Path(f"/proc/{self._daemon.pid}/schedstat").read_text()
+        return int(text.split()[1]) / 1e9
+
     def read_memory(self) -> float:
         """Read the entry process's memory, in KiB."""
         status = Path(f"/proc/{self._daemon.pid}/status").read_text()
