--- a/packages/entry/bramleyspread_entry/_stages.py
+++ b/packages/entry/bramleyspread_entry/_stages.py
@@ -11,13 +11,13 @@
     Outcome,
     Reason,
     StreamToken,
+    TargetView,
     Unknown,
 )
 from bramleyspread_entry._attempts import Attempt, AttemptKind
 from bramleyspread_entry._conclusion import Conclusion
 from bramleyspread_entry._delivery import Delivery
-from bramleyspread_entry._dispatch import TYPICAL_SHARE, Dispatcher
-from bramleyspread_entry._occupancy import PoolState
+from bramleyspread_entry._dispatch import Dispatcher
 from bramleyspread_entry._pipeline import Run
 from bramleyspread_entry._state import EntryState, TimerKind
 
@@ -131,14 +131,14 @@
         alone = len(run.live) == 1 and run.speaker is None
         if run.answered or not alone or run.tries >= self._state.config.max_tries:
             return
-        state = self._state.policies.occupancy.read(run.pool, now)
-        if not _has_room(state):
-            return
         view = self._dispatcher.choose(run, now)
         if view is None or view.announcement.target in run.tried:
             return
-        if self._state.policies.budget.spend():
+        if _has_room(view) and self._state.policies.budget.spend():
             self._dispatcher.send(run, AttemptKind.HEDGE, view, now)
+        else:
+            due = now + self._state.config.hedge_pause
+            self._state.timers.set((TimerKind.HEDGE, attempt.id), due)
 
     def _take_answer(self, run: Run, attempt: Attempt, done: Done, now: float) -> None:
         state, answer = self._state, done.answer
@@ -183,7 +183,7 @@
             self._conclusion.give_up(run, fault, now)
             return
         config, policies = self._state.config, self._state.policies
-        typical = policies.times.quantile(run.key, TYPICAL_SHARE, now) or 0.0
+        typical = policies.times.typical(run.key, now) or 0.0
         if run.tries >= config.max_tries or now + typical >= run.deadline:
             self._conclusion.give_up(run, fault, now, retry_after_ms)
         elif not policies.budget.spend():
@@ -228,7 +228,7 @@
     def _credit_target(self, run: Run, attempt: Attempt, now: float) -> None:
         policies = self._state.policies
         took = now - attempt.sent_at
-        typical = policies.times.quantile(run.key, TYPICAL_SHARE, now)
+        typical = policies.times.typical(run.key, now)
         relative = took / typical if typical else None
         policies.outliers.succeeded(attempt.target, relative, now)
         policies.times.record(run.key, took, now)
@@ -265,6 +265,7 @@
         return Fault(reason, run.stage.name, "-", detail)
 
 
-def _has_room(state: PoolState) -> bool:
-    """Whether a pool has room for added work."""
-    return state.occupied < state.slots
+def _has_room(view: TargetView) -> bool:
+    """Whether a target has a slot free for added work, by its own report."""
+    load = view.announcement.load
+    return load.running + load.waiting < load.slots
