--- /dev/null
+++ b/packages/proof/bramleyspread_proof/_experiment_main.py
@@ -0,0 +1,111 @@
+"""The command behind ``scripts/experiment``."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+from bramleyspread_core import encode_json
+from bramleyspread_proof._experiment import Experiment, Setting
+from bramleyspread_proof._experiment_faults import FAULTS, Times
+from bramleyspread_proof._experiment_plot import draw_plot
+from bramleyspread_proof._experiment_policies import POLICIES
+from bramleyspread_proof._experiment_report import (
+    Group,
+    group_results,
+    judge_goals,
+    write_table,
+)
+from bramleyspread_proof._experiment_results import Result
+from bramleyspread_proof._sizes import SIZES, Size
+
+#: Runs of a deployment of today, each with the next seed.
+TODAY_RUNS = 3
+#: When the parts of a run begin, at today's sizes and scaled.
+TODAY_TIMES = Times(counted=5.0, fault=15.0, healed=30.0, end=42.0)
+SCALED_TIMES = Times(counted=4.0, fault=9.0, healed=14.0, end=19.0)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the experiment and write its page and plot.
+
+    :param arguments: the command line, without the program's name.
+    :returns: 0; missed goals are on the page.
+    """
+    parser = argparse.ArgumentParser(
+        prog="scripts/experiment",
+        description="Compare the policies with simple ones under load and faults, "
+        "in virtual time. Writes EXPERIMENT.md and experiment.svg.",
+    )
+    names = [size.name for size in SIZES]
+    parser.add_argument("--seed", type=int, default=1, help="decides all chance")
+    parser.add_argument("--size", action="append", choices=names, help="default: all")
+    parser.add_argument("--fault", action="append", choices=list(FAULTS))
+    parser.add_argument("--policy", action="append", choices=list(POLICIES))
+    parser.add_argument("--jobs", type=int, default=2, help="runs at the same time")
+    parser.add_argument("--out", type=Path, default=Path("docs"), help="folder")
+    options = parser.parse_args(arguments)
+    settings = [
+        setting
+        for size in SIZES
+        if size.name in (options.size or names)
+        for fault in options.fault or FAULTS
+        for policy in options.policy or POLICIES
+        for setting in _plan(size, fault, policy, options.seed)
+    ]
+    results = list(_run_all(settings, options.jobs))
+    groups = group_results(results)
+    options.out.mkdir(parents=True, exist_ok=True)
+    page = "\n".join(_write_page(groups, options.seed))
+    (options.out / "EXPERIMENT.md").write_text(page)
+    (options.out / "experiment.svg").write_text(draw_plot(groups))
+    return 0
+
+
+def _plan(size: Size, fault: str, policy: str, seed: int) -> list[Setting]:
+    today = size.name in ("lima", "hcm-south")
+    times = TODAY_TIMES if today else SCALED_TIMES
+    runs = TODAY_RUNS if today else 1
+    return [Setting(size, fault, policy, seed + run, times) for run in range(runs)]
+
+
+def run_one(setting: Setting) -> Result:
+    """Run one setting.
+
+    :param setting: what to run.
+    :returns: what was measured.
+    """
+    return Experiment(setting).run()
+
+
+def _run_all(settings: Sequence[Setting], jobs: int) -> Iterator[Result]:
+    with ProcessPoolExecutor(max_workers=jobs) as pool:
+        for result in pool.map(run_one, settings):
+            sys.stdout.write(encode_json(result).decode() + "\n")
+            sys.stdout.flush()
+            yield result
+
+
+def _write_page(groups: Sequence[Group], seed: int) -> Iterator[str]:
+    yield "# Policies under load and faults"
+    yield ""
+    yield f"Written by `scripts/experiment --seed {seed}`; the same seed, the same"
+    yield "figures. How it is set up and read: [REQUESTS.md](REQUESTS.md)."
+    yield "Virtual time over a small queueing fake of the targets: the figures compare"
+    yield "policies; they are no measure of real engines."
+    yield ""
+    yield "![attainment by second](experiment.svg)"
+    for name in dict.fromkeys(group.size for group in groups):
+        its = [group for group in groups if group.size == name]
+        yield from ("", f"## {name}", "", "Goals:", "")
+        yield from judge_goals(its)
+        yield from ("", "Runs:", "")
+        yield from write_table(its)
+    yield ""
+
+
+if __name__ == "__main__":
+    sys.exit(main())
