Extrapolate only what chance does not explain of a host's own work

Cause: a host's change since the last reports counted for each of eight hosts, so that one or two requests more on one host looked like a full pool. Ruled out: shares (hardly any of the refused were beyond theirs). Change: the part of the change within one standard deviation counts for this host alone.

--- a/packages/entry/bramleyspread_entry/_occupancy.py
+++ b/packages/entry/bramleyspread_entry/_occupancy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -96,7 +97,7 @@
         own = self._own[pool]
         if now >= look.at + LOOK_PAUSE:
             self._look(pool, look, own, now)
-        since = (own - look.own_then) * self._hosts
+        since = extrapolate(own - look.own_then, look.own_then, self._hosts)
         occupied = max(float(own), look.reported + since)
         own_slots = look.slots / max(1, self._hosts)
         return PoolState(look.targets, look.slots, occupied, own_slots, own)
@@ -132,3 +133,22 @@
         if at <= as_of:
             return own
     return history[0][1]
+
+
+def extrapolate(change: int, before: int, hosts: int) -> float:
+    """Extrapolate a change of this host's work to that of all hosts.
+
+    What chance alone may have done counts for this host only; what goes beyond
+    it has a common cause and counts for each host.
+
+    :param change: how this host's requests changed.
+    :param before: how many they were.
+    :param hosts: how many hosts there are.
+    :returns: how all hosts' requests are taken to have changed.
+
+    >>> extrapolate(2, 4, 8), extrapolate(12, 4, 8), extrapolate(-12, 4, 8)
+    (2.0, 82.0, -82.0)
+    """
+    by_chance = min(abs(change), math.sqrt(max(1, before)))
+    common = abs(change) - by_chance
+    return math.copysign(by_chance + hosts * common, change)
