Give prefixes homes across zones in small pools, and blame what lost to a hedge

Cause: with three engines a zone, caches of a zone held a part of the prefixes only. Change: in pools up to 16 targets all hosts draw the same two homes; only first attempts follow them; the target whose attempt lost to a later one is suspected and its pooled connections dropped.

--- a/packages/entry/bramleyspread_entry/_choice.py
+++ b/packages/entry/bramleyspread_entry/_choice.py
@@ -29,6 +29,8 @@
 AFFINITY_MARGIN = 0.5
 #: Load up to which it does so at all, in shares of slots.
 AFFINITY_BOUND = 0.8
+#: Most targets of a pool in which all zones share the homes of prefixes.
+SMALL_POOL = 16
 #: Age beyond which own sends are forgotten whatever was reported, in seconds.
 SENT_AGE = 5.0
 
@@ -296,10 +298,7 @@
         All hosts that share a slice draw a prefix to the same targets of it, so
         that they fill few caches with it.
         """
-        part = own if own.size else Slice(0, len(views), len(views))
-        drawn = xxhash.xxh3_64_intdigest(need.prefix)
-        first = views[part.place(drawn % part.size)]
-        second = views[part.place((drawn >> 32) % part.size)]
+        first, second = _draw_homes(need.prefix, views, own)
         held = self._hints.find(need.pool, need.prefix, views, now)
         for view in (first, held, second):
             if view is None or not self._is_good(view, need, now):
@@ -309,3 +308,25 @@
             if held_load <= bound:
                 return view
         return best
+
+
+def _draw_homes(
+    prefix: str, views: Sequence[TargetView], own: Slice
+) -> tuple[TargetView, TargetView]:
+    """Draw the two targets that a prefix belongs to first.
+
+    In a small pool all hosts of all zones draw the same ones; in a large one
+    those that share a slice do.
+    """
+    if len(views) <= SMALL_POOL:
+        order = sorted(
+            views,
+            key=lambda view: xxhash.xxh3_64_intdigest(
+                f"{prefix} {view.announcement.target}"
+            ),
+        )
+        return order[0], order[min(1, len(order) - 1)]
+    part = own if own.size else Slice(0, len(views), len(views))
+    drawn = xxhash.xxh3_64_intdigest(prefix)
+    first, second = drawn % part.size, (drawn >> 32) % part.size
+    return views[part.place(first)], views[part.place(second)]
--- a/packages/entry/bramleyspread_entry/_dispatch.py
+++ b/packages/entry/bramleyspread_entry/_dispatch.py
@@ -36,12 +36,16 @@
     def choose(self, run: Run, now: float) -> TargetView | None:
         """Choose a target for the stage that a request is at.
 
+        Only the first attempt follows its prefix; a later one goes where it is
+        likeliest to be answered.
+
         :param run: the request.
         :param now: monotonic seconds.
         :returns: the target, or None when none is usable.
         """
         views = self._state.directory.list_usable(run.pool, now)
-        need = Need(run.pool, run.stage, self.name_prefix(run), run.tried)
+        prefix = "" if run.tried else self.name_prefix(run)
+        need = Need(run.pool, run.stage, prefix, run.tried)
         return self._state.policies.choice.choose(need, views, now)
 
     def send(self, run: Run, kind: AttemptKind, view: TargetView, now: float) -> None:
--- a/packages/entry/bramleyspread_entry/_stages.py
+++ b/packages/entry/bramleyspread_entry/_stages.py
@@ -219,11 +219,17 @@
             self._state.timers.set((TimerKind.HEDGE, newest), now + delay)
 
     def _cancel_others(self, run: Run, winner: Attempt, now: float) -> None:
+        """Cancel the losers of a race; an earlier one lost by being too late."""
+        state = self._state
         for attempt in tuple(run.live.values()):
-            if attempt.id != winner.id:
-                self._dispatcher.cancel(run, attempt, now)
+            if attempt.id == winner.id:
+                continue
+            self._dispatcher.cancel(run, attempt, now)
+            if attempt.sent_at < winner.sent_at:
+                state.policies.outliers.failed(attempt.target, Reason.SILENT, now)
                 if not attempt.fresh_connection:
-                    self._state.emit(DropConnections(attempt.address, attempt.id))
+                    state.suspects.suspect(attempt.target)
+                    state.emit(DropConnections(attempt.address, attempt.id))
 
     def _credit_target(self, run: Run, attempt: Attempt, now: float) -> None:
         policies = self._state.policies
