--- a/packages/standins/bramleyspread_standins/_demo.py
+++ b/packages/standins/bramleyspread_standins/_demo.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import logging
 import random
 import signal
 import tempfile
@@ -254,6 +255,7 @@
     :returns: the exit code.
     """
     options = make_parser().parse_args(arguments)
+    logging.getLogger("curio").setLevel(logging.ERROR)
     for number in (signal.SIGTERM, signal.SIGHUP):
         signal.signal(number, _stop_on_signal)
     with tempfile.TemporaryDirectory(prefix="bramleyspread-demo-") as temporary:
