Let one slow trial exclude a target again

Cause: a target excluded for slowness that answered its trial slowly again was neither excluded nor taken back, so it got an attempt a second until four more slow answers had come; the class says that the pause doubles with each failed trial. Ruled out: that failures had the same gap (they exclude at once on trial). Change: an answer at SLOW_FACTOR or more on trial excludes at once. Shown: tests/test_outliers.py (new; the module had none): 1 failed, 3 passed before, 4 passed after.

--- a/packages/entry/bramleyspread_entry/_outliers.py
+++ b/packages/entry/bramleyspread_entry/_outliers.py
@@ -107,9 +107,11 @@
         health.answers += 1
         if relative is not None:
             health.relative += NEWEST_WEIGHT * (relative - health.relative)
-        if health.relative >= SLOW_FACTOR and health.answers >= SLOW_ANSWERS:
+        slow = health.relative >= SLOW_FACTOR and health.answers >= SLOW_ANSWERS
+        on_trial = health.exclusions > 0
+        if slow or (on_trial and relative is not None and relative >= SLOW_FACTOR):
             self._exclude(health, now)
-        elif health.exclusions and (relative is None or relative < SLOW_FACTOR):
+        elif on_trial:
             del self._health[target]
 
     def failed(self, target: TargetName, reason: Reason, now: float) -> None:
