--- a/packages/daemon/bramleyspread_daemon/_attempts.py
+++ b/packages/daemon/bramleyspread_daemon/_attempts.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 import h11
-import msgspec
 
 from bramleyspread_core import (
     Address,
@@ -13,8 +12,6 @@
     CancelAttempt,
     CancelCall,
     Dispatch,
-    Done,
-    Fault,
     MessageError,
     NotRun,
     Outcome,
@@ -28,7 +25,17 @@
 )
 from bramleyspread_daemon._client import ClientConnection, ClosedError, UnsentError
 from bramleyspread_daemon._clock import read_monotonic
-from bramleyspread_daemon._events import EventReader, StreamEvent
+from bramleyspread_daemon._events import EventReader
+from bramleyspread_daemon._outcomes import (
+    Attempt,
+    CrossedError,
+    check_answer,
+    check_refusal,
+    end_stream,
+    ended_whole,
+    is_event_stream,
+    read_token,
+)
 from bramleyspread_daemon._pool import CONNECT_S, ConnectionPool
 
 #: Where targets take calls.
@@ -44,37 +51,6 @@
 #: Takes the tokens of streaming attempts.
 TokenTaker = Callable[[AttemptId, Sequence[StreamToken]], Awaitable[None]]
 
-_token_decoder = msgspec.json.Decoder(StreamToken)
-
-
-class _CrossedError(Exception):
-    """The answer names another request, stage or attempt."""
-
-
-class _Attempt:
-    """An attempt on its way."""
-
-    __slots__ = ("cancelled", "connection", "dispatch", "expires", "progress", "why")
-
-    def __init__(self, dispatch: Dispatch, now: float) -> None:
-        #: What to do.
-        self.dispatch = dispatch
-        #: The connection that carries it, once there is one.
-        self.connection: ClientConnection | None = None
-        #: When it is given up, in monotonic seconds.
-        self.expires = now + dispatch.timeout
-        #: When the last byte came, in monotonic seconds.
-        self.progress = now
-        #: Whether nobody wants its outcome any more.
-        self.cancelled = False
-        #: Why this side cut its connection; None when it did not.
-        self.why: Fault | None = None
-
-    def blame(self, reason: Reason, detail: str) -> Fault:
-        """Make a fault of this attempt's stage and target."""
-        call = self.dispatch.call
-        return Fault(reason, call.stage, self.dispatch.target, detail)
-
 
 class AttemptRunner:
     """Runs attempts over pooled connections.
@@ -87,7 +63,7 @@
     def __init__(self, pool: ConnectionPool, on_tokens: TokenTaker) -> None:
         self._pool = pool
         self._on_tokens = on_tokens
-        self._attempts: dict[AttemptId, _Attempt] = {}
+        self._attempts: dict[AttemptId, Attempt] = {}
         self._swept_at = 0.0
         #: Answers that named another attempt, so far.
         self.crossed = 0
@@ -108,7 +84,7 @@
         :param on_end: awaited with the outcome, unless it was cancelled.
         """
         name = dispatch.call.attempt
-        attempt = _Attempt(dispatch, read_monotonic())
+        attempt = Attempt(dispatch, read_monotonic())
         self._attempts[name] = attempt
         try:
             outcome = await self._run_to_end(attempt)
@@ -117,7 +93,7 @@
         finally:
             del self._attempts[name]
 
-    async def _run_to_end(self, attempt: _Attempt) -> Outcome:
+    async def _run_to_end(self, attempt: Attempt) -> Outcome:
         dispatch = attempt.dispatch
         limit = min(CONNECT_S, dispatch.progress_timeout, dispatch.timeout)
         try:
@@ -132,7 +108,7 @@
             if attempt.cancelled:
                 return NotRun(attempt.blame(Reason.CANCELLED, "before it was sent"))
             outcome = await self._talk(attempt, connection)
-            whole = attempt.why is None and _ended_whole(outcome)
+            whole = attempt.why is None and ended_whole(outcome)
         finally:
             if whole:
                 await self._pool.give_back(connection)
@@ -140,7 +116,7 @@
                 await connection.close()
         return outcome
 
-    async def _talk(self, attempt: _Attempt, connection: ClientConnection) -> Outcome:
+    async def _talk(self, attempt: Attempt, connection: ClientConnection) -> Outcome:
         attempt.progress = read_monotonic()
         try:
             body = encode_json(attempt.dispatch.call)
@@ -154,28 +130,28 @@
         except (h11.RemoteProtocolError, MessageError) as error:
             broken = attempt.blame(Reason.PROTOCOL, str(error))
             return Unknown(attempt.why or broken)
-        except _CrossedError as error:
+        except CrossedError as error:
             self.crossed += 1
             return Unknown(attempt.blame(Reason.CROSSED, str(error)))
 
     async def _read_outcome(
-        self, attempt: _Attempt, connection: ClientConnection
+        self, attempt: Attempt, connection: ClientConnection
     ) -> Outcome:
         head = await connection.read_head()
         attempt.progress = read_monotonic()
         status = head.status_code
-        if status == 200 and _is_event_stream(head):
+        if status == 200 and is_event_stream(head):
             return await self._read_stream(attempt, connection)
         body = await connection.read_body()
         if status == 200:
-            return _check_answer(attempt, decode_json(body, TargetAnswer))
+            return check_answer(attempt, decode_json(body, TargetAnswer))
         if status == 503:
-            return _check_refusal(attempt, decode_json(body, TargetRefusal))
+            return check_refusal(attempt, decode_json(body, TargetRefusal))
         detail = f"status {status}: {body[:200].decode('utf-8', 'replace')}"
         return Unknown(attempt.blame(Reason.TARGET, detail))
 
     async def _read_stream(
-        self, attempt: _Attempt, connection: ClientConnection
+        self, attempt: Attempt, connection: ClientConnection
     ) -> Outcome:
         reader = EventReader()
         name = attempt.dispatch.call.attempt
@@ -187,9 +163,9 @@
                 if outcome is not None:
                     raise MessageError("events behind the end of the stream")
                 if event.kind == "":
-                    tokens.append(_read_token(name, event.data))
+                    tokens.append(read_token(name, event.data))
                 else:
-                    outcome = _end_stream(attempt, event)
+                    outcome = end_stream(attempt, event)
             if tokens:
                 await self._on_tokens(name, tokens)
         if outcome is None:
@@ -253,51 +229,3 @@
                 attempt.why = attempt.blame(Reason.DEADLINE, detail)
             if attempt.why is not None:
                 attempt.connection.abort()
-
-
-def _ended_whole(outcome: Outcome) -> bool:
-    """Whether the response was read to its end and made sense."""
-    if isinstance(outcome, Done):
-        return True
-    if isinstance(outcome, NotRun):
-        return outcome.fault.reason is Reason.REFUSED
-    return outcome.fault.reason is Reason.TARGET
-
-
-def _is_event_stream(head: h11.Response) -> bool:
-    return any(
-        name == b"content-type" and value.startswith(b"text/event-stream")
-        for name, value in head.headers
-    )
-
-
-def _read_token(name: AttemptId, data: bytes) -> StreamToken:
-    try:
-        token = _token_decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise MessageError(str(error)) from None
-    if token.attempt != name:
-        raise _CrossedError(f"a token of attempt {token.attempt}")
-    return token
-
-
-def _end_stream(attempt: _Attempt, event: StreamEvent) -> Outcome:
-    if event.kind == "end":
-        return _check_answer(attempt, decode_json(event.data, TargetAnswer))
-    detail = f"{event.kind}: {event.data[:200].decode('utf-8', 'replace')}"
-    return Unknown(attempt.blame(Reason.TARGET, detail))
-
-
-def _check_answer(attempt: _Attempt, answer: TargetAnswer) -> Outcome:
-    call = attempt.dispatch.call
-    own = (call.request, call.stage, call.attempt)
-    named = (answer.request, answer.stage, answer.attempt)
-    if named != own:
-        raise _CrossedError(f"an answer to {'/'.join(named)}")
-    return Done(answer)
-
-
-def _check_refusal(attempt: _Attempt, refusal: TargetRefusal) -> Outcome:
-    if refusal.attempt != attempt.dispatch.call.attempt:
-        raise _CrossedError(f"a refusal of attempt {refusal.attempt}")
-    return NotRun(attempt.blame(Reason.REFUSED, refusal.why), refusal.retry_after_ms)
--- a/packages/daemon/bramleyspread_daemon/_callers.py
+++ b/packages/daemon/bramleyspread_daemon/_callers.py
@@ -25,7 +25,7 @@
 )
 from bramleyspread_daemon._events import write_event
 from bramleyspread_daemon._exchange import JSON_TYPE, HttpRequest, Reply
-from bramleyspread_daemon._refusal import Refusal
+from bramleyspread_daemon._refusal import Refusal, write_retry
 
 #: Callers' paths begin with this; service and pipeline follow.
 SERVICES_PREFIX = "/v1/services/"
@@ -167,7 +167,10 @@
             self._reply.send_piece(write_event(body, "error"))
             self._reply.end()
         else:
-            self._reply.send(status, body, (JSON_TYPE, *_write_retry(answer)))
+            wait_ms = 0
+            if not isinstance(answer, AnswerUnknown):
+                wait_ms = answer.retry_after_ms
+            self._reply.send(status, body, (JSON_TYPE, *write_retry(wait_ms)))
         return status
 
     def _send_whole(self, body: bytes) -> None:
@@ -210,17 +213,6 @@
         return Refusal.from_fault(self.request.request, ended, answer.fault, not_run)
 
 
-def _write_retry(
-    answer: NotWhole,
-) -> tuple[tuple[str, str], ...]:
-    """Write the headers that say when to come back."""
-    wait_ms = 0 if isinstance(answer, AnswerUnknown) else answer.retry_after_ms
-    if wait_ms <= 0:
-        return ()
-    seconds = -(-wait_ms // 1_000)
-    return (("retry-after", str(seconds)), ("x-retry-after-ms", str(wait_ms)))
-
-
 def describe_caller_fault(request: RequestId, why: str) -> bytes:
     """Write the body of a 400.
 
--- a/packages/daemon/bramleyspread_daemon/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/_entry.py
@@ -39,8 +39,10 @@
 
 #: Shortest pause between two looks at what is due, in seconds.
 TICK_S = 0.002
-#: Longest such pause, in seconds.
-IDLE_TICK_S = 0.01
+#: Longest such pause while requests are in flight, in seconds.
+MAX_TICK_S = 0.01
+#: The pause while there are none, in seconds.
+IDLE_TICK_S = 0.02
 #: How often the directory sees time pass, in seconds.
 DIRECTORY_TICK_S = 0.1
 #: How often documents are asked for, in seconds; jitter comes on top.
@@ -188,9 +190,9 @@
 
     def _choose_tick_pause(self) -> float:
         due = self._decisions.next_due()
-        if due is None:
+        if due is None or not self._decisions.in_flight:
             return IDLE_TICK_S
-        return min(max(due - read_monotonic(), TICK_S), IDLE_TICK_S)
+        return min(max(due - read_monotonic(), TICK_S), MAX_TICK_S)
 
     def _draw_poll_pause(self) -> float:
         return POLL_S + self._rng.uniform(0, POLL_JITTER_S)
--- a/packages/daemon/bramleyspread_daemon/_exchange.py
+++ b/packages/daemon/bramleyspread_daemon/_exchange.py
@@ -28,7 +28,7 @@
     path: str
     #: The query, without the question mark.
     query: str
-    #: Headers by lower-case name; of a repeated one, the last.
+    #: Headers by lower-case name; repeated ones joined by commas.
     headers: dict[str, str]
     #: The body.
     body: bytes
--- a/packages/daemon/bramleyspread_daemon/_main.py
+++ b/packages/daemon/bramleyspread_daemon/_main.py
@@ -4,6 +4,7 @@
 
 import argparse
 import gc
+import resource
 import sys
 from collections.abc import Sequence
 from importlib.metadata import version
@@ -97,6 +98,7 @@
         print(f"{options.settings}: no fault found")
         return EXIT_DONE
     set_up_logs(settings.log, settings.host)
+    _check_files(settings)
     return _run(settings)
 
 
@@ -116,6 +118,17 @@
     return code
 
 
+def _check_files(settings: EntrySettings | ControlSettings) -> None:
+    """Warn when the operating system allows fewer open files than needed."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    needed = 2 * settings.limits.connections
+    if allowed < needed:
+        logger.bind(step="start", peer="-").warning(
+            f"{allowed} open files are allowed, {needed} may be needed; "
+            "allow more, or lower limits.connections"
+        )
+
+
 def _calm_collector() -> None:
     """Keep the garbage collector from pausing the process too often.
 
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/_owner.py
@@ -0,0 +1,32 @@
+"""What an accepted connection needs of the server around it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from bramleyspread_daemon._clock import ProcessClock
+from bramleyspread_daemon._exchange import HttpRequest, Reply
+from bramleyspread_daemon._settings import Limits
+
+if TYPE_CHECKING:
+    from bramleyspread_daemon._served import ServedConnection
+
+
+class Owner(Protocol):
+    """The server that accepted a connection."""
+
+    #: Bounds on peers.
+    limits: Limits
+    #: Stamps what is sent.
+    clock: ProcessClock
+    #: Whether peers are told to close their connections.
+    draining: bool
+
+    async def answer(self, request: HttpRequest, reply: Reply) -> None:
+        """Pass a request to the handler."""
+
+    def note_stalled(self, served: ServedConnection) -> None:
+        """Remember a connection with bytes that wait for a slow reader."""
+
+    def count_refusal(self, status: int) -> None:
+        """Count a request that was not taken as HTTP."""
--- a/packages/daemon/bramleyspread_daemon/_refusal.py
+++ b/packages/daemon/bramleyspread_daemon/_refusal.py
@@ -60,6 +60,23 @@
     return encode_json(Refusal.from_fault("", "refused", fault, not_run=True))
 
 
+def write_retry(wait_ms: int) -> list[tuple[str, str]]:
+    """Write the headers that say when to come back.
+
+    :param wait_ms: how long to wait, in milliseconds; 0 for no word on it.
+    :returns: the headers; seconds are rounded up.
+
+    >>> write_retry(1_001)
+    [('retry-after', '2'), ('x-retry-after-ms', '1001')]
+    >>> write_retry(0)
+    []
+    """
+    if wait_ms <= 0:
+        return []
+    seconds = -(-wait_ms // 1_000)
+    return [("retry-after", str(seconds)), ("x-retry-after-ms", str(wait_ms))]
+
+
 def write_failure(why: str) -> bytes:
     """Write the body for a request whose handling broke off.
 
--- a/packages/daemon/bramleyspread_daemon/_served.py
+++ b/packages/daemon/bramleyspread_daemon/_served.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-from typing import Protocol
-
 import curio
 import h11
 
-from bramleyspread_daemon._clock import STAMP_HEADER, ProcessClock, read_monotonic
+from bramleyspread_daemon._clock import STAMP_HEADER, read_monotonic
 from bramleyspread_daemon._connection import Connection
 from bramleyspread_daemon._exchange import Headers, HttpRequest, Reply
-from bramleyspread_daemon._refusal import write_refusal
-from bramleyspread_daemon._settings import Limits
+from bramleyspread_daemon._owner import Owner
+from bramleyspread_daemon._refusal import write_refusal, write_retry
 
 #: Most bytes of a request's head.
 MAX_HEAD_BYTES = 16_384
@@ -21,30 +19,12 @@
 MAX_EARLY_BYTES = 65_536
 #: How long a connection that this side finished is read before it is cut, in seconds.
 LINGER_S = 1.0
+#: When a peer that was turned away may come back, in milliseconds.
+RETRY_MS = 1_000
 #: How often bytes that wait for slow readers are tried again, in seconds.
 FLUSH_S = 0.005
 
 
-class Owner(Protocol):
-    """What a connection needs of the server that accepted it."""
-
-    #: Bounds on peers.
-    limits: Limits
-    #: Stamps what is sent.
-    clock: ProcessClock
-    #: Whether peers are told to close their connections.
-    draining: bool
-
-    async def answer(self, request: HttpRequest, reply: Reply) -> None:
-        """Pass a request to the handler."""
-
-    def note_stalled(self, served: ServedConnection) -> None:
-        """Remember a connection with bytes that wait for a slow reader."""
-
-    def count_refusal(self, status: int) -> None:
-        """Count a request that was not taken as HTTP."""
-
-
 class _BadRequestError(Exception):
     """A request that cannot be taken, with its HTTP status."""
 
@@ -202,7 +182,9 @@
             return
         body = write_refusal(status, why)
         self._server.count_refusal(status)
-        headers = (("content-type", "application/json"), ("connection", "close"))
+        headers = [("content-type", "application/json"), ("connection", "close")]
+        if status == 503:
+            headers += write_retry(RETRY_MS)
         self.send_whole(status, headers, body)
 
     def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
@@ -293,7 +275,8 @@
 
 def _build_request(head: h11.Request, body: bytes) -> HttpRequest:
     path, _, query = head.target.decode("ascii").partition("?")
-    headers = {
-        name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
-    }
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in head.headers:
+        name, value = raw_name.decode("ascii"), raw_value.decode("latin-1")
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
     return HttpRequest(head.method.decode("ascii"), path, query, headers, body)
--- a/packages/daemon/bramleyspread_daemon/_server.py
+++ b/packages/daemon/bramleyspread_daemon/_server.py
@@ -23,7 +23,7 @@
 SWEEP_S = 0.25
 
 #: How often a server without slow readers looks for new ones, in seconds.
-IDLE_SWEEP_S = 0.02
+IDLE_SWEEP_S = 0.05
 
 
 class HttpServer:
--- a/packages/daemon/bramleyspread_daemon/tests/test_entry.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_entry.py
@@ -78,6 +78,8 @@
         ("photos/check", {"x-organisation": "inka"}, b"{}", 400, "bad-input"),
         ("photos/check", {**BRAND, "x-deadline-ms": "0"}, b"{}", 400, "bad-input"),
         ("photos/check", {**BRAND, "x-priority": "ten"}, b"{}", 400, "bad-input"),
+        ("photos/check", {**BRAND, "x-priority": "1\r\nx-priority: 2"}, b"1", 400, ""),
+        ("photos/check", {**BRAND, "x-brand": "a\r\nx-brand: b"}, b"1", 403, ""),
         ("photos/check", BRAND, b"{", 400, "bad-input"),
         ("photos/check", BRAND, b"", 400, "bad-input"),
         ("photos", BRAND, b"{}", 400, "bad-input"),
@@ -106,7 +108,7 @@
         deployment = Deployment(tmp_path)
         await deployment.start()
         got, told, _ = await _ask(deployment, path, headers=headers, body=body)
-        assert (got, told["reason"]) == (status, reason)
+        assert (got, reason in told["reason"]) == (status, True)
         assert (told["ended"], told["not_run"]) == ("refused", True)
         assert not any(target.calls for target in deployment.targets)
 
--- a/packages/daemon/bramleyspread_daemon/tests/test_server.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_server.py
@@ -104,7 +104,9 @@
             await first.sendall(GOOD)
             await read_until(first, b"hi")
             async with await connect(address) as second:
-                assert b"503" in await read_until(second, b"\r\n\r\n")
+                refused = await read_until(second, b"\r\n\r\n")
+                assert refused.startswith(b"HTTP/1.1 503")
+                assert b"retry-after: 1\r\n" in refused
         await server.close_connections()
         await _check_good(address)
 
--- a/packages/proof/bramleyspread_proof/_bench_daemon.py
+++ b/packages/proof/bramleyspread_proof/_bench_daemon.py
@@ -25,12 +25,8 @@
     decode_json,
     encode_json,
 )
-from bramleyspread_proof._daemon_load import (
-    POOLS,
-    SERVICE,
-    TARGETS_EACH,
-    post,
-)
+from bramleyspread_proof._daemon_http import find_port, post
+from bramleyspread_proof._daemon_load import POOLS, SERVICE, TARGETS_EACH
 from bramleyspread_proof._figures import Figure
 
 BENCH = "daemon"
@@ -85,8 +81,8 @@
     began = rig.read_processor()
     time.sleep(IDLE_S)
     spent = (rig.read_processor() - began) / IDLE_S
-    what = f"processor idle, {LOADERS * TARGETS_EACH * len(POOLS)} targets"
-    yield Figure(BENCH, what, round(spent, 4), "cores")
+    targets = LOADERS * TARGETS_EACH * len(POOLS)
+    yield Figure(BENCH, f"idle with {targets} targets", round(spent, 4), "cores")
 
 
 def _measure_load(rig: _Rig) -> Iterator[Figure]:
@@ -155,7 +151,7 @@
     def __init__(self, folder: Path, stack: ExitStack) -> None:
         self._folder = folder
         self._stack = stack
-        control, entry = (f"127.0.0.1:{_find_port()}" for _ in range(2))
+        control, entry = (f"127.0.0.1:{find_port()}" for _ in range(2))
         self._control = Address.from_text(control)
         self._address = Address.from_text(entry)
         self.entry = (self._address.ip, self._address.port)
@@ -270,13 +266,6 @@
     return round(values[int(len(values) * 0.95)], 2) if values else 0.0
 
 
-def _find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-    return port
-
-
 def write_document() -> str:
     """Write the document of the service that is measured."""
     lines = [f"service: {SERVICE}", "version: 1", "team: bench"]
