--- a/packages/orders/bramleyspread_orders/_reconciler.py
+++ b/packages/orders/bramleyspread_orders/_reconciler.py
@@ -24,7 +24,7 @@
 from bramleyspread_orders._pace import Pace
 from bramleyspread_orders._plan import OrderPlan, OrderSend
 from bramleyspread_orders._progress import OrderProgress, Phase
-from bramleyspread_orders._wanted import WantedTarget, find_wanted, is_unfinished
+from bramleyspread_orders._wanted import WantedTarget, find_begun, find_wanted
 
 
 class Reconciler:
@@ -42,6 +42,7 @@
         "_happenings",
         "_knowledge",
         "_number",
+        "_numbered_for",
         "_pending",
         "_progress",
         "_quiet_until",
@@ -57,6 +58,7 @@
         self._fence: int | None = None
         self._fence_since = 0.0
         self._number = 0
+        self._numbered_for = 0
         self._pending: IntendOrders | None = None
         self._progress: dict[TargetName, OrderProgress] = {}
         self._quiet_until: dict[TargetName, float] = {}
@@ -145,6 +147,9 @@
         progress = self._progress.get(order.target)
         if progress is None or progress.order != order or progress.phase != Phase.SENT:
             return
+        if isinstance(answer, OrderAnswer) and progress.failures == 0:
+            # Its only send has arrived, so that nothing is under way any more.
+            self._quiet_until.pop(order.target, None)
         if isinstance(answer, OrderAnswer) and answer.obeyed:
             obeyed = replace(progress, phase=Phase.OBEYED, since=now, failures=0)
             self._progress[order.target] = obeyed
@@ -164,9 +169,11 @@
         self._pending = None
         self._waits_until = now
         self._progress.clear()
-        self._quiet_until.clear()
-        same = [order.number for order in intents if order.fence == fence]
-        self._number = max(same, default=0)
+        if fence is not None and fence != self._numbered_for:
+            # A lease that comes back keeps counting: some orders may be undecided.
+            same = [order.number for order in intents if order.fence == fence]
+            self._number = max(same, default=0)
+            self._numbered_for = fence
 
     def _settle(self, wanted: Mapping[TargetName, WantedTarget], now: float) -> None:
         """Drop orders that are done, out of date, or not reached in time."""
@@ -196,8 +203,7 @@
             want = wanted[target]
             if not self._may_send(want, now):
                 continue
-            if not want.checks_fencing:
-                self._quiet_until[target] = now + config.send_within + self._in_flight
+            self._quiet_until[target] = now + config.send_within + self._in_flight
             self._progress[target] = replace(progress, phase=Phase.SENT, since=now)
             yield OrderSend(
                 want.announcement.address,
@@ -208,12 +214,12 @@
 
     def _may_send(self, want: WantedTarget, now: float) -> bool:
         """Whether no earlier order can still arrive after this one."""
+        # Within one fencing number, targets do not tell old orders from new ones.
+        if now < self._quiet_until.get(want.announcement.target, 0.0):
+            return False
         if want.checks_fencing:
             return True
-        config = self._config
-        others_over = self._fence_since + config.send_within + self._in_flight
-        own_over = self._quiet_until.get(want.announcement.target, 0.0)
-        return now >= max(others_over, own_over)
+        return now >= self._fence_since + self._config.send_within + self._in_flight
 
     @property
     def _in_flight(self) -> float:
@@ -228,7 +234,8 @@
     ) -> IntendOrders | None:
         if now < self._waits_until:
             return None
-        begun = self._find_begun(wanted, intents, now)
+        is_new = now < self._fence_since + self._config.reach_within
+        begun = find_begun(wanted, intents) if is_new else set()
         pace = Pace()
         for target in {*self._progress, *begun}:
             pace.take(wanted[target])
@@ -252,21 +259,6 @@
         self._pending = IntendOrders(orders)
         return self._pending
 
-    def _find_begun(
-        self,
-        wanted: Mapping[TargetName, WantedTarget],
-        intents: Mapping[TargetName, Order],
-        now: float,
-    ) -> set[TargetName]:
-        """Find targets that an order, of whomever, may have set to work."""
-        if now >= self._fence_since + self._config.reach_within:
-            return set()
-        return {
-            target
-            for target, order in intents.items()
-            if target in wanted and is_unfinished(order, wanted[target].announcement)
-        }
-
     def _make_order(self, fence: int, want: WantedTarget) -> Order:
         self._number += 1
         return Order(
--- a/packages/orders/bramleyspread_orders/_wanted.py
+++ b/packages/orders/bramleyspread_orders/_wanted.py
@@ -75,15 +75,24 @@
     return wanted
 
 
-def is_unfinished(order: Order, announcement: Announcement) -> bool:
-    """Whether a target may still be on its way to what an order asked.
+def find_begun(
+    wanted: Mapping[TargetName, WantedTarget], intents: Mapping[TargetName, Order]
+) -> set[TargetName]:
+    """Find targets that an order, of whomever, may have set to work.
 
-    :param order: its newest order.
-    :param announcement: its newest announcement.
-    :returns: True until it has announced that state.
+    :param wanted: the targets that documents ask something of.
+    :param intents: the newest order of each target.
+    :returns: those that have not announced what they were ordered to reach.
     """
+    return {
+        target
+        for target, order in intents.items()
+        if target in wanted and _is_unfinished(order, wanted[target].announcement)
+    }
+
+
+def _is_unfinished(order: Order, announcement: Announcement) -> bool:
     if order.incarnation != announcement.incarnation:
         return False
-    return not WantedState(sort_models(order.models), order.role).is_reached(
-        announcement
-    )
+    state = WantedState(sort_models(order.models), order.role)
+    return not state.is_reached(announcement)
--- a/packages/orders/bramleyspread_orders/tests/test_reconciler.py
+++ b/packages/orders/bramleyspread_orders/tests/test_reconciler.py
@@ -70,6 +70,19 @@
         assert not later.sends
 
 
+def test_numbers_rise_over_a_gap_in_the_lease() -> None:
+    world = World(make_document(ONE, checks=True), 1, True)
+    orderer = world.orderers[0]
+    world.leader = None
+    world.step()
+    numbers = []
+    for fence in (1, None, 1):
+        plan = orderer.plan(world.documents, [], fence, world.now)
+        if plan.intend is not None:
+            numbers.append(plan.intend.orders[0].number)
+    assert numbers == [1, 2]
+
+
 def test_orderer_without_the_lease_does_nothing() -> None:
     world = World(make_document(ONE), 2)
     world.leader = None
@@ -100,13 +113,14 @@
     assert world.sent
 
 
-def test_late_order_does_not_undo_a_newer_one() -> None:
+@pytest.mark.parametrize("checks", [True, False])
+def test_late_order_does_not_undo_a_newer_one(checks: bool) -> None:
     for seed in range(20):
-        world = World(make_document(ONE), 1, load_time=0.1)
+        world = World(make_document(ONE, checks=checks), 1, checks, load_time=0.1)
         world.rng.seed(seed)
         world.delay = 2.0
-        world.run(3.0 + seed / 20)
-        world.documents = [make_document(TWO, 2)]
+        world.run((0.2 if checks else 3.0) + seed / 20)
+        world.documents = [make_document(TWO, 2, checks)]
         world.run(20)
         versions = [order.models[0].version for order in world.targets["t-0"].obeyed]
         assert versions == sorted(versions)
