Open new connections for long work, and doubt those without an answer

Cause: an attempt of two seconds under a deadline of four can't be hedged in time, and one that ran out of time did not count against its connection. Change: stages that work a quarter of a second or longer open a new connection for each attempt; running out of time drops pooled connections to the target.

--- a/packages/entry/bramleyspread_entry/_conclusion.py
+++ b/packages/entry/bramleyspread_entry/_conclusion.py
@@ -13,6 +13,7 @@
     AnswerWhole,
     Fault,
     Payload,
+    Reason,
     SendAnswer,
 )
 from bramleyspread_entry._claims import ClaimDesk, Ended
@@ -70,6 +71,8 @@
         for attempt in tuple(run.live.values()):
             if attempt.id != run.effect_live:
                 self._dispatcher.cancel(run, attempt, now)
+                if fault.reason is Reason.DEADLINE:
+                    self._dispatcher.doubt_connection(attempt)
         if not run.answered:
             self.answer(run, choose_answer(run, fault, retry_after_ms), now)
         if run.claim is ClaimState.HELD and run.effect_live is None:
--- a/packages/entry/bramleyspread_entry/_dispatch.py
+++ b/packages/entry/bramleyspread_entry/_dispatch.py
@@ -10,6 +10,7 @@
     AttemptId,
     CancelAttempt,
     Dispatch,
+    DropConnections,
     TargetCall,
     TargetState,
     TargetView,
@@ -21,6 +22,9 @@
 from bramleyspread_entry._pipeline import Run
 from bramleyspread_entry._state import EntryState, TimerKind
 
+#: Work of a stage from which each attempt opens a new connection, in seconds:
+#: opening costs little beside it, and a pooled connection may have gone silent.
+FRESH_FROM = 0.25
 #: Part of the later stages' typical latencies that an attempt must leave.
 RESERVED_SHARE = 0.5
 
@@ -66,6 +70,7 @@
             kind is not AttemptKind.FIRST
             or not stage.idempotent
             or state.suspects.needs_fresh(target)
+            or (state.policies.times.work(run.key) or 0.0) >= FRESH_FROM
         )
         attempt = Attempt(
             id=name_attempt(run.request.request, run.issued),
@@ -166,6 +171,15 @@
         self._state.counts["attempt-cancelled"] += 1
         self._state.emit(CancelAttempt(attempt.id, attempt.target, attempt.address))
 
+    def doubt_connection(self, attempt: Attempt) -> None:
+        """Replace the connections that an attempt without an answer used.
+
+        :param attempt: the attempt; nothing happens if its connection was new.
+        """
+        if not attempt.fresh_connection:
+            self._state.suspects.suspect(attempt.target)
+            self._state.emit(DropConnections(attempt.address, attempt.id))
+
     def _check_contracts(self, run: Run, view: TargetView) -> None:
         watch, subject = self._state.watch, run.request.request
         serving = view.announcement.state is TargetState.SERVING
--- a/packages/entry/bramleyspread_entry/_stages.py
+++ b/packages/entry/bramleyspread_entry/_stages.py
@@ -4,7 +4,6 @@
 
 from bramleyspread_core import (
     Done,
-    DropConnections,
     Fault,
     NotRun,
     Outcome,
@@ -227,9 +226,7 @@
             self._dispatcher.cancel(run, attempt, now)
             if attempt.sent_at < winner.sent_at:
                 state.policies.outliers.failed(attempt.target, Reason.SILENT, now)
-                if not attempt.fresh_connection:
-                    state.suspects.suspect(attempt.target)
-                    state.emit(DropConnections(attempt.address, attempt.id))
+                self._dispatcher.doubt_connection(attempt)
 
     def _credit_target(self, run: Run, attempt: Attempt, now: float) -> None:
         policies = self._state.policies
@@ -247,12 +244,11 @@
     ) -> None:
         """Blame the target, or the connection when it was an old one."""
         state = self._state
-        if fault.reason is Reason.SILENT:
-            state.emit(DropConnections(attempt.address, attempt.id))
-            if not attempt.fresh_connection:
-                state.suspects.suspect(attempt.target)
-                run.tried.discard(attempt.target)
-                return
+        if fault.reason in (Reason.SILENT, Reason.DEADLINE):
+            self._dispatcher.doubt_connection(attempt)
+        if fault.reason is Reason.SILENT and not attempt.fresh_connection:
+            run.tried.discard(attempt.target)
+            return
         if attempt.fresh_connection or fault.reason is Reason.DEADLINE:
             state.policies.times.record(run.key, now - attempt.sent_at, now)
         if fault.reason not in BLAMELESS:
