Leave room for long work when waits are judged

Cause: a request whose answer is long had no time left after the wait that a mean one could afford. Change: twice the mean difference of the work is kept off the slack.

--- a/packages/entry/bramleyspread_entry/_admission.py
+++ b/packages/entry/bramleyspread_entry/_admission.py
@@ -13,6 +13,8 @@
 from bramleyspread_entry._pipeline import Run
 from bramleyspread_entry._shares import Shares
 
+#: How many times its usual difference from the mean long work takes longer.
+LONG_WORK = 2.0
 #: Pause between two requests let through to see whether a stage is fast again.
 TRIAL_PAUSE = 0.05
 #: Shortest and longest time after which a refused caller may come back.
@@ -40,6 +42,8 @@
 
     #: Time that targets work on it, in seconds.
     work: float
+    #: How far that may be off, in seconds.
+    spread: float
     #: Time that it waits for them, in seconds.
     wait: float
     #: Where it waits longest.
@@ -124,7 +128,8 @@
         forecast = self._forecast(run, now)
         if isinstance(forecast, Refusal):
             return forecast
-        slack = max(0.0, run.deadline - now - forecast.work)
+        needed = forecast.work + LONG_WORK * forecast.spread
+        slack = max(0.0, run.deadline - now - needed)
         steps = MIDDLE_PRIORITY - run.request.priority
         urgency = 1.0 + PRIORITY_STEP * steps
         if forecast.wait <= slack * urgency * self._config.patience_beyond_share:
@@ -139,7 +144,7 @@
 
     def _forecast(self, run: Run, now: float) -> Forecast | Refusal:
         """Forecast the time that a request's stages work on it and keep it waiting."""
-        work = wait = longest = 0.0
+        work = spread = wait = longest = 0.0
         fullest = run.pools[0]
         for pool, key in zip(run.pools, run.keys, strict=True):
             state = self._occupancy.read(pool, now)
@@ -154,10 +159,11 @@
             headroom = 1.0 + (work + wait) / took if took else 1.0
             waits = took * max(0.0, measure_fullness(state, headroom) - 1.0)
             work += took
+            spread += self._times.spread(key)
             wait += waits
             if waits > longest:
                 longest, fullest = waits, pool
-        return Forecast(work, wait, fullest)
+        return Forecast(work, spread, wait, fullest)
 
     def _spread(self, seconds: float) -> int:
         """Spread callers who come back, so that they don't come together."""
--- a/packages/entry/bramleyspread_entry/_latency.py
+++ b/packages/entry/bramleyspread_entry/_latency.py
@@ -98,11 +98,12 @@
     that call the same pool.
     """
 
-    __slots__ = ("_windows", "_work")
+    __slots__ = ("_spread", "_windows", "_work")
 
     def __init__(self) -> None:
         self._windows: dict[StageKey, LatencyWindow] = {}
         self._work: dict[StageKey, float] = {}
+        self._spread: dict[StageKey, float] = {}
 
     def record(self, key: StageKey, latency: float, now: float) -> None:
         """Take a latency of a stage.
@@ -156,7 +157,10 @@
             return
         for each in (key, _name_pool(key)):
             held = self._work.get(each, seconds)
+            spread = self._spread.get(each, 0.0)
             self._work[each] = held + NEWEST_WEIGHT * (seconds - held)
+            off = abs(seconds - held)
+            self._spread[each] = spread + NEWEST_WEIGHT * (off - spread)
 
     def work(self, key: StageKey) -> float | None:
         """Find how long targets work on a stage.
@@ -167,6 +171,15 @@
         held = self._work.get(key)
         return self._work.get(_name_pool(key)) if held is None else held
 
+    def spread(self, key: StageKey) -> float:
+        """Find how far the work on a stage is off its mean.
+
+        :param key: the stage.
+        :returns: the mean difference, in seconds; 0 while nothing is known.
+        """
+        held = self._spread.get(key)
+        return self._spread.get(_name_pool(key), 0.0) if held is None else held
+
 
 def _name_pool(key: StageKey) -> StageKey:
     """Name what all stages that call one pool have in common."""
