Leave defaults out of announcements and reports; bench the control plane

Cause: an entry host's report of its targets took 369 bytes a target, 23 of them every 2 s: 4.2 KB/s of the 10 KB/s bound at the target's size. Change: Announcement, Load and LoadedModel leave fields at their defaults out.

--- a/packages/core/bramleyspread_core/_announcement.py
+++ b/packages/core/bramleyspread_core/_announcement.py
@@ -18,7 +18,7 @@
     LEAVING = "leaving"
 
 
-class Load(msgspec.Struct, frozen=True):
+class Load(msgspec.Struct, frozen=True, omit_defaults=True):
     """A target's own report of its load, as of the moment it was taken."""
 
     #: Requests being run.
@@ -33,7 +33,7 @@
     age_ms: int = 0
 
 
-class LoadedModel(msgspec.Struct, frozen=True):
+class LoadedModel(msgspec.Struct, frozen=True, omit_defaults=True):
     """One model that a target holds, ready to serve."""
 
     #: The model's name.
@@ -55,7 +55,7 @@
     stored: bool
 
 
-class Announcement(msgspec.Struct, frozen=True):
+class Announcement(msgspec.Struct, frozen=True, omit_defaults=True):
     """A target's claim to be there; a lease that it renews by repeating it.
 
     Sent by the target to any entry host: ``POST /v1/announcements``.
--- /dev/null
+++ b/packages/proof/bramleyspread_proof/_bench_control_plane.py
@@ -0,0 +1,165 @@
+"""What documents and reports cost, by the processor time of each step."""
+
+from __future__ import annotations
+
+import time
+import zlib
+from collections.abc import Callable, Iterator
+from random import Random
+
+from bramleyspread_control import ControlConfig, ControlHost, ControlMember, MemoryDisk
+from bramleyspread_core import (
+    Address,
+    Announcement,
+    BrandShare,
+    DocumentInForce,
+    DocumentsPage,
+    DocumentsQuery,
+    HostName,
+    LoadedModel,
+    ModelWanted,
+    OrganisationShare,
+    Pool,
+    PoolName,
+    ServiceDocument,
+    ServiceName,
+    StageKind,
+    TargetName,
+    TargetsReport,
+    ZoneName,
+    decode_json,
+    encode_json,
+)
+from bramleyspread_orders import Reconciler, ReconcilerConfig
+from bramleyspread_proof._figures import Figure
+
+#: Organisations and targets that the slopes are taken between.
+FEW, MANY = 300, 2_700
+#: Measurements of each step; the fastest one counts.
+REPEATS = 5
+#: Time after which an orderer has listened enough to plan, in seconds.
+LISTENED = 6.0
+#: Targets in one entry host's report at the target's size.
+TARGETS_EACH = 23
+
+_BENCH = "control-plane"
+
+
+def run() -> Iterator[Figure]:
+    """Measure documents, polls, reports and plans."""
+    yield from _measure_documents()
+    yield from _measure_polls()
+    yield from _measure_reports()
+
+
+def _measure_documents() -> Iterator[Figure]:
+    few, many = _make_page(FEW), _make_page(MANY)
+    spread = MANY - FEW
+    reading = (_time(lambda: _read(many)) - _time(lambda: _read(few))) / spread
+    yield Figure(_BENCH, "read a document, an organisation", reading * 1e6, "us")
+    size = (len(many) - len(few)) / spread
+    yield Figure(_BENCH, "document, an organisation", size, "bytes")
+    packed = (len(zlib.compress(many, 1)) - len(zlib.compress(few, 1))) / spread
+    yield Figure(_BENCH, "document, an organisation, packed", packed, "bytes")
+    text = encode_json(_make_document(MANY))
+    yaml = _time(lambda: ServiceDocument.from_yaml(text, "document")) / MANY
+    yield Figure(_BENCH, "read YAML, an organisation", yaml * 1e6, "us")
+
+
+def _measure_polls() -> Iterator[Figure]:
+    member = ControlMember(HostName("a"), ZoneName("a"), Address("127.0.0.1", 7000))
+    config = ControlConfig(member.host, member.zone, member.address, (member,))
+    host = ControlHost.from_config(config, MemoryDisk(), Random(1), 0.0)
+    query = DocumentsQuery(HostName("entry-1"), "a", Address("127.0.0.1", 7200), 9)
+    body = encode_json(query)
+
+    def answer() -> None:
+        asked: DocumentsQuery = decode_json(body, DocumentsQuery)
+        encode_json(host.answer_query(asked, 1.0))
+
+    yield Figure(_BENCH, "answer a poll", _time(answer, 1_000) * 1e6, "us")
+    yield Figure(_BENCH, "poll", len(body), "bytes")
+
+
+def _measure_reports() -> Iterator[Figure]:
+    reports = [_make_report(number) for number in range(MANY // TARGETS_EACH)]
+    bodies = [encode_json(report) for report in reports]
+    targets = len(reports) * TARGETS_EACH
+    reconciler = Reconciler.from_config(ReconcilerConfig(), Random(1))
+
+    def hear() -> None:
+        for body in bodies:
+            reconciler.hear(decode_json(body, TargetsReport), 1.0)
+
+    yield Figure(_BENCH, "hear a report, a target", _time(hear) / targets * 1e6, "us")
+    size = sum(map(len, bodies)) / targets
+    yield Figure(_BENCH, "report, a target", size, "bytes")
+    pool = Pool(
+        name="engines",
+        kind=StageKind.GENERATION,
+        models=(ModelWanted(name="m", version="1"),),
+    )
+    wanted = ServiceDocument(service="lm", version=1, team="t", pools=(pool,))
+    reconciler.plan((wanted,), (), 1, 1.0)
+    hear()
+    plan = _time(lambda: reconciler.plan((wanted,), (), 1, 1.0 + LISTENED))
+    yield Figure(_BENCH, "plan, a target", plan / targets * 1e6, "us")
+
+
+def _make_document(organisations: int) -> ServiceDocument:
+    return ServiceDocument(
+        service="photos",
+        version=1,
+        team="booths",
+        organisations=tuple(
+            OrganisationShare(
+                name=f"organisation-{number}",
+                share=3,
+                brands=(BrandShare(name=f"brand-{number}"),),
+            )
+            for number in range(organisations)
+        ),
+    )
+
+
+def _make_page(organisations: int) -> bytes:
+    document = _make_document(organisations)
+    held = DocumentInForce(ServiceName("photos"), 1, 1, "ana", document)
+    return encode_json(DocumentsPage(1, (held,)))
+
+
+def _read(body: bytes) -> None:
+    page: DocumentsPage = decode_json(body, DocumentsPage)
+    for each in page.documents:
+        each.document.check("page")
+
+
+def _make_report(host: int) -> TargetsReport:
+    pool = PoolName(ServiceName("lm"), "engines")
+    model = LoadedModel("m", "1")
+    return TargetsReport(
+        f"entry-{host}",
+        tuple(
+            Announcement(
+                TargetName(f"engine-{host}-{number}"),
+                1_796_330_529_000,
+                1,
+                pool,
+                Address("10.0.0.1", 1 + number),
+                ZoneName("miraflores"),
+                models=(model,),
+            )
+            for number in range(TARGETS_EACH)
+        ),
+    )
+
+
+def _time(step: Callable[[], object], rounds: int = 1) -> float:
+    """Measure the processor time of a step, in seconds."""
+    times = []
+    for _ in range(REPEATS):
+        began = time.process_time()
+        for _ in range(rounds):
+            step()
+        times.append((time.process_time() - began) / rounds)
+    return min(times)
