--- a/packages/daemon/bramleyspread_daemon/_entry_effects.py
+++ b/packages/daemon/bramleyspread_daemon/_entry_effects.py
@@ -115,7 +115,7 @@
     ) -> None:
         now = read_monotonic()
         for token in tokens:
-            await self.apply(self._decisions.token_arrived(attempt, token, now))
+            await self._carry_out(self._decisions.token_arrived(attempt, token, now))
         self._flush_tokens()
 
     async def _take_outcome(self, attempt: AttemptId, outcome: Outcome) -> None:
@@ -131,6 +131,10 @@
 
         :param effects: the effects.
         """
+        await self._carry_out(effects)
+        self._flush_tokens()
+
+    async def _carry_out(self, effects: Sequence[Effect]) -> None:
         for effect in effects:
             if isinstance(effect, SendToken):
                 self._send_token(effect)
--- a/packages/proof/bramleyspread_proof/_daemon_load.py
+++ b/packages/proof/bramleyspread_proof/_daemon_load.py
@@ -226,9 +226,11 @@
         await connected.sendall(self._request)
         tail = b""
         sent = last = 0
+        closing = False
         while b"0\r\n\r\n" not in tail:
             data = await connected.recv(65_536)
             now = time.monotonic_ns()
+            closing = closing or b"connection: close" in data
             refused = not tail and not data.startswith(b"HTTP/1.1 200")
             if refused or not data:
                 self._counts["other"] += 1
@@ -240,7 +242,8 @@
             tail = (tail + data)[-400:]
         else:
             self._counts["whole"] += b"event: end" in tail
-            self._free.append(connected)
+            if not closing:
+                self._free.append(connected)
         self._open -= 1
 
     def _take(self, began: int, was: int, before: int, sent: int, now: int) -> None:
