--- a/packages/entry/bramleyspread_entry/_attempts.py
+++ b/packages/entry/bramleyspread_entry/_attempts.py
@@ -46,12 +46,10 @@
 class AttemptTable:
     """All attempts that have not ended."""
 
-    __slots__ = ("_live", "late")
+    __slots__ = ("_live",)
 
     def __init__(self) -> None:
         self._live: dict[AttemptId, Attempt] = {}
-        #: Tokens and ends that came for attempts already over.
-        self.late = 0
 
     def add(self, attempt: Attempt) -> None:
         """Take a new attempt.
@@ -61,15 +59,12 @@
         self._live[attempt.id] = attempt
 
     def find(self, attempt: AttemptId) -> Attempt | None:
-        """Find a live attempt; counts what comes late.
+        """Find a live attempt.
 
         :param attempt: its id.
         :returns: the attempt, or None when it is over.
         """
-        found = self._live.get(attempt)
-        if found is None:
-            self.late += 1
-        return found
+        return self._live.get(attempt)
 
     def end(self, attempt: AttemptId) -> None:
         """Forget an attempt; whatever still comes for it is late.
--- a/packages/entry/bramleyspread_entry/_choice.py
+++ b/packages/entry/bramleyspread_entry/_choice.py
@@ -73,6 +73,8 @@
 
     #: Attempts not over.
     in_flight: int = 0
+    #: Those of them that the newest load report seen contains.
+    reported: int = 0
     #: Sends and ends not yet contained in a load report: time and change.
     changes: deque[tuple[float, int]] = field(default_factory=deque)
 
@@ -99,7 +101,7 @@
         changes = traffic.changes
         changes.append((now, change))
         while changes[0][0] < now - SENT_AGE:
-            changes.popleft()
+            traffic.reported += changes.popleft()[1]
 
     def in_flight(self, target: TargetName) -> int:
         """Count own attempts at a target.
@@ -122,9 +124,9 @@
         if traffic is not None:
             changes = traffic.changes
             while changes and changes[0][0] <= view.load_as_of:
-                changes.popleft()
-            on_it += sum(change for _, change in changes)
-            on_it = max(on_it, traffic.in_flight)
+                traffic.reported += changes.popleft()[1]
+            since = traffic.in_flight - traffic.reported
+            on_it = max(on_it + since, traffic.in_flight)
         return on_it / max(1, load.slots)
 
 
--- a/packages/entry/bramleyspread_entry/_conclusion.py
+++ b/packages/entry/bramleyspread_entry/_conclusion.py
@@ -6,6 +6,7 @@
     ANSWERED_ONCE,
     ANSWERED_WHOLE,
     REFUSED_NOT_RUN,
+    STOP_CUTS_NOTHING,
     Answer,
     AnswerFailed,
     AnswerRefused,
@@ -47,7 +48,8 @@
         late = run.answered
         if not late:
             subject = run.request.request
-            self._state.watch.check(ANSWERED_WHOLE, run.is_last, subject, "cut short")
+            whole = run.is_last and not run.live
+            self._state.watch.check(ANSWERED_WHOLE, whole, subject, "cut short")
             self.answer(run, AnswerWhole(output), now)
         if run.claim is ClaimState.HELD:
             self._claims.settle(run, Ended.DONE, now, output)
@@ -68,6 +70,9 @@
         :param now: monotonic seconds.
         :param retry_after_ms: when to come back, in milliseconds.
         """
+        cut_off = fault.reason is Reason.DRAINING and run.issued > 0
+        subject = run.request.request
+        self._state.watch.check(STOP_CUTS_NOTHING, not cut_off, subject, str(fault))
         for attempt in tuple(run.live.values()):
             if attempt.id != run.effect_live:
                 self._dispatcher.cancel(run, attempt, now)
--- a/packages/entry/bramleyspread_entry/_decisions.py
+++ b/packages/entry/bramleyspread_entry/_decisions.py
@@ -139,7 +139,9 @@
         :returns: what to do.
         """
         found = self._state.attempts.find(attempt)
-        if found is not None:
+        if found is None:
+            self._state.counts["late-dropped"] += 1
+        else:
             run = self._state.runs[found.request]
             self._runner.take_token(run, found, token, now)
         return self._state.take_effects()
--- /dev/null
+++ b/packages/proof/bramleyspread_proof/_bench_choice.py
@@ -0,0 +1,89 @@
+"""The bench of an entry host's choice of target."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from random import Random
+
+from bramleyspread_core import (
+    Address,
+    Announcement,
+    Directory,
+    Load,
+    LoadedModel,
+    PoolName,
+    ServiceName,
+    Stage,
+    TargetName,
+    TargetView,
+    ZoneName,
+)
+from bramleyspread_entry import EntryConfig, Need, Policies
+from bramleyspread_proof._agenda import Agenda
+from bramleyspread_proof._figures import Figure
+from bramleyspread_proof._fleet import Fleet
+from bramleyspread_proof._sizes import LIMA
+
+#: Numbers of targets measured; the second one carries the bound.
+COUNTS = (100, 1_150, 11_000)
+#: Most time for one choice, in microseconds.
+CHOICE_BOUND = 50.0
+#: Most that a choice among the most targets may take over one among the fewest.
+FLAT_BOUND = 1.5
+#: Measurements at each number of targets; the fastest one counts.
+REPEATS = 5
+#: Choices measured at each number of targets.
+CHOICES = 5_000
+
+
+def run() -> Iterator[Figure]:
+    """Measure the processor time of a choice of target against the number of targets.
+
+    Half of the targets are near, loads differ, and each choice follows a prefix.
+
+    :returns: one figure for each number, and how flat they are.
+    """
+    times = [min(_time_choice(count) for _ in range(REPEATS)) for count in COUNTS]
+    for count, took in zip(COUNTS, times, strict=True):
+        name = f"choose among {count}"
+        yield Figure.at_most("entry", name, took, "us", CHOICE_BOUND)
+    flat = times[-1] / times[0]
+    yield Figure.at_most("entry", "choice, most to fewest", flat, "ratio", FLAT_BOUND)
+
+
+def _time_choice(count: int) -> float:
+    """Measure the processor time of one choice, in microseconds."""
+    rng = Random(1)
+    config = EntryConfig(host="entry-0", zone="miraflores", incarnation=1)
+    directory: Directory = Fleet(LIMA, Agenda(), rng).directories["miraflores"]
+    choice = Policies.from_config(config, directory, rng).choice
+    views = [_make_view(number, count, rng) for number in range(count)]
+    stage = Stage(name="generate", pool="engines", model="model")
+    pool = PoolName(ServiceName("service"), "engines")
+    needs = [Need(pool, stage, f"org/brand/{n}", frozenset()) for n in range(500)]
+    begun = time.process_time()
+    for number in range(CHOICES):
+        need, now = needs[number % len(needs)], 1.0 + number * 0.001
+        view = choice.choose(need, views, now)
+        if view is not None:
+            target = view.announcement.target
+            choice.sent(target, now)
+            choice.answered(target, need.prefix, now)
+            choice.ended(target, now)
+    return (time.process_time() - begun) / CHOICES * 1e6
+
+
+def _make_view(number: int, count: int, rng: Random) -> TargetView:
+    zone = "miraflores" if number < count / 2 else "callao"
+    announcement = Announcement(
+        target=TargetName(f"engine-{number}"),
+        incarnation=1,
+        sequence=1,
+        pool=PoolName(ServiceName("service"), "engines"),
+        address=Address("10.0.0.1", number + 1),
+        zone=ZoneName(zone),
+        load=Load(running=rng.randrange(4), slots=4),
+        models=(LoadedModel("model", "1"),),
+    )
+    return TargetView(announcement, 0.5)
