--- a/packages/core/bramleyspread_core/__init__.py
+++ b/packages/core/bramleyspread_core/__init__.py
@@ -42,6 +42,7 @@
     DocumentInForce,
     DocumentsPage,
     DocumentsQuery,
+    DocumentText,
     Intended,
     IntendOrders,
     NotLeader,
@@ -66,6 +67,12 @@
     Contract,
     ContractWatch,
 )
+from bramleyspread_core._costs import (
+    Cost,
+    CostKind,
+    CostReport,
+    CostRow,
+)
 from bramleyspread_core._document import (
     BrandShare,
     Count,
@@ -187,10 +194,15 @@
     "ControlNode",
     "ControlOutput",
     "ControlStatus",
+    "Cost",
+    "CostKind",
+    "CostReport",
+    "CostRow",
     "Count",
     "Directory",
     "Dispatch",
     "DocumentInForce",
+    "DocumentText",
     "DocumentsPage",
     "DocumentsQuery",
     "Done",
--- a/packages/core/bramleyspread_core/_commands.py
+++ b/packages/core/bramleyspread_core/_commands.py
@@ -7,9 +7,12 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from bramleyspread_core._calls import Payload
+from bramleyspread_core._document import ServiceDocument
 from bramleyspread_core._identity import (
     Address,
     Brand,
@@ -57,7 +60,15 @@
     remaining_ms: int
 
 
-class Settle(msgspec.Struct, frozen=True, tag="settle"):
+if TYPE_CHECKING:
+    _OptionalPayload = Payload | None
+else:
+    # msgspec reads a union of raw JSON and None as None alone; raw JSON with
+    # None as its default, which is left out, goes both ways.
+    _OptionalPayload = Payload
+
+
+class Settle(msgspec.Struct, frozen=True, tag="settle", omit_defaults=True):
     """Record how a claimed request ended; only the claim's request may."""
 
     #: The claimed key.
@@ -67,7 +78,7 @@
     #: ``done``, ``not-run`` (frees the key) or ``unknown``.
     ended: str
     #: The whole answer, when done.
-    answer: Payload | None = None
+    answer: _OptionalPayload = None
 
 
 class IntendOrders(msgspec.Struct, frozen=True, tag="intend-orders"):
@@ -184,8 +195,8 @@
 )
 
 
-class DocumentInForce(msgspec.Struct, frozen=True):
-    """A committed service document as control hands it out."""
+class DocumentText(msgspec.Struct, frozen=True):
+    """A committed service document as its team wrote it, for people to read."""
 
     #: The service.
     service: ServiceName
@@ -195,10 +206,29 @@
     revision: int
     #: Who submitted it.
     author: str
-    #: Its YAML text.
+    #: The YAML text, as submitted.
     text: str
 
 
+class DocumentInForce(msgspec.Struct, frozen=True):
+    """A committed service document as processes hand it on.
+
+    Only the control host that takes a submission reads its YAML; at the target
+    size that costs fifty times what reading this does.
+    """
+
+    #: The service.
+    service: ServiceName
+    #: Its version.
+    version: int
+    #: Position in the order of all changes.
+    revision: int
+    #: Who submitted it.
+    author: str
+    #: What it says.
+    document: ServiceDocument
+
+
 class DocumentsQuery(msgspec.Struct, frozen=True):
     """An entry host's question for newer documents; also its report.
 
--- a/packages/core/bramleyspread_core/_document.py
+++ b/packages/core/bramleyspread_core/_document.py
@@ -38,7 +38,13 @@
     PLAIN = "plain"
 
 
-class _Part(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+class _Part(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    kw_only=True,
+    omit_defaults=True,
+):
     """A part of a document; keys that it does not know are faults."""
 
 
@@ -168,10 +174,18 @@
         :raises InvalidFileError: one line a fault.
         """
         document = load_yaml(data, cls, name)
-        faults = tuple(_find_faults(document))
+        document.check(name)
+        return document
+
+    def check(self, name: str) -> None:
+        """Check everything that the document says about itself.
+
+        :param name: where it came from, for the faults.
+        :raises InvalidFileError: one line a fault.
+        """
+        faults = tuple(_find_faults(self))
         if faults:
             raise InvalidFileError(name, faults)
-        return document
 
     def resolve_pool(self, stage: Stage) -> PoolName:
         """Find the full name of the pool that a stage calls.
--- a/packages/core/bramleyspread_core/tests/test_document.py
+++ b/packages/core/bramleyspread_core/tests/test_document.py
@@ -7,6 +7,8 @@
     PoolName,
     ServiceDocument,
     ServiceName,
+    decode_json,
+    encode_json,
     find_reference_faults,
 )
 
@@ -41,6 +43,11 @@
     assert document.resolve_pool(stage) == PoolName(ServiceName("photos"), "encoders")
 
 
+def test_json_between_processes_says_the_same() -> None:
+    document = read(BASE)
+    assert decode_json(encode_json(document), ServiceDocument) == document
+
+
 CHANGES = [
     ("version: 1\n", "version: 0\n", "version: Expected `int` >= 1"),
     ("team: booths", "teem: booths", "unknown field `teem`"),
