Trim what gossip sends in large deployments, and keep shares steady

Host rows carry address fields in place of an object, summaries go with every fourth message to a partner, rings send every 1.1 s. Shares of targets told of step by 1/64 and rise by two steps at least: with steps of 1/16 one share fell from 120 to 100 targets at once where its fit lay at a step (seen in a test).

--- a/packages/membership/bramleyspread_membership/_budget.py
+++ b/packages/membership/bramleyspread_membership/_budget.py
@@ -5,13 +5,14 @@
 #: Bytes around a message's body: names of the two hosts, and HTTP.
 ENVELOPE_BYTES = 210
 #: Bytes of a message that says nothing about targets, envelope included.
-EMPTY_MESSAGE_BYTES = 450
+EMPTY_MESSAGE_BYTES = 420
 #: About how long a row about one target is, in bytes.
 ROW_BYTES = 48
 #: Weight of the newest round in the mean number of rows.
 SMOOTHING = 0.1
-#: Shares are cut to whole multiples of this, so that they seldom change.
-STEP = 1 / 16
+#: Shares are whole multiples of this, and rise by two of them or not at all, so
+#: that they seldom change.
+STEP = 1 / 64
 #: Least share of the budget that goes to rows, however many messages there are.
 LEAST_FOR_ROWS = 0.2
 
@@ -65,16 +66,17 @@
     1.0
     >>> ration.count(rows=500)
     >>> ration.start_round(peers=10, interval=1.0)
-    0.1875
+    0.234375
     """
 
-    __slots__ = ("_counted", "_mean", "_rate", "_rounds")
+    __slots__ = ("_counted", "_mean", "_rate", "_rounds", "_share")
 
     def __init__(self, rate: float) -> None:
         self._rate = rate
         self._counted = 0
         self._mean = 0.0
         self._rounds = 0
+        self._share = 1.0
 
     def count(self, rows: int) -> None:
         """Count rows that a peer would be sent if there were no bound.
@@ -96,5 +98,7 @@
         self._rounds += 1
         allowed = self._rate * interval
         room = max(allowed - peers * EMPTY_MESSAGE_BYTES, allowed * LEAST_FOR_ROWS)
-        share = room / max(self._mean * ROW_BYTES, 1.0)
-        return min(1.0, max(STEP, share // STEP * STEP))
+        fits = min(1.0, room / max(self._mean * ROW_BYTES, 1.0))
+        if fits < self._share or fits >= min(1.0, self._share + 2 * STEP):
+            self._share = max(STEP, fits // STEP * STEP)
+        return self._share
--- a/packages/membership/bramleyspread_membership/_config.py
+++ b/packages/membership/bramleyspread_membership/_config.py
@@ -48,7 +48,7 @@
     #: Hosts that each sends to on the ring of a zone whose hosts are too many for that.
     ring_peers: int = 4
     #: Shortest time between two rounds on such a ring.
-    ring_every: float = 1.0
+    ring_every: float = 1.1
     #: Other zones that a host sends to when not all hosts are sent to.
     other_zones: int = 4
     #: An entry host is forgotten when it was not heard of for this long,
--- a/packages/membership/bramleyspread_membership/_gossip.py
+++ b/packages/membership/bramleyspread_membership/_gossip.py
@@ -29,10 +29,13 @@
 from bramleyspread_membership._peers import Circle, Peer, PeerState, choose_circle
 from bramleyspread_membership._record import NEVER, TargetRecord
 from bramleyspread_membership._rows import Rows, make_rows, pick_relayed
+from bramleyspread_membership._summaries import summarise
 from bramleyspread_membership._targets import TargetTable
 
 #: Hosts that pass news on, in each round, to one that does not hear its source.
 RELAYS = 3
+#: One in this many messages to a partner carries summaries of pools.
+SUMMARY_ROUNDS = 4
 #: Rounds are drawn apart by this share of their interval.
 JITTER = 0.1
 #: A host silent for this many intervals is reported unheard.
@@ -188,6 +191,7 @@
         rows = self._select(peer, state, room, share, now)
         state.reached = rows.reached
         state.turn += 1
+        is_summed = peer.is_partner and state.turn % SUMMARY_ROUNDS == 0
         return Gossip(
             (self._make_own_row(), *self._pick_rows(peer, state.turn, now)),
             int(now * 1000),
@@ -196,7 +200,7 @@
             left,
             rows.details,
             rows.renewals,
-            self._summarise(now) if peer.is_partner else (),
+            self._summarise(now) if is_summed else (),
         )
 
     def _pick_rows(self, peer: Peer, turn: int, now: float) -> Iterator[HostRow]:
@@ -254,27 +258,17 @@
         return self._circle
 
     def _summarise(self, now: float) -> tuple[PoolSummary, ...]:
-        hosts = self._hosts.count_zone(self._config.zone) + 1
-        summaries = []
-        for pool in self._targets.list_pools():
-            loads = [
-                (record.announcement.load.running + record.announcement.load.waiting)
-                for record in self._targets.list_usable(pool, now)
-                if record.announcement.zone == self._config.zone
-            ]
-            if not loads:
-                continue
-            size = max(len(loads), round(self._sizes.estimate(pool, hosts)))
-            load = round(100 * sum(loads) / len(loads))
-            summaries.append(PoolSummary(pool, size, load))
-        return tuple(summaries)
+        zone = self._config.zone
+        hosts = self._hosts.count_zone(zone) + 1
+        return summarise(self._targets, self._sizes, zone, hosts, now)
 
     def _make_own_row(self) -> HostRow:
         config = self._config
         return HostRow(
             config.host,
             config.zone,
-            config.address,
+            config.address.ip,
+            config.address.port,
             config.incarnation,
             self._heartbeat,
             self._shelf.revision,
--- a/packages/membership/bramleyspread_membership/_messages.py
+++ b/packages/membership/bramleyspread_membership/_messages.py
@@ -28,8 +28,10 @@
     host: HostName
     #: Its availability zone.
     zone: ZoneName
-    #: Where it listens.
-    address: Address
+    #: IP number where it listens.
+    ip: str
+    #: TCP port where it listens.
+    port: int
     #: Rises each time its process starts.
     incarnation: int
     #: Rises while the process runs; a row with an old one is no news.
@@ -39,6 +41,11 @@
     #: Time since that heartbeat, in milliseconds.
     age_ms: int
 
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        return Address(self.ip, self.port)
+
 
 class DetailRow(Struct, frozen=True, array_like=True):
     """Everything about one target."""
