--- a/packages/control/bramleyspread_control/_config.py
+++ b/packages/control/bramleyspread_control/_config.py
@@ -29,7 +29,7 @@
     #: Longest such silence, in seconds.
     election_max: float = 2.0
     #: Between two signs of life of a leader, in seconds.
-    heartbeat: float = 0.1
+    heartbeat: float = 0.2
     #: Until an unanswered message is sent again, in seconds.
     resend: float = 0.3
     #: How long a new leader waits before it gives orders, in seconds.
@@ -41,11 +41,11 @@
     #: Applied entries kept for replicas that lag.
     log_kept: int = 500
     #: Change ids kept, so that a resend is known.
-    changes_kept: int = 20_000
+    changes_kept: int = 2_000
     #: Finished claims are kept at least this long, in seconds.
     claim_retention: float = 3_600.0
     #: Claims kept in one group before new ones are refused.
-    claims_at_most: int = 100_000
+    claims_at_most: int = 30_000
     #: Bytes of answers kept in one group before new claims are refused.
     claim_bytes_at_most: int = 32_000_000
     #: Added to a claim's remaining time before it counts as unknown, in seconds.
