Hold a started entry host back until a majority has told it what is in force

Cause: an entry host that restarts took the documents of the first control host to answer, and served with an older version than before where that one lagged. Callers that came before it had any documents got 404 for services that exist. Ruled out: a copy on disk (entry hosts have none); one control host that says it is current (a follower can't know that it still is). Before/after: scenario entry-restarts-beside-lagging-control with the gate open at once breaks ('serves ... after'); with it, holds. It stands as a planted fault. Left: a majority that has not heard of the commit yet (a heartbeat, 0.1 s).

--- a/packages/daemon/bramleyspread_daemon/_control_link.py
+++ b/packages/daemon/bramleyspread_daemon/_control_link.py
@@ -63,6 +63,11 @@
         #: Tries that met no leader or no answer.
         self.misses = 0
 
+    @property
+    def hosts(self) -> Sequence[Address]:
+        """The control hosts, this availability zone's first."""
+        return self._hosts
+
     async def ask(self, command: Command, timeout: float) -> CommandResult:
         """Send a command until a leader decides it.
 
@@ -126,6 +131,17 @@
         self._next_poll += 1
         position = 0 if turn % 2 == 0 else (turn // 2 + 1)
         address = self._hosts[position % len(self._hosts)]
+        return await self.ask_documents(address, query)
+
+    async def ask_documents(
+        self, address: Address, query: DocumentsQuery
+    ) -> DocumentsPage | None:
+        """Ask one control host for newer documents.
+
+        :param address: the control host.
+        :param query: who asks, and what is known.
+        :returns: the page, or None when it did not answer.
+        """
         body = encode_json(query)
         try:
             response = await self._pool.ask(address, DOCUMENTS_PATH, body, POLL_S)
--- a/packages/daemon/bramleyspread_daemon/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/_entry.py
@@ -11,6 +11,7 @@
     Address,
     Announcement,
     AnnouncementAnswer,
+    DocumentsPage,
     DocumentsQuery,
     HostName,
     MessageError,
@@ -26,16 +27,16 @@
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._control_link import ControlLink
 from bramleyspread_daemon._entry_effects import EffectRunner
-from bramleyspread_daemon._exchange import HttpRequest, Reply
+from bramleyspread_daemon._exchange import JSON_TYPE, HttpRequest, Reply
 from bramleyspread_daemon._messenger import read_messages
 from bramleyspread_daemon._metrics import Metrics
 from bramleyspread_daemon._process import Process, repeat, wait_for_stop, wait_until
-from bramleyspread_daemon._refusal import write_refusal
+from bramleyspread_daemon._refusal import write_refusal, write_retry
 from bramleyspread_daemon._routes import Routes
 from bramleyspread_daemon._server import HttpServer
 from bramleyspread_daemon._settings import EntrySettings
 from bramleyspread_entry import EntryDecisions, IdSource
-from bramleyspread_membership import EntryDirectory
+from bramleyspread_membership import EntryDirectory, StartGate
 
 #: Shortest pause between two looks at what is due, in seconds.
 TICK_S = 0.002
@@ -53,6 +54,10 @@
 REPORT_S = 2.0
 #: When targets are asked to announce themselves again, in milliseconds.
 AGAIN_MS = 500
+#: Pause before a control host is asked again at the start, in seconds.
+START_PAUSE_S = 0.1
+#: When a caller is to come back that came before the host was ready, in milliseconds.
+NOT_READY_MS = 500
 
 
 class EntryProcess:
@@ -79,6 +84,7 @@
         ]
         zone = ZoneName(settings.zone)
         self._link = ControlLink(hosts, zone, process.pool, rng)
+        self._gate = StartGate(len(hosts), read_monotonic())
         self._effects = EffectRunner(
             decisions,
             directory,
@@ -103,9 +109,18 @@
         return Routes(routes, {("POST", SERVICES_PREFIX): self._serve_caller})
 
     def _find_unready(self) -> str:
-        return "" if self._directory.list_documents() else "no documents yet"
+        if not self._directory.list_documents():
+            return "no documents yet"
+        if not self._gate.is_open(read_monotonic()):
+            return "its documents may be older than before its start"
+        return ""
 
     async def _serve_caller(self, http: HttpRequest, reply: Reply) -> None:
+        unready = self._find_unready()
+        if unready:
+            body = write_refusal(503, unready)
+            reply.send(503, body, (JSON_TYPE, *write_retry(NOT_READY_MS)))
+            return
         name = self._ids.next_request()
         try:
             request = read_caller_request(http, name)
@@ -171,17 +186,32 @@
             self._process.timeline.write(happening)
 
     async def _poll_documents(self) -> None:
-        query = DocumentsQuery(
+        self._put_in_force(await self._link.poll(self._make_query()))
+
+    async def _ask_at_start(self, address: Address) -> None:
+        """Ask one control host until the gate is open or all it has is here."""
+        while not self._gate.is_open(read_monotonic()):
+            page = await self._link.ask_documents(address, self._make_query())
+            self._put_in_force(page)
+            if page is None or not page.revision:
+                await curio.sleep(START_PAUSE_S)
+            elif page.revision <= self._directory.revision and not page.documents:
+                self._gate.take_answer(address)
+                return
+
+    def _put_in_force(self, page: DocumentsPage | None) -> None:
+        if page is None:
+            return
+        for happening in self._directory.apply_documents(page, read_monotonic()):
+            self._process.timeline.write(happening)
+
+    def _make_query(self) -> DocumentsQuery:
+        return DocumentsQuery(
             HostName(self._settings.host),
             self._settings.zone,
             self._settings.listen.address,
             self._directory.revision,
         )
-        page = await self._link.poll(query)
-        if page is None:
-            return
-        for happening in self._directory.apply_documents(page, read_monotonic()):
-            self._process.timeline.write(happening)
 
     async def _report_targets(self) -> None:
         report = self._directory.report_targets(read_monotonic())
@@ -211,6 +241,8 @@
             (self._report_targets, "targets", lambda: REPORT_S),
         ):
             await curio.spawn(repeat, action, name, pause, daemon=True)
+        for host in self._link.hosts:
+            await curio.spawn(self._ask_at_start, host, daemon=True)
         await curio.spawn(self._process.keep_pool, daemon=True)
         self._process.report("started", detail=f"entry at {address}")
         logger.bind(step="start", peer="-").info(f"entry host at {address}")
--- a/packages/proof/bramleyspread_proof/_control_process.py
+++ b/packages/proof/bramleyspread_proof/_control_process.py
@@ -46,6 +46,8 @@
         self._config = ControlConfig(
             member.host, member.zone, member.address, members, groups
         )
+        #: Where it listens.
+        self.address = member.address
         self._network = network
         self._ledger = ledger
         self._disk = MemoryDisk()
--- a/packages/proof/bramleyspread_proof/_entry_process.py
+++ b/packages/proof/bramleyspread_proof/_entry_process.py
@@ -38,7 +38,12 @@
     ZoneName,
 )
 from bramleyspread_entry import EntryConfig, EntryDecisions, IdSource
-from bramleyspread_membership import DirectoryConfig, EntryDirectory, Neighbour
+from bramleyspread_membership import (
+    DirectoryConfig,
+    EntryDirectory,
+    Neighbour,
+    StartGate,
+)
 from bramleyspread_proof._agenda import Agenda
 from bramleyspread_proof._control_asker import ControlAsker
 from bramleyspread_proof._control_process import ControlProcess
@@ -53,6 +58,10 @@
 POLL = 0.5
 #: Time after which a connection that nobody accepts is given up, in seconds.
 CONNECT = 0.3
+#: Pause before a control host is asked again at the start, in seconds.
+START_PAUSE = 0.1
+#: When a caller is to come back that came before the host was ready, in milliseconds.
+NOT_READY_MS = 500
 #: Most time for one round of tries of a settlement, in seconds.
 SETTLE = 5.0
 #: How long a target may still get work after it said that it leaves, in seconds.
@@ -119,6 +128,7 @@
         self._idle: dict[str, list[Connection]] = {}
         self._ending: Connection | None = None
         self._polls = 0
+        self._best: dict[str, int] = {}
         self._due = float("inf")
         network.register(address, self)
 
@@ -149,6 +159,9 @@
         )
         self._ids = IdSource(host, self.life)
         self._asker = ControlAsker(self, self.control_hosts, self._network)
+        self._gate = StartGate(len(self.control_hosts), self.now)
+        for control in self.control_hosts:
+            self._ask_at_start(control)
         self.every(DIRECTORY_TICK, lambda: self._gossip(self.directory.tick(self.now)))
         self.every(POLL, self._poll)
 
@@ -177,7 +190,9 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer would send callers here."""
-        return self.alive and not self.draining and self.directory.revision > 0
+        if not self.alive or self.draining or not self.directory.list_documents():
+            return False
+        return self._gate.is_open(self.now)
 
     def silence(self, share: float) -> None:
         """Make connections forget themselves without a word.
@@ -200,6 +215,11 @@
         :param request: the request; its id is replaced by one of this host.
         :param taker: called at most once.
         """
+        if not self.ready:
+            fault = Fault(Reason.DRAINING, "arrival", self.name, "not ready")
+            taker(AnswerRefused(fault, NOT_READY_MS))
+            return
+        self._check_reverted()
         name = self._ids.next_request()
         self._waiting[name] = taker
         own = CallerRequest(
@@ -217,15 +237,49 @@
     def _poll(self) -> None:
         control = self.control_hosts[self._polls % len(self.control_hosts)]
         self._polls += 1
+        self._ask_documents(control, self._take_page)
+
+    def _ask_at_start(self, control: ControlProcess) -> None:
+        """Ask one control host until the gate is open or all it has is here."""
+        if self._gate.is_open(self.now):
+            return
+
+        def take(page: DocumentsPage) -> None:
+            self._take_page(page)
+            if page.revision and not page.documents:
+                self._gate.take_answer(control.address)
+            else:
+                self.later(START_PAUSE, lambda: self._ask_at_start(control))
+
+        self._ask_documents(control, take)
+
+    def _ask_documents(
+        self, control: ControlProcess, take: Callable[[DocumentsPage], None]
+    ) -> None:
         query = DocumentsQuery(
             HostName(self.name), self.zone, self.address, self.directory.revision
         )
 
         def reply(page: DocumentsPage) -> None:
-            self._network.send(control, self, lambda: self._take_page(page))
+            self._network.send(control, self, lambda: take(page))
 
         self._network.send(self, control, lambda: control.take_query(query, reply))
 
+    def _check_reverted(self) -> None:
+        """Enter a breach when this host serves with older documents than before."""
+        reached = [c for c in self.control_hosts if self._can_ask(c)]
+        majority = 2 * len(reached) > len(self.control_hosts)
+        for document in self.directory.list_documents():
+            service, version = document.service, document.version
+            best = self._best.get(service, 0)
+            if version < best and majority:
+                detail = f"{self.name} serves {service} {version} after {best}"
+                self._ledger.breach("never-reverts", detail)
+            self._best[service] = max(best, version)
+
+    def _can_ask(self, control: ControlProcess) -> bool:
+        return control.alive and self._network.can_connect(self, control)
+
     def _take_page(self, page: DocumentsPage) -> None:
         for happening in self.directory.apply_documents(page, self.now):
             self._note(happening)
--- a/packages/proof/bramleyspread_proof/tests/test_planted.py
+++ b/packages/proof/bramleyspread_proof/tests/test_planted.py
@@ -28,6 +28,7 @@
 from bramleyspread_entry import EntryDecisions
 from bramleyspread_entry._delivery import Delivery
 from bramleyspread_entry._state import EntryState
+from bramleyspread_membership import StartGate
 from bramleyspread_membership._documents import DocumentShelf
 from bramleyspread_membership._targets import TargetTable
 from bramleyspread_proof.__main__ import read_documents
@@ -173,6 +174,10 @@
     patch.setattr(EntryDecisions, "in_flight", property(lambda decisions: 0))
 
 
+def serve_before_catching_up(patch: Patch) -> None:
+    patch.setattr(StartGate, "is_open", lambda gate, now: True)
+
+
 PLANTED = [
     (drop_the_sync, "power-lost", "submissions ended as"),
     (commit_without_quorum, "lost-disk-does-not-vote", ""),
@@ -180,6 +185,7 @@
     (skip_compare_and_set, "operators-race", "accepted twice"),
     (forget_change_ids, "resend-after-lost-answer", "Conflict"),
     (apply_older_documents, "regions-lose-each-other", "never-reverts"),
+    (serve_before_catching_up, "entry-restarts-beside-lagging-control", "serves"),
     (retry_an_unknown_outcome, "target-killed", "run-at-most-once"),
     (dispatch_without_the_claim, "entries-killed-twice", "run-at-most-once"),
     (call_everything_refused, "target-killed", "refused-not-run"),
