--- a/packages/control/bramleyspread_control/_leading.py
+++ b/packages/control/bramleyspread_control/_leading.py
@@ -5,12 +5,13 @@
 import math
 from collections.abc import Callable
 
+import msgspec
+
 from bramleyspread_control._entries import Change, Entry, SetMembers
 from bramleyspread_control._members import Member, Members
 from bramleyspread_control._messages import (
     Append,
     Appended,
-    SnapshotPiece,
     SnapshotWanted,
     StandNow,
 )
@@ -137,14 +138,7 @@
             return
         if not 0 <= wanted.offset < len(sending.data):
             return
-        progress.snapshot = SnapshotSend(
-            sending.index,
-            sending.term,
-            sending.members,
-            sending.data,
-            sending.checksum,
-            wanted.offset,
-        )
+        progress.snapshot = msgspec.structs.replace(sending, offset=wanted.offset)
         progress.resend_at = 0.0
         self._replicate(member, now, beat=False)
 
@@ -293,16 +287,5 @@
             sending = SnapshotSend.from_state(log.applied, term, members, state)
             progress.snapshot = sending
         progress.resend_at = now + standing.timings.resend
-        piece = SnapshotPiece(
-            standing.group,
-            standing.term,
-            sending.index,
-            sending.term,
-            sending.members,
-            len(sending.data),
-            sending.checksum,
-            sending.offset,
-            sending.piece,
-            now,
-        )
+        piece = sending.make_piece(standing.group, standing.term, now)
         standing.send(member.host, piece)
--- a/packages/control/bramleyspread_control/_progress.py
+++ b/packages/control/bramleyspread_control/_progress.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bramleyspread_control._members import Members
+from bramleyspread_control._messages import SnapshotPiece
 
 #: Bytes of a snapshot in one message.
 PIECE_BYTES = 256_000
@@ -43,10 +44,26 @@
         """
         return cls(index, term, members, data, crc32c.crc32c(data))
 
-    @property
-    def piece(self) -> bytes:
-        """The next piece."""
-        return self.data[self.offset : self.offset + PIECE_BYTES]
+    def make_piece(self, group: int, term: int, now: float) -> SnapshotPiece:
+        """Make the message with the next piece.
+
+        :param group: the group.
+        :param term: the leader's term.
+        :param now: monotonic seconds.
+        :returns: the message.
+        """
+        return SnapshotPiece(
+            group,
+            term,
+            self.index,
+            self.term,
+            self.members,
+            len(self.data),
+            self.checksum,
+            self.offset,
+            self.data[self.offset : self.offset + PIECE_BYTES],
+            now,
+        )
 
 
 class Progress:
--- a/packages/control/bramleyspread_control/_store.py
+++ b/packages/control/bramleyspread_control/_store.py
@@ -10,12 +10,12 @@
 from bramleyspread_control._config import ControlConfig
 from bramleyspread_control._disk import CorruptFileError, Disk
 from bramleyspread_control._documents import DocumentsMachine
-from bramleyspread_control._journal import (
+from bramleyspread_control._journal import Journal
+from bramleyspread_control._journal_records import (
     CheckpointRecord,
     Committed,
     GroupState,
     Header,
-    Journal,
     JournalRecord,
     Logged,
     Placed,
