--- a/packages/control/bramleyspread_control/tests/test_identity.py
+++ b/packages/control/bramleyspread_control/tests/test_identity.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from bramleyspread_control import ControlMember, MemoryDisk
 from bramleyspread_control.tests._cluster import Cluster, submit
-from bramleyspread_core import Accepted
+from bramleyspread_core import Accepted, Address, HostName, ZoneName
 
 
 def list_voters(cluster: Cluster, name: str) -> tuple[str, ...]:
@@ -213,3 +214,21 @@
     leader = cluster.run_until_led()
     assert leader != "b"
     assert not cluster.nodes[leader].list_documents()
+
+
+def test_a_host_of_a_new_name_is_taken_in_by_settings() -> None:
+    cluster = Cluster(3)
+    cluster.run_until_led()
+    assert isinstance(cluster.call(submit("c1")), Accepted)
+    address = Address("127.0.0.1", 7009)
+    newcomer = ControlMember(HostName("d"), ZoneName("zd"), address)
+    cluster.members = (*cluster.members, newcomer)
+    for name in "abc":
+        cluster.kill(name)
+        cluster.start(name)
+        cluster.run(4.0)
+    cluster.disks["d"] = MemoryDisk()
+    cluster.start("d")
+    cluster.run(5.0)
+    assert len(list_voters(cluster, cluster.run_until_led())) == 4
+    assert [each.version for each in cluster.nodes["d"].list_documents()] == [1]
