--- a/packages/entry/bramleyspread_entry/_choice.py
+++ b/packages/entry/bramleyspread_entry/_choice.py
@@ -29,6 +29,8 @@
 AFFINITY_MARGIN = 0.5
 #: Load up to which it does so at all, in shares of slots.
 AFFINITY_BOUND = 0.8
+#: Most targets of a pool in which all zones share the homes of prefixes.
+SMALL_POOL = 16
 #: Age beyond which own sends are forgotten whatever was reported, in seconds.
 SENT_AGE = 5.0
 
@@ -71,6 +73,8 @@
 
     #: Attempts not over.
     in_flight: int = 0
+    #: Those of them that the newest load report seen contains.
+    reported: int = 0
     #: Sends and ends not yet contained in a load report: time and change.
     changes: deque[tuple[float, int]] = field(default_factory=deque)
 
@@ -97,7 +101,7 @@
         changes = traffic.changes
         changes.append((now, change))
         while changes[0][0] < now - SENT_AGE:
-            changes.popleft()
+            traffic.reported += changes.popleft()[1]
 
     def in_flight(self, target: TargetName) -> int:
         """Count own attempts at a target.
@@ -120,9 +124,9 @@
         if traffic is not None:
             changes = traffic.changes
             while changes and changes[0][0] <= view.load_as_of:
-                changes.popleft()
-            on_it += sum(change for _, change in changes)
-            on_it = max(on_it, traffic.in_flight)
+                traffic.reported += changes.popleft()[1]
+            since = traffic.in_flight - traffic.reported
+            on_it = max(on_it + since, traffic.in_flight)
         return on_it / max(1, load.slots)
 
 
@@ -296,10 +300,7 @@
         All hosts that share a slice draw a prefix to the same targets of it, so
         that they fill few caches with it.
         """
-        part = own if own.size else Slice(0, len(views), len(views))
-        drawn = xxhash.xxh3_64_intdigest(need.prefix)
-        first = views[part.place(drawn % part.size)]
-        second = views[part.place((drawn >> 32) % part.size)]
+        first, second = _draw_homes(need.prefix, views, own)
         held = self._hints.find(need.pool, need.prefix, views, now)
         for view in (first, held, second):
             if view is None or not self._is_good(view, need, now):
@@ -309,3 +310,25 @@
             if held_load <= bound:
                 return view
         return best
+
+
+def _draw_homes(
+    prefix: str, views: Sequence[TargetView], own: Slice
+) -> tuple[TargetView, TargetView]:
+    """Draw the two targets that a prefix belongs to first.
+
+    In a small pool all hosts of all zones draw the same ones; in a large one
+    those that share a slice do.
+    """
+    if len(views) <= SMALL_POOL:
+        order = sorted(
+            views,
+            key=lambda view: xxhash.xxh3_64_intdigest(
+                f"{prefix} {view.announcement.target}"
+            ),
+        )
+        return order[0], order[min(1, len(order) - 1)]
+    part = own if own.size else Slice(0, len(views), len(views))
+    drawn = xxhash.xxh3_64_intdigest(prefix)
+    first, second = drawn % part.size, (drawn >> 32) % part.size
+    return views[part.place(first)], views[part.place(second)]
