--- a/packages/proof/bramleyspread_proof/_capacity.py
+++ b/packages/proof/bramleyspread_proof/_capacity.py
@@ -57,7 +57,7 @@
         :returns: the figures.
         :raises FiguresError: naming the line that is not a figure.
         """
-        figures = []
+        figures: list[Figure] = []
         for number, line in enumerate(path.read_bytes().splitlines(), start=1):
             try:
                 figures.append(decode_json(line, Figure))
