--- a/packages/entry/bramleyspread_entry/_config.py
+++ b/packages/entry/bramleyspread_entry/_config.py
@@ -54,6 +54,6 @@
     #: Bytes at the start of an input that tell prefixes apart.
     prefix_bytes: int = 256
     #: Part of a request's slack that it may wait in queues, within a fair share.
-    patience: float = 0.42
+    patience: float = 0.55
     #: The same beyond a fair share.
     patience_beyond_share: float = 0.1
