--- a/packages/entry/bramleyspread_entry/tests/test_choice.py
+++ b/packages/entry/bramleyspread_entry/tests/test_choice.py
@@ -20,9 +20,10 @@
     TargetName,
     TargetView,
 )
-from bramleyspread_entry._choice import Need, OwnTraffic, TwoChoices
+from bramleyspread_entry._choice import Need, TwoChoices
 from bramleyspread_entry._outliers import PeerComparison
 from bramleyspread_entry._slices import HostSlices, WholeZone
+from bramleyspread_entry._traffic import OwnTraffic
 from bramleyspread_entry.tests.harness import FakeDirectory, make_view
 
 POOL = PoolName(ServiceName("booth"), "engines")
