Let settings part callers from targets, hosts and operators

Cause: one listener took all; a caller could announce a target of its own and be sent other brands' work, or read costs. Ruled out: shared keys (no way to hand them out is given); addresses (the balancer hides them). Change: entry setting 'callers: {ip, port}': callers and health checks there, everything else only at 'listen'. Left out, one listener takes all, as before. Test: callers' listener answers 404 to announcements, peers, metrics and costs.

--- a/packages/daemon/bramleyspread_daemon/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/_entry.py
@@ -92,8 +92,15 @@
             self._link,
             process.timeline,
         )
+        limits, clock = settings.limits, process.clock
         #: Its HTTP server.
-        self.server = HttpServer(self._list_routes(), settings.limits, process.clock)
+        self.server = HttpServer(self._list_routes(), limits, clock)
+        #: The HTTP server for callers; the same one unless settings part them.
+        self.public = self.server
+        #: Where callers are taken, once it listens.
+        self.public_address = settings.listen.address
+        if settings.callers is not None:
+            self.public = HttpServer(self._list_caller_routes(), limits, clock)
 
     @property
     def in_flight(self) -> int:
@@ -106,6 +113,12 @@
         routes[("POST", "/v1/peer")] = self._receive
         routes[("GET", "/v1/in-force")] = self._answer_in_force
         routes[("GET", "/v1/cost")] = self._answer_cost
+        callers = {("POST", SERVICES_PREFIX): self._serve_caller}
+        return Routes(routes, callers if self._settings.callers is None else None)
+
+    def _list_caller_routes(self) -> Routes:
+        """List what callers and the balancer may reach, and nothing else."""
+        routes = self._process.list_health_routes(self._find_unready)
         return Routes(routes, {("POST", SERVICES_PREFIX): self._serve_caller})
 
     def _find_unready(self) -> str:
@@ -158,7 +171,7 @@
         reply.send_json(self._decisions.cost_report())
 
     def _fill_metrics(self, metrics: Metrics) -> None:
-        self._process.fill_server_metrics(metrics, self.server)
+        self._process.fill_server_metrics(metrics, *self._servers)
         counts = self._effects.counts
         for status, number in counts.answers.items():
             what = "Final answers to callers."
@@ -234,6 +247,10 @@
         :raises OSError: when the address cannot be had.
         """
         address = await self.server.start(self._settings.listen.address)
+        if self._settings.callers is not None:
+            self.public_address = await self.public.start(
+                self._settings.callers.address
+            )
         for action, name, pause in (
             (self._effects.tick, "tick", self._choose_tick_pause),
             (self._tick_directory, "directory", lambda: DIRECTORY_TICK_S),
@@ -255,18 +272,28 @@
         """
         limits = self._settings.limits
         self._process.stopping = True
-        self.server.draining = True
+        for server in self._servers:
+            server.draining = True
         self._process.report("draining")
         await self._effects.apply(self._decisions.begin_drain(read_monotonic()))
         await curio.sleep(limits.grace_s)
-        await self.server.stop_accepting()
+        for server in self._servers:
+            await server.stop_accepting()
         finished = await wait_until(self._is_finished, limits.drain_s)
-        await self.server.close_connections()
+        for server in self._servers:
+            await server.close_connections()
         self._process.report("stopped", detail="" if finished else "cut off")
         return finished
 
     def _is_finished(self) -> bool:
-        return self._decisions.in_flight == 0 and self.server.replies_open == 0
+        replies = sum(server.replies_open for server in self._servers)
+        return self._decisions.in_flight == 0 and replies == 0
+
+    @property
+    def _servers(self) -> tuple[HttpServer, ...]:
+        if self.public is self.server:
+            return (self.server,)
+        return (self.server, self.public)
 
     async def run(self) -> int:
         """Run until asked to stop.
--- a/packages/daemon/bramleyspread_daemon/_process.py
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -4,6 +4,7 @@
 
 import signal
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -81,6 +82,25 @@
         :returns: handlers by method and path.
         """
 
+        async def answer_metrics(_: HttpRequest, reply: Reply) -> None:
+            metrics = Metrics(self.settings.host)
+            self._fill_metrics(metrics)
+            fill(metrics)
+            send_metrics(metrics, reply)
+
+        routes = self.list_health_routes(is_ready)
+        routes[("GET", "/metrics")] = answer_metrics
+        return routes
+
+    def list_health_routes(
+        self, is_ready: Callable[[], str]
+    ) -> dict[tuple[str, str], Route]:
+        """List the routes that a balancer asks.
+
+        :param is_ready: says why the process is not ready; empty when it is.
+        :returns: handlers by method and path.
+        """
+
         async def answer_live(_: HttpRequest, reply: Reply) -> None:
             reply.send_json({"live": True})
 
@@ -91,16 +111,9 @@
             else:
                 reply.send_json({"ready": True})
 
-        async def answer_metrics(_: HttpRequest, reply: Reply) -> None:
-            metrics = Metrics(self.settings.host)
-            self._fill_metrics(metrics)
-            fill(metrics)
-            send_metrics(metrics, reply)
-
         return {
             ("GET", "/v1/live"): answer_live,
             ("GET", "/v1/ready"): answer_ready,
-            ("GET", "/metrics"): answer_metrics,
         }
 
     def _fill_metrics(self, metrics: Metrics) -> None:
@@ -117,16 +130,22 @@
         spent = time.process_time()
         count("processor_seconds_total", "Processor time of this process.", spent)
 
-    def fill_server_metrics(self, metrics: Metrics, server: HttpServer) -> None:
-        """Set the metrics of the process's server.
+    def fill_server_metrics(self, metrics: Metrics, *servers: HttpServer) -> None:
+        """Set the metrics of the process's servers, summed up.
 
         :param metrics: where to set them.
-        :param server: the server.
+        :param servers: the servers.
         """
-        metrics.gauge("open_connections", "From others.", server.open_connections)
-        metrics.count("accepted_total", "Connections taken.", server.accepted)
-        metrics.count("http_requests_total", "HTTP requests.", server.requests)
-        for status, number in server.refusals.items():
+        connections = sum(server.open_connections for server in servers)
+        metrics.gauge("open_connections", "From others.", connections)
+        accepted = sum(server.accepted for server in servers)
+        metrics.count("accepted_total", "Connections taken.", accepted)
+        requests = sum(server.requests for server in servers)
+        metrics.count("http_requests_total", "HTTP requests.", requests)
+        refusals: Counter[int] = Counter()
+        for server in servers:
+            refusals.update(server.refusals)
+        for status, number in refusals.items():
             name = "http_refusals_total"
             metrics.count(name, "Not taken as HTTP.", number, status=str(status))
 
--- a/packages/daemon/bramleyspread_daemon/_settings.py
+++ b/packages/daemon/bramleyspread_daemon/_settings.py
@@ -89,6 +89,9 @@
 class EntrySettings(_ProcessSettings, frozen=True, kw_only=True):
     """Settings of an entry process."""
 
+    #: Where callers are taken; ``listen`` then takes only targets, hosts and
+    #: operators. None takes callers at ``listen`` too.
+    callers: Listen | None = None
     #: The control hosts.
     control_hosts: tuple[HostSettings, ...] = ()
     #: Other entry hosts to begin with; this host may be among them.
@@ -140,6 +143,7 @@
     yield from _find_host_faults("control_hosts", settings.control_hosts)
     if isinstance(settings, EntrySettings):
         yield from _find_host_faults("entry_hosts", settings.entry_hosts)
+        yield from _find_caller_faults(settings)
         return
     if not settings.data:
         yield "data: expected a folder, got an empty text"
@@ -150,6 +154,14 @@
         yield f"control_hosts: {own.host!r} has not the address of listen"
 
 
+def _find_caller_faults(settings: EntrySettings) -> Iterator[str]:
+    if settings.callers is None:
+        return
+    yield from _find_ip_faults("callers.ip", settings.callers.ip)
+    if settings.callers == settings.listen:
+        yield "callers: the same address as listen; leave it out or choose another"
+
+
 def _find_host_faults(path: str, hosts: Sequence[HostSettings]) -> Iterator[str]:
     names: set[str] = set()
     addresses: set[str] = set()
--- a/packages/daemon/bramleyspread_daemon/tests/small_deployment.py
+++ b/packages/daemon/bramleyspread_daemon/tests/small_deployment.py
@@ -246,7 +246,13 @@
 class Deployment:
     """All of it, started and with the document in force."""
 
-    def __init__(self, folder: Path, limits: Limits | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        limits: Limits | None = None,
+        callers: Listen | None = None,
+    ) -> None:
+        self.callers = callers
         self.folder = folder
         self.limits = limits or Limits(grace_s=0.0)
         self.node = OneHostControl()
@@ -287,6 +293,7 @@
             timeline=str(self.folder / "entry.jsonl"),
             limits=self.limits,
             control_hosts=(host,),
+            callers=self.callers,
         )
         process = Process(settings)
         rng = Random(1)
--- a/packages/daemon/bramleyspread_daemon/tests/test_entry.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_entry.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 
+from bramleyspread_daemon._settings import Listen
 from bramleyspread_daemon.tests.loopback import (
     connect,
     read_all,
@@ -207,3 +208,24 @@
         assert deployment.node.handed_over
 
     run(main)
+
+
+def test_callers_reach_nothing_but_services_where_settings_part_them(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        deployment = Deployment(tmp_path, callers=Listen(ip="127.0.0.1", port=0))
+        await deployment.start()
+        status, _, _ = await _ask(deployment, "photos/check")
+        assert status == 404
+        deployment.entry_address = public = deployment.entry.public_address
+        status, _, _ = await _ask(deployment, "photos/check")
+        assert status == 200
+        for path in ("/metrics", "/v1/cost", "/v1/in-force"):
+            assert (await deployment.get(path)).status == 404
+        for path in ("/v1/announcements", "/v1/peer"):
+            answer = await deployment.pool.ask(public, path, b"{}", 10)
+            assert answer.status == 404
+        assert (await deployment.get("/v1/ready")).status == 200
+
+    run(main)
