--- a/packages/proof/bramleyspread_proof/_experiment_main.py
+++ b/packages/proof/bramleyspread_proof/_experiment_main.py
@@ -53,6 +53,7 @@
         action="append",
         help="write the page from JSON lines that earlier runs printed",
     )
+    parser.add_argument("--note", default="", help="a sentence for the page")
     options = parser.parse_args(arguments)
     settings = [
         setting
@@ -72,7 +73,7 @@
         results = list(_run_all(settings, options.jobs))
     groups = group_results(results)
     options.out.mkdir(parents=True, exist_ok=True)
-    page = "\n".join(_write_page(groups, options.seed))
+    page = "\n".join(_write_page(groups, options.seed, options.note))
     (options.out / "EXPERIMENT.md").write_text(page)
     (options.out / "experiment.svg").write_text(draw_plot(groups))
     return 0
@@ -102,13 +103,15 @@
             yield result
 
 
-def _write_page(groups: Sequence[Group], seed: int) -> Iterator[str]:
+def _write_page(groups: Sequence[Group], seed: int, note: str) -> Iterator[str]:
     yield "# Policies under load and faults"
     yield ""
     yield f"Written by `scripts/experiment --seed {seed}`; the same seed, the same"
     yield "figures. How it is set up and read: [REQUESTS.md](REQUESTS.md)."
     yield "Virtual time over a small queueing fake of the targets: the figures compare"
     yield "policies; they are no measure of real engines."
+    if note:
+        yield from ("", note)
     yield ""
     yield "![attainment by second](experiment.svg)"
     for name in dict.fromkeys(group.size for group in groups):
