Compare a target with its peers, not with the stage it dominates

Cause (found by the demo with every third target 700 ms slower): with one target of a pool in a zone, nearly all of a stage's latencies are that target's own, so a target slow from the start looked typical. Ruled out: the load bound (the slow target stays below 90% of its slots), and smoothing (the median is of the wrong things). Change: PeerTimes keeps a smoothed latency by stage and target and compares with the median of the others; where fewer than three targets are near, one attempt in twenty goes to targets of all zones.

--- a/packages/entry/bramleyspread_entry/__init__.py
+++ b/packages/entry/bramleyspread_entry/__init__.py
@@ -11,6 +11,7 @@
 from bramleyspread_entry._latency import StageTimes
 from bramleyspread_entry._occupancy import Occupancy
 from bramleyspread_entry._outliers import NoComparison, Outliers, PeerComparison
+from bramleyspread_entry._peer_times import PeerTimes
 from bramleyspread_entry._policies import Policies
 from bramleyspread_entry._retries import (
     NoBudget,
@@ -41,6 +42,7 @@
     "Occupancy",
     "Outliers",
     "PeerComparison",
+    "PeerTimes",
     "Policies",
     "RandomTarget",
     "Refusal",
--- a/packages/entry/bramleyspread_entry/_choice.py
+++ b/packages/entry/bramleyspread_entry/_choice.py
@@ -23,6 +23,10 @@
 COMPARED = 2
 #: Added to the load of a target in another availability zone, in shares of slots.
 FAR_PENALTY = 0.25
+#: Fewer near targets than this can't be compared with each other alone.
+FEW_NEAR = 3
+#: Share of attempts that then go to targets of all zones, to know their latency.
+PROBE_SHARE = 0.05
 #: Load from which targets farther away are looked at, in shares of slots.
 FULL = 0.9
 #: Load up to which a cached prefix draws a request, above the best other target.
@@ -134,6 +138,8 @@
             return None
         near = find_zone_end(views, self._zone)
         own = self._slices.find(near, now)
+        if near < FEW_NEAR and self._rng.random() < PROBE_SHARE:
+            return self._probe(need, views, now)
         best, load = self._draw(need, views, own, now)
         if load >= FULL and own.size < near:
             zone = Slice(0, near, max(1, near))
@@ -149,6 +155,16 @@
             return self._follow_prefix(need, views, own, best, load, now)
         return best
 
+    def _probe(
+        self, need: Need, views: Sequence[TargetView], now: float
+    ) -> TargetView | None:
+        """Draw from all zones, so that the few near targets have peers."""
+        everywhere = Slice(0, len(views), len(views))
+        best, _ = self._draw(need, views, everywhere, now)
+        if best is None:
+            return self._search(views, lambda view: fits(view, need.stage))
+        return best
+
     def sent(self, target: TargetName, now: float) -> None:
         """Note that an attempt went to a target."""
         self.traffic.note(target, 1, now)
--- a/packages/entry/bramleyspread_entry/_policies.py
+++ b/packages/entry/bramleyspread_entry/_policies.py
@@ -13,6 +13,7 @@
 from bramleyspread_entry._latency import StageTimes
 from bramleyspread_entry._occupancy import Occupancy
 from bramleyspread_entry._outliers import Outliers, PeerComparison
+from bramleyspread_entry._peer_times import PeerTimes
 from bramleyspread_entry._retries import RetryBudget, SharedBudget
 from bramleyspread_entry._shares import WeightedShares
 from bramleyspread_entry._slices import HostSlices
@@ -24,6 +25,8 @@
 
     #: Observed latency of each stage.
     times: StageTimes
+    #: Latency of each target, to compare it with its peers'.
+    peer_times: PeerTimes
     #: How full the pools are.
     occupancy: Occupancy
     #: Whether a request is taken on.
@@ -60,6 +63,7 @@
         )
         return cls(
             times=times,
+            peer_times=PeerTimes(),
             occupancy=occupancy,
             admission=LoadAdmission(config, occupancy, WeightedShares(), times, rng),
             choice=TwoChoices(config.zone, outliers, slices, rng),
--- a/packages/entry/bramleyspread_entry/_stages.py
+++ b/packages/entry/bramleyspread_entry/_stages.py
@@ -231,10 +231,13 @@
     def _credit_target(self, run: Run, attempt: Attempt, now: float) -> None:
         policies = self._state.policies
         took = now - attempt.sent_at
+        relative = policies.peer_times.compare(run.key, attempt.target, took, now)
         typical = policies.times.typical(run.key, now)
-        relative = took / typical if typical else None
+        if relative is None and typical:
+            relative = took / typical
         policies.outliers.succeeded(attempt.target, relative, now)
         policies.times.record(run.key, took, now)
+        policies.peer_times.record(run.key, attempt.target, took, now)
         prefix = self._dispatcher.name_prefix(run)
         policies.choice.answered(attempt.target, prefix, now)
         self._state.suspects.clear(attempt)
--- a/packages/entry/bramleyspread_entry/tests/test_choice.py
+++ b/packages/entry/bramleyspread_entry/tests/test_choice.py
@@ -22,6 +22,7 @@
 )
 from bramleyspread_entry._choice import Need, TwoChoices
 from bramleyspread_entry._outliers import PeerComparison
+from bramleyspread_entry._peer_times import PeerTimes
 from bramleyspread_entry._slices import HostSlices, WholeZone
 from bramleyspread_entry._traffic import OwnTraffic
 from bramleyspread_entry.tests.harness import FakeDirectory, make_view
@@ -164,3 +165,26 @@
         outliers.succeeded(TargetName("usual"), 1.2, 1.0)
     assert not outliers.allows(TargetName("slow"), 1.0)
     assert outliers.allows(TargetName("usual"), 1.0)
+
+
+@pytest.mark.parametrize(("near", "probed"), [(1, True), (2, True), (3, False)])
+def test_few_near_targets_get_peers_in_other_zones(near: int, probed: bool) -> None:
+    views = views_with([("a", 0)] * near + [("b", 0)] * 4)
+    found = count(make_choice(), views, need())
+    far = sum(number for name, number in found.items() if int(name[1:]) >= near)
+    assert (far > 0) is probed
+    assert far < 0.1 * 200
+
+
+def test_a_target_slow_from_the_start_is_seen_by_its_peers() -> None:
+    key = ("booth", "check", "rank", "booth.rankers")
+    times, outliers = PeerTimes(), PeerComparison()
+    near, far = TargetName("near"), TargetName("far")
+    assert times.compare(key, near, 0.7, 0.0) is None
+    for number in range(4):
+        times.record(key, far, 0.01, number)
+    for number in range(4):
+        times.record(key, near, 0.7, number)
+        outliers.succeeded(near, times.compare(key, near, 0.7, number), number)
+    assert not outliers.allows(near, 3.0)
+    assert times.compare(key, near, 0.7, 40.0) is None
--- a/packages/proof/bramleyspread_proof/_experiment_policies.py
+++ b/packages/proof/bramleyspread_proof/_experiment_policies.py
@@ -14,6 +14,7 @@
     NoComparison,
     NoHedging,
     Occupancy,
+    PeerTimes,
     Policies,
     RandomTarget,
     RetryBudget,
@@ -29,6 +30,7 @@
 ) -> Policies:
     return Policies(
         times=StageTimes(),
+        peer_times=PeerTimes(),
         occupancy=Occupancy(directory, rng),
         admission=AdmitAll(),
         choice=choice,
