--- a/packages/control/bramleyspread_control/_disk.py
+++ b/packages/control/bramleyspread_control/_disk.py
@@ -94,12 +94,13 @@
 class FileDisk:
     """A data folder of the operating system, locked by this process."""
 
-    __slots__ = ("_files", "_folder", "_lock")
+    __slots__ = ("_boot", "_files", "_folder", "_lock")
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._files: dict[str, IO[bytes]] = {}
         self._lock: IO[bytes] | None = None
+        self._boot = BOOT_ID.read_text().strip() if BOOT_ID.exists() else ""
 
     @classmethod
     def from_folder(cls, path: str | Path) -> FileDisk:
@@ -223,13 +224,13 @@
     def stamp(self, names: Sequence[str]) -> str:
         """Describe the folder and some files as the operating system sees them."""
         try:
-            parts = [BOOT_ID.read_text().strip() if BOOT_ID.exists() else ""]
+            parts = [self._boot]
             for name in (".", *names):
                 found = (self._folder / name).stat()
                 parts.append(f"{found.st_dev}:{found.st_ino}:{found.st_ctime_ns}")
         except OSError as error:
             raise DiskError("stat", ".", str(error)) from None
-        return " ".join(parts) if parts[0] else ""
+        return " ".join(parts) if self._boot else ""
 
     def _forget(self, name: str) -> None:
         file = self._files.pop(name, None)
