--- a/packages/daemon/bramleyspread_daemon/_main.py
+++ b/packages/daemon/bramleyspread_daemon/_main.py
@@ -23,8 +23,6 @@
 )
 
 #: Stopped as planned.
-#: Allocations between collections of each generation.
-GC_THRESHOLDS = (50_000, 20, 100)
 EXIT_DONE = 0
 #: Something failed at the start, or a planned stop cut something off.
 EXIT_FAILED = 1
@@ -104,18 +102,7 @@
     return _run(settings)
 
 
-def _spare_collections() -> None:
-    """Have the garbage collector run rarely, and past what stays for ever.
-
-    Hardly anything here is in cycles, and a full collection stops all streams.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
-
-
 def _run(settings: EntrySettings | ControlSettings) -> int:
-    _spare_collections()
     try:
         process = (
             build_entry(settings)
