--- a/packages/proof/bramleyspread_proof/_bench_daemon.py
+++ b/packages/proof/bramleyspread_proof/_bench_daemon.py
@@ -30,6 +30,8 @@
 from bramleyspread_proof._figures import Figure
 
 BENCH = "daemon"
+#: Plain exchanges that are measured.
+EXCHANGES = 5_000
 #: Twice a daemon's share of the target's peak.
 RATE = 40.0
 TOKENS_A_SECOND = 16_400
@@ -66,7 +68,9 @@
         yield _measure_memory(rig, "a waiting request", WAITING, held)
     with _start_rig() as rig:
         yield from _measure_idle(rig)
+        yield from _measure_exchange(rig)
         yield from _measure_load(rig)
+        yield from _measure_share(rig)
         yield from _measure_slopes(rig)
 
 
@@ -85,6 +89,20 @@
     yield Figure(BENCH, f"idle with {targets} targets", round(spent, 4), "cores")
 
 
+def _measure_exchange(rig: _Rig) -> Iterator[Figure]:
+    """Measure one plain HTTP exchange, with what an idle process spends taken off."""
+    idle = rig.read_processor()
+    time.sleep(IDLE_S)
+    idle = (rig.read_processor() - idle) / IDLE_S
+    spent, began = rig.read_processor(), time.monotonic()
+    with socket.create_connection(rig.entry) as connected:
+        for _ in range(EXCHANGES):
+            connected.sendall(b"GET /v1/ready HTTP/1.1\r\nhost: a\r\n\r\n")
+            connected.recv(65_536)
+    spent = rig.read_processor() - spent - idle * (time.monotonic() - began)
+    yield Figure(BENCH, "processor an exchange", spent / EXCHANGES * 1e6, "us")
+
+
 def _measure_load(rig: _Rig) -> Iterator[Figure]:
     load = rig.load("stages-4", RATE, LOAD_S)
     at_least, at_most = Figure.at_least, Figure.at_most
@@ -98,6 +116,19 @@
     yield Figure(BENCH, "waited for a core", load.waited, "s/s")
 
 
+def _measure_share(rig: _Rig) -> Iterator[Figure]:
+    """Measure at a daemon's own share of the target's peak."""
+    load = rig.load("stages-4", RATE / 2, LOAD_S)
+    name = "at half the load"
+    at_most = Figure.at_most
+    yield Figure.at_least(BENCH, f"whole answers {name}", load.whole, "share", 1.0)
+    yield at_most(
+        BENCH, f"first token p95 {name}", load.first_p95, "ms", FIRST_TOKEN_MS
+    )
+    yield at_most(BENCH, f"gap p95 {name}", load.gap_p95, "ms", GAP_MS)
+    yield at_most(BENCH, f"processor {name}", load.processor, "cores", 1.0)
+
+
 def _measure_slopes(rig: _Rig) -> Iterator[Figure]:
     short = rig.load("stages-4-short", RATE, LOAD_S / 2)
     long = rig.load("stages-4-long", RATE, LOAD_S / 2)
--- a/packages/proof/bramleyspread_proof/_capacity.py
+++ b/packages/proof/bramleyspread_proof/_capacity.py
@@ -135,7 +135,7 @@
     read_us = figures.find("control-plane", "read a document, an organisation")
     core = figures.find("membership", f"{DAEMONS} hosts {ENGINES} targets: processor")
     changes_s = CHANGES_A_DAY / DAY_S
-    heard = figures.find("daemon", "processor a request besides")
+    heard = figures.find("daemon", "processor an exchange")
     return Total(
         "an entry daemon's processor for control, % of a core",
         (
@@ -248,7 +248,7 @@
     plan = figures.find("control-plane", "plan, a target")
     poll = figures.find("control-plane", "answer a poll")
     yaml = figures.find("control-plane", "read YAML, an organisation")
-    exchange = figures.find("daemon", "processor a request besides")
+    exchange = figures.find("daemon", "processor an exchange")
     polls = DAEMONS * POLLS_S / CONTROL_HOSTS
     reports = DAEMONS * REPORTS_S
     changes = CHANGES_A_DAY / DAY_S
@@ -287,7 +287,7 @@
 
 def _sum_claim_leader(figures: Figures) -> Total:
     rate = figures.find("control", "claims in batches of 10: claims")
-    exchange = figures.find("daemon", "processor a request besides")
+    exchange = figures.find("daemon", "processor an exchange")
     leaders = CONTROL_HOSTS - 1
     commands = 2 * KEYED * REQUESTS_S / leaders
     return Total(
--- a/packages/proof/bramleyspread_proof/tests/test_capacity.py
+++ b/packages/proof/bramleyspread_proof/tests/test_capacity.py
@@ -30,6 +30,7 @@
     ("membership", "480 hosts 11000 targets: memory"),
     ("daemon", "processor a request besides"),
     ("daemon", "processor a token"),
+    ("daemon", "processor an exchange"),
     ("daemon", "processor a stage"),
     ("daemon", "memory of a waiting request"),
     ("control", "claims in batches of 10: claims"),
