--- a/packages/proof/bramleyspread_proof/_entry_process.py
+++ b/packages/proof/bramleyspread_proof/_entry_process.py
@@ -18,8 +18,6 @@
     CancelAttempt,
     ContractWatch,
     Dispatch,
-    DocumentsPage,
-    DocumentsQuery,
     Done,
     DropConnections,
     Effect,
@@ -42,11 +40,12 @@
     DirectoryConfig,
     EntryDirectory,
     Neighbour,
-    StartGate,
 )
 from bramleyspread_proof._agenda import Agenda
+from bramleyspread_proof._connections import Connection, Connections
 from bramleyspread_proof._control_asker import ControlAsker
 from bramleyspread_proof._control_process import ControlProcess
+from bramleyspread_proof._document_follower import DocumentFollower
 from bramleyspread_proof._ledger import Ledger
 from bramleyspread_proof._network import Network
 from bramleyspread_proof._process import Process
@@ -54,12 +53,8 @@
 
 #: Between two ticks of the directory, in seconds.
 DIRECTORY_TICK = 0.1
-#: Between two questions for documents, in seconds.
-POLL = 0.5
 #: Time after which a connection that nobody accepts is given up, in seconds.
 CONNECT = 0.3
-#: Pause before a control host is asked again at the start, in seconds.
-START_PAUSE = 0.1
 #: When a caller is to come back that came before the host was ready, in milliseconds.
 NOT_READY_MS = 500
 #: Most time for one round of tries of a settlement, in seconds.
@@ -67,23 +62,6 @@
 #: How long a target may still get work after it said that it leaves, in seconds.
 LEAVING_BOUND = 3.0
 
-#: Idle connections kept to one target.
-MAX_IDLE = 64
-
-
-class Connection:
-    """A connection to a target; once silent, it loses all without a word."""
-
-    __slots__ = ("life", "opened_at", "silent")
-
-    def __init__(self, life: int, opened_at: float) -> None:
-        #: The life of the target that accepted it.
-        self.life = life
-        #: When it was opened, on the entry host's clock.
-        self.opened_at = opened_at
-        #: Whether something between the ends has forgotten it.
-        self.silent = False
-
 
 @dataclass(frozen=True, slots=True)
 class _Flight:
@@ -125,9 +103,8 @@
         self._ledger = ledger
         self._waiting: dict[RequestId, AnswerTaker] = {}
         self._open: dict[AttemptId, _Flight] = {}
-        self._idle: dict[str, list[Connection]] = {}
+        self._connections = Connections()
         self._ending: Connection | None = None
-        self._polls = 0
         self._best: dict[str, int] = {}
         self._due = float("inf")
         network.register(address, self)
@@ -138,7 +115,7 @@
         self.draining = False
         self._waiting.clear()
         self._open.clear()
-        self._idle.clear()
+        self._connections.clear()
         self._due = float("inf")
         host, zone = HostName(self.name), ZoneName(self.zone)
         watch = ContractWatch(
@@ -159,11 +136,11 @@
         )
         self._ids = IdSource(host, self.life)
         self._asker = ControlAsker(self, self.control_hosts, self._network)
-        self._gate = StartGate(len(self.control_hosts), self.now)
-        for control in self.control_hosts:
-            self._ask_at_start(control)
+        self._follower = DocumentFollower(
+            self, self.directory, self.control_hosts, self._network, self._note
+        )
         self.every(DIRECTORY_TICK, lambda: self._gossip(self.directory.tick(self.now)))
-        self.every(POLL, self._poll)
+        self._follower.start()
 
     def kill(self) -> None:
         """End it; callers see their connections closed."""
@@ -192,7 +169,7 @@
         """Whether the balancer would send callers here."""
         if not self.alive or self.draining or not self.directory.list_documents():
             return False
-        return self._gate.is_open(self.now)
+        return self._follower.is_caught_up()
 
     def silence(self, share: float) -> None:
         """Make connections forget themselves without a word.
@@ -200,10 +177,7 @@
         :param share: share of them, idle and in use.
         """
         used = [each.connection for each in self._open.values()]
-        idle = [each for name in sorted(self._idle) for each in self._idle[name]]
-        for connection in (*idle, *used):
-            if connection is not None and self.rng.random() < share:
-                connection.silent = True
+        self._connections.silence(share, used, self.rng)
 
     def hear(self, announcement: Announcement) -> None:
         """Take a target's announcement."""
@@ -219,7 +193,9 @@
             fault = Fault(Reason.DRAINING, "arrival", self.name, "not ready")
             taker(AnswerRefused(fault, NOT_READY_MS))
             return
-        self._check_reverted()
+        reverted = self._follower.find_reverted(self._best)
+        for detail in reverted:
+            self._ledger.breach("never-reverts", detail)
         name = self._ids.next_request()
         self._waiting[name] = taker
         own = CallerRequest(
@@ -234,56 +210,6 @@
         )
         self._do(self.decisions.arrive(own, self.now))
 
-    def _poll(self) -> None:
-        control = self.control_hosts[self._polls % len(self.control_hosts)]
-        self._polls += 1
-        self._ask_documents(control, self._take_page)
-
-    def _ask_at_start(self, control: ControlProcess) -> None:
-        """Ask one control host until the gate is open or all it has is here."""
-        if self._gate.is_open(self.now):
-            return
-
-        def take(page: DocumentsPage) -> None:
-            self._take_page(page)
-            if page.revision and not page.documents:
-                self._gate.take_answer(control.address)
-            else:
-                self.later(START_PAUSE, lambda: self._ask_at_start(control))
-
-        self._ask_documents(control, take)
-
-    def _ask_documents(
-        self, control: ControlProcess, take: Callable[[DocumentsPage], None]
-    ) -> None:
-        query = DocumentsQuery(
-            HostName(self.name), self.zone, self.address, self.directory.revision
-        )
-
-        def reply(page: DocumentsPage) -> None:
-            self._network.send(control, self, lambda: take(page))
-
-        self._network.send(self, control, lambda: control.take_query(query, reply))
-
-    def _check_reverted(self) -> None:
-        """Enter a breach when this host serves with older documents than before."""
-        reached = [c for c in self.control_hosts if self._can_ask(c)]
-        majority = 2 * len(reached) > len(self.control_hosts)
-        for document in self.directory.list_documents():
-            service, version = document.service, document.version
-            best = self._best.get(service, 0)
-            if version < best and majority:
-                detail = f"{self.name} serves {service} {version} after {best}"
-                self._ledger.breach("never-reverts", detail)
-            self._best[service] = max(best, version)
-
-    def _can_ask(self, control: ControlProcess) -> bool:
-        return control.alive and self._network.can_connect(self, control)
-
-    def _take_page(self, page: DocumentsPage) -> None:
-        for happening in self.directory.apply_documents(page, self.now):
-            self._note(happening)
-
     def _gossip(self, sends: Sequence[PeerSend]) -> None:
         for send in sends:
             peer = self._network.find(send.address)
@@ -353,20 +279,17 @@
     def _drop_connections(self, effect: DropConnections) -> None:
         name = self._network.find(effect.address).name
         if self._ending is not None:
-            oldest = self._ending.opened_at
-            idle = self._idle.get(name, [])
-            self._idle[name] = [each for each in idle if each.opened_at > oldest]
+            self._connections.drop_old(name, self._ending.opened_at)
 
     def _dispatch(self, dispatch: Dispatch) -> None:
         target = self._network.find(dispatch.address)
         assert isinstance(target, TargetProcess)
         self._check_leaving(dispatch, target)
         attempt = dispatch.call.attempt
-        idle = self._idle.get(target.name, [])
-        if idle and not dispatch.fresh_connection:
-            connection: Connection | None = idle.pop()
-        else:
-            connection = self._connect(dispatch, target)
+        pooled = None
+        if not dispatch.fresh_connection:
+            pooled = self._connections.take(target.name)
+        connection = pooled or self._connect(dispatch, target)
         self._open[attempt] = _Flight(dispatch, connection)
         if connection is None:
             return
@@ -422,9 +345,7 @@
             return
         self._ending = flight.connection
         if flight.connection is not None and _ended_whole(outcome):
-            idle = self._idle.setdefault(flight.dispatch.target, [])
-            if len(idle) < MAX_IDLE:
-                idle.append(flight.connection)
+            self._connections.give_back(flight.dispatch.target, flight.connection)
         self._do(self.decisions.attempt_ended(attempt, outcome, self.now))
         self._ending = None
 
