--- a/packages/daemon/bramleyspread_daemon/_control.py
+++ b/packages/daemon/bramleyspread_daemon/_control.py
@@ -26,7 +26,7 @@
 from bramleyspread_daemon._messenger import read_messages
 from bramleyspread_daemon._metrics import Metrics
 from bramleyspread_daemon._ordering import OrderDesk
-from bramleyspread_daemon._process import Process, repeat, wait_for_stop, wait_until
+from bramleyspread_daemon._process import Process, repeat, wait_for_stop
 from bramleyspread_daemon._refusal import write_refusal
 from bramleyspread_daemon._routes import Routes
 from bramleyspread_daemon._server import HttpServer
@@ -213,9 +213,7 @@
         await curio.spawn(self._beat, daemon=True)
         work = self.orders.work
         await curio.spawn(repeat, work, "order", lambda: ORDER_S, daemon=True)
-        await curio.spawn(self._process.keep_pool, daemon=True)
-        self._process.report("started", detail=f"control at {address}")
-        logger.bind(step="start", peer="-").info(f"control host at {address}")
+        await self._process.announce_start("control", address)
         return address
 
     async def stop(self) -> bool:
@@ -223,21 +221,13 @@
 
         :returns: whether everything that waited was finished.
         """
-        limits = self._settings.limits
-        self._process.stopping = True
-        self.server.draining = True
-        self._process.report("draining")
+        return await self._process.drain(
+            [self.server], self._hand_over, lambda: not self._tickets
+        )
+
+    async def _hand_over(self) -> None:
         self._node.hand_over(read_monotonic())
         await self._due.set()
-        await curio.sleep(limits.grace_s)
-        await self.server.stop_accepting()
-        finished = await wait_until(self._is_finished, limits.drain_s)
-        await self.server.close_connections()
-        self._process.report("stopped", detail="" if finished else "cut off")
-        return finished
-
-    def _is_finished(self) -> bool:
-        return not self._tickets and self.server.replies_open == 0
 
     async def run(self) -> int:
         """Run until asked to stop.
--- a/packages/daemon/bramleyspread_daemon/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/_entry.py
@@ -30,7 +30,7 @@
 from bramleyspread_daemon._exchange import JSON_TYPE, HttpRequest, Reply
 from bramleyspread_daemon._messenger import read_messages
 from bramleyspread_daemon._metrics import Metrics
-from bramleyspread_daemon._process import Process, repeat, wait_for_stop, wait_until
+from bramleyspread_daemon._process import Process, repeat, wait_for_stop
 from bramleyspread_daemon._refusal import write_refusal, write_retry
 from bramleyspread_daemon._routes import Routes
 from bramleyspread_daemon._server import HttpServer
@@ -260,9 +260,7 @@
             await curio.spawn(repeat, action, name, pause, daemon=True)
         for host in self._link.hosts:
             await curio.spawn(self._ask_at_start, host, daemon=True)
-        await curio.spawn(self._process.keep_pool, daemon=True)
-        self._process.report("started", detail=f"entry at {address}")
-        logger.bind(step="start", peer="-").info(f"entry host at {address}")
+        await self._process.announce_start("entry", address)
         return address
 
     async def stop(self) -> bool:
@@ -270,24 +268,14 @@
 
         :returns: whether everything in flight was finished.
         """
-        limits = self._settings.limits
-        self._process.stopping = True
-        for server in self._servers:
-            server.draining = True
-        self._process.report("draining")
+        return await self._process.drain(
+            self._servers,
+            self._begin_drain,
+            lambda: self._decisions.in_flight == 0,
+        )
+
+    async def _begin_drain(self) -> None:
         await self._effects.apply(self._decisions.begin_drain(read_monotonic()))
-        await curio.sleep(limits.grace_s)
-        for server in self._servers:
-            await server.stop_accepting()
-        finished = await wait_until(self._is_finished, limits.drain_s)
-        for server in self._servers:
-            await server.close_connections()
-        self._process.report("stopped", detail="" if finished else "cut off")
-        return finished
-
-    def _is_finished(self) -> bool:
-        replies = sum(server.replies_open for server in self._servers)
-        return self._decisions.in_flight == 0 and replies == 0
 
     @property
     def _servers(self) -> tuple[HttpServer, ...]:
--- a/packages/daemon/bramleyspread_daemon/_process.py
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -5,13 +5,13 @@
 import signal
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 
 import curio
 from loguru import logger
 
-from bramleyspread_core import Breach, ContractWatch, Happening
+from bramleyspread_core import Address, Breach, ContractWatch, Happening
 from bramleyspread_daemon._clock import ProcessClock, read_monotonic
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._messenger import PeerMessenger
@@ -149,6 +149,48 @@
             name = "http_refusals_total"
             metrics.count(name, "Not taken as HTTP.", number, status=str(status))
 
+    async def announce_start(self, role: str, address: Address) -> None:
+        """Begin what every role does by itself, and say that it listens.
+
+        :param role: what it is.
+        :param address: where it listens.
+        """
+        await curio.spawn(self.keep_pool, daemon=True)
+        self.report("started", detail=f"{role} at {address}")
+        logger.bind(step="start", peer="-").info(f"{role} host at {address}")
+
+    async def drain(
+        self,
+        servers: Sequence[HttpServer],
+        begin: Callable[[], Awaitable[None]],
+        is_idle: Callable[[], bool],
+    ) -> bool:
+        """Stop as planned: fail readiness, go on while peers notice, then finish.
+
+        :param servers: the process's servers.
+        :param begin: what the role does when it begins to drain.
+        :param is_idle: whether nothing is in flight besides replies.
+        :returns: whether everything in flight was finished in time.
+        """
+
+        def is_finished() -> bool:
+            return is_idle() and not any(server.replies_open for server in servers)
+
+        limits = self.settings.limits
+        self.stopping = True
+        for server in servers:
+            server.draining = True
+        self.report("draining")
+        await begin()
+        await curio.sleep(limits.grace_s)
+        for server in servers:
+            await server.stop_accepting()
+        finished = await wait_until(is_finished, limits.drain_s)
+        for server in servers:
+            await server.close_connections()
+        self.report("stopped", detail="" if finished else "cut off")
+        return finished
+
     async def keep_pool(self) -> None:
         """Close connections that have been idle for too long, for ever."""
         while True:
