--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/tests/test_lost_folder.py
@@ -0,0 +1,133 @@
+"""Three real control daemons: a lost data folder, and right after it a second loss."""
+
+from __future__ import annotations
+
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import curio
+
+from bramleyspread_core import (
+    Accepted,
+    Address,
+    Command,
+    CommandResult,
+    ControlStatus,
+    DocumentText,
+    SubmitDocument,
+    decode_json,
+    encode_json,
+)
+from bramleyspread_daemon._client import ClosedError, UnsentError
+from bramleyspread_daemon._clock import ProcessClock
+from bramleyspread_daemon._pool import ConnectionPool
+from bramleyspread_daemon.tests.loopback import run
+from bramleyspread_daemon.tests.test_processes import find_port
+
+NAMES = ("control-1", "control-2", "control-3")
+#: How long a question to a daemon may take, in seconds.
+ASK_S = 5.0
+#: Pause before a daemon is asked again, in seconds.
+PAUSE_S = 0.05
+
+
+class _ControlHosts:
+    """Three control daemons, each with a folder of its own."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._pool = ConnectionPool(ProcessClock())
+        self._addresses = {name: Address("127.0.0.1", find_port()) for name in NAMES}
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self, name: str) -> None:
+        hosts = ", ".join(
+            f"{{host: {each}, zone: z, address: '{address}'}}"
+            for each, address in self._addresses.items()
+        )
+        path = self._folder / f"{name}.yaml"
+        path.write_text(
+            f"host: {name}\nzone: z\ntimeline: {self._folder}/{name}.jsonl\n"
+            f"data: {self._folder}/{name}\ncontrol_hosts: [{hosts}]\n"
+            f"listen: {{ip: 127.0.0.1, port: {self._addresses[name].port}}}\n"
+            f"log: {{file: {self._folder}/{name}.log}}\n"
+        )
+        program = str(Path(sys.executable).parent / "bramleyspreadd")
+        command = [program, "control", "--settings", str(path)]
+        self.running[name] = subprocess.Popen(command)
+
+    def kill(self, name: str) -> None:
+        process = self.running.pop(name)
+        process.kill()
+        process.wait()
+
+    def lose_folder(self, name: str) -> None:
+        self.kill(name)
+        shutil.rmtree(self._folder / name)
+
+    async def submit(self, version: int) -> None:
+        text = f"service: photos\nversion: {version}\nteam: booths\n"
+        command: Command = SubmitDocument(f"change-{version}", "ana", text)
+        while True:
+            for name in self.running:
+                path = "/v1/control/commands"
+                said = await self._ask(name, path, encode_json(command))
+                if said and isinstance(decode_json(said, CommandResult), Accepted):
+                    return
+            await curio.sleep(PAUSE_S)
+
+    async def wait_for_voters(self, name: str) -> None:
+        """Wait until a host knows itself as one of three voters, with all documents."""
+        while True:
+            said = await self._ask(name, "/v1/control/status")
+            status = decode_json(said, ControlStatus) if said else None
+            if status is not None and status.roles["0"] in ("leader", "follower"):
+                whole = status.revision and set(status.voters["0"]) == set(NAMES)
+                if whole and status.leaders["0"]:
+                    return
+            await curio.sleep(PAUSE_S)
+
+    async def wait_for_version(self, name: str, version: int) -> None:
+        while True:
+            said = await self._ask(name, "/v1/control/documents-in-force")
+            held: tuple[DocumentText, ...] = ()
+            if said:
+                held = decode_json(said, tuple[DocumentText, ...])
+            if [each.version for each in held] == [version]:
+                return
+            await curio.sleep(PAUSE_S)
+
+    async def _ask(self, name: str, path: str, body: bytes = b"") -> bytes:
+        method = "POST" if body else "GET"
+        address = self._addresses[name]
+        try:
+            answer = await self._pool.ask(address, path, body, ASK_S, method)
+        except (UnsentError, ClosedError):
+            return b""
+        return answer.body if answer.status == 200 else b""
+
+
+def test_second_loss_right_after_a_refilled_folder_costs_nothing(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        hosts = _ControlHosts(tmp_path)
+        try:
+            for name in NAMES:
+                hosts.start(name)
+            await hosts.submit(1)
+            hosts.lose_folder("control-2")
+            await hosts.submit(2)
+            hosts.start("control-2")
+            await hosts.wait_for_voters("control-2")
+            hosts.kill("control-1")
+            await hosts.submit(3)
+            for name in ("control-2", "control-3"):
+                await hosts.wait_for_version(name, 3)
+        finally:
+            for name in tuple(hosts.running):
+                hosts.kill(name)
+
+    run(main)
--- a/packages/daemon/bramleyspread_daemon/tests/test_processes.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_processes.py
@@ -37,7 +37,7 @@
 )
 
 
-def _find_port() -> int:
+def find_port() -> int:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         port: int = probe.getsockname()[1]
@@ -50,8 +50,8 @@
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._pool = ConnectionPool(ProcessClock())
-        self.control = Address("127.0.0.1", _find_port())
-        self.entry = Address("127.0.0.1", _find_port())
+        self.control = Address("127.0.0.1", find_port())
+        self.entry = Address("127.0.0.1", find_port())
         self.running: dict[str, subprocess.Popen[bytes]] = {}
 
     def start(self, role: str) -> None:
