--- a/packages/entry/bramleyspread_entry/_conclusion.py
+++ b/packages/entry/bramleyspread_entry/_conclusion.py
@@ -22,6 +22,10 @@
 from bramleyspread_entry._pipeline import ClaimState, Run
 from bramleyspread_entry._state import EntryState, TimerKind
 
+#: Soonest time at which a caller that got no answer is told to come back, in
+#: milliseconds.
+LEAST_RETRY_MS = 200
+
 
 class Conclusion:
     """Answers requests, each exactly once and as its attempts ended."""
@@ -120,6 +124,7 @@
         return AnswerUnknown(Fault(fault.reason, fault.step, fault.peer, detail))
     if run.has_effect:
         return AnswerUnknown(fault)
+    come_back_ms = max(retry_after_ms, LEAST_RETRY_MS)
     if run.may_have_run or run.live:
-        return AnswerFailed(fault, retry_after_ms)
-    return AnswerRefused(fault, retry_after_ms)
+        return AnswerFailed(fault, come_back_ms)
+    return AnswerRefused(fault, come_back_ms)
--- a/packages/entry/bramleyspread_entry/tests/test_decisions.py
+++ b/packages/entry/bramleyspread_entry/tests/test_decisions.py
@@ -147,6 +147,17 @@
     assert answer.retry_after_ms > 0
 
 
+def test_who_is_refused_by_every_target_is_told_when_to_come_back() -> None:
+    harness = Harness()
+    request = harness.ask("check")
+    while harness.answer(request) is None:
+        harness.end(harness.last, make_not_run())
+        harness.pass_time(0.1)
+    answer = harness.answer(request)
+    assert isinstance(answer, AnswerRefused)
+    assert answer.retry_after_ms > 0
+
+
 def test_a_target_that_comes_back_is_waited_for() -> None:
     harness = Harness()
     request = harness.ask("check")
