--- a/packages/proof/bramleyspread_proof/_capacity.py
+++ b/packages/proof/bramleyspread_proof/_capacity.py
@@ -33,6 +33,8 @@
 #: Polls and reports of an entry host, a second.
 POLLS_S = 1.0
 REPORTS_S = 1 / 8
+#: Plans of the orderer, a second.
+PLANS_S = 4.0
 #: Bytes of an HTTP request's and its answer's lines and headers, about.
 HTTP_BYTES = 300
 #: Share of a core that one process can put to use.
@@ -264,8 +266,8 @@
             ),
             Item(
                 "plans",
-                f"1/s x {ENGINES} targets x {plan:.1f} us",
-                ENGINES * plan / 1e4,
+                f"{PLANS_S:.0f}/s x {ENGINES} targets x {plan:.1f} us",
+                PLANS_S * ENGINES * plan / 1e4,
                 "%",
             ),
             Item(
