--- a/packages/control/bramleyspread_control/_config.py
+++ b/packages/control/bramleyspread_control/_config.py
@@ -79,6 +79,10 @@
     trust_folder: bool = False
     #: Times and bounds.
     timings: ControlTimings = ControlTimings()
+    #: Whether this host may be one of those that found a deployment.
+    founds: bool = True
+    #: Whether control hosts that no settings name may join.
+    admits: bool = False
 
     @property
     def founder(self) -> HostName:
--- a/packages/control/bramleyspread_control/_disk.py
+++ b/packages/control/bramleyspread_control/_disk.py
@@ -213,8 +213,8 @@
             file = self._files.get(name)
             if file is None:
                 path = self._folder / name
-                path.touch()
-                file = path.open("r+b", buffering=0)
+                number = os.open(path, os.O_RDWR | os.O_CREAT, 0o644)
+                file = os.fdopen(number, "r+b", buffering=0)
                 self._files[name] = file
             os.pwrite(file.fileno(), data, 0)
             os.ftruncate(file.fileno(), len(data))
--- a/packages/control/bramleyspread_control/_documents.py
+++ b/packages/control/bramleyspread_control/_documents.py
@@ -13,11 +13,14 @@
     Accepted,
     CommandResult,
     Conflict,
+    DeploymentDiffers,
+    DeploymentTaken,
     DocumentInForce,
     DocumentsPage,
     Intended,
     IntendOrders,
     Order,
+    PutDeployment,
     Rejected,
     ServiceDocument,
     ServiceName,
@@ -69,6 +72,8 @@
     orders: tuple[Order, ...]
     #: The highest fencing number of an order.
     fence: int
+    #: The deployment document in force.
+    deployment: PutDeployment | None = None
 
 
 class DocumentsMachine:
@@ -81,6 +86,8 @@
         self.documents: dict[str, HeldDocument] = {}
         #: The newest order of each target.
         self.orders: dict[str, Order] = {}
+        #: The deployment document in force, as it was put; None before the first.
+        self.put: PutDeployment | None = None
         self._fence = 0
         self._changes: OrderedDict[str, KnownChange] = OrderedDict()
         self._changes_kept = changes_kept
@@ -96,6 +103,8 @@
                 return self._put(change)
             case IntendOrders():
                 return self._intend(change)
+            case PutDeployment():
+                return self._put_deployment(change)
         return None
 
     def find_page(self, revision: int) -> DocumentsPage:
@@ -127,6 +136,7 @@
             tuple(self._changes.values()),
             tuple(self.orders.values()),
             self._fence,
+            self.put,
         )
         return encode_json(image)
 
@@ -142,6 +152,7 @@
         self._changes = OrderedDict((each.change, each) for each in image.changes)
         self.orders = {each.target: each for each in image.orders}
         self._fence = image.fence
+        self.put = image.deployment
 
     def _put(self, put: PutDocument) -> CommandResult:
         digest = xxhash.xxh3_64_intdigest(put.text)
@@ -185,6 +196,16 @@
             for fault in find_reference_faults(other, after):
                 yield f"service {name!r} would break: {fault}"
 
+    def _put_deployment(self, put: PutDeployment) -> CommandResult:
+        held = self.put
+        if held is None or put.deployment.version > held.deployment.version:
+            self.put = put
+            return DeploymentTaken(put.deployment.version)
+        version = held.deployment.version
+        if put.deployment.version == version and put.text != held.text:
+            return DeploymentDiffers(version)
+        return DeploymentTaken(version)
+
     def _intend(self, intent: IntendOrders) -> CommandResult:
         lowest = min((order.fence for order in intent.orders), default=self._fence)
         if lowest < self._fence:
--- a/packages/control/bramleyspread_control/_entries.py
+++ b/packages/control/bramleyspread_control/_entries.py
@@ -9,6 +9,7 @@
     Claim,
     ClaimKey,
     IntendOrders,
+    PutDeployment,
     RequestId,
     ServiceDocument,
     Settle,
@@ -69,6 +70,7 @@
     | Claim
     | Settle
     | IntendOrders
+    | PutDeployment
     | ExpireClaims
     | ForgetClaims
 )
--- a/packages/control/bramleyspread_control/_exchange.py
+++ b/packages/control/bramleyspread_control/_exchange.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bramleyspread_control._config import ControlConfig
+from bramleyspread_control._config import ControlConfig, ControlMember
 from bramleyspread_control._members import Members
 from bramleyspread_control._messages import (
     Append,
@@ -22,11 +22,13 @@
 from bramleyspread_control._replica import Replica
 from bramleyspread_control._store import Store
 from bramleyspread_core import (
+    Address,
     Happening,
     HostName,
     MessageError,
     PeerMessage,
     PeerSend,
+    ZoneName,
     decode_json,
     encode_json,
 )
@@ -48,21 +50,49 @@
         """Whether the data folder does not belong to a deployment yet."""
         return not self._store.header.deployment
 
+    @property
+    def _greeting(self) -> Hello:
+        if not self._config.admits:
+            return Hello(self.fresh)
+        return Hello(self.fresh, self._config.zone, str(self._config.address))
+
+    def _learn_members(self) -> None:
+        """Know the members of the log, whatever the settings name by now."""
+        for replica in self._store.replicas.values():
+            for each in replica.log.members.listed:
+                self._peers.learn(ControlMember(each.host, each.zone, each.address))
+
+    def _meet(self, sender: HostName, envelope: Envelope) -> None:
+        """Take note of a host that greets and that no settings name."""
+        if self._peers.find(sender) is not None:
+            return
+        for each in envelope.messages:
+            if not isinstance(each, Hello) or not each.address:
+                continue
+            try:
+                address = Address.from_text(each.address)
+            except ValueError as error:
+                self._refuse(sender, str(error))
+                return
+            self._peers.learn(ControlMember(sender, ZoneName(each.zone), address))
+
     def receive(self, message: PeerMessage, now: float) -> None:
         """Take an envelope.
 
         :param message: the message that holds it.
         :param now: monotonic seconds.
         """
-        peer = self._peers.find(message.sender)
-        if peer is None or message.receiver != self._config.host:
-            self._refuse(message.sender, "not for this host, or from a host unknown")
-            return
         try:
             envelope: Envelope = decode_json(bytes(message.body), Envelope)
         except MessageError as error:
             self._refuse(message.sender, str(error))
             return
+        if self._config.admits:
+            self._meet(message.sender, envelope)
+        peer = self._peers.find(message.sender)
+        if peer is None or message.receiver != self._config.host:
+            self._refuse(message.sender, "not for this host, or from a host unknown")
+            return
         header = self._store.header
         if header.deployment and envelope.deployment not in ("", header.deployment):
             self._refuse(message.sender, f"of deployment {envelope.deployment}")
@@ -83,8 +113,9 @@
                 for peer in self._peers.list_all():
                     self._direct.append((peer.settings.host, found))
         if self._peers.is_hello_due(now):
+            self._learn_members()
             for peer in self._peers.list_all():
-                self._direct.append((peer.settings.host, Hello(self.fresh)))
+                self._direct.append((peer.settings.host, self._greeting))
 
     def change_members(self, replica: Replica, now: float) -> None:
         """Let a leader admit the hosts that are there but no members."""
@@ -110,6 +141,10 @@
                 sends.append(self._seal(peer, messages))
         return tuple(sends)
 
+    def list_addresses(self) -> list[Address]:
+        """List where the other control hosts listen."""
+        return [peer.settings.address for peer in self._peers.list_all()]
+
     def take_happenings(self) -> list[Happening]:
         """Take the events for the time line."""
         happenings = self._happenings
@@ -119,7 +154,7 @@
     def _hear(self, peer: Peer, envelope: Envelope) -> None:
         host = peer.settings.host
         if self._peers.hear(peer, envelope):
-            self._direct.append((host, Hello(self.fresh)))
+            self._direct.append((host, self._greeting))
         for replica in self._store.replicas.values():
             member = replica.log.members.find(host)
             if member is None:
--- a/packages/control/bramleyspread_control/_host.py
+++ b/packages/control/bramleyspread_control/_host.py
@@ -21,8 +21,11 @@
     Claim,
     ClaimKey,
     Command,
+    ConfirmDeployment,
     ControlOutput,
     ControlStatus,
+    Deployment,
+    DeploymentRead,
     DocumentInForce,
     DocumentsPage,
     DocumentsQuery,
@@ -34,13 +37,18 @@
     NotLeader,
     Order,
     PeerMessage,
+    PutDeployment,
     Rejected,
     ServiceDocument,
     Settle,
     SubmitDocument,
+    Undecided,
     encode_json,
 )
 
+#: Commands that become entries of a log.
+StoredCommand = SubmitDocument | Claim | Settle | IntendOrders | PutDeployment
+
 #: How long an entry host that does not ask is remembered, in seconds.
 ENTRY_HOST_KEPT = 60.0
 
@@ -99,6 +107,9 @@
         if leading is None or not leading.may_accept(now):
             self._tickets.reply(ticket, NotLeader(self._find_leader(replica)))
             return
+        if isinstance(command, ConfirmDeployment):
+            self._tickets.reply(ticket, self._read_deployment(now))
+            return
         change = self._prepare(command, now)
         if isinstance(change, Rejected):
             self._tickets.reply(ticket, change)
@@ -195,6 +206,33 @@
         orders = self._store.documents.orders
         return [orders[target] for target in sorted(orders)]
 
+    @property
+    def deployment(self) -> Deployment | None:
+        """The newest committed version known here; None before the first."""
+        put = self._store.documents.put
+        return put.deployment if put is not None else None
+
+    def list_members(self) -> tuple[Address, ...]:
+        """List where the control hosts listen, as far as they are known."""
+        listed = self._store.replicas[DOCUMENTS_GROUP].log.members.listed
+        known = [each.address for each in listed]
+        known += self._exchange.list_addresses()
+        return tuple(sorted({self._config.address, *known}))
+
+    def confirms_deployment(self, now: float) -> bool:
+        """Whether no newer version can have been accepted anywhere by now."""
+        replica = self._store.replicas[DOCUMENTS_GROUP]
+        leading = replica.leading if replica.has_lease(now) else None
+        return leading is not None and leading.settled
+
+    def _read_deployment(self, now: float) -> DeploymentRead | Undecided:
+        if not self.confirms_deployment(now):
+            return Undecided("the newest version is not confirmed yet; ask again")
+        put = self._store.documents.put
+        if put is None:
+            return DeploymentRead(0, "")
+        return DeploymentRead(put.deployment.version, put.text)
+
     def order_fence(self, now: float) -> int | None:
         """The fencing number to order with, or None when another may order."""
         replica = self._store.replicas[DOCUMENTS_GROUP]
@@ -218,7 +256,7 @@
         member = standing.log.members.find(standing.leader)
         return member.address if member is not None else None
 
-    def _prepare(self, command: Command, now: float) -> Change | Rejected:
+    def _prepare(self, command: StoredCommand, now: float) -> Change | Rejected:
         match command:
             case SubmitDocument():
                 return _read_document(command)
--- a/packages/control/bramleyspread_control/_messages.py
+++ b/packages/control/bramleyspread_control/_messages.py
@@ -17,6 +17,10 @@
 
     #: True when its data folder has never belonged to a deployment.
     fresh: bool
+    #: Its availability zone and address, for those whose settings don't name it.
+    zone: str = ""
+    #: Where it takes messages, as ``ip:port``; empty when settings name it.
+    address: str = ""
 
 
 class Found(_Message, frozen=True, tag="found"):
--- a/packages/control/bramleyspread_control/_peers.py
+++ b/packages/control/bramleyspread_control/_peers.py
@@ -53,6 +53,11 @@
         }
         self._hello_due = -math.inf
 
+    def learn(self, member: ControlMember) -> None:
+        """Take note of a control host that the settings don't name."""
+        if member.host != self._config.host:
+            self._peers.setdefault(member.host, Peer(member))
+
     def find(self, host: str) -> Peer | None:
         """Find a control host by name."""
         return self._peers.get(host)  # type: ignore[call-overload, no-any-return]
@@ -110,11 +115,16 @@
         :returns: the members; None while they are not all there.
         """
         config = self._config
-        if config.founder != config.host:
+        if not config.founds or config.founder != config.host:
             return None
         here = Member(config.host, incarnation, config.zone, config.address, True)
         listed = [here]
-        for peer in self._peers.values():
+        named = [
+            self._peers[each.host]
+            for each in config.members
+            if each.host != config.host
+        ]
+        for peer in named:
             if not peer.fresh or now >= peer.greeted + HELLO_FRESH:
                 return None
             listed.append(peer.as_member(voter=True))
--- a/packages/core/bramleyspread_core/_commands.py
+++ b/packages/core/bramleyspread_core/_commands.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from bramleyspread_core._calls import Payload
+from bramleyspread_core._deployment import Deployment
 from bramleyspread_core._document import ServiceDocument
 from bramleyspread_core._identity import (
     Address,
@@ -88,8 +89,23 @@
     orders: tuple[Order, ...]
 
 
+class PutDeployment(msgspec.Struct, frozen=True, tag="put-deployment"):
+    """Put a deployment document in force unless a higher version is."""
+
+    #: What the document says; known to be valid.
+    deployment: Deployment
+    #: The document as it was submitted, for people to read back.
+    text: str
+
+
+class ConfirmDeployment(msgspec.Struct, frozen=True, tag="confirm-deployment"):
+    """Ask for the newest deployment document, through the log."""
+
+
 #: Commands that a control host takes.
-Command = SubmitDocument | Claim | Settle | IntendOrders
+Command = (
+    SubmitDocument | Claim | Settle | IntendOrders | PutDeployment | ConfirmDeployment
+)
 
 
 class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
@@ -164,6 +180,29 @@
     """The orders are durable and may be sent."""
 
 
+class DeploymentTaken(msgspec.Struct, frozen=True, tag="deployment-taken"):
+    """The document is in force, or a higher version is."""
+
+    #: The version in force.
+    version: int
+
+
+class DeploymentDiffers(msgspec.Struct, frozen=True, tag="deployment-differs"):
+    """Another document is in force under the same version; nothing changed."""
+
+    #: The version in force.
+    version: int
+
+
+class DeploymentRead(msgspec.Struct, frozen=True, tag="deployment-read"):
+    """The newest deployment document; empty when there is none yet."""
+
+    #: Its version; 0 when there is none.
+    version: int
+    #: Its text, as submitted.
+    text: str
+
+
 class NotLeader(msgspec.Struct, frozen=True, tag="not-leader"):
     """Ask another control host; the command was not taken here."""
 
@@ -190,6 +229,9 @@
     | ClaimMismatch
     | Settled
     | Intended
+    | DeploymentTaken
+    | DeploymentDiffers
+    | DeploymentRead
     | NotLeader
     | Undecided
 )
--- a/packages/core/bramleyspread_core/_ports.py
+++ b/packages/core/bramleyspread_core/_ports.py
@@ -22,6 +22,7 @@
     DocumentsQuery,
     DocumentText,
 )
+from bramleyspread_core._deployment import Deployment
 from bramleyspread_core._document import ServiceDocument
 from bramleyspread_core._effects import Effect, TargetView
 from bramleyspread_core._identity import (
@@ -154,6 +155,17 @@
         """
 
 
+class DeploymentSource(Protocol):
+    """Where the deployment document in force is read from."""
+
+    @property
+    def deployment(self) -> Deployment | None:
+        """The newest committed version known here; None before the first."""
+
+    def confirms_deployment(self, now: float) -> bool:
+        """Whether no newer version can have been accepted anywhere by now."""
+
+
 class Directory(Protocol):
     """What an entry host knows of targets, other entry hosts and documents."""
 
--- a/packages/daemon/bramleyspread_daemon/_clock.py
+++ b/packages/daemon/bramleyspread_daemon/_clock.py
@@ -11,7 +11,10 @@
 #: A stamp further ahead of this host's wall clock is not taken over.
 MAX_AHEAD_MS = 86_400_000
 
-read_monotonic = time.monotonic
+
+def read_monotonic() -> float:
+    """Read seconds that only go forward, also while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class ProcessClock:
--- a/packages/daemon/bramleyspread_daemon/_connection.py
+++ b/packages/daemon/bramleyspread_daemon/_connection.py
@@ -42,6 +42,7 @@
         "opened_at",
         "pending_bytes",
         "stalled_since",
+        "was_reset",
     )
 
     def __init__(self, connected: Any) -> None:  # noqa: ANN401
@@ -56,6 +57,8 @@
         self.stalled_since = 0.0
         #: When it was opened, in monotonic seconds.
         self.opened_at = read_monotonic()
+        #: Whether the peer broke it off without an orderly end.
+        self.was_reset = False
         #: Whether it was cut by this side.
         self.aborted = False
 
@@ -86,6 +89,7 @@
         try:
             data: bytes = await self._socket.recv(READ_BYTES)
         except OSError:
+            self.was_reset = True
             return b""
         self._drained = len(data) < READ_BYTES
         return data
@@ -177,6 +181,15 @@
         except OSError:
             return
 
+    def set_option(self, level: int, option: int, value: int) -> None:
+        """Set an option of the socket.
+
+        :param level: such as ``IPPROTO_TCP``.
+        :param option: the option.
+        :param value: its value.
+        """
+        self._raw.setsockopt(level, option, value)
+
     def is_quiet(self) -> bool:
         """Whether it is open with nothing to read, as an idle one must be."""
         try:
--- a/packages/daemon/bramleyspread_daemon/_control.py
+++ b/packages/daemon/bramleyspread_daemon/_control.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import curio
 from loguru import logger
@@ -28,19 +28,50 @@
 from bramleyspread_daemon._ordering import OrderDesk
 from bramleyspread_daemon._process import Process, repeat, wait_for_stop
 from bramleyspread_daemon._refusal import write_refusal
-from bramleyspread_daemon._routes import Routes
+from bramleyspread_daemon._routes import Route, Routes
 from bramleyspread_daemon._server import HttpServer
-from bramleyspread_daemon._settings import ControlSettings
+from bramleyspread_daemon._settings import HostSettings, Limits, Listen
 from bramleyspread_orders import Reconciler
 
 #: How often the replicas see time pass, in seconds.
 TICK_S = 0.01
 #: How often orders are looked after, in seconds.
 ORDER_S = 0.25
+#: How often an extension sees time pass, in seconds.
+EXTEND_S = 0.02
 #: A command not decided by then is answered as undecided, in seconds.
 COMMAND_S = 10.0
 
 
+class ControlExtension(Protocol):
+    """What a control host does besides, on the same address."""
+
+    def list_routes(self) -> dict[tuple[str, str], Route]:
+        """List its own routes."""
+
+    async def answer_other(self, http: HttpRequest, reply: Reply) -> None:
+        """Answer a request to a path that nothing else takes."""
+
+    async def tick(self) -> None:
+        """Let time pass."""
+
+
+class ControlProcessSettings(Protocol):
+    """What a control process needs of its settings."""
+
+    @property
+    def listen(self) -> Listen:
+        """Where it listens."""
+
+    @property
+    def limits(self) -> Limits:
+        """Bounds on peers."""
+
+    @property
+    def control_hosts(self) -> tuple[HostSettings, ...]:
+        """The control hosts that the settings name."""
+
+
 class _Ticket:
     """A command that waits for its result."""
 
@@ -61,10 +92,12 @@
     def __init__(
         self,
         process: Process,
-        settings: ControlSettings,
+        settings: ControlProcessSettings,
         node: ControlNode,
         reconciler: Reconciler,
+        extension: ControlExtension | None = None,
     ) -> None:
+        self._extension = extension
         self._process = process
         self._settings = settings
         self._node = node
@@ -74,7 +107,7 @@
         self._flusher: Any = None
         #: Gives orders while this host holds the lease.
         self.orders = OrderDesk(
-            node, reconciler, self._propose, process.timeline, process.clock
+            node, reconciler, self.propose, process.timeline, process.clock
         )
         #: Its HTTP server.
         self.server = HttpServer(self._list_routes(), settings.limits, process.clock)
@@ -87,7 +120,10 @@
         routes[("GET", "/v1/control/status")] = self._answer_status
         routes[("GET", "/v1/control/documents-in-force")] = self._answer_documents
         routes[("POST", "/v1/peer")] = self._receive
-        return Routes(routes)
+        if self._extension is None:
+            return Routes(routes)
+        routes.update(self._extension.list_routes())
+        return Routes(routes, fallback=self._extension.answer_other)
 
     def _find_unready(self) -> str:
         leaders = self._node.report_status(read_monotonic()).leaders
@@ -100,11 +136,16 @@
         except MessageError as error:
             reply.send(400, write_refusal(400, str(error)))
             return
-        await self._propose(command, reply.send_json)
+        await self.propose(command, reply.send_json)
 
-    async def _propose(
+    async def propose(
         self, command: Command, on_result: Callable[[CommandResult], None]
     ) -> None:
+        """Put a command to the replicas.
+
+        :param command: the command.
+        :param on_result: takes its result, once.
+        """
         now = read_monotonic()
         self._last_ticket += 1
         ticket = self._last_ticket
@@ -213,6 +254,9 @@
         await curio.spawn(self._beat, daemon=True)
         work = self.orders.work
         await curio.spawn(repeat, work, "order", lambda: ORDER_S, daemon=True)
+        if self._extension is not None:
+            tick = self._extension.tick
+            await curio.spawn(repeat, tick, "extend", lambda: EXTEND_S, daemon=True)
         await self._process.announce_start("control", address)
         return address
 
--- a/packages/daemon/bramleyspread_daemon/_exchange.py
+++ b/packages/daemon/bramleyspread_daemon/_exchange.py
@@ -32,6 +32,10 @@
     headers: dict[str, str]
     #: The body.
     body: bytes
+    #: Path and query as they came.
+    target: str = ""
+    #: The headers as they came, in their order.
+    raw_headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
 class Reply:
@@ -80,6 +84,24 @@
         self.begun = True
         self._connection.send_head(200, (EVENTS_TYPE, ("cache-control", "no-store")))
 
+    def begin(self, status: int, headers: Headers) -> None:
+        """Send the head of a reply that goes on piece by piece.
+
+        :param status: the HTTP status.
+        :param headers: headers besides the stamp.
+        """
+        if self.begun or self.left:
+            return
+        self.begun = True
+        self._connection.send_head(status, headers)
+
+    def cut(self) -> None:
+        """Break a reply off, so that it can't be taken for a whole one."""
+        if self.ended or self.left:
+            return
+        self.ended = True
+        self._connection.abort()
+
     def send_piece(self, piece: bytes) -> None:
         """Send a piece of a stream.
 
--- a/packages/daemon/bramleyspread_daemon/_main.py
+++ b/packages/daemon/bramleyspread_daemon/_main.py
@@ -14,13 +14,8 @@
 from loguru import logger
 
 from bramleyspread_core import InvalidFileError
-from bramleyspread_daemon._build import build_control, build_entry
 from bramleyspread_daemon._logs import set_up_logs
-from bramleyspread_daemon._settings import (
-    ControlSettings,
-    EntrySettings,
-    load_settings,
-)
+from bramleyspread_daemon._roles import ROLES, Role, RoleSettings
 
 #: Stopped as planned.
 EXIT_DONE = 0
@@ -43,6 +38,21 @@
 """
 
 
+class _ShowVersion(argparse.Action):
+    """Prints the version of the installed package, which a start doesn't look up."""
+
+    def __call__(
+        self,
+        parser: argparse.ArgumentParser,
+        namespace: argparse.Namespace,
+        values: object,
+        option_string: str | None = None,
+    ) -> None:
+        """Print it and exit."""
+        print(f"{parser.prog} {version('bramleyspread-daemon')}")
+        parser.exit()
+
+
 def make_parser() -> argparse.ArgumentParser:
     """Make the parser of the command line.
 
@@ -55,14 +65,11 @@
         epilog=_EPILOG,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    name = f"%(prog)s {version('bramleyspread-daemon')}"
-    parser.add_argument("--version", action="version", version=name)
+    parser.add_argument("--version", action=_ShowVersion, nargs=0)
     roles = parser.add_subparsers(dest="role", required=True, metavar="ROLE")
-    for role, what in (
-        ("entry", "take callers' requests and call targets; on every entry host"),
-        ("control", "keep documents and claims durable; on the few hosts with a disk"),
-    ):
-        each = roles.add_parser(role, help=what, description=f"Role: {what}.")
+    for name, role in ROLES.items():
+        what = f"Role: {role.what}."
+        each = roles.add_parser(name, help=role.what, description=what)
         each.add_argument(
             "--settings",
             type=Path,
@@ -75,6 +82,13 @@
             action="store_true",
             help="only check the settings, then exit with 0 or 2",
         )
+        if role.has_wire:
+            each.add_argument(
+                "--wire",
+                required=True,
+                metavar="MODULE",
+                help="what speaks the platform's language, as an importable module",
+            )
     return parser
 
 
@@ -85,12 +99,9 @@
     :returns: the exit code.
     """
     options = make_parser().parse_args(arguments)
-    settings: EntrySettings | ControlSettings
+    role = ROLES[options.role]
     try:
-        if options.role == "entry":
-            settings = load_settings(options.settings, EntrySettings)
-        else:
-            settings = load_settings(options.settings, ControlSettings)
+        settings = role.load(options.settings)
     except InvalidFileError as error:
         print(error, file=sys.stderr)
         return EXIT_USAGE
@@ -99,16 +110,12 @@
         return EXIT_DONE
     set_up_logs(settings.log, settings.host)
     _check_files(settings)
-    return _run(settings)
+    return _run(role, settings, getattr(options, "wire", ""))
 
 
-def _run(settings: EntrySettings | ControlSettings) -> int:
+def _run(role: Role, settings: RoleSettings, wire: str) -> int:
     try:
-        process = (
-            build_entry(settings)
-            if isinstance(settings, EntrySettings)
-            else build_control(settings)
-        )
+        process = role.build(settings, wire)
         _calm_collector()
         code: int = curio.run(process.run)
     except Exception as error:
@@ -118,7 +125,7 @@
     return code
 
 
-def _check_files(settings: EntrySettings | ControlSettings) -> None:
+def _check_files(settings: RoleSettings) -> None:
     """Warn when the operating system allows fewer open files than needed."""
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     needed = 2 * settings.limits.connections
--- a/packages/daemon/bramleyspread_daemon/_owner.py
+++ b/packages/daemon/bramleyspread_daemon/_owner.py
@@ -19,6 +19,8 @@
     limits: Limits
     #: Stamps what is sent.
     clock: ProcessClock
+    #: Whether its peers are strangers, who are sent no stamps.
+    is_public: bool
     #: Whether peers are told to close their connections.
     draining: bool
 
--- a/packages/daemon/bramleyspread_daemon/_process.py
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
+from typing import Protocol
 
 import curio
 from loguru import logger
@@ -20,7 +21,7 @@
 from bramleyspread_daemon._refusal import write_refusal
 from bramleyspread_daemon._routes import Route
 from bramleyspread_daemon._server import HttpServer
-from bramleyspread_daemon._settings import ControlSettings, EntrySettings
+from bramleyspread_daemon._settings import Limits
 from bramleyspread_daemon._timeline import TimelineFile
 
 #: How often idle connections are looked through, in seconds.
@@ -31,10 +32,26 @@
 DRAIN_CHECK_S = 0.02
 
 
+class ProcessSettings(Protocol):
+    """What every process's settings say."""
+
+    @property
+    def host(self) -> str:
+        """The host's name."""
+
+    @property
+    def timeline(self) -> str:
+        """The file of its time line events."""
+
+    @property
+    def limits(self) -> Limits:
+        """Bounds on peers."""
+
+
 class Process:
     """The parts that an entry and a control process have in common."""
 
-    def __init__(self, settings: EntrySettings | ControlSettings) -> None:
+    def __init__(self, settings: ProcessSettings) -> None:
         #: Its settings.
         self.settings = settings
         #: Stamps messages and events.
@@ -52,6 +69,10 @@
         #: Whether a planned stop has begun.
         self.stopping = False
 
+    def now(self) -> float:
+        """Read this process's steady clock, in seconds."""
+        return read_monotonic()
+
     def report(self, kind: str, peer: str = "", detail: str = "") -> None:
         """Write an event of the process itself to the time line.
 
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/_roles.py
@@ -0,0 +1,160 @@
+"""What the daemon can be: each role's settings and how its process is built.
+
+A role's modules are imported only when it runs.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from importlib import import_module
+from pathlib import Path
+from typing import TYPE_CHECKING, Protocol, cast
+
+import msgspec
+
+from bramleyspread_core import InvalidFileError
+from bramleyspread_daemon._settings import (
+    ControlSettings,
+    EntrySettings,
+    Limits,
+    Listen,
+    LogSettings,
+    load_settings,
+)
+
+if TYPE_CHECKING:
+    from bramleyspread_daemon.forward import Wires
+
+
+class RoleSettings(Protocol):
+    """What every role's settings say."""
+
+    @property
+    def host(self) -> str:
+        """The host's name."""
+
+    @property
+    def log(self) -> LogSettings:
+        """What is logged."""
+
+    @property
+    def limits(self) -> Limits:
+        """Bounds on peers."""
+
+    @property
+    def listen(self) -> Listen:
+        """Where it listens."""
+
+
+class Runnable(Protocol):
+    """A process that is built but does not listen yet."""
+
+    async def run(self) -> int:
+        """Run until asked to stop; the exit code."""
+
+
+class Role(msgspec.Struct, frozen=True):
+    """One of the things that the daemon can be."""
+
+    #: What it does, for the command line's help.
+    what: str
+    #: Reads its settings.
+    load: Callable[[Path], RoleSettings]
+    #: Builds its process from settings, and from the name of a module of wires.
+    build: Callable[[RoleSettings, str], Runnable]
+    #: Whether it speaks to the world through a module of wires.
+    has_wire: bool = False
+
+
+def load_wires(module: str) -> Wires:
+    """Import the conversations with a platform.
+
+    :param module: the module whose ``WIRES`` holds them.
+    :returns: the conversations.
+    :raises InvalidFileError: when there is no such module, or it holds none.
+    """
+    try:
+        return cast("Wires", import_module(module).WIRES)
+    except (ImportError, AttributeError) as error:
+        raise InvalidFileError(module, (f"no wires there: {error}",)) from None
+
+
+def _load_entry(path: Path) -> RoleSettings:
+    return load_settings(path, EntrySettings)
+
+
+def _load_control(path: Path) -> RoleSettings:
+    return load_settings(path, ControlSettings)
+
+
+def _load_forward_entry(path: Path) -> RoleSettings:
+    from bramleyspread_daemon.forward._settings import (
+        ForwardEntrySettings,
+        load_forward_settings,
+    )
+
+    return load_forward_settings(path, ForwardEntrySettings)
+
+
+def _load_forward_control(path: Path) -> RoleSettings:
+    from bramleyspread_daemon.forward._settings import (
+        ForwardControlSettings,
+        load_forward_settings,
+    )
+
+    return load_forward_settings(path, ForwardControlSettings)
+
+
+def _build_entry(settings: RoleSettings, _: str) -> Runnable:
+    from bramleyspread_daemon._build import build_entry
+
+    return build_entry(cast("EntrySettings", settings))
+
+
+def _build_control(settings: RoleSettings, _: str) -> Runnable:
+    from bramleyspread_daemon._build import build_control
+
+    return build_control(cast("ControlSettings", settings))
+
+
+def _build_forward_entry(settings: RoleSettings, wire: str) -> Runnable:
+    from bramleyspread_daemon.forward._build_entry import build_forward_entry
+    from bramleyspread_daemon.forward._settings import ForwardEntrySettings
+
+    return build_forward_entry(cast(ForwardEntrySettings, settings), load_wires(wire))
+
+
+def _build_forward_control(settings: RoleSettings, wire: str) -> Runnable:
+    from bramleyspread_daemon.forward._build_control import build_forward_control
+    from bramleyspread_daemon.forward._settings import ForwardControlSettings
+
+    return build_forward_control(
+        cast(ForwardControlSettings, settings), load_wires(wire).control
+    )
+
+
+#: The roles by their names on the command line.
+ROLES = {
+    "entry": Role(
+        "take callers' requests and call targets; on every entry host",
+        _load_entry,
+        _build_entry,
+    ),
+    "control": Role(
+        "keep documents and claims durable; on the few hosts with a disk",
+        _load_control,
+        _build_control,
+    ),
+    "forward-entry": Role(
+        "pass callers' requests on as they came; on every entry host",
+        _load_forward_entry,
+        _build_forward_entry,
+        has_wire=True,
+    ),
+    "forward-control": Role(
+        "keep the deployment document and hear targets; on hosts with a disk",
+        _load_forward_control,
+        _build_forward_control,
+        has_wire=True,
+    ),
+}
--- a/packages/daemon/bramleyspread_daemon/_routes.py
+++ b/packages/daemon/bramleyspread_daemon/_routes.py
@@ -14,13 +14,15 @@
 class Routes:
     """Handlers by method and path, exact ones before prefixes."""
 
-    __slots__ = ("_exact", "_prefixes")
+    __slots__ = ("_exact", "_fallback", "_prefixes")
 
     def __init__(
         self,
         exact: Mapping[tuple[str, str], Route],
         prefixes: Mapping[tuple[str, str], Route] | None = None,
+        fallback: Route | None = None,
     ) -> None:
+        self._fallback = fallback
         self._exact = dict(exact)
         self._prefixes = dict(prefixes or {})
 
@@ -37,7 +39,9 @@
             await route(request, reply)
             return
         methods = self._list_methods(request.path)
-        if methods:
+        if self._fallback is not None and not methods:
+            await self._fallback(request, reply)
+        elif methods:
             why = f"{request.path} takes {', '.join(methods)}"
             reply.send(405, write_refusal(405, why))
         else:
--- a/packages/daemon/bramleyspread_daemon/_served.py
+++ b/packages/daemon/bramleyspread_daemon/_served.py
@@ -11,10 +11,6 @@
 from bramleyspread_daemon._owner import Owner
 from bramleyspread_daemon._refusal import write_refusal, write_retry
 
-#: Most bytes of a request's head.
-MAX_HEAD_BYTES = 16_384
-#: Most bytes of a request's body.
-MAX_BODY_BYTES = 1_048_576
 #: Bytes taken from a caller while its reply is not finished.
 MAX_EARLY_BYTES = 65_536
 #: How long a connection that this side finished is read before it is cut, in seconds.
@@ -51,7 +47,7 @@
         self._connection = connection
         self._server = server
         self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+            h11.SERVER, max_incomplete_event_size=server.limits.head_bytes
         )
         self._reply: Reply | None = None
         self._early_bytes = 0
@@ -134,8 +130,8 @@
                 self._check_head(event)
             elif isinstance(event, h11.Data):
                 size += len(event.data)
-                if size > MAX_BODY_BYTES:
-                    raise _BadRequestError(413, f"body over {MAX_BODY_BYTES} bytes")
+                if size > self._server.limits.body_bytes:
+                    raise self._refuse_body()
                 body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return _build_request(head, b"".join(body))
@@ -145,12 +141,20 @@
     def _check_head(self, head: h11.Request) -> None:
         self._head_only = head.method == b"HEAD"
         for name, value in head.headers:
-            if name == b"content-length" and int(value) > MAX_BODY_BYTES:
-                raise _BadRequestError(413, f"body over {MAX_BODY_BYTES} bytes")
+            if name == b"content-length":
+                if int(value) > self._server.limits.body_bytes:
+                    raise self._refuse_body()
+                if any(each == b"transfer-encoding" for each, _ in head.headers):
+                    raise _BadRequestError(400, "both a length and chunks")
         if self._http.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._connection.write(self._http.send(interim) or b"")
 
+    def _refuse_body(self) -> _BadRequestError:
+        return _BadRequestError(
+            413, f"body over {self._server.limits.body_bytes} bytes"
+        )
+
     async def _read_more(self) -> bool:
         data = await self._connection.read()
         if not data and self._connection.aborted:
@@ -229,7 +233,9 @@
             self._server.note_stalled(self)
 
     def _build_head(self, status: int, headers: Headers) -> h11.Response:
-        sent = [*headers, (STAMP_HEADER, self._server.clock.tick_text())]
+        sent = [*headers]
+        if not self._server.is_public:
+            sent.append((STAMP_HEADER, self._server.clock.tick_text()))
         if self._server.draining:
             sent.append(("connection", "close"))
         return h11.Response(status_code=status, headers=sent)
@@ -279,4 +285,12 @@
     for raw_name, raw_value in head.headers:
         name, value = raw_name.decode("ascii"), raw_value.decode("latin-1")
         headers[name] = f"{headers[name]}, {value}" if name in headers else value
-    return HttpRequest(head.method.decode("ascii"), path, query, headers, body)
+    return HttpRequest(
+        head.method.decode("ascii"),
+        path,
+        query,
+        headers,
+        body,
+        head.target.decode("ascii"),
+        tuple((bytes(name), bytes(value)) for name, value in head.headers.raw_items()),
+    )
--- a/packages/daemon/bramleyspread_daemon/_server.py
+++ b/packages/daemon/bramleyspread_daemon/_server.py
@@ -43,6 +43,8 @@
         self.limits = limits
         #: Stamps what is sent.
         self.clock = clock
+        #: Whether its peers are strangers, who are sent no stamps.
+        self.is_public = False
         #: Whether peers are told to close their connections.
         self.draining = False
         #: Connections taken so far.
@@ -101,7 +103,8 @@
         :param reply: the reply.
         """
         self.requests += 1
-        self.clock.merge_text(request.headers.get(STAMP_HEADER, ""))
+        if not self.is_public:
+            self.clock.merge_text(request.headers.get(STAMP_HEADER, ""))
         try:
             await self._handler.handle(request, reply)
         except Exception:
--- a/packages/daemon/bramleyspread_daemon/_settings.py
+++ b/packages/daemon/bramleyspread_daemon/_settings.py
@@ -39,7 +39,8 @@
 
     #: The least level that is written, such as ``INFO``.
     level: str = "INFO"
-    #: A file to write to; None for standard error.
+    #: A file to write to; None for standard error, ``-`` for JSON lines on standard
+    #: output.
     file: str | None = None
 
 
@@ -59,6 +60,10 @@
 
     #: Open connections taken at once.
     connections: Connections = 4_096
+    #: Most bytes of a request's head.
+    head_bytes: Annotated[int, msgspec.Meta(ge=1_024, le=1_048_576)] = 16_384
+    #: Most bytes of a request's body.
+    body_bytes: Annotated[int, msgspec.Meta(ge=0, le=67_108_864)] = 1_048_576
     #: Time for one request's head and body to arrive, in seconds.
     receive_s: Seconds = 10.0
     #: Time that a connection may stay open without a request, in seconds.
--- a/packages/daemon/bramleyspread_daemon/_timeline.py
+++ b/packages/daemon/bramleyspread_daemon/_timeline.py
@@ -10,6 +10,9 @@
 from bramleyspread_core import Happening, TimelineEvent, encode_json
 from bramleyspread_daemon._clock import ProcessClock
 
+#: The path that stands for standard output.
+STANDARD_OUTPUT = "-"
+
 
 class TimelineFile:
     """An append-only file of time line events, one JSON object a line.
@@ -21,9 +24,7 @@
     __slots__ = ("_clock", "_descriptor", "_host", "written")
 
     def __init__(self, path: Path, host: str, clock: ProcessClock) -> None:
-        path.parent.mkdir(parents=True, exist_ok=True)
-        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
-        self._descriptor = os.open(path, flags, 0o644)
+        self._descriptor = _open(path)
         self._host = host
         self._clock = clock
         #: Events written since the start.
@@ -52,3 +53,10 @@
     def close(self) -> None:
         """Close the file."""
         os.close(self._descriptor)
+
+
+def _open(path: Path) -> int:
+    if str(path) == STANDARD_OUTPUT:
+        return os.dup(1)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    return os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/forward/_build_entry.py
@@ -0,0 +1,31 @@
+"""Puts an entry process that forwards calls together from its settings.
+
+Apart from the control process, so that each process holds in memory only what
+its role needs.
+"""
+
+from __future__ import annotations
+
+import os
+from random import Random
+
+from bramleyspread_daemon._process import Process
+from bramleyspread_daemon.forward._entry import ForwardEntryProcess
+from bramleyspread_daemon.forward._settings import ForwardEntrySettings
+from bramleyspread_daemon.forward._wire import Wires
+
+
+def build_forward_entry(
+    settings: ForwardEntrySettings, wires: Wires
+) -> ForwardEntryProcess:
+    """Build an entry process that forwards calls.
+
+    :param settings: its settings.
+    :param wires: the conversations with callers and targets.
+    :returns: the process, not yet listening.
+    """
+    process = Process(settings)
+    rng = Random(int.from_bytes(os.urandom(16)))
+    return ForwardEntryProcess(
+        process, settings, wires.callers, wires.targets, wires.ready_path, rng
+    )
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -0,0 +1,172 @@
+"""The entry process that forwards calls."""
+
+from __future__ import annotations
+
+from random import Random
+
+import curio
+from loguru import logger
+
+from bramleyspread_core import Address
+from bramleyspread_daemon._exchange import HttpRequest, Reply
+from bramleyspread_daemon._metrics import Metrics
+from bramleyspread_daemon._process import Process, repeat, wait_for_stop
+from bramleyspread_daemon._routes import Routes
+from bramleyspread_daemon._server import HttpServer
+from bramleyspread_daemon.forward._feed_link import FeedLink
+from bramleyspread_daemon.forward._gather_desk import PIECES_PATH, TICK_S
+from bramleyspread_daemon.forward._hub import ForwardHub
+from bramleyspread_daemon.forward._passage import RETRY_S, Passage
+from bramleyspread_daemon.forward._settings import ForwardEntrySettings
+from bramleyspread_daemon.forward._wire import (
+    CallerWire,
+    Refusal,
+    TargetWire,
+    WireReply,
+)
+from bramleyspread_forwarding import KeysStale, KeyUnknown, MalformedRequest
+
+#: How often idle connections to targets are looked through, in seconds.
+IDLE_SWEEP_S = 1.0
+
+
+class ForwardEntryProcess:
+    """One entry host: takes callers' requests and passes them on to targets."""
+
+    def __init__(
+        self,
+        process: Process,
+        settings: ForwardEntrySettings,
+        callers: CallerWire,
+        targets: TargetWire,
+        ready_path: str,
+        rng: Random,
+    ) -> None:
+        self._process = process
+        self._settings = settings
+        self._wire = callers
+        #: What all requests share.
+        self.hub = ForwardHub(settings, targets, process.pool, rng)
+        self._link = FeedLink(process.pool, self.hub.make_query, self.hub.take_page)
+        routes = process.list_routes(self.hub.find_unready, self._fill_metrics)
+        routes[("POST", PIECES_PATH)] = self.hub.desk.serve
+        limits, clock = settings.limits, process.clock
+        #: Takes the system's other processes.
+        self.server = HttpServer(Routes(routes), limits, clock)
+        health = process.list_health_routes(self.hub.find_unready)
+        health[("GET", ready_path)] = health[("GET", "/v1/ready")]
+        #: Takes the balancer.
+        self.health = HttpServer(Routes(health), limits, clock)
+        #: Takes callers.
+        self.public = HttpServer(self, limits, clock)
+        self.public.is_public = True
+        self.health.is_public = True
+
+    async def handle(self, http: HttpRequest, reply: Reply) -> None:
+        """Take a caller's request."""
+        passage = self._admit(http, reply)
+        if isinstance(passage, Refusal):
+            self._refuse(passage, http, reply)
+            return
+        task = await curio.spawn(passage.run, daemon=True)
+
+        async def leave() -> None:
+            await task.cancel(blocking=False)
+
+        reply.on_left = leave
+
+    def _admit(self, http: HttpRequest, reply: Reply) -> Passage | Refusal:
+        """Read a request, and find its route and whose it is."""
+        request = self._wire.read_request(http)
+        if isinstance(request, MalformedRequest):
+            return Refusal(status=request.status, why=request.why)
+        if self.hub.routes is None:
+            return Refusal(status=503, why="not ready", retry_after_s=RETRY_S)
+        route = self.hub.find_route(request.host, request.path)
+        if route is None:
+            return Refusal(status=404, why="no such route")
+        holder = None
+        if not route.public:
+            found = self.hub.keys.find_holder(request.key, self._process.now())
+            if isinstance(found, KeysStale):
+                why = "keys can't be confirmed now"
+                return Refusal(status=503, why=why, retry_after_s=RETRY_S)
+            if isinstance(found, KeyUnknown):
+                return Refusal(status=401, why="no such key")
+            holder = found
+        return Passage(self.hub, self._wire, request, route, holder, reply)
+
+    def _refuse(self, refusal: Refusal, http: HttpRequest, reply: Reply) -> None:
+        self.hub.ends[f"refused with {refusal.status}"] += 1
+        logger.bind(step="admit", peer=http.path, version=self.hub.version).info(
+            f"refused with {refusal.status}: {refusal.why}"
+        )
+        written: WireReply = self._wire.write_refusal(refusal)
+        reply.send(written.status, written.body, written.headers)
+
+    def _fill_metrics(self, metrics: Metrics) -> None:
+        servers = (self.server, self.health, self.public)
+        self._process.fill_server_metrics(metrics, *servers)
+        for how, number in self.hub.ends.items():
+            name = how.partition(":")[0]
+            metrics.count("requests_total", "Requests by end.", number, end=name)
+        metrics.gauge("requests_in_flight", "Not yet ended.", self.hub.in_flight)
+        metrics.gauge("version", "Document in force.", self.hub.version)
+        desk = self.hub.desk
+        metrics.count("piece_calls_total", "Calls for pieces.", desk.calls)
+        metrics.count("pieces_total", "Pieces in them.", desk.pieces)
+        upstream = self.hub.upstream
+        metrics.count("target_connections_total", "Opened.", upstream.opened)
+        metrics.count("target_reuses_total", "Used again.", upstream.reused)
+        metrics.count("feed_failures_total", "Unanswered.", self._link.failures)
+
+    async def start(self) -> Address:
+        """Listen, and start what goes on by itself.
+
+        :returns: where callers are taken.
+        :raises OSError: when an address can't be had.
+        """
+        address = await self.public.start(self._settings.callers.address)
+        await self.server.start(self._settings.listen.address)
+        await self.health.start(self._settings.ready.address)
+        await self._link.follow(self._settings.seed_addresses)
+        for action, name, pause in (
+            (self.hub.desk.tick, "gather", TICK_S),
+            (self.hub.upstream.close_idle, "idle", IDLE_SWEEP_S),
+        ):
+            await curio.spawn(
+                repeat, action, name, lambda pause=pause: pause, daemon=True
+            )
+        await self._process.announce_start("entry", address)
+        return address
+
+    async def reload(self, settings: ForwardEntrySettings) -> None:
+        """Take what can change while the process runs: more control hosts.
+
+        :param settings: the settings as they are now.
+        """
+        await self._link.follow(settings.seed_addresses)
+
+    async def stop(self) -> bool:
+        """Stop as planned: finish what is in flight, then end.
+
+        :returns: whether everything in flight was finished.
+        """
+
+        async def begin() -> None:
+            return None
+
+        servers = [self.public, self.health, self.server]
+        return await self._process.drain(
+            servers, begin, lambda: self.hub.in_flight == 0
+        )
+
+    async def run(self) -> int:
+        """Run until asked to stop.
+
+        :returns: the exit code.
+        """
+        await self.start()
+        name = await wait_for_stop()
+        logger.bind(step="stop", peer="-").info(f"{name}: draining")
+        return 0 if await self.stop() else 1
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/forward/_passage.py
@@ -0,0 +1,387 @@
+"""One caller's request on its way through an entry host."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+import curio
+from loguru import logger
+
+from bramleyspread_core import ForwardRoute, KeyHolder
+from bramleyspread_daemon._client import ClosedError, UnsentError
+from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon._exchange import Reply
+from bramleyspread_daemon.forward._hub import ForwardHub
+from bramleyspread_daemon.forward._upstream import UpstreamConnection
+from bramleyspread_daemon.forward._wire import (
+    CallerWire,
+    CallTerms,
+    Refusal,
+    TargetHead,
+)
+from bramleyspread_forwarding import (
+    AttemptEnd,
+    Delivered,
+    EventError,
+    EventSplitter,
+    ForwardRequest,
+    MayHaveRun,
+    NoTarget,
+    PieceFault,
+    PieceItem,
+    PieceJob,
+    PieceResult,
+    Placed,
+    StageRun,
+    TargetFailed,
+    WasNotRun,
+    may_follow,
+)
+
+#: Most time for reaching a target, in seconds.
+CONNECT_S = 0.5
+#: When a caller that was refused may come back, in seconds.
+RETRY_S = 0.5
+#: Time that the target itself is thought to need behind the stages, in ms.
+TARGET_MS = 300.0
+#: The longest wait of a request whose route and caller name none, in ms.
+DEFAULT_MS = 30_000.0
+
+
+class Passage:
+    """Brings one request to a target and the answer back to the caller."""
+
+    def __init__(
+        self,
+        hub: ForwardHub,
+        wire: CallerWire,
+        request: ForwardRequest,
+        route: ForwardRoute,
+        holder: KeyHolder | None,
+        reply: Reply,
+    ) -> None:
+        self._hub = hub
+        self._wire = wire
+        self._request = request
+        self._route = route
+        self._holder = holder
+        self._reply = reply
+        self._begun = read_monotonic()
+        waits = request.deadline_ms if request.deadline_ms is not None else DEFAULT_MS
+        self._until = self._begun + min(waits, float(route.timeout_ms)) / 1000
+        own_rank = holder.priority if holder is not None else None
+        self._priority = route.priority if own_rank is None else own_rank
+        self._stages: StageRun | None = None
+        self._stages_ms = 0.0
+        self._attempts = 0
+        self._tried: list[str] = []
+        self._last_event = request.last_event
+        self._is_sent = False
+        self._in_doubt = False
+        self._placed: Placed | None = None
+        self._began = False
+        self._connection: UpstreamConnection | None = None
+
+    async def run(self) -> None:
+        """Work until the caller has its final answer, or has left."""
+        self._hub.in_flight += 1
+        how = "left"
+        try:
+            left = max(self._until - read_monotonic(), 0.001)
+            try:
+                how = await curio.timeout_after(left, self._work)
+            except curio.TaskTimeout:
+                how = self._end_late()
+        finally:
+            self._hub.in_flight -= 1
+            self._hub.ends[how] += 1
+            self._log(how)
+            await self._clear()
+
+    async def _clear(self) -> None:
+        self._settle_target()
+        if self._connection is not None:
+            connection, self._connection = self._connection, None
+            await connection.close()
+        await self._release_inputs()
+
+    def _log(self, how: str) -> None:
+        spent = (read_monotonic() - self._begun) * 1000
+        bound = logger.bind(
+            step="end",
+            peer=self._tried[-1] if self._tried else "-",
+            request=self._request.request,
+            route=self._route.name,
+            version=self._hub.version,
+            stages_ms=round(self._stages_ms),
+            ms=round(spent),
+            attempts=self._attempts,
+        )
+        bound.info(how)
+
+    async def _work(self) -> str:
+        if self._route.stages:
+            fault = await self._make_stages()
+            if fault is not None:
+                return self._refuse(503, f"stage: {fault.value}", RETRY_S)
+        service = self._hub.routes and self._hub.routes.choose_service(
+            self._route, self._request.request
+        )
+        if not service:
+            return self._refuse(503, "no document", RETRY_S)
+        budget = self._hub.find_budget(service)
+        budget.note_first(read_monotonic())
+        while True:
+            end = await self._attempt(service)
+            if isinstance(end, Delivered):
+                return "delivered"
+            again = may_follow(self._route, end, self._attempts)
+            hosts = len(self._hub.list_hosts())
+            if not again or not budget.take(read_monotonic(), hosts):
+                return self._conclude(end)
+            logger.bind(
+                step="retry", peer=self._tried[-1], request=self._request.request
+            ).info(_tell_why(end))
+            if isinstance(end, WasNotRun) and end.inputs_gone:
+                self._tried.pop()
+                fault = await self._make_stages()
+                if fault is not None:
+                    return self._conclude(end)
+
+    async def _make_stages(self) -> PieceFault | None:
+        begun = read_monotonic()
+        self._stages = StageRun(
+            self._request.request,
+            self._route.stages,
+            self._request.pieces,
+            self._request.piece_key,
+        )
+        try:
+            while not self._stages.is_done:
+                fault = await self._make_ready(self._stages)
+                if fault is not None:
+                    return fault
+        finally:
+            self._stages_ms = (read_monotonic() - begun) * 1000
+        return None
+
+    async def _make_ready(self, stages: StageRun) -> PieceFault | None:
+        """Make all stages that can begin, beside each other."""
+        ready = stages.take_ready()
+        tasks: list[tuple[int, Any]] = []
+        try:
+            for number, service, items in ready:
+                task = await curio.spawn(self._make_stage, number, service, items)
+                tasks.append((number, task))
+            for number, task in tasks:
+                results: Sequence[PieceResult] = await task.join()
+                fault = next((x.fault for x in results if x.fault is not None), None)
+                if fault is not None:
+                    return fault
+                stages.finish(number, results)
+        finally:
+            for _, task in tasks:
+                await task.cancel(blocking=False)
+        return None
+
+    async def _make_stage(
+        self, number: int, service: str, items: tuple[PieceItem, ...]
+    ) -> Sequence[PieceResult]:
+        now = read_monotonic()
+        behind = self._estimate_behind(number)
+        job = PieceJob(
+            service=service,
+            items=items,
+            remaining_ms=(self._until - now) * 1000 - behind,
+            aim_ms=(self._begun - now) * 1000 + self._route.aim_ms - behind,
+            priority=self._priority,
+        )
+        return await self._hub.desk.make(job)
+
+    def _estimate_behind(self, number: int) -> float:
+        """Estimate the time that is needed behind a stage, in milliseconds."""
+        spent = TARGET_MS
+        for stage in self._route.stages[number + 1 :]:
+            service = self._hub.find_service(stage.service)
+            if number in stage.after and service and service.pieces:
+                spent += service.pieces.call_ms
+        return spent
+
+    async def _attempt(self, service: str) -> AttemptEnd:
+        hub = self._hub
+        found = hub.find_service(service)
+        placed = hub.placement.choose(
+            hub.targets.list_usable(service),
+            read_monotonic(),
+            prompt=self._request.prompt,
+            limits=found.engine if found is not None else None,
+            tried=self._tried,
+            input_mb=self._stages.measure_inputs() if self._stages else None,
+        )
+        if isinstance(placed, NoTarget):
+            self._attempts = self._route.attempts
+            return WasNotRun(placed.reason)
+        self._attempts += 1
+        self._tried.append(placed.target.target)
+        self._placed, self._began = placed, False
+        end: AttemptEnd = MayHaveRun("broken off")
+        try:
+            end = await self._send(placed)
+        finally:
+            self._settle_target()
+        if isinstance(end, Delivered):
+            hub.placement.note_success(placed.target.target)
+        elif not isinstance(end, WasNotRun) or not end.inputs_gone:
+            hub.placement.note_failure(placed.target.target, read_monotonic())
+        return end
+
+    def _settle_target(self) -> None:
+        if self._placed is not None:
+            placed, self._placed = self._placed, None
+            self._hub.placement.finish(placed, began=self._began)
+
+    async def _send(self, placed: Placed) -> AttemptEnd:
+        hub, request = self._hub, self._request
+        fresh = not self._route.repeatable and self._attempts > 1
+        try:
+            connection = await hub.upstream.take(
+                placed.target.address, CONNECT_S, fresh=fresh
+            )
+        except UnsentError as error:
+            return WasNotRun(str(error))
+        self._connection = connection
+        headers = hub.wire.write_head(request, self._write_terms(placed))
+        try:
+            await connection.send(request.method, request.target, headers, request.body)
+        except UnsentError as error:
+            await self._drop_connection()
+            return WasNotRun(str(error))
+        self._is_sent = True
+        try:
+            raw = await connection.read_head()
+            head = hub.wire.read_head(raw.status_code, raw.headers)
+            end = await self._take_answer(placed, connection, head)
+        except (ClosedError, EventError) as error:
+            await self._drop_connection()
+            end = MayHaveRun(str(error))
+        self._is_sent = False
+        self._in_doubt = self._in_doubt or not isinstance(end, WasNotRun)
+        return end
+
+    def _write_terms(self, placed: Placed) -> CallTerms:
+        inputs = None
+        if self._stages is not None:
+            inputs = tuple(each.handle for each in self._stages.inputs)
+        return CallTerms(
+            target=placed.target.target,
+            remaining_ms=max((self._until - read_monotonic()) * 1000, 1.0),
+            holder=self._holder.name if self._holder is not None else None,
+            priority=self._priority,
+            inputs=inputs,
+            last_event=self._last_event,
+        )
+
+    async def _take_answer(
+        self, placed: Placed, connection: UpstreamConnection, head: TargetHead
+    ) -> AttemptEnd:
+        hub = self._hub
+        now = read_monotonic()
+        if head.load is not None:
+            hub.placement.note_load(placed.target.target, head.load, now)
+        if head.not_run:
+            await connection.read_body()
+            await self._give_back(connection, head)
+            return WasNotRun(f"turned away with {head.status}", head.status == 409)
+        if head.request != self._request.request:
+            raise ClosedError("an answer to another request")
+        good = 200 <= head.status < 300
+        if good and not head.sealed:
+            raise ClosedError("an answer without a seal")
+        if good and head.is_stream:
+            return await self._pass_stream(connection, head)
+        body = await connection.read_body()
+        self._note_first_byte()
+        await self._give_back(connection, head)
+        if not good:
+            return TargetFailed(head.status, head.headers, body)
+        if self._reply.begun:
+            raise ClosedError("no stream where one went on")
+        self._reply.send(head.status, body, head.headers)
+        return Delivered()
+
+    async def _pass_stream(
+        self, connection: UpstreamConnection, head: TargetHead
+    ) -> AttemptEnd:
+        splitter = EventSplitter()
+        if not self._reply.begun:
+            self._reply.begin(head.status, head.headers)
+        while piece := await connection.read_piece():
+            for event in splitter.feed(piece):
+                self._note_first_byte()
+                self._reply.send_piece(event.data)
+                self._last_event = event.event or self._last_event
+        if not splitter.is_between:
+            raise ClosedError("ended in the middle of an event")
+        await self._give_back(connection, head)
+        self._reply.end()
+        return Delivered()
+
+    def _note_first_byte(self) -> None:
+        if self._placed is not None and not self._began:
+            self._began = True
+            self._hub.placement.note_first_byte(self._placed)
+
+    async def _give_back(
+        self, connection: UpstreamConnection, head: TargetHead
+    ) -> None:
+        self._connection = None
+        await self._hub.upstream.give_back(connection, head.keep_s)
+
+    async def _drop_connection(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await connection.close()
+
+    async def _release_inputs(self) -> None:
+        if self._stages is not None and self._stages.handles:
+            handles = self._stages.handles
+            await curio.spawn(self._hub.desk.release, handles, daemon=True)
+
+    def _conclude(self, end: AttemptEnd) -> str:
+        """Give the final answer behind the last attempt."""
+        if self._reply.begun:
+            self._reply.cut()
+            return "cut off"
+        if isinstance(end, TargetFailed):
+            self._reply.send(end.status, end.body, end.headers)
+            return f"target failed with {end.status}"
+        if not self._may_have_run:
+            return self._refuse(503, _tell_why(end), RETRY_S)
+        return self._refuse(502, f"outcome unknown: {_tell_why(end)}", None)
+
+    @property
+    def _may_have_run(self) -> bool:
+        """Whether any attempt may have run, the one on its way included."""
+        return self._is_sent or self._in_doubt
+
+    def _end_late(self) -> str:
+        if self._reply.begun:
+            self._reply.cut()
+            return "cut off: out of time"
+        if self._may_have_run:
+            return self._refuse(504, "out of time", None)
+        return self._refuse(503, "out of time before it was sent", RETRY_S)
+
+    def _refuse(self, status: int, why: str, retry_after_s: float | None) -> str:
+        written = self._wire.write_refusal(
+            Refusal(status=status, why=why, retry_after_s=retry_after_s)
+        )
+        self._reply.send(written.status, written.body, written.headers)
+        return f"refused with {status}: {why}"
+
+
+def _tell_why(end: AttemptEnd) -> str:
+    if isinstance(end, WasNotRun | MayHaveRun):
+        return end.why
+    return str(end.status) if isinstance(end, TargetFailed) else ""
--- a/packages/daemon/bramleyspread_daemon/tests/small_deployment.py
+++ b/packages/daemon/bramleyspread_daemon/tests/small_deployment.py
@@ -30,6 +30,7 @@
     DocumentText,
     HostName,
     Intended,
+    IntendOrders,
     LoadedModel,
     Order,
     OrderAnswer,
@@ -132,6 +133,7 @@
                 done = ClaimDone(command.request, command.answer)
                 self.claims[command.key] = done
             return Settled()
+        assert isinstance(command, IntendOrders)
         self.intents = command.orders
         return Intended()
 
--- a/packages/daemon/bramleyspread_daemon/tests/test_server.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_server.py
@@ -8,7 +8,6 @@
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._connection import MAX_PENDING_BYTES
 from bramleyspread_daemon._exchange import HttpRequest, Reply
-from bramleyspread_daemon._served import MAX_BODY_BYTES, MAX_HEAD_BYTES
 from bramleyspread_daemon._settings import Limits
 from bramleyspread_daemon.tests.loopback import (
     connect,
@@ -34,10 +33,10 @@
         (b"nonsense\r\n\r\n", b"400"),
         (b"GET / HTTP/1.1\r\n\r\n", b"400"),
         (b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", b"400"),
-        (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * MAX_HEAD_BYTES, b"431"),
+        (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * Limits().head_bytes, b"431"),
         (
             b"POST /echo HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n"
-            % (MAX_BODY_BYTES + 1),
+            % (Limits().body_bytes + 1),
             b"413",
         ),
         (
--- /dev/null
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -0,0 +1,92 @@
+"""Decisions about calls that are passed on as they came."""
+
+from bramleyspread_forwarding._budget import RetryBudget
+from bramleyspread_forwarding._events import EventError, EventSplitter, StreamEvent
+from bramleyspread_forwarding._feed import EntryHost, FeedPage, FeedQuery
+from bramleyspread_forwarding._gathering import (
+    GatheredCall,
+    GatheredItem,
+    Gatherer,
+    JobDone,
+)
+from bramleyspread_forwarding._keys import KeyRing, KeysStale, KeyUnknown
+from bramleyspread_forwarding._notices import Stance, TargetChange, TargetNotice
+from bramleyspread_forwarding._outcomes import (
+    AttemptEnd,
+    Delivered,
+    MayHaveRun,
+    TargetFailed,
+    WasNotRun,
+    may_follow,
+)
+from bramleyspread_forwarding._owners import find_gatherer
+from bramleyspread_forwarding._pieces import (
+    PieceFault,
+    PieceItem,
+    PieceJob,
+    PieceResult,
+    PieceResults,
+    StageRun,
+)
+from bramleyspread_forwarding._placement import (
+    NoTarget,
+    Placed,
+    Placement,
+    TargetLoad,
+)
+from bramleyspread_forwarding._registry import TargetRegistry
+from bramleyspread_forwarding._requests import (
+    ForwardRequest,
+    MalformedRequest,
+    Prompt,
+    PromptPart,
+    RawHeaders,
+)
+from bramleyspread_forwarding._routing import RouteTable
+from bramleyspread_forwarding._targets import ForwardTarget, TargetTable
+
+__all__ = [
+    "AttemptEnd",
+    "Delivered",
+    "EntryHost",
+    "EventError",
+    "EventSplitter",
+    "FeedPage",
+    "FeedQuery",
+    "ForwardRequest",
+    "ForwardTarget",
+    "GatheredCall",
+    "GatheredItem",
+    "Gatherer",
+    "JobDone",
+    "KeyRing",
+    "KeyUnknown",
+    "KeysStale",
+    "MalformedRequest",
+    "MayHaveRun",
+    "NoTarget",
+    "PieceFault",
+    "PieceItem",
+    "PieceJob",
+    "PieceResult",
+    "PieceResults",
+    "Placed",
+    "Placement",
+    "Prompt",
+    "PromptPart",
+    "RawHeaders",
+    "RetryBudget",
+    "RouteTable",
+    "StageRun",
+    "Stance",
+    "StreamEvent",
+    "TargetChange",
+    "TargetFailed",
+    "TargetLoad",
+    "TargetNotice",
+    "TargetRegistry",
+    "TargetTable",
+    "WasNotRun",
+    "find_gatherer",
+    "may_follow",
+]
--- /dev/null
+++ b/packages/forwarding/bramleyspread_forwarding/_gathering.py
@@ -0,0 +1,274 @@
+"""Gathers the pieces of many requests into few calls.
+
+A call takes long whatever it holds, and a little longer for each piece; a call
+for each request would overload a service that easily carries full calls.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from itertools import count
+
+import msgspec
+
+from bramleyspread_core import PieceLimits
+from bramleyspread_forwarding._pieces import (
+    PieceFault,
+    PieceItem,
+    PieceJob,
+    PieceResult,
+)
+from bramleyspread_forwarding._targets import ForwardTarget
+
+#: Times that one piece is sent to a target, at most.
+MOST_TRIES = 3
+#: How long a target that had no room or failed is passed over, in seconds.
+PASSED_OVER_S = 0.3
+#: A call that isn't answered after this many times its expected length is given up.
+LATE_CALL = 4.0
+
+
+class GatheredItem(msgspec.Struct, frozen=True):
+    """A piece in a call."""
+
+    #: The piece.
+    item: PieceItem
+    #: Time left for it, in milliseconds.
+    remaining_ms: float
+
+
+class GatheredCall(msgspec.Struct, frozen=True):
+    """A call to be made."""
+
+    #: Its number.
+    call: int
+    #: The target.
+    target: ForwardTarget
+    #: The pieces.
+    items: tuple[GatheredItem, ...]
+    #: When to give it up, in milliseconds.
+    timeout_ms: float
+
+
+class JobDone(msgspec.Struct, frozen=True):
+    """A job whose pieces have all ended."""
+
+    #: Its number.
+    job: int
+    #: The results, in the order of its pieces.
+    results: tuple[PieceResult, ...]
+
+
+class _Waiting:
+    """A job in work."""
+
+    __slots__ = ("aim", "job", "results", "tries", "until", "waiting")
+
+    def __init__(self, job: PieceJob, now: float) -> None:
+        self.job = job
+        self.until = now + job.remaining_ms / 1000
+        self.aim = now + job.aim_ms / 1000
+        self.results: list[PieceResult | None] = [None] * len(job.items)
+        self.waiting = list(range(len(job.items)))
+        self.tries = 0
+
+
+class _Call:
+    """A call on its way."""
+
+    __slots__ = ("pieces", "target")
+
+    def __init__(self, target: ForwardTarget, pieces: list[tuple[int, int]]) -> None:
+        self.target = target
+        self.pieces = pieces
+
+
+class Gatherer:
+    """The pieces of one service that wait, and the calls on their way.
+
+    The most urgent job that can still be on time goes first; jobs that are late
+    already go behind those that aren't.
+    """
+
+    def __init__(self) -> None:
+        self._numbers = count(1)
+        self._jobs: dict[int, _Waiting] = {}
+        self._calls: dict[int, _Call] = {}
+        self._passed_over: dict[str, float] = {}
+
+    @property
+    def waiting_pieces(self) -> int:
+        """Pieces that are in no call yet."""
+        return sum(len(job.waiting) for job in self._jobs.values())
+
+    @property
+    def calls_running(self) -> int:
+        """Calls on their way."""
+        return len(self._calls)
+
+    def add(
+        self, job: PieceJob, limits: PieceLimits, targets: int, now: float
+    ) -> int | PieceFault:
+        """Take a job.
+
+        :param job: the job.
+        :param limits: how a target works.
+        :param targets: targets that take work.
+        :param now: seconds.
+        :returns: its number; or why it is refused.
+        """
+        expected = self._estimate_ms(job, limits, targets, now)
+        if expected > job.remaining_ms:
+            return PieceFault.FULL
+        number = next(self._numbers)
+        self._jobs[number] = _Waiting(job, now)
+        return number
+
+    def cancel(self, number: int) -> None:
+        """Forget a job that nobody waits for; calls on their way go on."""
+        self._jobs.pop(number, None)
+
+    def dispatch(
+        self, targets: Sequence[ForwardTarget], limits: PieceLimits, now: float
+    ) -> list[GatheredCall]:
+        """Make up the calls that can go out now.
+
+        :param targets: targets that take work.
+        :param limits: how a target works.
+        :param now: seconds.
+        :returns: the calls.
+        """
+        busy: dict[str, int] = {}
+        for call in self._calls.values():
+            busy[call.target.target] = busy.get(call.target.target, 0) + 1
+        free = [
+            each
+            for each in targets
+            if busy.get(each.target, 0) < limits.slots
+            and self._passed_over.get(each.target, 0.0) <= now
+        ]
+        calls = []
+        for target in free:
+            pieces = self._choose_pieces(limits, now)
+            if not pieces:
+                break
+            calls.append(self._begin(target, pieces, limits, now))
+        return calls
+
+    def finish(
+        self, call: int, results: Sequence[PieceResult], now: float
+    ) -> list[JobDone]:
+        """Take the answer to a call.
+
+        :param call: its number.
+        :param results: the results, in the order of its pieces.
+        :param now: seconds.
+        :returns: jobs that are done by it.
+        """
+        made = self._calls.pop(call)
+        done = []
+        for (number, index), result in zip(made.pieces, results, strict=True):
+            if result.fault is PieceFault.ROOM:
+                self._passed_over[made.target.target] = now + PASSED_OVER_S
+            done += self._put(number, index, result, now)
+        return done
+
+    def fail(self, call: int, now: float, *, counts: bool = True) -> list[JobDone]:
+        """Take note that a call had no answer, or was turned away.
+
+        :param call: its number.
+        :param now: seconds.
+        :param counts: whether the pieces may have been worked on.
+        :returns: jobs that are given up by it.
+        """
+        made = self._calls.pop(call)
+        self._passed_over[made.target.target] = now + PASSED_OVER_S
+        fault = PieceFault.ERROR if counts else PieceFault.ROOM
+        done = []
+        for number, index in made.pieces:
+            done += self._put(number, index, PieceResult(fault=fault), now)
+        return done
+
+    def expire(self, now: float) -> list[JobDone]:
+        """Give up the jobs whose time is over.
+
+        :param now: seconds.
+        :returns: the jobs.
+        """
+        late = [number for number, job in self._jobs.items() if job.until <= now]
+        return [self._give_up(number, PieceFault.LATE) for number in late]
+
+    def _estimate_ms(
+        self, job: PieceJob, limits: PieceLimits, targets: int, now: float
+    ) -> float:
+        ahead = sum(
+            len(each.waiting)
+            for each in self._jobs.values()
+            if each.job.priority <= job.priority
+        )
+        whole_call = limits.call_ms + limits.batch * limits.piece_ms
+        own = limits.call_ms + min(len(job.items), limits.batch) * limits.piece_ms
+        if not targets:
+            return float("inf")
+        rounds = (ahead + max(0, len(job.items) - limits.batch)) / limits.batch
+        return own + rounds * whole_call / (targets * limits.slots)
+
+    def _choose_pieces(self, limits: PieceLimits, now: float) -> list[tuple[int, int]]:
+        def rank(number: int) -> tuple[bool, int, float]:
+            job = self._jobs[number]
+            return (job.aim < now, job.job.priority, job.aim)
+
+        chosen: list[tuple[int, int]] = []
+        waiting = [number for number, job in self._jobs.items() if job.waiting]
+        for number in sorted(waiting, key=rank):
+            for index in self._jobs[number].waiting:
+                if len(chosen) >= limits.batch:
+                    return chosen
+                chosen.append((number, index))
+        return chosen
+
+    def _begin(
+        self,
+        target: ForwardTarget,
+        pieces: list[tuple[int, int]],
+        limits: PieceLimits,
+        now: float,
+    ) -> GatheredCall:
+        call = next(self._numbers)
+        self._calls[call] = _Call(target, pieces)
+        items = []
+        for number, index in pieces:
+            job = self._jobs[number]
+            job.waiting.remove(index)
+            left = (job.until - now) * 1000
+            items.append(GatheredItem(job.job.items[index], left))
+        length = limits.call_ms + len(items) * limits.piece_ms
+        longest = max(each.remaining_ms for each in items)
+        return GatheredCall(
+            call, target, tuple(items), min(longest, length * LATE_CALL)
+        )
+
+    def _put(
+        self, number: int, index: int, result: PieceResult, now: float
+    ) -> list[JobDone]:
+        job = self._jobs.get(number)
+        if job is None:
+            return []
+        again = result.fault in (PieceFault.ROOM, PieceFault.ERROR)
+        if again and job.tries < MOST_TRIES * len(job.results) and now < job.until:
+            job.tries += 1
+            job.waiting.append(index)
+            return []
+        if result.fault is not None:
+            return [self._give_up(number, result.fault)]
+        job.results[index] = result
+        whole = [each for each in job.results if each is not None]
+        if len(whole) < len(job.results):
+            return []
+        del self._jobs[number]
+        return [JobDone(number, tuple(whole))]
+
+    def _give_up(self, number: int, fault: PieceFault) -> JobDone:
+        job = self._jobs.pop(number)
+        results = tuple(each or PieceResult(fault=fault) for each in job.results)
+        return JobDone(number, results)
--- /dev/null
+++ b/packages/forwarding/bramleyspread_forwarding/_pieces.py
@@ -0,0 +1,165 @@
+"""Pieces of stages, between entry hosts and in the plan of one request."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from enum import Enum
+
+import msgspec
+
+from bramleyspread_core import StagePlan
+
+
+class PieceFault(str, Enum):
+    """Why a piece has no result."""
+
+    #: Its time was over before its turn.
+    LATE = "late"
+    #: One of its inputs is gone.
+    GONE = "gone"
+    #: Its target had no room for the result.
+    ROOM = "room"
+    #: Its target failed at it.
+    ERROR = "error"
+    #: It was not tried: it could not have ended in time.
+    FULL = "full"
+
+
+class PieceItem(msgspec.Struct, frozen=True, kw_only=True):
+    """One piece to be made."""
+
+    #: The caller's id of the request that needs it.
+    request: str
+    #: The number of its stage.
+    stage: int
+    #: Its number in the stage.
+    piece: int
+    #: What it is made from in a first stage.
+    key: str = ""
+    #: The results that it is made from in a later stage.
+    inputs: tuple[str, ...] = ()
+
+
+class PieceJob(msgspec.Struct, frozen=True, kw_only=True):
+    """All pieces of one stage of one request.
+
+    ``POST /v1/pieces`` asks the host that gathers for the service.
+    """
+
+    #: The service that makes them.
+    service: str
+    #: The pieces.
+    items: tuple[PieceItem, ...]
+    #: Time left for them, in milliseconds.
+    remaining_ms: float
+    #: Time left until the request would be late, in milliseconds; may be below 0.
+    aim_ms: float = 0.0
+    #: Rank of the request; 0 goes first.
+    priority: int = 0
+
+
+class PieceResult(msgspec.Struct, frozen=True):
+    """One piece's result, or why there is none."""
+
+    #: Where the result lies; empty when there is none.
+    handle: str = ""
+    #: Why there is none.
+    fault: PieceFault | None = None
+    #: The availability zone of its maker.
+    zone: str = ""
+
+
+class PieceResults(msgspec.Struct, frozen=True):
+    """The results of a job, in the order of its items."""
+
+    #: The results.
+    results: tuple[PieceResult, ...]
+
+
+class StageRun:
+    """How far the stages of one request have come."""
+
+    def __init__(
+        self, request: str, stages: Sequence[StagePlan], counts: Sequence[int], key: str
+    ) -> None:
+        self._request = request
+        self._stages = tuple(stages)
+        self._counts = tuple(counts) + (0,) * (len(self._stages) - len(counts))
+        self._key = key
+        self._made: dict[int, tuple[PieceResult, ...]] = {}
+        self._begun: set[int] = set()
+
+    @property
+    def handles(self) -> tuple[str, ...]:
+        """All results so far."""
+        return tuple(
+            result.handle
+            for results in self._made.values()
+            for result in results
+            if result.handle
+        )
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every stage is made."""
+        return len(self._made) == len(self._stages)
+
+    @property
+    def inputs(self) -> tuple[PieceResult, ...]:
+        """The results that the request itself needs: of stages no other follows."""
+        followed = self._find_followed()
+        return tuple(
+            result
+            for number in range(len(self._stages))
+            if number not in followed
+            for result in self._made.get(number, ())
+        )
+
+    def measure_inputs(self) -> dict[str, float]:
+        """Sum up the megabytes of the request's inputs by zone."""
+        followed = self._find_followed()
+        sizes: dict[str, float] = {}
+        for number, stage in enumerate(self._stages):
+            if number in followed:
+                continue
+            for result in self._made.get(number, ()):
+                size = stage.result_bytes / 1e6
+                sizes[result.zone] = sizes.get(result.zone, 0.0) + size
+        return sizes
+
+    def take_ready(self) -> list[tuple[int, str, tuple[PieceItem, ...]]]:
+        """Take the stages that can begin now.
+
+        :returns: number, service and pieces of each.
+        """
+        ready: list[tuple[int, str, tuple[PieceItem, ...]]] = []
+        for number, stage in enumerate(self._stages):
+            if number in self._begun or not all(x in self._made for x in stage.after):
+                continue
+            self._begun.add(number)
+            if not self._counts[number]:
+                self._made[number] = ()
+                return [*ready, *self.take_ready()]
+            ready.append((number, stage.service, self._list_items(number, stage)))
+        return ready
+
+    def finish(self, number: int, results: Sequence[PieceResult]) -> None:
+        """Take the results of a stage."""
+        self._made[number] = tuple(results)
+
+    def _list_items(self, number: int, stage: StagePlan) -> tuple[PieceItem, ...]:
+        before = [each for after in stage.after for each in self._made[after]]
+        inputs = tuple(result.handle for result in before)
+        return tuple(
+            PieceItem(
+                request=self._request,
+                stage=number,
+                piece=piece,
+                key="" if stage.after else self._key,
+                inputs=inputs,
+            )
+            for piece in range(self._counts[number])
+        )
+
+    def _find_followed(self) -> set[int]:
+        return {number for stage in self._stages for number in stage.after}
--- /dev/null
+++ b/packages/forwarding/bramleyspread_forwarding/_routing.py
@@ -0,0 +1,57 @@
+"""Which route a request takes, and to which service."""
+
+from __future__ import annotations
+
+import xxhash
+
+from bramleyspread_core import Deployment, ForwardRoute, ForwardService
+
+
+class RouteTable:
+    """The routes of one deployment document, by host and longest prefix."""
+
+    __slots__ = ("_by_host", "_services", "version")
+
+    def __init__(self, deployment: Deployment) -> None:
+        #: The document's version.
+        self.version = deployment.version
+        self._services = {each.name: each for each in deployment.services}
+        self._by_host: dict[str, list[ForwardRoute]] = {}
+        for route in deployment.routes:
+            self._by_host.setdefault(route.host.lower(), []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda each: len(each.prefix), reverse=True)
+
+    def find_route(self, host: str, path: str) -> ForwardRoute | None:
+        """Find the route of a request.
+
+        :param host: the host that the caller named, with or without a port.
+        :param path: the path, without the query.
+        :returns: the route with the longest prefix, or None.
+        """
+        name = host.partition(":")[0].lower()
+        for route in self._by_host.get(name, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def find_service(self, name: str) -> ForwardService | None:
+        """Find a service by name."""
+        return self._services.get(name)
+
+    def choose_service(self, route: ForwardRoute, request: str) -> str:
+        """Choose among the services of a route, by the request's id.
+
+        :param route: the route.
+        :param request: the id; the same one gives the same service on each host.
+        :returns: the service's name.
+        """
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        total = sum(share.weight for share in route.shares)
+        point = xxhash.xxh3_64_intdigest(request) / 2**64 * total
+        for share in route.shares:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return max(route.shares, key=lambda share: share.weight).service
