Give stage results up at the first event, and count the room they take

Cause: results stayed at their makers until a stream's end, so makers had no room (faults room and gone), and pieces waited past the time at which callers leave. Ruled out: too few full calls (calls were cut by room, not by lack of pieces). Change: results go back through the host that gathers, which counts the room; jobs end when the caller would have left; stages are made again for a repeated attempt.

--- a/packages/core/bramleyspread_core/_deployment.py
+++ b/packages/core/bramleyspread_core/_deployment.py
@@ -67,6 +67,9 @@
     aim_ms: float
     #: Longest pause between two events of a stream that is on time, in milliseconds.
     gap_ms: float = 0.0
+    #: How long callers wait for the first event of a stream, and for each next one,
+    #: before they leave, in milliseconds; 0 when they wait as long as they say.
+    patience_ms: float = 0.0
     #: Rank; 0 goes first.
     priority: int = 0
     #: The services it goes to.
@@ -112,6 +115,8 @@
     call_ms: float
     #: About the time of one piece, in milliseconds.
     piece_ms: float
+    #: Room for results, in bytes; 0 when it is not known.
+    room_bytes: float = 0.0
     #: How long a result is kept behind its call, in seconds.
     kept_s: float
 
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -14,7 +14,11 @@
 from bramleyspread_daemon._routes import Routes
 from bramleyspread_daemon._server import HttpServer
 from bramleyspread_daemon.forward._feed_link import FeedLink
-from bramleyspread_daemon.forward._gather_desk import PIECES_PATH, TICK_S
+from bramleyspread_daemon.forward._gather_desk import (
+    PIECES_PATH,
+    RELEASE_PATH,
+    TICK_S,
+)
 from bramleyspread_daemon.forward._hub import ForwardHub
 from bramleyspread_daemon.forward._passage import RETRY_S, Passage
 from bramleyspread_daemon.forward._settings import ForwardEntrySettings
@@ -50,6 +54,7 @@
         self._link = FeedLink(process.pool, self.hub.make_query, self.hub.take_page)
         routes = process.list_routes(self.hub.find_unready, self._fill_metrics)
         routes[("POST", PIECES_PATH)] = self.hub.desk.serve
+        routes[("POST", RELEASE_PATH)] = self.hub.desk.serve_release
         limits, clock = settings.limits, process.clock
         #: Takes the system's other processes.
         self.server = HttpServer(Routes(routes), limits, clock)
--- a/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
@@ -30,6 +30,7 @@
     JobDone,
     PieceFault,
     PieceJob,
+    PieceRelease,
     PieceResult,
     PieceResults,
     find_gatherer,
@@ -43,6 +44,10 @@
 AVOIDED_S = 3.0
 #: How often waiting jobs are looked through, in seconds.
 TICK_S = 0.05
+#: Time for the answer behind a job's own time, in milliseconds.
+ANSWER_MS = 120.0
+#: Where entry hosts tell each other that results are needed no more.
+RELEASE_PATH = "/v1/pieces-release"
 #: Most time for giving results up, in seconds.
 RELEASE_S = 1.0
 
@@ -125,6 +130,7 @@
                 remaining_ms=job.remaining_ms - spent,
                 aim_ms=job.aim_ms - spent,
                 priority=job.priority,
+                result_bytes=job.result_bytes,
             )
         return await self._make_here(job)
 
@@ -157,7 +163,7 @@
         whole = False
         try:
             response: Response = await curio.timeout_after(
-                max(remaining_ms, 1.0) / 1000,
+                (max(remaining_ms, 0.0) + ANSWER_MS) / 1000,
                 fetch,
                 connection,
                 "POST",
@@ -296,13 +302,34 @@
             if gatherer.waiting_pieces:
                 await self._pump(service)
 
-    async def release(self, handles: Sequence[str]) -> None:
-        """Tell the makers that results are needed no more.
+    async def release(self, release: PieceRelease) -> None:
+        """Give results up, through the host that gathers for their service.
 
-        :param handles: the results.
+        :param release: the results.
         """
+        owner = self._find_owner(release.service, read_monotonic())
+        if owner is None or owner.host == self._host:
+            await self._release_here(release)
+            return
+        try:
+            body = encode_json(release)
+            await self._peers.ask(owner.address, RELEASE_PATH, body, RELEASE_S)
+        except (UnsentError, ClosedError):
+            await self._release_here(release)
+
+    async def serve_release(self, http: HttpRequest, reply: Reply) -> None:
+        """Take another host's word that results are needed no more."""
+        try:
+            release: PieceRelease = decode_json(http.body, PieceRelease)
+        except MessageError as error:
+            reply.send(400, write_refusal(400, str(error)))
+            return
+        reply.send(204, b"")
+        await curio.spawn(self._release_here, release, daemon=True)
+
+    async def _release_here(self, release: PieceRelease) -> None:
         by_maker: dict[str, list[str]] = {}
-        for handle in handles:
+        for handle in release.handles:
             by_maker.setdefault(self._wire.find_maker(handle), []).append(handle)
         for maker, theirs in by_maker.items():
             call = self._wire.write_release(theirs)
@@ -311,6 +338,10 @@
                 await curio.timeout_after(RELEASE_S, self._post, address, call)
             except (UnsentError, ClosedError, ValueError, curio.TaskTimeout) as error:
                 logger.bind(step="release", peer=maker).debug(f"not told: {error}")
+        gatherer = self._gatherers.get(release.service)
+        if gatherer is not None:
+            gatherer.release(release.handles)
+            await self._pump(release.service)
 
 
 def _fail_all(job: PieceJob, fault: PieceFault) -> tuple[PieceResult, ...]:
--- a/packages/daemon/bramleyspread_daemon/forward/_passage.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_passage.py
@@ -74,6 +74,10 @@
         self._priority = route.priority if own_rank is None else own_rank
         self._stages: StageRun | None = None
         self._stages_ms = 0.0
+        self._is_released = False
+        self._first_ms = 0.0
+        self._longest_ms = 0.0
+        self._event_at = 0.0
         self._attempts = 0
         self._tried: list[str] = []
         self._last_event = request.last_event
@@ -115,6 +119,8 @@
             route=self._route.name,
             version=self._hub.version,
             stages_ms=round(self._stages_ms),
+            first_ms=round(self._first_ms),
+            pause_ms=round(self._longest_ms),
             ms=round(spent),
             attempts=self._attempts,
         )
@@ -143,14 +149,16 @@
             logger.bind(
                 step="retry", peer=self._tried[-1], request=self._request.request
             ).info(_tell_why(end))
-            if isinstance(end, WasNotRun) and end.inputs_gone:
-                self._tried.pop()
+            gone = isinstance(end, WasNotRun) and end.inputs_gone
+            if self._stages is not None and (gone or self._is_released):
+                await self._release_inputs()
                 fault = await self._make_stages()
                 if fault is not None:
                     return self._conclude(end)
 
     async def _make_stages(self) -> PieceFault | None:
         begun = read_monotonic()
+        self._is_released = False
         self._stages = StageRun(
             self._request.request,
             self._route.stages,
@@ -193,12 +201,19 @@
         job = PieceJob(
             service=service,
             items=items,
-            remaining_ms=(self._until - now) * 1000 - behind,
+            remaining_ms=(self._find_patience() - now) * 1000 - behind,
             aim_ms=(self._begun - now) * 1000 + self._route.aim_ms - behind,
             priority=self._priority,
+            result_bytes=self._route.stages[number].result_bytes,
         )
         return await self._hub.desk.make(job)
 
+    def _find_patience(self) -> float:
+        """Find when the caller will have left without a first event, in seconds."""
+        if not self._route.patience_ms:
+            return self._until
+        return min(self._until, self._begun + self._route.patience_ms / 1000)
+
     def _estimate_behind(self, number: int) -> float:
         """Estimate the time that is needed behind a stage, in milliseconds."""
         spent = TARGET_MS
@@ -318,15 +333,26 @@
             self._reply.begin(head.status, head.headers)
         while piece := await connection.read_piece():
             for event in splitter.feed(piece):
-                self._note_first_byte()
                 self._reply.send_piece(event.data)
                 self._last_event = event.event or self._last_event
+                self._note_event()
+            await self._release_inputs()
         if not splitter.is_between:
             raise ClosedError("ended in the middle of an event")
         await self._give_back(connection, head)
         self._reply.end()
         return Delivered()
 
+    def _note_event(self) -> None:
+        self._note_first_byte()
+        now = read_monotonic()
+        if not self._event_at:
+            self._first_ms = (now - self._begun) * 1000
+        else:
+            pause = (now - self._event_at) * 1000
+            self._longest_ms = max(self._longest_ms, pause)
+        self._event_at = now
+
     def _note_first_byte(self) -> None:
         if self._placed is not None and not self._began:
             self._began = True
@@ -344,9 +370,12 @@
             await connection.close()
 
     async def _release_inputs(self) -> None:
-        if self._stages is not None and self._stages.handles:
-            handles = self._stages.handles
-            await curio.spawn(self._hub.desk.release, handles, daemon=True)
+        """Give up what the stages made, once."""
+        if self._stages is None or self._is_released:
+            return
+        self._is_released = True
+        for release in self._stages.list_releases():
+            await curio.spawn(self._hub.desk.release, release, daemon=True)
 
     def _conclude(self, end: AttemptEnd) -> str:
         """Give the final answer behind the last attempt."""
--- a/packages/forwarding/bramleyspread_forwarding/_gathering.py
+++ b/packages/forwarding/bramleyspread_forwarding/_gathering.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import math
+from collections.abc import Iterable, Sequence
 from itertools import count
 
 import msgspec
@@ -73,12 +74,26 @@
         self.tries = 0
 
 
+class _Kept:
+    """A result that takes room at its maker."""
+
+    __slots__ = ("size", "target", "until")
+
+    def __init__(self, target: str, size: int, until: float) -> None:
+        self.target = target
+        self.size = size
+        self.until = until
+
+
 class _Call:
     """A call on its way."""
 
-    __slots__ = ("pieces", "target")
+    __slots__ = ("kept_s", "pieces", "target")
 
-    def __init__(self, target: ForwardTarget, pieces: list[tuple[int, int]]) -> None:
+    def __init__(
+        self, target: ForwardTarget, pieces: list[tuple[int, int]], kept_s: float
+    ) -> None:
+        self.kept_s = kept_s
         self.target = target
         self.pieces = pieces
 
@@ -95,6 +110,7 @@
         self._jobs: dict[int, _Waiting] = {}
         self._calls: dict[int, _Call] = {}
         self._passed_over: dict[str, float] = {}
+        self._kept: dict[str, _Kept] = {}
 
     @property
     def waiting_pieces(self) -> int:
@@ -149,9 +165,10 @@
         ]
         calls = []
         for target in free:
-            pieces = self._choose_pieces(limits, now)
+            room = self._find_room(target.target, limits, now)
+            pieces = self._choose_pieces(limits, room, now)
             if not pieces:
-                break
+                continue
             calls.append(self._begin(target, pieces, limits, now))
         return calls
 
@@ -166,6 +183,7 @@
         :returns: jobs that are done by it.
         """
         made = self._calls.pop(call)
+        self._keep(made, results, now)
         done = []
         for (number, index), result in zip(made.pieces, results, strict=True):
             if result.fault is PieceFault.ROOM:
@@ -198,6 +216,29 @@
         late = [number for number, job in self._jobs.items() if job.until <= now]
         return [self._give_up(number, PieceFault.LATE) for number in late]
 
+    def release(self, handles: Iterable[str]) -> None:
+        """Take note that results are needed no more."""
+        for handle in handles:
+            self._kept.pop(handle, None)
+
+    def _keep(self, made: _Call, results: Sequence[PieceResult], now: float) -> None:
+        for (number, _), result in zip(made.pieces, results, strict=True):
+            job = self._jobs.get(number)
+            if result.handle:
+                size = job.job.result_bytes if job is not None else 0
+                until = now + made.kept_s
+                self._kept[result.handle] = _Kept(made.target.target, size, until)
+
+    def _find_room(self, target: str, limits: PieceLimits, now: float) -> float:
+        """Find the bytes that a target has left for results."""
+        if not limits.room_bytes:
+            return math.inf
+        for handle, kept in tuple(self._kept.items()):
+            if kept.until <= now:
+                del self._kept[handle]
+        taken = sum(x.size for x in self._kept.values() if x.target == target)
+        return limits.room_bytes - taken
+
     def _estimate_ms(
         self, job: PieceJob, limits: PieceLimits, targets: int, now: float
     ) -> float:
@@ -213,7 +254,9 @@
         rounds = (ahead + max(0, len(job.items) - limits.batch)) / limits.batch
         return own + rounds * whole_call / (targets * limits.slots)
 
-    def _choose_pieces(self, limits: PieceLimits, now: float) -> list[tuple[int, int]]:
+    def _choose_pieces(
+        self, limits: PieceLimits, room: float, now: float
+    ) -> list[tuple[int, int]]:
         def rank(number: int) -> tuple[bool, int, float]:
             job = self._jobs[number]
             return (job.aim < now, job.job.priority, job.aim)
@@ -221,9 +264,13 @@
         chosen: list[tuple[int, int]] = []
         waiting = [number for number, job in self._jobs.items() if job.waiting]
         for number in sorted(waiting, key=rank):
+            size = self._jobs[number].job.result_bytes
             for index in self._jobs[number].waiting:
                 if len(chosen) >= limits.batch:
                     return chosen
+                if size > room:
+                    break
+                room -= size
                 chosen.append((number, index))
         return chosen
 
@@ -235,7 +282,7 @@
         now: float,
     ) -> GatheredCall:
         call = next(self._numbers)
-        self._calls[call] = _Call(target, pieces)
+        self._calls[call] = _Call(target, pieces, limits.kept_s)
         items = []
         for number, index in pieces:
             job = self._jobs[number]
--- a/packages/forwarding/bramleyspread_forwarding/_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_pieces.py
@@ -56,6 +56,8 @@
     aim_ms: float = 0.0
     #: Rank of the request; 0 goes first.
     priority: int = 0
+    #: About the size of one result, in bytes.
+    result_bytes: int = 0
 
 
 class PieceResult(msgspec.Struct, frozen=True):
@@ -76,6 +78,18 @@
     results: tuple[PieceResult, ...]
 
 
+class PieceRelease(msgspec.Struct, frozen=True):
+    """Results that are needed no more.
+
+    ``POST /v1/pieces-release`` tells the host that gathers for the service.
+    """
+
+    #: The service that made them.
+    service: str
+    #: The results.
+    handles: tuple[str, ...]
+
+
 class StageRun:
     """How far the stages of one request have come."""
 
@@ -89,15 +103,15 @@
         self._made: dict[int, tuple[PieceResult, ...]] = {}
         self._begun: set[int] = set()
 
-    @property
-    def handles(self) -> tuple[str, ...]:
-        """All results so far."""
-        return tuple(
-            result.handle
-            for results in self._made.values()
-            for result in results
-            if result.handle
-        )
+    def list_releases(self) -> list[PieceRelease]:
+        """List all results so far, by the service that made them."""
+        by_service: dict[str, list[str]] = {}
+        for number, results in self._made.items():
+            handles = [each.handle for each in results if each.handle]
+            if handles:
+                service = self._stages[number].service
+                by_service.setdefault(service, []).extend(handles)
+        return [PieceRelease(name, tuple(each)) for name, each in by_service.items()]
 
     @property
     def is_done(self) -> bool:
@@ -134,7 +148,8 @@
         """
         ready: list[tuple[int, str, tuple[PieceItem, ...]]] = []
         for number, stage in enumerate(self._stages):
-            if number in self._begun or not all(x in self._made for x in stage.after):
+            ready_now = all(x in self._made for x in stage.after)
+            if number in self._begun or not ready_now:
                 continue
             self._begun.add(number)
             if not self._counts[number]:
