--- a/packages/daemon/bramleyspread_daemon/_process.py
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -236,16 +236,24 @@
         await curio.sleep(pause())
 
 
-async def wait_for_stop() -> str:
+async def wait_for_stop(
+    reload: Callable[[], Awaitable[None]] | None = None,
+) -> str:
     """Wait until the process is asked to stop.
 
+    :param reload: awaited whenever the process is asked to read its settings again.
     :returns: the signal's name.
     """
     caught: list[int] = []
+    asked: list[int] = []
+    signal.signal(signal.SIGHUP, lambda which, _: asked.append(which))
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda which, _: caught.append(which))
     while not caught:
         await curio.sleep(STOP_CHECK_S)
+        if asked and reload is not None:
+            asked.clear()
+            await reload()
     return signal.Signals(caught[0]).name
 
 
--- a/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
@@ -214,6 +214,7 @@
         finally:
             gatherer.cancel(number)
             self._jobs.pop((job.service, number), None)
+            await self._give_up_unwanted(job.service)
 
     async def _pump(self, service: str) -> None:
         limits = self._view.find_limits(service)
@@ -228,6 +229,7 @@
 
     async def _run_call(self, service: str, call: GatheredCall) -> None:
         gatherer = self._gatherers[service]
+        begun = read_monotonic()
         try:
             answer: Answer = await self._call(call)
         except UnsentError as error:
@@ -243,7 +245,18 @@
             done = gatherer.fail(call.call, now, counts=False)
         else:
             done = gatherer.finish(call.call, answer, now)
+        logger.bind(
+            step="gather",
+            peer=call.target.target,
+            service=service,
+            pieces=len(call.items),
+            requests=len({each.item.request for each in call.items}),
+            waiting=gatherer.waiting_pieces,
+            running=gatherer.calls_running,
+            ms=round((now - begun) * 1000),
+        ).info("called")
         await self._end(service, done)
+        await self._give_up_unwanted(service)
         await self._pump(service)
 
     async def _call(
@@ -302,6 +315,12 @@
             if gatherer.waiting_pieces:
                 await self._pump(service)
 
+    async def _give_up_unwanted(self, service: str) -> None:
+        unwanted = self._gatherers[service].take_unwanted()
+        if unwanted:
+            release = PieceRelease(service, unwanted)
+            await curio.spawn(self._release_here, release, daemon=True)
+
     async def release(self, release: PieceRelease) -> None:
         """Give results up, through the host that gathers for their service.
 
--- a/packages/daemon/bramleyspread_daemon/forward/_passage.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_passage.py
@@ -184,10 +184,10 @@
                 tasks.append((number, task))
             for number, task in tasks:
                 results: Sequence[PieceResult] = await task.join()
+                stages.finish(number, results)
                 fault = next((x.fault for x in results if x.fault is not None), None)
                 if fault is not None:
                     return fault
-                stages.finish(number, results)
         finally:
             for _, task in tasks:
                 await task.cancel(blocking=False)
--- a/packages/forwarding/bramleyspread_forwarding/_gathering.py
+++ b/packages/forwarding/bramleyspread_forwarding/_gathering.py
@@ -111,6 +111,7 @@
         self._calls: dict[int, _Call] = {}
         self._passed_over: dict[str, float] = {}
         self._kept: dict[str, _Kept] = {}
+        self._unwanted: list[str] = []
 
     @property
     def waiting_pieces(self) -> int:
@@ -142,7 +143,15 @@
 
     def cancel(self, number: int) -> None:
         """Forget a job that nobody waits for; calls on their way go on."""
-        self._jobs.pop(number, None)
+        job = self._jobs.pop(number, None)
+        if job is not None:
+            self._unwanted += [x.handle for x in job.results if x and x.handle]
+
+    def take_unwanted(self) -> tuple[str, ...]:
+        """Take the results that nobody will ask for, so that they can be given up."""
+        unwanted = tuple(self._unwanted)
+        self._unwanted.clear()
+        return unwanted
 
     def dispatch(
         self, targets: Sequence[ForwardTarget], limits: PieceLimits, now: float
@@ -300,6 +309,8 @@
     ) -> list[JobDone]:
         job = self._jobs.get(number)
         if job is None:
+            if result.handle:
+                self._unwanted.append(result.handle)
             return []
         again = result.fault in (PieceFault.ROOM, PieceFault.ERROR)
         if again and job.tries < MOST_TRIES * len(job.results) and now < job.until:
