Begin no job without room for all its results; let side stages wait for the longest chain

Cause: half-made jobs kept each other from room (hold and wait), and a side stage's large results lay at their makers while a chain of three stages went on.

--- a/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 
 import curio
@@ -254,6 +255,8 @@
             waiting=gatherer.waiting_pieces,
             running=gatherer.calls_running,
             ms=round((now - begun) * 1000),
+            kept_bytes=gatherer.count_kept_bytes(call.target.target),
+            faults=_count_faults(answer),
         ).info("called")
         await self._end(service, done)
         await self._give_up_unwanted(service)
@@ -363,5 +366,12 @@
             await self._pump(release.service)
 
 
+def _count_faults(answer: Answer) -> dict[str, int]:
+    """Count the pieces that were not made, by reason."""
+    if not isinstance(answer, tuple):
+        return {}
+    return dict(Counter(each.fault.value for each in answer if each.fault))
+
+
 def _fail_all(job: PieceJob, fault: PieceFault) -> tuple[PieceResult, ...]:
     return tuple(PieceResult(fault=fault) for _ in job.items)
--- a/packages/forwarding/bramleyspread_forwarding/_gathering.py
+++ b/packages/forwarding/bramleyspread_forwarding/_gathering.py
@@ -63,7 +63,7 @@
 class _Waiting:
     """A job in work."""
 
-    __slots__ = ("aim", "job", "results", "tries", "until", "waiting")
+    __slots__ = ("aim", "begun", "job", "results", "tries", "until", "waiting")
 
     def __init__(self, job: PieceJob, now: float) -> None:
         self.job = job
@@ -72,6 +72,7 @@
         self.results: list[PieceResult | None] = [None] * len(job.items)
         self.waiting = list(range(len(job.items)))
         self.tries = 0
+        self.begun = False
 
 
 class _Kept:
@@ -175,7 +176,8 @@
         calls = []
         for target in free:
             room = self._find_room(target.target, limits, now)
-            pieces = self._choose_pieces(limits, room, now)
+            spare = self._find_spare(targets, limits, now)
+            pieces = self._choose_pieces(limits, room, spare, now)
             if not pieces:
                 continue
             calls.append(self._begin(target, pieces, limits, now))
@@ -245,8 +247,25 @@
         for handle, kept in tuple(self._kept.items()):
             if kept.until <= now:
                 del self._kept[handle]
-        taken = sum(x.size for x in self._kept.values() if x.target == target)
-        return limits.room_bytes - taken
+        return limits.room_bytes - self.count_kept_bytes(target)
+
+    def _find_spare(
+        self, targets: Sequence[ForwardTarget], limits: PieceLimits, now: float
+    ) -> float:
+        """Find the bytes of room at all targets that no begun job will need."""
+        if not limits.room_bytes:
+            return math.inf
+        rooms = sum(self._find_room(each.target, limits, now) for each in targets)
+        promised = sum(
+            job.job.result_bytes * sum(each is None for each in job.results)
+            for job in self._jobs.values()
+            if job.begun
+        )
+        return rooms - promised
+
+    def count_kept_bytes(self, target: str) -> int:
+        """Count the bytes of results that lie at a target, as far as is known."""
+        return sum(x.size for x in self._kept.values() if x.target == target)
 
     def _estimate_ms(
         self, job: PieceJob, limits: PieceLimits, targets: int, now: float
@@ -264,16 +283,27 @@
         return own + rounds * whole_call / (targets * limits.slots)
 
     def _choose_pieces(
-        self, limits: PieceLimits, room: float, now: float
+        self, limits: PieceLimits, room: float, spare: float, now: float
     ) -> list[tuple[int, int]]:
-        def rank(number: int) -> tuple[bool, int, float]:
+        """Choose the pieces of one call.
+
+        A job is begun only when there is room for all its results, and one that
+        is begun goes first: half a job would only keep others from their room.
+        """
+
+        def rank(number: int) -> tuple[bool, bool, int, float]:
             job = self._jobs[number]
-            return (job.aim < now, job.job.priority, job.aim)
+            return (not job.begun, job.aim < now, job.job.priority, job.aim)
 
         chosen: list[tuple[int, int]] = []
         waiting = [number for number, job in self._jobs.items() if job.waiting]
         for number in sorted(waiting, key=rank):
             size = self._jobs[number].job.result_bytes
+            if not self._jobs[number].begun:
+                whole = size * len(self._jobs[number].waiting)
+                if whole > spare and self._kept:
+                    continue
+                spare -= whole
             for index in self._jobs[number].waiting:
                 if len(chosen) >= limits.batch:
                     return chosen
@@ -296,6 +326,7 @@
         for number, index in pieces:
             job = self._jobs[number]
             job.waiting.remove(index)
+            job.begun = True
             left = (job.until - now) * 1000
             items.append(GatheredItem(job.job.items[index], left))
         length = limits.call_ms + len(items) * limits.piece_ms
--- a/packages/forwarding/bramleyspread_forwarding/_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_pieces.py
@@ -102,6 +102,7 @@
         self._key = key
         self._made: dict[int, tuple[PieceResult, ...]] = {}
         self._begun: set[int] = set()
+        self._depths = _measure_depths(self._stages)
 
     def list_releases(self) -> list[PieceRelease]:
         """List all results so far, by the service that made them."""
@@ -142,15 +143,23 @@
         return sizes
 
     def take_ready(self) -> list[tuple[int, str, tuple[PieceItem, ...]]]:
-        """Take the stages that can begin now.
+        """Take the stages that should begin now.
+
+        A stage waits until no longer chain is left to be begun: its results would
+        only take room while the chain goes on.
 
         :returns: number, service and pieces of each.
         """
         ready: list[tuple[int, str, tuple[PieceItem, ...]]] = []
+        deepest = max(
+            (x for n, x in enumerate(self._depths) if n not in self._begun), default=0
+        )
         for number, stage in enumerate(self._stages):
             ready_now = all(x in self._made for x in stage.after)
             if number in self._begun or not ready_now:
                 continue
+            if self._depths[number] < deepest and self._counts[number]:
+                continue
             self._begun.add(number)
             if not self._counts[number]:
                 self._made[number] = ()
@@ -178,3 +187,12 @@
 
     def _find_followed(self) -> set[int]:
         return {number for stage in self._stages for number in stage.after}
+
+
+def _measure_depths(stages: Sequence[StagePlan]) -> tuple[int, ...]:
+    """Count, for each stage, the stages of the longest chain that begins with it."""
+    depths = [1] * len(stages)
+    for number in reversed(range(len(stages))):
+        for before in stages[number].after:
+            depths[before] = max(depths[before], depths[number] + 1)
+    return tuple(depths)
