Make last stages where their large inputs lie; let prompts that begin alike share few engines

Cause: each piece of a last stage fetches all results of the stage before (16 x 480 kB a request), from whatever zone; shared prompt parts were read by every engine.

--- a/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
@@ -132,6 +132,8 @@
                 aim_ms=job.aim_ms - spent,
                 priority=job.priority,
                 result_bytes=job.result_bytes,
+                zone=job.zone,
+                is_bound=job.is_bound,
             )
         return await self._make_here(job)
 
--- a/packages/daemon/bramleyspread_daemon/forward/_hub.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_hub.py
@@ -134,6 +134,10 @@
             )
         return budget
 
+    def choose_service(self, route: ForwardRoute, request: str) -> str:
+        """Choose the service of a request; empty when there is no document."""
+        return self.routes.choose_service(route, request) if self.routes else ""
+
     def find_route(self, host: str, path: str) -> ForwardRoute | None:
         """Find the route of a request."""
         return self.routes.find_route(host, path) if self.routes is not None else None
--- a/packages/daemon/bramleyspread_daemon/forward/_passage.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_passage.py
@@ -36,6 +36,7 @@
     StageRun,
     TargetFailed,
     WasNotRun,
+    find_home,
     may_follow,
 )
 
@@ -45,6 +46,8 @@
 RETRY_S = 0.5
 #: Time that the target itself is thought to need behind the stages, in ms.
 TARGET_MS = 300.0
+#: From this size on it matters in which zone results lie, in bytes.
+LARGE_BYTES = 1_000_000
 #: The longest wait of a request whose route and caller name none, in ms.
 DEFAULT_MS = 30_000.0
 
@@ -131,9 +134,7 @@
             fault = await self._make_stages()
             if fault is not None:
                 return self._refuse(503, f"stage: {fault.value}", RETRY_S)
-        service = self._hub.routes and self._hub.routes.choose_service(
-            self._route, self._request.request
-        )
+        service = self._hub.choose_service(self._route, self._request.request)
         if not service:
             return self._refuse(503, "no document", RETRY_S)
         budget = self._hub.find_budget(service)
@@ -180,7 +181,9 @@
         tasks: list[tuple[int, Any]] = []
         try:
             for number, service, items in ready:
-                task = await curio.spawn(self._make_stage, number, service, items)
+                task = await curio.spawn(
+                    self._make_stage, stages, number, service, items
+                )
                 tasks.append((number, task))
             for number, task in tasks:
                 results: Sequence[PieceResult] = await task.join()
@@ -194,10 +197,16 @@
         return None
 
     async def _make_stage(
-        self, number: int, service: str, items: tuple[PieceItem, ...]
+        self,
+        stages: StageRun,
+        number: int,
+        service: str,
+        items: tuple[PieceItem, ...],
     ) -> Sequence[PieceResult]:
         now = read_monotonic()
         behind = self._estimate_behind(number)
+        zone, pulled = stages.find_inputs(number)
+        is_bound = pulled >= LARGE_BYTES
         job = PieceJob(
             service=service,
             items=items,
@@ -205,9 +214,19 @@
             aim_ms=(self._begun - now) * 1000 + self._route.aim_ms - behind,
             priority=self._priority,
             result_bytes=self._route.stages[number].result_bytes,
+            zone=zone if is_bound else self._find_zone(number),
+            is_bound=is_bound,
         )
         return await self._hub.desk.make(job)
 
+    def _find_zone(self, number: int) -> str:
+        """Find where a stage's results will be needed, if it matters."""
+        if self._route.stages[number].result_bytes < LARGE_BYTES:
+            return ""
+        service = self._hub.choose_service(self._route, self._request.request)
+        home = find_home(self._request.prompt, self._hub.targets.list_usable(service))
+        return home.zone if home is not None else self._hub.own.zone
+
     def _find_patience(self) -> float:
         """Find when the caller will have left without a first event, in seconds."""
         if not self._route.patience_ms:
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -34,6 +34,7 @@
     Placed,
     Placement,
     TargetLoad,
+    find_home,
 )
 from bramleyspread_forwarding._registry import TargetRegistry
 from bramleyspread_forwarding._requests import (
@@ -90,5 +91,6 @@
     "TargetTable",
     "WasNotRun",
     "find_gatherer",
+    "find_home",
     "may_follow",
 ]
--- a/packages/forwarding/bramleyspread_forwarding/_gathering.py
+++ b/packages/forwarding/bramleyspread_forwarding/_gathering.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from itertools import count
 
@@ -177,7 +178,9 @@
         for target in free:
             room = self._find_room(target.target, limits, now)
             spare = self._find_spare(targets, limits, now)
-            pieces = self._choose_pieces(limits, room, spare, now)
+            bound = self._find_bound_zones(targets, limits)
+            bound.discard(target.zone)
+            pieces = self._choose_pieces(target, limits, room, spare, bound, now)
             if not pieces:
                 continue
             calls.append(self._begin(target, pieces, limits, now))
@@ -249,6 +252,24 @@
                 del self._kept[handle]
         return limits.room_bytes - self.count_kept_bytes(target)
 
+    def _find_bound_zones(
+        self, targets: Sequence[ForwardTarget], limits: PieceLimits
+    ) -> set[str]:
+        """Find the zones whose own targets will soon take all that waits for them.
+
+        Their pieces are left to them, so that results need not cross zones.
+        """
+        places = Counter(each.zone for each in targets)
+        wanted: Counter[str] = Counter()
+        for job in self._jobs.values():
+            if job.job.is_bound:
+                wanted[job.job.zone] += len(job.waiting)
+        return {
+            zone
+            for zone, number in places.items()
+            if wanted[zone] <= number * limits.slots * limits.batch
+        }
+
     def _find_spare(
         self, targets: Sequence[ForwardTarget], limits: PieceLimits, now: float
     ) -> float:
@@ -283,7 +304,13 @@
         return own + rounds * whole_call / (targets * limits.slots)
 
     def _choose_pieces(
-        self, limits: PieceLimits, room: float, spare: float, now: float
+        self,
+        target: ForwardTarget,
+        limits: PieceLimits,
+        room: float,
+        spare: float,
+        bound: set[str],
+        now: float,
     ) -> list[tuple[int, int]]:
         """Choose the pieces of one call.
 
@@ -291,12 +318,18 @@
         is begun goes first: half a job would only keep others from their room.
         """
 
-        def rank(number: int) -> tuple[bool, bool, int, float]:
+        def rank(number: int) -> tuple[bool, bool, int, bool, float]:
             job = self._jobs[number]
-            return (not job.begun, job.aim < now, job.job.priority, job.aim)
+            away = job.job.zone not in ("", target.zone)
+            late = job.aim < now
+            return (not job.begun, late, job.job.priority, away, job.aim)
 
         chosen: list[tuple[int, int]] = []
-        waiting = [number for number, job in self._jobs.items() if job.waiting]
+        waiting = [
+            number
+            for number, job in self._jobs.items()
+            if job.waiting and not (job.job.is_bound and job.job.zone in bound)
+        ]
         for number in sorted(waiting, key=rank):
             size = self._jobs[number].job.result_bytes
             if not self._jobs[number].begun:
--- a/packages/forwarding/bramleyspread_forwarding/_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_pieces.py
@@ -58,6 +58,11 @@
     priority: int = 0
     #: About the size of one result, in bytes.
     result_bytes: int = 0
+    #: The availability zone where the results will be needed, or the inputs lie;
+    #: empty for any.
+    zone: str = ""
+    #: Whether the inputs are so large that targets of that zone are waited for.
+    is_bound: bool = False
 
 
 class PieceResult(msgspec.Struct, frozen=True):
@@ -142,6 +147,20 @@
                 sizes[result.zone] = sizes.get(result.zone, 0.0) + size
         return sizes
 
+    def find_inputs(self, number: int) -> tuple[str, float]:
+        """Find what the pieces of a stage will fetch.
+
+        :param number: the stage.
+        :returns: the zone where most of it lies, and its bytes in all.
+        """
+        by_zone: dict[str, float] = {}
+        for before in self._stages[number].after:
+            size = float(self._stages[before].result_bytes)
+            for result in self._made.get(before, ()):
+                by_zone[result.zone] = by_zone.get(result.zone, 0.0) + size
+        zone = max(by_zone, key=lambda each: by_zone[each], default="")
+        return zone, sum(by_zone.values()) * self._counts[number]
+
     def take_ready(self) -> list[tuple[int, str, tuple[PieceItem, ...]]]:
         """Take the stages that should begin now.
 
--- a/packages/forwarding/bramleyspread_forwarding/_placement.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Sequence
 from random import Random
 
@@ -27,7 +28,15 @@
 #: What the way to another availability zone costs, in ms.
 OTHER_ZONE_MS = 4.0
 #: What it costs to move a megabyte of inputs to another zone, in ms.
-INPUT_MS_PER_MB = 40.0
+INPUT_MS_PER_MB = 13.5
+#: What it costs to read a token again that another engine keeps, in ms.
+AGAIN_MS_PER_TOKEN = 0.08
+#: How long an engine is thought to keep a part that was sent there, in seconds.
+KEPT_S = 9.0
+#: Parts of one engine that are remembered before old ones are looked for.
+MAX_PARTS = 2_000
+#: The part of all engines among which a prompt's first part is shared out.
+HOME_SHARE = 1 / 3
 
 
 class TargetLoad(msgspec.Struct, frozen=True):
@@ -50,6 +59,7 @@
         "in_flight",
         "load",
         "load_at",
+        "parts",
         "reading",
         "since_report",
         "tokens",
@@ -64,6 +74,7 @@
         self.since_report = 0
         self.failures = 0
         self.avoided_until = 0.0
+        self.parts: dict[str, float] = {}
 
 
 class Placed(msgspec.Struct, frozen=True):
@@ -75,6 +86,8 @@
     reading: float
     #: Tokens of its memory.
     tokens: int
+    #: The shared parts of the prompt.
+    parts: tuple[str, ...] = ()
 
 
 class NoTarget(msgspec.Struct, frozen=True):
@@ -125,18 +138,21 @@
         sound = [each for each in left if self._find(each).avoided_until <= now]
         best: Placed | None = None
         best_cost = 0.0
+        home = find_home(prompt, targets)
+        parts = _list_shared(prompt)
         for each in sound or left:
-            reading = self._estimate_reading(each, targets, prompt)
+            reading = self._estimate_reading(each, home, prompt, now)
             cost = self._estimate_ms(each, reading, now)
+            cost += reading * AGAIN_MS_PER_TOKEN
             cost += self._estimate_way_ms(each, input_mb or {})
             cost += self._rng.random()
             if best is None or cost < best_cost:
                 tokens = prompt.memory_tokens if prompt is not None else 0
-                best, best_cost = Placed(each, reading, tokens), cost
+                best, best_cost = Placed(each, reading, tokens, parts), cost
         assert best is not None
         if limits is not None and best.tokens > limits.memory_tokens:
             return NoTarget("larger than an engine's memory")
-        self._charge(best)
+        self._charge(best, now)
         return best
 
     def note_first_byte(self, placed: Placed) -> None:
@@ -190,8 +206,14 @@
     def _find(self, target: ForwardTarget) -> _Known:
         return self._known.setdefault(target.target, _Known())
 
-    def _charge(self, placed: Placed) -> None:
+    def _charge(self, placed: Placed, now: float) -> None:
         known = self._find(placed.target)
+        for part in placed.parts:
+            known.parts[part] = now
+        if len(known.parts) > MAX_PARTS:
+            old = [part for part, at in known.parts.items() if now - at > KEPT_S]
+            for part in old:
+                del known.parts[part]
         known.in_flight += 1
         known.since_report += 1
         known.reading += placed.reading
@@ -226,23 +248,50 @@
     def _estimate_reading(
         self,
         target: ForwardTarget,
-        targets: Sequence[ForwardTarget],
+        home: ForwardTarget | None,
         prompt: Prompt | None,
+        now: float,
     ) -> float:
         """Estimate the tokens that an engine must read: what it hasn't cached."""
         if prompt is None:
             return 0.0
-        shared = prompt.parts[:-1]
-        if not shared or _find_home(shared[-1].part, targets) != target.target:
-            return float(prompt.tokens_in)
-        cached = sum(part.tokens for part in shared)
-        return float(max(0, prompt.tokens_in - cached))
+        left = prompt.tokens_in
+        parts = self._find(target).parts
+        for part in prompt.parts[:-1]:
+            if target != home and now - parts.get(part.part, -KEPT_S) >= KEPT_S:
+                break
+            left -= part.tokens
+        return float(max(0, left))
+
+
+def find_home(
+    prompt: Prompt | None, targets: Sequence[ForwardTarget]
+) -> ForwardTarget | None:
+    """Find the engine that a prompt's shared parts belong to, the same on each host.
+
+    Prompts that begin alike share a few engines; among these, the last shared part
+    decides.
+
+    :param prompt: the prompt.
+    :param targets: the engines.
+    :returns: the engine; None when the prompt shares nothing.
+    """
+    shared = _list_shared(prompt)
+    if not shared or not targets:
+        return None
+    few = max(2, math.ceil(len(targets) * HOME_SHARE))
+    if len(shared) > 1 and len(targets) > few:
+        targets = sorted(targets, key=lambda x: _weigh(shared[0], x), reverse=True)[
+            :few
+        ]
+    return max(targets, key=lambda x: _weigh(shared[-1], x))
 
 
-def _find_home(part: str, targets: Sequence[ForwardTarget]) -> str:
-    """Find the engine that a shared part belongs to, the same on every host."""
+def _list_shared(prompt: Prompt | None) -> tuple[str, ...]:
+    if prompt is None:
+        return ()
+    return tuple(part.part for part in prompt.parts[:-1])
 
-    def weigh(each: ForwardTarget) -> int:
-        return int(xxhash.xxh3_64_intdigest(f"{part}/{each.target}"))
 
-    return max(targets, key=weigh).target
+def _weigh(part: str, target: ForwardTarget) -> int:
+    return int(xxhash.xxh3_64_intdigest(f"{part}/{target.target}"))
