Let one host place for the engines of a service

Cause: each host saw only its own requests in flight, so three engines got most dossiers of a moment while others were idle (late ones waited 800-1,500 ms there). Ruled out: slow engines (the same ones were quick when alone), stages (p50 250 ms). Change: choices and their ends go to one host a service; charges are named by tickets; being late and a crowded memory weigh in. Accounts, homes and messages in modules of their own.

--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -21,6 +21,11 @@
 )
 from bramleyspread_daemon.forward._hub import ForwardHub
 from bramleyspread_daemon.forward._passage import RETRY_S, Passage
+from bramleyspread_daemon.forward._place_desk import (
+    PLACE_PATH,
+    PLACED_PATH,
+)
+from bramleyspread_daemon.forward._place_desk import TICK_S as PLACE_TICK_S
 from bramleyspread_daemon.forward._settings import ForwardEntrySettings
 from bramleyspread_daemon.forward._wire import (
     CallerWire,
@@ -55,6 +60,8 @@
         routes = process.list_routes(self.hub.find_unready, self._fill_metrics)
         routes[("POST", PIECES_PATH)] = self.hub.desk.serve
         routes[("POST", RELEASE_PATH)] = self.hub.desk.serve_release
+        routes[("POST", PLACE_PATH)] = self.hub.place.serve
+        routes[("POST", PLACED_PATH)] = self.hub.place.serve_report
         limits, clock = settings.limits, process.clock
         #: Takes the system's other processes.
         self.server = HttpServer(Routes(routes), limits, clock)
@@ -137,6 +144,7 @@
         await self._link.follow(self._settings.seed_addresses)
         for action, name, pause in (
             (self.hub.desk.tick, "gather", TICK_S),
+            (self.hub.place.tick, "place", PLACE_TICK_S),
             (self.hub.upstream.close_idle, "idle", IDLE_SWEEP_S),
         ):
             await curio.spawn(
--- a/packages/daemon/bramleyspread_daemon/forward/_hub.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_hub.py
@@ -15,6 +15,7 @@
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._pool import ConnectionPool
 from bramleyspread_daemon.forward._gather_desk import GatherDesk, ServiceView
+from bramleyspread_daemon.forward._place_desk import PlaceDesk
 from bramleyspread_daemon.forward._settings import ForwardEntrySettings
 from bramleyspread_daemon.forward._upstream import UpstreamPool
 from bramleyspread_daemon.forward._wire import TargetWire
@@ -57,7 +58,14 @@
         #: The targets.
         self.targets = TargetTable()
         #: Where requests go.
-        self.placement = Placement(settings.zone, rng)
+        self.place = PlaceDesk(
+            self.own,
+            Placement(rng),
+            self.targets.list_usable,
+            self.find_service,
+            self.list_hosts,
+            peers,
+        )
         #: Connections to targets.
         self.upstream = UpstreamPool()
         #: Makes the pieces of stages.
--- a/packages/daemon/bramleyspread_daemon/forward/_passage.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_passage.py
@@ -33,6 +33,8 @@
     PieceJob,
     PieceResult,
     Placed,
+    PlaceQuery,
+    PlaceStep,
     StageRun,
     TargetFailed,
     WasNotRun,
@@ -243,37 +245,45 @@
         return spent
 
     async def _attempt(self, service: str) -> AttemptEnd:
-        hub = self._hub
-        found = hub.find_service(service)
-        placed = hub.placement.choose(
-            hub.targets.list_usable(service),
-            read_monotonic(),
-            prompt=self._request.prompt,
-            limits=found.engine if found is not None else None,
-            tried=self._tried,
-            input_mb=self._stages.measure_inputs() if self._stages else None,
-        )
+        placed = await self._hub.place.choose(self._write_query(service))
         if isinstance(placed, NoTarget):
             self._attempts = self._route.attempts
             return WasNotRun(placed.reason)
         self._attempts += 1
         self._tried.append(placed.target.target)
         self._placed, self._began = placed, False
-        end: AttemptEnd = MayHaveRun("broken off")
+        end: AttemptEnd | None = None
         try:
             end = await self._send(placed)
         finally:
-            self._settle_target()
-        if isinstance(end, Delivered):
-            hub.placement.note_success(placed.target.target)
-        elif not isinstance(end, WasNotRun) or not end.inputs_gone:
-            hub.placement.note_failure(placed.target.target, read_monotonic())
+            self._settle_target(end)
         return end
 
-    def _settle_target(self) -> None:
-        if self._placed is not None:
-            placed, self._placed = self._placed, None
-            self._hub.placement.finish(placed, began=self._began)
+    def _write_query(self, service: str) -> PlaceQuery:
+        spent = (read_monotonic() - self._begun) * 1000
+        return PlaceQuery(
+            service=service,
+            zone=self._hub.own.zone,
+            prompt=self._request.prompt,
+            tried=tuple(self._tried),
+            input_mb=self._stages.measure_inputs() if self._stages else {},
+            slack_ms=self._route.aim_ms - spent,
+        )
+
+    def _settle_target(self, end: AttemptEnd | None = None) -> None:
+        """Tell the placement that a request is off its target, and how it ended."""
+        if self._placed is None:
+            return
+        placed, self._placed = self._placed, None
+        good: bool | None = None
+        if isinstance(end, Delivered):
+            good = True
+        elif end is not None:
+            good = None if isinstance(end, WasNotRun) and end.inputs_gone else False
+        step = PlaceStep(
+            ticket=placed.ticket, target=placed.target.target, ended=True, good=good
+        )
+        self._hub.place.report(step)
 
     async def _send(self, placed: Placed) -> AttemptEnd:
         hub, request = self._hub, self._request
@@ -320,9 +330,11 @@
         self, placed: Placed, connection: UpstreamConnection, head: TargetHead
     ) -> AttemptEnd:
         hub = self._hub
-        now = read_monotonic()
         if head.load is not None:
-            hub.placement.note_load(placed.target.target, head.load, now)
+            step = PlaceStep(
+                ticket=placed.ticket, target=placed.target.target, load=head.load
+            )
+            hub.place.report(step)
         if head.not_run:
             await connection.read_body()
             await self._give_back(connection, head)
@@ -373,9 +385,13 @@
         self._event_at = now
 
     def _note_first_byte(self) -> None:
-        if self._placed is not None and not self._began:
-            self._began = True
-            self._hub.placement.note_first_byte(self._placed)
+        if self._placed is None or self._began:
+            return
+        self._began = True
+        step = PlaceStep(
+            ticket=self._placed.ticket, target=self._placed.target.target, began=True
+        )
+        self._hub.place.report(step)
 
     async def _give_back(
         self, connection: UpstreamConnection, head: TargetHead
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -9,6 +9,7 @@
     Gatherer,
     JobDone,
 )
+from bramleyspread_forwarding._homes import find_home
 from bramleyspread_forwarding._keys import KeyRing, KeysStale, KeyUnknown
 from bramleyspread_forwarding._notices import Stance, TargetChange, TargetNotice
 from bramleyspread_forwarding._outcomes import (
@@ -29,12 +30,14 @@
     PieceResults,
     StageRun,
 )
-from bramleyspread_forwarding._placement import (
+from bramleyspread_forwarding._placement import Placement
+from bramleyspread_forwarding._placing import (
     NoTarget,
     Placed,
-    Placement,
+    PlaceQuery,
+    PlaceReport,
+    PlaceStep,
     TargetLoad,
-    find_home,
 )
 from bramleyspread_forwarding._registry import TargetRegistry
 from bramleyspread_forwarding._requests import (
@@ -73,6 +76,9 @@
     "PieceRelease",
     "PieceResult",
     "PieceResults",
+    "PlaceQuery",
+    "PlaceReport",
+    "PlaceStep",
     "Placed",
     "Placement",
     "Prompt",
