Notice within a second what can't be reached; count attempts by what was sent

Cause: requests hung on hosts and engines in a cut zone (pooled connections answer nothing and reset nothing), and a refused connection used up a route's attempts. Ruled out: the choice of targets itself (it was right among those that could be reached). Change: user timeout and keep-alive on all connections; targets of control hosts that aren't heard come last; hosts drop out of the list sooner; elections sooner on request of the settings; a connection that wasn't had costs no attempt.

--- a/packages/daemon/bramleyspread_daemon/_client.py
+++ b/packages/daemon/bramleyspread_daemon/_client.py
@@ -15,6 +15,9 @@
 #: Most bytes of a whole response.
 MAX_RESPONSE_BYTES = 16_777_216
 
+#: A peer that acknowledges nothing for this long is given up, in milliseconds.
+SILENT_MS = 600
+
 #: What is left to read of a chunk whose data was handed out.
 _CHUNK_END = b"\r\n"
 
@@ -84,6 +87,7 @@
             raise UnsentError(f"not connected within {timeout:.3f} s") from None
         except OSError as error:
             raise UnsentError(f"not connected: {error.strerror or error}") from None
+        connection.watch(SILENT_MS)
         return cls(connection, address, clock)
 
     @property
--- a/packages/daemon/bramleyspread_daemon/_connection.py
+++ b/packages/daemon/bramleyspread_daemon/_connection.py
@@ -22,6 +22,9 @@
 #: A reader that takes nothing for this long is cut, in seconds.
 MAX_STALL_S = 10.0
 
+#: Between two probes of a connection on which nothing is sent, in seconds.
+KEEPALIVE_S = 1
+
 #: Tells the operating system to drop unsent bytes at once.
 _NO_LINGER = struct.pack("ii", 1, 0)
 
@@ -190,6 +193,18 @@
         """
         self._raw.setsockopt(level, option, value)
 
+    def watch(self, silent_ms: int) -> None:
+        """Have the operating system notice a peer that is no longer there.
+
+        :param silent_ms: how long sent bytes may go unacknowledged, in milliseconds.
+        """
+        tcp = stdlib_socket.IPPROTO_TCP
+        self.set_option(tcp, stdlib_socket.TCP_USER_TIMEOUT, silent_ms)
+        self.set_option(stdlib_socket.SOL_SOCKET, stdlib_socket.SO_KEEPALIVE, 1)
+        self.set_option(tcp, stdlib_socket.TCP_KEEPIDLE, KEEPALIVE_S)
+        self.set_option(tcp, stdlib_socket.TCP_KEEPINTVL, KEEPALIVE_S)
+        self.set_option(tcp, stdlib_socket.TCP_KEEPCNT, 1)
+
     def is_quiet(self) -> bool:
         """Whether it is open with nothing to read, as an idle one must be."""
         try:
--- a/packages/daemon/bramleyspread_daemon/forward/_build_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_build_control.py
@@ -5,7 +5,13 @@
 import os
 from random import Random
 
-from bramleyspread_control import ControlConfig, ControlHost, ControlMember, FileDisk
+from bramleyspread_control import (
+    ControlConfig,
+    ControlHost,
+    ControlMember,
+    ControlTimings,
+    FileDisk,
+)
 from bramleyspread_core import Address, HostName, ZoneName
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._control import ControlProcess
@@ -15,6 +21,11 @@
 from bramleyspread_daemon.forward._wire import ControlWire
 from bramleyspread_orders import Reconciler, ReconcilerConfig
 
+#: Time between two heartbeats, as a share of the shortest silence.
+HEARTBEAT_SHARE = 0.2
+#: Time until a message is sent again, as a share of the shortest silence.
+RESEND_SHARE = 0.3
+
 
 def build_forward_control(
     settings: ForwardControlSettings, wire: ControlWire
@@ -56,6 +67,12 @@
         own,
         tuple(_name(each, zone if each == own else ZoneName("")) for each in addresses),
         founds=settings.bootstrap and own in settings.seed_addresses,
+        timings=ControlTimings(
+            election_min=settings.election_s[0],
+            election_max=settings.election_s[1],
+            heartbeat=settings.election_s[0] * HEARTBEAT_SHARE,
+            resend=settings.election_s[0] * RESEND_SHARE,
+        ),
         admits=True,
         trust_folder=settings.trust_folder,
     )
--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -48,7 +48,7 @@
 #: How often waiting entry hosts are looked through, in seconds.
 TICK_S = 0.02
 #: How long an entry host that doesn't ask is told of, in seconds.
-HOST_S = 2.0
+HOST_S = 1.5
 #: Most time for the leader to answer a command passed on, in seconds.
 RELAY_S = 0.8
 #: Most time for a decision here, in seconds.
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -35,6 +35,8 @@
 )
 from bramleyspread_forwarding import KeysStale, KeyUnknown, MalformedRequest
 
+#: How often control hosts that aren't heard are looked for, in seconds.
+TARGETS_S = 0.25
 #: How often idle connections to targets are looked through, in seconds.
 IDLE_SWEEP_S = 1.0
 
@@ -146,6 +148,7 @@
             (self.hub.desk.tick, "gather", TICK_S),
             (self.hub.place.tick, "place", PLACE_TICK_S),
             (self.hub.upstream.close_idle, "idle", IDLE_SWEEP_S),
+            (self.hub.tick, "targets", TARGETS_S),
         ):
             await curio.spawn(
                 repeat, action, name, lambda pause=pause: pause, daemon=True
--- a/packages/daemon/bramleyspread_daemon/forward/_hub.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_hub.py
@@ -31,7 +31,7 @@
 )
 
 #: How long an entry host counts as there after a page named it, in seconds.
-HOST_S = 3.0
+HOST_S = 1.5
 
 
 class ForwardHub:
@@ -114,6 +114,10 @@
         for host in page.entries:
             self._hosts[host] = now
 
+    async def tick(self) -> None:
+        """Let time pass."""
+        self.targets.tick(read_monotonic())
+
     def _put_in_force(self, deployment: Deployment) -> None:
         self.routes = RouteTable(deployment)
         self.keys.apply(deployment)
--- a/packages/daemon/bramleyspread_daemon/forward/_passage.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_passage.py
@@ -35,6 +35,7 @@
     Placed,
     PlaceQuery,
     PlaceStep,
+    RetryBudget,
     StageRun,
     TargetFailed,
     WasNotRun,
@@ -43,7 +44,7 @@
 )
 
 #: Most time for reaching a target, in seconds.
-CONNECT_S = 0.5
+CONNECT_S = 0.25
 #: When a caller that was refused may come back, in seconds.
 RETRY_S = 0.5
 #: Time that the target itself is thought to need behind the stages, in ms.
@@ -146,8 +147,7 @@
             if isinstance(end, Delivered):
                 return "delivered"
             again = may_follow(self._route, end, self._attempts)
-            hosts = len(self._hub.list_hosts())
-            if not again or not budget.take(read_monotonic(), hosts):
+            if not again or not self._may_send_again(budget, end):
                 return self._conclude(end)
             logger.bind(
                 step="retry", peer=self._tried[-1], request=self._request.request
@@ -159,6 +159,12 @@
                 if fault is not None:
                     return self._conclude(end)
 
+    def _may_send_again(self, budget: RetryBudget, end: AttemptEnd) -> bool:
+        """Whether the budget allows it; what reached no target costs none."""
+        if isinstance(end, WasNotRun) and not end.reached:
+            return True
+        return budget.take(read_monotonic(), len(self._hub.list_hosts()))
+
     async def _make_stages(self) -> PieceFault | None:
         begun = read_monotonic()
         self._is_released = False
@@ -249,7 +255,6 @@
         if isinstance(placed, NoTarget):
             self._attempts = self._route.attempts
             return WasNotRun(placed.reason)
-        self._attempts += 1
         self._tried.append(placed.target.target)
         self._placed, self._began = placed, False
         end: AttemptEnd | None = None
@@ -287,21 +292,22 @@
 
     async def _send(self, placed: Placed) -> AttemptEnd:
         hub, request = self._hub, self._request
-        fresh = not self._route.repeatable and self._attempts > 1
+        fresh = not self._route.repeatable and self._attempts > 0
         try:
             connection = await hub.upstream.take(
                 placed.target.address, CONNECT_S, fresh=fresh
             )
         except UnsentError as error:
-            return WasNotRun(str(error))
+            return WasNotRun(str(error), reached=False)
         self._connection = connection
         headers = hub.wire.write_head(request, self._write_terms(placed))
         try:
             await connection.send(request.method, request.target, headers, request.body)
         except UnsentError as error:
             await self._drop_connection()
-            return WasNotRun(str(error))
+            return WasNotRun(str(error), reached=False)
         self._is_sent = True
+        self._attempts += 1
         try:
             raw = await connection.read_head()
             head = hub.wire.read_head(raw.status_code, raw.headers)
--- a/packages/daemon/bramleyspread_daemon/forward/_settings.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_settings.py
@@ -23,6 +23,7 @@
 TRUSTED_SHARE = 0.75
 
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Positive = Annotated[float, msgspec.Meta(gt=0, le=60)]
 Number = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
 
 
@@ -100,6 +101,8 @@
     trust_folder: bool = False
     #: Whether this is the first start of the whole system.
     bootstrap: bool = False
+    #: Shortest and longest silence of a leader before another stands, in seconds.
+    election_s: tuple[Positive, Positive] = (0.6, 1.1)
     #: Between two heartbeats of a target, in milliseconds.
     heartbeat_ms: Annotated[float, msgspec.Meta(gt=0)] = 1_000.0
 
--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import socket as stdlib_socket
 from collections.abc import Sequence
 from typing import Any
 
@@ -20,7 +19,7 @@
 #: Most bytes of an answer that is kept whole before it is passed on.
 MAX_ANSWER_BYTES = 16_777_216
 #: Unacknowledged bytes end a connection after this long, in milliseconds.
-SILENT_MS = 2_500
+SILENT_MS = 1_000
 #: How long a connection is kept idle where its target doesn't say, in seconds.
 KEPT_S = 3.0
 #: The part of a target's own limit after which an idle connection isn't used.
@@ -71,9 +70,7 @@
             raise UnsentError(f"not connected within {timeout:.3f} s") from None
         except OSError as error:
             raise UnsentError(f"not connected: {error.strerror or error}") from None
-        connection.set_option(
-            stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_USER_TIMEOUT, SILENT_MS
-        )
+        connection.watch(SILENT_MS)
         return cls(connection, address)
 
     @property
--- a/packages/forwarding/bramleyspread_forwarding/_outcomes.py
+++ b/packages/forwarding/bramleyspread_forwarding/_outcomes.py
@@ -18,6 +18,8 @@
     why: str
     #: Whether the inputs from earlier stages are gone.
     inputs_gone: bool = False
+    #: Whether any byte of it may have reached the target.
+    reached: bool = True
 
 
 class MayHaveRun(msgspec.Struct, frozen=True):
--- a/packages/forwarding/bramleyspread_forwarding/_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/_targets.py
@@ -10,6 +10,8 @@
 from bramleyspread_forwarding._feed import FeedPage
 from bramleyspread_forwarding._notices import Stance, TargetChange, TargetNotice
 
+#: How long a control host's word counts, in seconds; it is asked twice a second.
+FRESH_S = 2.5
 #: How long a target that is gone is remembered, in seconds.
 REMEMBERED_S = 120.0
 
@@ -30,9 +32,10 @@
 class _View:
     """What one control host says."""
 
-    __slots__ = ("life", "position", "targets")
+    __slots__ = ("at", "life", "position", "targets")
 
     def __init__(self, life: str) -> None:
+        self.at = 0.0
         self.life = life
         self.position = 0
         self.targets: dict[str, TargetChange] = {}
@@ -50,6 +53,7 @@
         self._views: dict[Address, _View] = {}
         self._farewells: dict[str, tuple[TargetNotice, float]] = {}
         self._usable: dict[str, tuple[ForwardTarget, ...]] = {}
+        self._fresh: frozenset[Address] = frozenset()
 
     def find_position(self, control: Address) -> tuple[str, int]:
         """Find what is known from a control host.
@@ -75,13 +79,29 @@
         for change in page.changes:
             self._take(view, change, now)
         view.position = page.position
+        view.at = now
+        if control not in self._fresh:
+            self._fresh |= {control}
+            reborn = True
         if page.changes or reborn:
             self._rebuild(now)
         return bool(page.changes) or reborn
 
+    def tick(self, now: float) -> None:
+        """Let time pass: a control host that is not heard counts no more."""
+        fresh = frozenset(
+            control for control, view in self._views.items() if now - view.at <= FRESH_S
+        )
+        if fresh != self._fresh:
+            self._fresh = fresh
+            self._rebuild(now)
+
     def list_usable(self, service: str) -> Sequence[ForwardTarget]:
         """List the targets of a service that take work.
 
+        Targets of which only control hosts tell that aren't heard any more are on
+        the list when there are no others.
+
         :param service: the service.
         :returns: the targets, in the order of their ids.
         """
@@ -101,19 +121,26 @@
             if now - since > REMEMBERED_S:
                 del self._farewells[target]
         newest: dict[str, TargetNotice] = {}
-        for view in self._views.values():
+        heard: set[str] = set()
+        for control, view in self._views.items():
             for target, change in view.targets.items():
                 if change.notice.stance is not Stance.READY:
                     continue
+                if control in self._fresh:
+                    heard.add(target)
                 known = newest.get(target)
                 if known is None or known.order < change.notice.order:
                     newest[target] = change.notice
         usable: dict[str, list[ForwardTarget]] = {}
+        doubtful: dict[str, list[ForwardTarget]] = {}
         for target, notice in sorted(newest.items()):
             farewell = self._farewells.get(target)
             if farewell is not None and farewell[0].born >= notice.born:
                 continue
-            usable.setdefault(notice.service, []).append(
+            lists = usable if target in heard else doubtful
+            lists.setdefault(notice.service, []).append(
                 ForwardTarget(target, notice.address, notice.zone, notice.slots)
             )
-        self._usable = {name: tuple(each) for name, each in usable.items()}
+        self._usable = {
+            name: tuple(each) for name, each in {**doubtful, **usable}.items()
+        }
