--- a/packages/daemon/bramleyspread_daemon/_served.py
+++ b/packages/daemon/bramleyspread_daemon/_served.py
@@ -167,6 +167,12 @@
             self.due = read_monotonic() + self._server.limits.receive_s
         self._http.receive_data(data)
 
+    def close_idle(self) -> None:
+        """Close the connection if it carries no request."""
+        begun = self._http.their_state is not h11.IDLE or self._http.trailing_data[0]
+        if not begun and not self.is_replying:
+            self._connection.abort()
+
     def refuse_late(self) -> None:
         """End a connection that is past its time, telling a slow sender why."""
         if self.closing:
--- a/packages/daemon/bramleyspread_daemon/_server.py
+++ b/packages/daemon/bramleyspread_daemon/_server.py
@@ -83,11 +83,17 @@
         return Address(ip, port)
 
     async def stop_accepting(self) -> None:
-        """Take no new connections; open ones are served on."""
+        """Take no new connections; requests that were begun are served on.
+
+        Connections without a request are closed: a caller that sent one on them
+        later would find this process gone before it could answer.
+        """
         if self._accepting is not None:
             await self._accepting.cancel()
             await self._listening.close()
             self._accepting = None
+        for connection in tuple(self._connections):
+            connection.close_idle()
 
     async def close_connections(self) -> None:
         """Cut every open connection."""
--- a/packages/daemon/bramleyspread_daemon/tests/test_server.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_server.py
@@ -203,3 +203,28 @@
             await connect(address)
 
     run(main)
+
+
+def test_idle_connections_close_when_accepting_ends_and_busy_ones_finish() -> None:
+    async def main() -> None:
+        begun: list[Reply] = []
+
+        async def wait(_: HttpRequest, reply: Reply) -> None:
+            begun.append(reply)
+
+        server, address = await start_server(
+            ("POST", "/echo", echo), ("GET", "/wait", wait)
+        )
+        idle, busy = await connect(address), await connect(address)
+        await idle.sendall(GOOD)
+        await read_until(idle, b"hi")
+        await busy.sendall(b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n")
+        while not begun:
+            await curio.sleep(0)
+        server.draining = True
+        await server.stop_accepting()
+        assert await read_all(idle) == b""
+        begun[0].send(200, b"done")
+        assert (await read_all(busy)).endswith(b"done")
+
+    run(main)
--- /dev/null
+++ b/packages/forwarding/bramleyspread_forwarding/tests/builders.py
@@ -0,0 +1,81 @@
+"""Values that the tests of this package share."""
+
+from __future__ import annotations
+
+from bramleyspread_core import Address, PieceLimits
+from bramleyspread_forwarding import (
+    ForwardTarget,
+    PieceItem,
+    PieceJob,
+    PieceResult,
+    Prompt,
+    PromptPart,
+    Stance,
+    TargetNotice,
+)
+
+#: A service of three photo stores as the users describe it.
+LIMITS = PieceLimits(
+    slots=1,
+    queue=2,
+    batch=7,
+    call_ms=150.0,
+    piece_ms=18.3,
+    room_bytes=34e6,
+    kept_s=4.0,
+)
+
+
+def make_targets(number: int, slots: int = 1) -> tuple[ForwardTarget, ...]:
+    """Make targets named t0, t1 and so on, in zones named z0, z1 and so on."""
+    return tuple(
+        ForwardTarget(f"t{at}", Address("10.0.0.1", 8000 + at), f"z{at}", slots)
+        for at in range(number)
+    )
+
+
+def make_notice(target: str = "t", **changes: object) -> TargetNotice:
+    """Make a heartbeat."""
+    fields: dict[str, object] = {
+        "target": target,
+        "sequence": 1,
+        "service": "photos",
+        "address": Address("10.0.0.1", 8000),
+        "zone": "z0",
+        "slots": 1,
+        "stance": Stance.READY,
+        **changes,
+    }
+    return TargetNotice(**fields)  # type: ignore[arg-type]
+
+
+def make_job(request: str, pieces: int, **changes: object) -> PieceJob:
+    """Make a job of one request."""
+    items = tuple(
+        PieceItem(request=request, stage=0, piece=at, key="k") for at in range(pieces)
+    )
+    fields: dict[str, object] = {
+        "service": "photos",
+        "items": items,
+        "remaining_ms": 4_000.0,
+        "aim_ms": 1_000.0,
+        **changes,
+    }
+    return PieceJob(**fields)  # type: ignore[arg-type]
+
+
+def make_results(number: int, zone: str = "z0") -> tuple[PieceResult, ...]:
+    """Make the results of a call."""
+    make_results.count += 1  # type: ignore[attr-defined]
+    prefix = make_results.count  # type: ignore[attr-defined]
+    return tuple(PieceResult(f"h{prefix}-{at}", None, zone) for at in range(number))
+
+
+make_results.count = 0  # type: ignore[attr-defined]
+
+
+def make_prompt(*shared: str, tokens_in: int = 9_000) -> Prompt:
+    """Make a prompt of shared parts of 3,000 tokens each and an own one."""
+    parts = [PromptPart(each, 3_000) for each in shared]
+    own = PromptPart("own", tokens_in - 3_000 * len(shared))
+    return Prompt(tokens_in=tokens_in, tokens_out=50, parts=(*parts, own))
--- /dev/null
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_gathering.py
@@ -0,0 +1,188 @@
+"""Pieces of many requests in few calls, in virtual time."""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+import msgspec
+import pytest
+
+from bramleyspread_forwarding import (
+    GatheredCall,
+    Gatherer,
+    PieceFault,
+    PieceJob,
+    PieceResult,
+)
+from bramleyspread_forwarding.tests.builders import (
+    LIMITS,
+    make_job,
+    make_results,
+    make_targets,
+)
+
+TARGETS = make_targets(3)
+
+
+class Service:
+    """Targets that work as long as the limits say; a result stays for a while."""
+
+    def __init__(self, batch: int = LIMITS.batch, held_s: float = 0.3) -> None:
+        self.limits = msgspec.structs.replace(LIMITS, batch=batch)
+        self.gatherer = Gatherer()
+        self.now = 0.0
+        self.held_s = held_s
+        self.ended: dict[int, tuple[float, tuple[PieceResult, ...]]] = {}
+        self._calls: list[tuple[float, int, GatheredCall]] = []
+        self._held: list[tuple[float, tuple[str, ...]]] = []
+
+    def add(self, job: PieceJob) -> int | PieceFault:
+        return self.gatherer.add(job, self.limits, len(TARGETS), self.now)
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            self.now += 0.005
+            while self._held and self._held[0][0] <= self.now:
+                self.gatherer.release(heapq.heappop(self._held)[1])
+            self._finish_calls()
+            for done in self.gatherer.expire(self.now):
+                self.ended[done.job] = (self.now, done.results)
+            for call in self.gatherer.dispatch(TARGETS, self.limits, self.now):
+                length = self.limits.call_ms + len(call.items) * self.limits.piece_ms
+                due = self.now + length / 1000
+                heapq.heappush(self._calls, (due, call.call, call))
+
+    def _finish_calls(self) -> None:
+        while self._calls and self._calls[0][0] <= self.now:
+            _, number, call = heapq.heappop(self._calls)
+            results = make_results(len(call.items), call.target.zone)
+            for done in self.gatherer.finish(number, results, self.now):
+                self.ended[done.job] = (self.now, done.results)
+                handles = tuple(x.handle for x in done.results)
+                heapq.heappush(self._held, (self.now + self.held_s, handles))
+
+
+def serve_calm_day(service: Service, seconds: float = 10.0) -> tuple[int, int]:
+    """Offer 40 pieces a second in 20 requests; count those asked and in time."""
+    rng = random.Random(7)
+    asked: dict[int, float] = {}
+    refused = 0
+    while service.now < seconds:
+        service.run(rng.expovariate(20))
+        pieces = rng.choice((1, 1, 2, 2, 4))
+        number = service.add(make_job(f"r{service.now}", pieces))
+        if isinstance(number, int):
+            asked[number] = service.now
+        else:
+            refused += 1
+    service.run(6.0)
+    in_time = sum(
+        number in service.ended
+        and service.ended[number][0] - at < 1.0
+        and all(x.handle for x in service.ended[number][1])
+        for number, at in asked.items()
+    )
+    return len(asked) + refused, in_time
+
+
+def test_a_calm_day_is_carried_only_by_gathered_calls() -> None:
+    asked, in_time = serve_calm_day(Service())
+    assert in_time >= 0.97 * asked
+    asked, in_time = serve_calm_day(Service(batch=1))
+    assert in_time < 0.7 * asked
+
+
+def test_large_results_of_half_made_jobs_never_block_the_room() -> None:
+    service = Service(held_s=0.3)
+    jobs = [
+        service.add(make_job(f"r{at}", 6, result_bytes=3_000_000, remaining_ms=9_000.0))
+        for at in range(12)
+    ]
+    service.run(4.0)
+    done = [number for number in jobs if number in service.ended]
+    assert len(done) == len(jobs)
+    assert all(x.handle for n in done for x in service.ended[int(n)][1])
+
+
+def test_urgent_jobs_go_first_and_late_ones_last() -> None:
+    gatherer = Gatherer()
+    one = (TARGETS[0],)
+    limits = msgspec.structs.replace(LIMITS, batch=1)
+    for name, priority, aim in (
+        ("late", 0, -1.0),
+        ("second", 1, 1_000.0),
+        ("first", 0, 1_000.0),
+        ("soon", 0, 500.0),
+    ):
+        gatherer.add(make_job(name, 1, priority=priority, aim_ms=aim), limits, 9, 0.0)
+    order = []
+    for _ in range(4):
+        (call,) = gatherer.dispatch(one, limits, 0.001)
+        order.append(call.items[0].item.request)
+        gatherer.finish(call.call, make_results(1), 0.002)
+    assert order == ["soon", "first", "second", "late"]
+
+
+def test_pieces_with_large_inputs_are_left_to_targets_near_them() -> None:
+    gatherer = Gatherer()
+    gatherer.add(make_job("r", 2, zone="z2", is_bound=True), LIMITS, 3, 0.0)
+    (call,) = gatherer.dispatch(TARGETS, LIMITS, 0.0)
+    assert call.target.zone == "z2"
+
+
+def test_pieces_go_elsewhere_when_their_zone_has_too_many() -> None:
+    gatherer = Gatherer()
+    for at in range(3):
+        job = make_job(f"r{at}", 5, zone="z2", is_bound=True)
+        gatherer.add(job, LIMITS, 3, 0.0)
+    assert len(gatherer.dispatch(TARGETS, LIMITS, 0.0)) > 1
+
+
+@pytest.mark.parametrize(
+    ("fault", "again"),
+    [
+        (PieceFault.ROOM, True),
+        (PieceFault.ERROR, True),
+        (PieceFault.GONE, False),
+        (PieceFault.LATE, False),
+    ],
+)
+def test_which_faults_are_tried_again(fault: PieceFault, again: bool) -> None:
+    gatherer = Gatherer()
+    gatherer.add(make_job("r", 1), LIMITS, 3, 0.0)
+    (call,) = gatherer.dispatch(TARGETS, LIMITS, 0.0)
+    done = gatherer.finish(call.call, [PieceResult(fault=fault)], 0.1)
+    assert (not done) is again
+    assert gatherer.waiting_pieces == int(again)
+
+
+def test_a_target_that_did_not_answer_is_passed_over_for_a_while() -> None:
+    gatherer = Gatherer()
+    gatherer.add(make_job("r", 1), LIMITS, 3, 0.0)
+    (call,) = gatherer.dispatch(TARGETS, LIMITS, 0.0)
+    gatherer.fail(call.call, 0.1)
+    (second,) = gatherer.dispatch(TARGETS, LIMITS, 0.1)
+    assert second.target != call.target
+
+
+def test_a_job_that_cannot_end_in_time_is_refused_at_once() -> None:
+    gatherer = Gatherer()
+    job = make_job("r", 1, remaining_ms=100.0)
+    assert gatherer.add(job, LIMITS, 3, 0.0) is PieceFault.FULL
+    assert gatherer.add(make_job("r", 1), LIMITS, 0, 0.0) is PieceFault.FULL
+
+
+def test_results_that_nobody_waits_for_are_told() -> None:
+    gatherer = Gatherer()
+    number = gatherer.add(make_job("r", 9), LIMITS, 3, 0.0)
+    assert isinstance(number, int)
+    first, second = gatherer.dispatch(TARGETS, LIMITS, 0.0)
+    early = make_results(len(first.items))
+    gatherer.finish(first.call, early, 0.1)
+    gatherer.cancel(number)
+    late = make_results(len(second.items))
+    gatherer.finish(second.call, late, 0.2)
+    assert set(gatherer.take_unwanted()) == {x.handle for x in (*early, *late)}
+    assert gatherer.take_unwanted() == ()
--- /dev/null
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_pieces.py
@@ -0,0 +1,71 @@
+"""The order in which the stages of one request are made."""
+
+from __future__ import annotations
+
+from bramleyspread_core import StagePlan
+from bramleyspread_forwarding import PieceResult, StageRun
+
+SIDE = StagePlan("photos", (), 3_000_000)
+CHAIN = (
+    StagePlan("photos", (), 8_000),
+    StagePlan("ledger", (1,), 60_000),
+    StagePlan("console", (2,), 6_000),
+)
+
+
+def finish(run: StageRun, number: int, pieces: int, zone: str = "z0") -> None:
+    run.finish(
+        number, [PieceResult(f"s{number}-{at}", None, zone) for at in range(pieces)]
+    )
+
+
+def test_a_side_stage_waits_for_the_end_of_the_longest_chain() -> None:
+    run = StageRun("r", (SIDE, *CHAIN), (2, 1, 8, 16), "key")
+    begun = []
+    for pieces in (1, 8):
+        ready = run.take_ready()
+        begun.append([number for number, _, _ in ready])
+        finish(run, ready[0][0], pieces)
+    begun.append([number for number, _, _ in run.take_ready()])
+    assert begun == [[1], [2], [0, 3]]
+
+
+def test_inputs_are_all_results_of_the_stages_before() -> None:
+    run = StageRun("r", CHAIN_ALONE, (1, 8, 2), "key")
+    (first,) = run.take_ready()
+    assert [(x.key, x.inputs) for x in first[2]] == [("key", ())]
+    finish(run, 0, 1)
+    (second,) = run.take_ready()
+    assert {x.inputs for x in second[2]} == {("s0-0",)}
+    assert {x.key for x in second[2]} == {""}
+    finish(run, 1, 8, "z1")
+    assert run.find_inputs(2) == ("z1", 2 * 8 * 60_000)
+    (third,) = run.take_ready()
+    assert [len(x.inputs) for x in third[2]] == [8, 8]
+    finish(run, 2, 2)
+    assert run.is_done
+    assert [x.handle for x in run.inputs] == ["s2-0", "s2-1"]
+
+
+CHAIN_ALONE = (
+    StagePlan("photos", (), 8_000),
+    StagePlan("ledger", (0,), 60_000),
+    StagePlan("console", (1,), 6_000),
+)
+
+
+def test_a_stage_without_pieces_is_left_out() -> None:
+    run = StageRun("r", (SIDE,), (0,), "key")
+    assert run.take_ready() == []
+    assert run.is_done
+    assert run.inputs == ()
+    assert run.list_releases() == []
+
+
+def test_every_result_is_given_up_at_the_service_that_made_it() -> None:
+    run = StageRun("r", CHAIN_ALONE, (1, 1, 1), "key")
+    for number in range(3):
+        run.take_ready()
+        finish(run, number, 1)
+    told = {each.service: each.handles for each in run.list_releases()}
+    assert told == {"photos": ("s0-0",), "ledger": ("s1-0",), "console": ("s2-0",)}
--- /dev/null
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_placement.py
@@ -0,0 +1,115 @@
+"""Which engine gets a request."""
+
+from __future__ import annotations
+
+import random
+
+from bramleyspread_core import EngineLimits
+from bramleyspread_forwarding import (
+    NoTarget,
+    Placed,
+    Placement,
+    PlaceQuery,
+    PlaceStep,
+    TargetLoad,
+    find_home,
+)
+from bramleyspread_forwarding.tests.builders import make_prompt, make_targets
+
+ENGINES = make_targets(9, slots=64)
+LIMITS = EngineLimits(slots=64, memory_tokens=326_040)
+
+
+def make_placement() -> Placement:
+    return Placement(random.Random(1))
+
+
+def query(*shared: str, **changes: object) -> PlaceQuery:
+    fields: dict[str, object] = {
+        "service": "llm",
+        "zone": "z0",
+        "prompt": make_prompt(*shared),
+        "slack_ms": 1_000.0,
+        **changes,
+    }
+    return PlaceQuery(**fields)  # type: ignore[arg-type]
+
+
+def place(placement: Placement, asked: PlaceQuery, now: float = 0.0) -> Placed:
+    placed = placement.choose(asked, ENGINES, LIMITS, now)
+    assert isinstance(placed, Placed)
+    return placed
+
+
+def test_prompts_with_the_same_parts_meet_while_it_is_on_time() -> None:
+    placement = make_placement()
+    chosen = set()
+    for at in range(20):
+        placed = place(placement, query("top", "sub"), at * 0.4)
+        chosen.add(placed.target.target)
+        step = PlaceStep(ticket=placed.ticket, target=placed.target.target, ended=True)
+        placement.take_step(step, at * 0.4)
+    home = find_home(make_prompt("top", "sub"), ENGINES)
+    assert home is not None
+    assert chosen == {home.target}
+
+
+def test_a_burst_of_one_hot_prompt_spreads_before_it_is_late() -> None:
+    placement = make_placement()
+    placed = [place(placement, query("top", "sub")) for _ in range(27)]
+    each = [sum(x.target == target for x in placed) for target in ENGINES]
+    assert max(each) <= 6
+
+
+def test_prompts_that_begin_alike_share_few_engines() -> None:
+    homes = {find_home(make_prompt("top", f"sub{at}"), ENGINES) for at in range(200)}
+    assert len(homes) == 3
+
+
+def test_a_failing_target_is_avoided_and_tried_again() -> None:
+    placement = make_placement()
+    first = place(placement, query("top", "sub"))
+    failed = PlaceStep(
+        ticket=first.ticket, target=first.target.target, ended=True, good=False
+    )
+    placement.take_step(failed, 0.0)
+    assert place(placement, query("top", "sub"), 0.5).target != first.target
+    assert place(placement, query("top", "sub"), 9.5).target == first.target
+
+
+def test_a_target_that_tells_of_waiting_requests_gets_no_more() -> None:
+    placement = make_placement()
+    home = place(placement, query("top", "sub")).target
+    load = TargetLoad(running=64, waiting=40, slots=64)
+    placement.take_step(PlaceStep(ticket=0, target=home.target, load=load), 0.0)
+    assert place(placement, query("top", "sub")).target != home
+
+
+def test_memory_is_not_given_out_twice() -> None:
+    placement = make_placement()
+    large = make_prompt(tokens_in=150_000)
+    chosen = [place(placement, query(prompt=large)).target for _ in range(9)]
+    assert len(set(chosen)) == 9
+
+
+def test_what_fits_no_engine_is_refused_at_once() -> None:
+    huge = query(prompt=make_prompt(tokens_in=400_000))
+    assert isinstance(make_placement().choose(huge, ENGINES, LIMITS, 0.0), NoTarget)
+
+
+def test_no_target_twice_and_none_where_there_is_none() -> None:
+    placement = make_placement()
+    tried = tuple(each.target for each in ENGINES)
+    assert isinstance(
+        placement.choose(query(tried=tried), ENGINES, LIMITS, 0.0), NoTarget
+    )
+    assert isinstance(placement.choose(query(), (), LIMITS, 0.0), NoTarget)
+
+
+def test_charges_that_nobody_ends_run_out() -> None:
+    placement = make_placement()
+    for _ in range(200):
+        place(placement, query("top", "sub"))
+    placement.expire(100.0)
+    home = find_home(make_prompt("top", "sub"), ENGINES)
+    assert place(placement, query("top", "sub"), 100.0).target == home
--- /dev/null
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_requests.py
@@ -0,0 +1,129 @@
+"""Routes, keys, the budget and outcomes."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from bramleyspread_core import (
+    Deployment,
+    ForwardRoute,
+    KeyHolder,
+    RequestKind,
+    ServiceShare,
+)
+from bramleyspread_forwarding import (
+    AttemptEnd,
+    Delivered,
+    KeyRing,
+    KeysStale,
+    KeyUnknown,
+    MayHaveRun,
+    RetryBudget,
+    RouteTable,
+    TargetFailed,
+    WasNotRun,
+    may_follow,
+)
+
+
+def make_route(prefix: str = "/a/", **changes: object) -> ForwardRoute:
+    fields: dict[str, object] = {
+        "name": f"route {prefix}",
+        "host": "One.example",
+        "prefix": prefix,
+        "kind": RequestKind.IDEMPOTENT,
+        "timeout_ms": 1_000,
+        "aim_ms": 100.0,
+        "shares": (ServiceShare("photos", 1.0),),
+        "attempts": 2,
+        **changes,
+    }
+    return ForwardRoute(**fields)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "prefix"),
+    [
+        ("one.example", "/a/x", "/a/"),
+        ("one.example:80", "/a/b/x", "/a/b/"),
+        ("ONE.EXAMPLE", "/a/b", "/a/"),
+        ("one.example", "/b/", None),
+        ("two.example", "/a/x", None),
+        ("", "/a/x", None),
+    ],
+)
+def test_longest_prefix_of_the_host(host: str, path: str, prefix: str | None) -> None:
+    routes = (make_route("/a/"), make_route("/a/b/"))
+    table = RouteTable(Deployment(version=1, routes=routes))
+    found = table.find_route(host, path)
+    assert (found.prefix if found else None) == prefix
+
+
+def test_shares_are_kept_and_follow_the_request() -> None:
+    shares = (ServiceShare("a", 90.0), ServiceShare("b", 10.0), ServiceShare("c", 0.0))
+    route = make_route(shares=shares)
+    table = RouteTable(Deployment(version=1, routes=(route,)))
+    chosen = [table.choose_service(route, f"r{at}") for at in range(2_000)]
+    assert chosen == [table.choose_service(route, f"r{at}") for at in range(2_000)]
+    assert 1_700 < chosen.count("a") < 1_900
+    assert chosen.count("c") == 0
+
+
+def test_keys_are_believed_only_while_the_document_is_confirmed() -> None:
+    ring = KeyRing(trusted_s=3.0)
+    holder = KeyHolder(name="inka", keys=("k1",))
+    ring.apply(Deployment(version=1, holders=(holder,)))
+    assert isinstance(ring.find_holder("k1", 0.0), KeysStale)
+    ring.confirm(10.0)
+    assert ring.find_holder("k1", 13.0) == holder
+    assert isinstance(ring.find_holder("k2", 13.0), KeyUnknown)
+    assert isinstance(ring.find_holder(None, 13.0), KeyUnknown)
+    assert isinstance(ring.find_holder("k1", 13.1), KeysStale)
+    ring.confirm(9.0)
+    assert isinstance(ring.find_holder("k1", 13.1), KeysStale)
+
+
+def test_no_keys_are_asked_for_where_the_document_has_none() -> None:
+    ring = KeyRing(trusted_s=math.inf)
+    ring.apply(Deployment(version=1))
+    assert ring.find_holder(None, 0.0) is None
+
+
+def test_all_hosts_together_keep_the_budget_in_any_window() -> None:
+    hosts = [RetryBudget(ratio=0.2, slack=56.0, window_s=10.0) for _ in range(8)]
+    sent: list[float] = []
+    firsts: list[float] = []
+    for step in range(3_000):
+        now = step * 0.01
+        host = hosts[step % 8]
+        host.note_first(now)
+        firsts.append(now)
+        if host.take(now, hosts=8):
+            sent.append(now)
+    for begin in range(25):
+        window = [at for at in sent if begin <= at <= begin + 10]
+        asked = [at for at in firsts if begin <= at <= begin + 10]
+        assert len(window) <= 0.2 * len(asked) + 56
+
+
+ENDS: list[tuple[AttemptEnd, bool, bool]] = [
+    # end, may follow where repeatable, may follow where not
+    (Delivered(), False, False),
+    (WasNotRun("full"), True, True),
+    (MayHaveRun("reset"), True, False),
+    (TargetFailed(500, (), b""), True, False),
+]
+
+
+@pytest.mark.parametrize(("end", "repeatable", "unrepeatable"), ENDS)
+def test_what_may_follow(end: AttemptEnd, repeatable: bool, unrepeatable: bool) -> None:
+    once = make_route(kind=RequestKind.NON_IDEMPOTENT)
+    stream = make_route(kind=RequestKind.STREAM)
+    resumed = make_route(kind=RequestKind.STREAM, resumable=True)
+    assert may_follow(make_route(), end, 1) is repeatable
+    assert may_follow(resumed, end, 1) is repeatable
+    assert may_follow(once, end, 1) is unrepeatable
+    assert may_follow(stream, end, 1) is unrepeatable
+    assert not may_follow(make_route(), end, 2)
