Let the times that stages took lately decide what is begun

Cause: requests were begun whose later stages could not end in time; their pieces were made in vain, their inputs ran out, and nearly all were a little late. Change: smoothed times by service; a request that can't end in time is refused at once; a job's aim leaves time for what follows; inputs bound how long a job waits.

--- a/packages/daemon/bramleyspread_daemon/forward/_hub.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_hub.py
@@ -27,6 +27,7 @@
     Placement,
     RetryBudget,
     RouteTable,
+    StageTimes,
     TargetTable,
 )
 
@@ -66,6 +67,8 @@
             self.list_hosts,
             peers,
         )
+        #: How long stages have taken lately.
+        self.stage_times = StageTimes()
         #: Connections to targets.
         self.upstream = UpstreamPool()
         #: Makes the pieces of stages.
--- a/packages/daemon/bramleyspread_daemon/forward/_passage.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_passage.py
@@ -51,6 +51,8 @@
 TARGET_MS = 300.0
 #: From this size on it matters in which zone results lie, in bytes.
 LARGE_BYTES = 1_000_000
+#: The part of a result's life in which it may be waited for.
+LIFE_SHARE = 0.9
 #: The longest wait of a request whose route and caller name none, in ms.
 DEFAULT_MS = 30_000.0
 
@@ -134,6 +136,10 @@
 
     async def _work(self) -> str:
         if self._route.stages:
+            needed_ms = self._estimate_all()
+            if needed_ms > (self._find_patience() - read_monotonic()) * 1000:
+                why = f"stages would take {needed_ms:.0f} ms"
+                return self._refuse(503, why, max(RETRY_S, needed_ms / 4000))
             fault = await self._make_stages()
             if fault is not None:
                 return self._refuse(503, f"stage: {fault.value}", RETRY_S)
@@ -215,17 +221,32 @@
         behind = self._estimate_behind(number)
         zone, pulled = stages.find_inputs(number)
         is_bound = pulled >= LARGE_BYTES
+        late_ms = (self._begun - now) * 1000 + self._route.aim_ms - behind
+        remaining_ms = (self._find_patience() - now) * 1000 - behind
         job = PieceJob(
             service=service,
             items=items,
-            remaining_ms=(self._find_patience() - now) * 1000 - behind,
-            aim_ms=(self._begun - now) * 1000 + self._route.aim_ms - behind,
+            remaining_ms=min(remaining_ms, self._find_input_life(number)),
+            aim_ms=late_ms,
             priority=self._priority,
             result_bytes=self._route.stages[number].result_bytes,
             zone=zone if is_bound else self._find_zone(number),
             is_bound=is_bound,
         )
-        return await self._hub.desk.make(job)
+        results = await self._hub.desk.make(job)
+        if late_ms > 0 and all(each.handle for each in results):
+            done = read_monotonic()
+            self._hub.stage_times.note(service, (done - now) * 1000, done)
+        return results
+
+    def _find_input_life(self, number: int) -> float:
+        """Find how long the inputs of a stage will surely be kept, in ms."""
+        lives = [DEFAULT_MS]
+        for before in self._route.stages[number].after:
+            service = self._hub.find_service(self._route.stages[before].service)
+            if service is not None and service.pieces is not None:
+                lives.append(service.pieces.kept_s * 1000 * LIFE_SHARE)
+        return min(lives)
 
     def _find_zone(self, number: int) -> str:
         """Find where a stage's results will be needed, if it matters."""
@@ -243,12 +264,29 @@
 
     def _estimate_behind(self, number: int) -> float:
         """Estimate the time that is needed behind a stage, in milliseconds."""
-        spent = TARGET_MS
-        for stage in self._route.stages[number + 1 :]:
-            service = self._hub.find_service(stage.service)
-            if number in stage.after and service and service.pieces:
-                spent += service.pieces.call_ms
-        return spent
+        longest = 0.0
+        for follower, stage in enumerate(self._route.stages):
+            if number in stage.after:
+                own = self._estimate_stage(follower)
+                longest = max(longest, own + self._estimate_behind(follower))
+        return longest or TARGET_MS
+
+    def _estimate_stage(self, number: int) -> float:
+        """Estimate the time that a stage itself will take, in milliseconds."""
+        name = self._route.stages[number].service
+        service = self._hub.find_service(name)
+        pieces = self._request.pieces[number : number + 1]
+        if service is None or service.pieces is None or not any(pieces):
+            return 0.0
+        limits = service.pieces
+        least = limits.call_ms + min(pieces[0], limits.batch) * limits.piece_ms
+        return self._hub.stage_times.estimate(name, least, read_monotonic())
+
+    def _estimate_all(self) -> float:
+        """Estimate the time until the first event, in milliseconds."""
+        stages = range(len(self._route.stages))
+        alone = [self._estimate_stage(x) + self._estimate_behind(x) for x in stages]
+        return max(alone, default=TARGET_MS)
 
     async def _attempt(self, service: str) -> AttemptEnd:
         placed = await self._hub.place.choose(self._write_query(service))
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -48,6 +48,7 @@
     RawHeaders,
 )
 from bramleyspread_forwarding._routing import RouteTable
+from bramleyspread_forwarding._stage_times import StageTimes
 from bramleyspread_forwarding._targets import ForwardTarget, TargetTable
 
 __all__ = [
@@ -88,6 +89,7 @@
     "RouteTable",
     "StageRun",
     "Stance",
+    "StageTimes",
     "StreamEvent",
     "TargetChange",
     "TargetFailed",
--- a/packages/forwarding/bramleyspread_forwarding/_gathering.py
+++ b/packages/forwarding/bramleyspread_forwarding/_gathering.py
@@ -26,6 +26,8 @@
 MOST_TRIES = 3
 #: How long a target that had no room or failed is passed over, in seconds.
 PASSED_OVER_S = 0.3
+#: The part of a target's room that is given out; results differ in size.
+ROOM_SHARE = 0.9
 #: A call that isn't answered after this many times its expected length is given up.
 LATE_CALL = 4.0
 
@@ -250,7 +252,7 @@
         for handle, kept in tuple(self._kept.items()):
             if kept.until <= now:
                 del self._kept[handle]
-        return limits.room_bytes - self.count_kept_bytes(target)
+        return limits.room_bytes * ROOM_SHARE - self.count_kept_bytes(target)
 
     def _find_bound_zones(
         self, targets: Sequence[ForwardTarget], limits: PieceLimits
--- /dev/null
+++ b/packages/forwarding/bramleyspread_forwarding/_stage_times.py
@@ -0,0 +1,56 @@
+"""How long stages have taken lately, so that hopeless requests can be refused."""
+
+from __future__ import annotations
+
+#: The weight of a new time beside what was known.
+NEW_WEIGHT = 0.25
+#: What was learned counts half after this long without a new time, in seconds.
+HALF_LIFE_S = 1.0
+
+
+class StageTimes:
+    """The time that one stage takes at each service, smoothed.
+
+    What was learned fades, so that a service that nobody asked for a while is
+    thought to be as quick as its limits say.
+
+    >>> times = StageTimes()
+    >>> times.note("photos", 1_000.0, 0.0)
+    >>> round(times.estimate("photos", 200.0, 0.0))
+    1000
+    >>> round(times.estimate("photos", 200.0, 1.0))
+    600
+    """
+
+    __slots__ = ("_known",)
+
+    def __init__(self) -> None:
+        self._known: dict[str, tuple[float, float]] = {}
+
+    def note(self, service: str, spent_ms: float, now: float) -> None:
+        """Take note of the time that one stage took.
+
+        :param service: the service.
+        :param spent_ms: the time, in milliseconds.
+        :param now: seconds.
+        """
+        known = self._known.get(service)
+        if known is not None:
+            spent_ms = known[0] + NEW_WEIGHT * (spent_ms - known[0])
+        self._known[service] = (spent_ms, now)
+
+    def estimate(self, service: str, least_ms: float, now: float) -> float:
+        """Estimate the time that a stage will take.
+
+        :param service: the service.
+        :param least_ms: the time without any wait, in milliseconds.
+        :param now: seconds.
+        :returns: milliseconds.
+        """
+        known = self._known.get(service)
+        if known is None:
+            return least_ms
+        learned, at = known
+        trust = 0.5 ** ((now - at) / HALF_LIFE_S)
+        expected: float = least_ms + (learned - least_ms) * trust
+        return max(least_ms, expected)
