--- a/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
@@ -7,6 +7,7 @@
 
 import curio
 import h11
+import msgspec
 from loguru import logger
 
 from bramleyspread_core import (
@@ -41,8 +42,10 @@
 PIECES_PATH = "/v1/pieces"
 #: Most time for reaching another entry host, in seconds.
 REACH_S = 0.25
+#: Hosts that are asked for one job, one after the other, before it is made here.
+MOST_OWNERS = 2
 #: How long a host that didn't answer isn't asked, in seconds.
-AVOIDED_S = 3.0
+AVOIDED_S = 1.5
 #: How often waiting jobs are looked through, in seconds.
 TICK_S = 0.05
 #: Time for the answer behind a job's own time, in milliseconds.
@@ -115,27 +118,16 @@
         :returns: the results, in the order of its pieces.
         """
         begun = read_monotonic()
-        owner = self._find_owner(job.service, begun)
-        if owner is not None and owner.host != self._host:
-            results = await self._ask(owner, job)
+        for _ in range(MOST_OWNERS):
+            owner = self._find_owner(job.service, read_monotonic())
+            if owner is None or owner.host == self._host:
+                break
+            results = await self._ask(owner, _shorten(job, begun))
             if results is not None:
                 return results
             self._avoided[owner.host] = read_monotonic() + AVOIDED_S
-            logger.bind(step="gather", peer=owner.host).warning(
-                "no answer; gathering here"
-            )
-            spent = (read_monotonic() - begun) * 1000
-            job = PieceJob(
-                service=job.service,
-                items=job.items,
-                remaining_ms=job.remaining_ms - spent,
-                aim_ms=job.aim_ms - spent,
-                priority=job.priority,
-                result_bytes=job.result_bytes,
-                zone=job.zone,
-                is_bound=job.is_bound,
-            )
-        return await self._make_here(job)
+            logger.bind(step="gather", peer=owner.host).warning("no answer")
+        return await self._make_here(_shorten(job, begun))
 
     def _find_owner(self, service: str, now: float) -> EntryHost | None:
         hosts = [
@@ -375,5 +367,13 @@
     return dict(Counter(each.fault.value for each in answer if each.fault))
 
 
+def _shorten(job: PieceJob, begun: float) -> PieceJob:
+    """Take the time that has passed since a job began off what is left for it."""
+    spent = (read_monotonic() - begun) * 1000
+    return msgspec.structs.replace(
+        job, remaining_ms=job.remaining_ms - spent, aim_ms=job.aim_ms - spent
+    )
+
+
 def _fail_all(job: PieceJob, fault: PieceFault) -> tuple[PieceResult, ...]:
     return tuple(PieceResult(fault=fault) for _ in job.items)
--- a/packages/daemon/bramleyspread_daemon/forward/_passage.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_passage.py
@@ -31,6 +31,7 @@
     PieceFault,
     PieceItem,
     PieceJob,
+    PieceRelease,
     PieceResult,
     Placed,
     PlaceQuery,
@@ -185,6 +186,7 @@
                 fault = await self._make_ready(self._stages)
                 if fault is not None:
                     return fault
+                await self._release(self._stages.take_spent())
         finally:
             self._stages_ms = (read_monotonic() - begun) * 1000
         return None
@@ -453,7 +455,10 @@
         if self._stages is None or self._is_released:
             return
         self._is_released = True
-        for release in self._stages.list_releases():
+        await self._release(self._stages.take_all())
+
+    async def _release(self, releases: Sequence[PieceRelease]) -> None:
+        for release in releases:
             await curio.spawn(self._hub.desk.release, release, daemon=True)
 
     def _conclude(self, end: AttemptEnd) -> str:
--- a/packages/daemon/bramleyspread_daemon/forward/_place_desk.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_place_desk.py
@@ -42,8 +42,10 @@
 PLACE_S = 0.1
 #: Most time for telling another host, in seconds.
 TELL_S = 0.5
+#: Hosts that are asked for one choice, one after the other, before it is made here.
+MOST_PLACERS = 2
 #: How long a host that didn't answer isn't asked, in seconds.
-AVOIDED_S = 2.0
+AVOIDED_S = 1.5
 #: How often other hosts are told, in seconds.
 TICK_S = 0.05
 
@@ -76,15 +78,15 @@
         :param query: the request.
         :returns: the target, or why there is none.
         """
-        placer = self._find_placer(query.service)
-        if placer is not None and placer.host != self._own.host:
+        for _ in range(MOST_PLACERS):
+            placer = self._find_placer(query.service)
+            if placer is None or placer.host == self._own.host:
+                break
             answer = await self._ask(placer, query)
             if answer is not None:
                 return answer
             self._avoided[placer.host] = read_monotonic() + AVOIDED_S
-            logger.bind(step="place", peer=placer.host).warning(
-                "no answer; choosing here"
-            )
+            logger.bind(step="place", peer=placer.host).warning("no answer")
         return self._choose_here(query)
 
     def report(self, step: PlaceStep) -> None:
--- a/packages/forwarding/bramleyspread_forwarding/_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_pieces.py
@@ -107,16 +107,38 @@
         self._key = key
         self._made: dict[int, tuple[PieceResult, ...]] = {}
         self._begun: set[int] = set()
+        self._taken: set[int] = set()
         self._depths = _measure_depths(self._stages)
 
-    def list_releases(self) -> list[PieceRelease]:
-        """List all results so far, by the service that made them."""
+    def take_spent(self) -> list[PieceRelease]:
+        """Take the results that no stage needs any more, by who made them.
+
+        Those that the request itself needs are not among them.
+        """
+        followed = self._find_followed()
+        done = {
+            number
+            for number in followed
+            if all(
+                follower in self._made
+                for follower, stage in enumerate(self._stages)
+                if number in stage.after
+            )
+        }
+        return self._take(done)
+
+    def take_all(self) -> list[PieceRelease]:
+        """Take all results that were not taken before, by who made them."""
+        return self._take(set(self._made))
+
+    def _take(self, numbers: set[int]) -> list[PieceRelease]:
         by_service: dict[str, list[str]] = {}
-        for number, results in self._made.items():
-            handles = [each.handle for each in results if each.handle]
+        for number in sorted(numbers - self._taken):
+            handles = [x.handle for x in self._made.get(number, ()) if x.handle]
             if handles:
                 service = self._stages[number].service
                 by_service.setdefault(service, []).extend(handles)
+        self._taken |= numbers & set(self._made)
         return [PieceRelease(name, tuple(each)) for name, each in by_service.items()]
 
     @property
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_pieces.py
@@ -59,7 +59,7 @@
     assert run.take_ready() == []
     assert run.is_done
     assert run.inputs == ()
-    assert run.list_releases() == []
+    assert run.take_all() == []
 
 
 def test_every_result_is_given_up_at_the_service_that_made_it() -> None:
@@ -67,5 +67,17 @@
     for number in range(3):
         run.take_ready()
         finish(run, number, 1)
-    told = {each.service: each.handles for each in run.list_releases()}
+    told = {each.service: each.handles for each in run.take_all()}
     assert told == {"photos": ("s0-0",), "ledger": ("s1-0",), "console": ("s2-0",)}
+
+
+def test_what_later_stages_have_used_is_given_up_before_the_end() -> None:
+    run = StageRun("r", CHAIN_ALONE, (1, 1, 1), "key")
+    told = []
+    for number in range(3):
+        run.take_ready()
+        finish(run, number, 1)
+        told.append([each.handles for each in run.take_spent()])
+    assert told == [[], [("s0-0",)], [("s1-0",)]]
+    assert [each.handles for each in run.take_all()] == [("s2-0",)]
+    assert run.take_all() == []
