--- a/packages/daemon/bramleyspread_daemon/_timeline.py
+++ b/packages/daemon/bramleyspread_daemon/_timeline.py
@@ -12,6 +12,8 @@
 
 #: The path that stands for standard output.
 STANDARD_OUTPUT = "-"
+#: The descriptor of standard output.
+STANDARD_OUTPUT_NUMBER = 1
 
 
 class TimelineFile:
@@ -51,12 +53,13 @@
             logger.bind(step="timeline", peer="-").error(f"not written: {error}")
 
     def close(self) -> None:
-        """Close the file."""
-        os.close(self._descriptor)
+        """Close the file; standard output stays open."""
+        if self._descriptor != STANDARD_OUTPUT_NUMBER:
+            os.close(self._descriptor)
 
 
 def _open(path: Path) -> int:
     if str(path) == STANDARD_OUTPUT:
-        return os.dup(1)
+        return STANDARD_OUTPUT_NUMBER
     path.parent.mkdir(parents=True, exist_ok=True)
     return os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
