Let a gathering host that started again not take the work back; read changed settings

Cause: after a restart the old owner took the work back while its stand-in still had jobs, so two hosts gathered for the same targets. Change: a process weighs anew with each start; entry hosts read their settings again on SIGHUP and on a changed file.

--- a/packages/daemon/bramleyspread_daemon/_main.py
+++ b/packages/daemon/bramleyspread_daemon/_main.py
@@ -6,7 +6,7 @@
 import gc
 import resource
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from importlib.metadata import version
 from pathlib import Path
 
@@ -15,7 +15,7 @@
 
 from bramleyspread_core import InvalidFileError
 from bramleyspread_daemon._logs import set_up_logs
-from bramleyspread_daemon._roles import ROLES, Role, RoleSettings
+from bramleyspread_daemon._roles import ROLES, RoleSettings, Runnable
 
 #: Stopped as planned.
 EXIT_DONE = 0
@@ -110,12 +110,13 @@
         return EXIT_DONE
     set_up_logs(settings.log, settings.host)
     _check_files(settings)
-    return _run(role, settings, getattr(options, "wire", ""))
+    wire = getattr(options, "wire", "")
+    return _run(lambda: role.build(settings, options.settings, wire), settings)
 
 
-def _run(role: Role, settings: RoleSettings, wire: str) -> int:
+def _run(build: Callable[[], Runnable], settings: RoleSettings) -> int:
     try:
-        process = role.build(settings, wire)
+        process = build()
         _calm_collector()
         code: int = curio.run(process.run)
     except Exception as error:
--- a/packages/daemon/bramleyspread_daemon/_roles.py
+++ b/packages/daemon/bramleyspread_daemon/_roles.py
@@ -60,8 +60,8 @@
     what: str
     #: Reads its settings.
     load: Callable[[Path], RoleSettings]
-    #: Builds its process from settings, and from the name of a module of wires.
-    build: Callable[[RoleSettings, str], Runnable]
+    #: Builds its process from settings, their file, and a module of wires.
+    build: Callable[[RoleSettings, Path, str], Runnable]
     #: Whether it speaks to the world through a module of wires.
     has_wire: bool = False
 
@@ -105,26 +105,27 @@
     return load_forward_settings(path, ForwardControlSettings)
 
 
-def _build_entry(settings: RoleSettings, _: str) -> Runnable:
+def _build_entry(settings: RoleSettings, _: Path, __: str) -> Runnable:
     from bramleyspread_daemon._build import build_entry
 
     return build_entry(cast("EntrySettings", settings))
 
 
-def _build_control(settings: RoleSettings, _: str) -> Runnable:
+def _build_control(settings: RoleSettings, _: Path, __: str) -> Runnable:
     from bramleyspread_daemon._build import build_control
 
     return build_control(cast("ControlSettings", settings))
 
 
-def _build_forward_entry(settings: RoleSettings, wire: str) -> Runnable:
+def _build_forward_entry(settings: RoleSettings, path: Path, wire: str) -> Runnable:
     from bramleyspread_daemon.forward._build_entry import build_forward_entry
     from bramleyspread_daemon.forward._settings import ForwardEntrySettings
 
-    return build_forward_entry(cast(ForwardEntrySettings, settings), load_wires(wire))
+    entry = cast(ForwardEntrySettings, settings)
+    return build_forward_entry(entry, load_wires(wire), path)
 
 
-def _build_forward_control(settings: RoleSettings, wire: str) -> Runnable:
+def _build_forward_control(settings: RoleSettings, _: Path, wire: str) -> Runnable:
     from bramleyspread_daemon.forward._build_control import build_forward_control
     from bramleyspread_daemon.forward._settings import ForwardControlSettings
 
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -27,6 +27,7 @@
 )
 from bramleyspread_daemon.forward._place_desk import TICK_S as PLACE_TICK_S
 from bramleyspread_daemon.forward._settings import ForwardEntrySettings
+from bramleyspread_daemon.forward._settings_source import SettingsSource
 from bramleyspread_daemon.forward._wire import (
     CallerWire,
     Refusal,
@@ -35,6 +36,8 @@
 )
 from bramleyspread_forwarding import KeysStale, KeyUnknown, MalformedRequest
 
+#: How often the settings file is looked at, in seconds.
+SETTINGS_S = 1.0
 #: How often control hosts that aren't heard are looked for, in seconds.
 TARGETS_S = 0.25
 #: How often idle connections to targets are looked through, in seconds.
@@ -52,12 +55,14 @@
         targets: TargetWire,
         ready_path: str,
         rng: Random,
+        source: SettingsSource,
     ) -> None:
+        self._source = source
         self._process = process
         self._settings = settings
         self._wire = callers
         #: What all requests share.
-        self.hub = ForwardHub(settings, targets, process.pool, rng)
+        self.hub = ForwardHub(settings, targets, process.pool, rng, process.incarnation)
         self._link = FeedLink(process.pool, self.hub.make_query, self.hub.take_page)
         routes = process.list_routes(self.hub.find_unready, self._fill_metrics)
         routes[("POST", PIECES_PATH)] = self.hub.desk.serve
@@ -149,6 +154,7 @@
             (self.hub.place.tick, "place", PLACE_TICK_S),
             (self.hub.upstream.close_idle, "idle", IDLE_SWEEP_S),
             (self.hub.tick, "targets", TARGETS_S),
+            (self._watch_settings, "settings", SETTINGS_S),
         ):
             await curio.spawn(
                 repeat, action, name, lambda pause=pause: pause, daemon=True
@@ -156,12 +162,15 @@
         await self._process.announce_start("entry", address)
         return address
 
-    async def reload(self, settings: ForwardEntrySettings) -> None:
-        """Take what can change while the process runs: more control hosts.
+    async def reload(self) -> None:
+        """Take what can change while the process runs: more control hosts."""
+        settings = self._source.read()
+        if settings is not None:
+            await self._link.follow(settings.seed_addresses)
 
-        :param settings: the settings as they are now.
-        """
-        await self._link.follow(settings.seed_addresses)
+    async def _watch_settings(self) -> None:
+        if self._source.has_changed():
+            await self.reload()
 
     async def stop(self) -> bool:
         """Stop as planned: finish what is in flight, then end.
@@ -183,6 +192,6 @@
         :returns: the exit code.
         """
         await self.start()
-        name = await wait_for_stop()
+        name = await wait_for_stop(self.reload)
         logger.bind(step="stop", peer="-").info(f"{name}: draining")
         return 0 if await self.stop() else 1
--- a/packages/daemon/bramleyspread_daemon/forward/_hub.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_hub.py
@@ -44,12 +44,15 @@
         wire: TargetWire,
         peers: ConnectionPool,
         rng: Random,
+        started: int,
     ) -> None:
         self._settings = settings
         self._budgets: dict[str, RetryBudget] = {}
         self._hosts: dict[EntryHost, float] = {}
         #: This host, as others know it.
-        self.own = EntryHost(settings.host, settings.zone, settings.listen.address)
+        self.own = EntryHost(
+            settings.host, settings.zone, settings.listen.address, started
+        )
         #: The conversation with targets.
         self.wire = wire
         #: The routes in force; None before the first document.
--- a/packages/forwarding/bramleyspread_forwarding/_feed.py
+++ b/packages/forwarding/bramleyspread_forwarding/_feed.py
@@ -17,6 +17,8 @@
     zone: str
     #: Where it takes other hosts' messages.
     address: Address
+    #: When its process started, in milliseconds since 1970.
+    started: int = 0
 
 
 class FeedQuery(msgspec.Struct, frozen=True, kw_only=True):
