Hand waiting jobs over to the host that gathers by now

Change: jobs that were not begun end as moved, and their askers ask again; a host that others can't reach makes its own.

--- a/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
@@ -43,7 +43,11 @@
 #: Most time for reaching another entry host, in seconds.
 REACH_S = 0.25
 #: Hosts that are asked for one job, one after the other, before it is made here.
-MOST_OWNERS = 2
+MOST_OWNERS = 3
+#: Pause before the host that gathers by now is asked, in seconds.
+MOVED_S = 0.02
+#: How long a host gathers on after others seem to ask another one, in seconds.
+HAND_OVER_S = 0.3
 #: How long a host that didn't answer isn't asked, in seconds.
 AVOIDED_S = 1.5
 #: How often waiting jobs are looked through, in seconds.
@@ -106,6 +110,7 @@
         self._gatherers: dict[str, Gatherer] = {}
         self._jobs: dict[tuple[str, int], _Job] = {}
         self._avoided: dict[str, float] = {}
+        self._owned_at: dict[str, float] = {}
         #: Calls made to targets.
         self.calls = 0
         #: Pieces in them.
@@ -123,11 +128,19 @@
             if owner is None or owner.host == self._host:
                 break
             results = await self._ask(owner, _shorten(job, begun))
-            if results is not None:
+            if results is not None and not _is_moved(results):
                 return results
+            if results is not None:
+                await curio.sleep(MOVED_S)
+                continue
             self._avoided[owner.host] = read_monotonic() + AVOIDED_S
             logger.bind(step="gather", peer=owner.host).warning("no answer")
-        return await self._make_here(_shorten(job, begun))
+        owner = self._find_owner(job.service, read_monotonic())
+        stays = owner is None or owner.host != self._host
+        results = await self._make_here(_shorten(job, begun), stays=stays)
+        if _is_moved(results):
+            return await self._make_here(_shorten(job, begun), stays=True)
+        return results
 
     def _find_owner(self, service: str, now: float) -> EntryHost | None:
         hosts = [
@@ -137,6 +150,13 @@
         ]
         return find_gatherer(service, hosts)
 
+    def _is_owner(self, service: str, now: float) -> bool:
+        """Whether this host gathers for a service, or did until a moment ago."""
+        owner = self._find_owner(service, now)
+        if owner is None or owner.host == self._host:
+            self._owned_at[service] = now
+        return now - self._owned_at.get(service, now) < HAND_OVER_S
+
     async def _ask(
         self, owner: EntryHost, job: PieceJob
     ) -> tuple[PieceResult, ...] | None:
@@ -192,13 +212,16 @@
     async def _serve_job(self, job: PieceJob, reply: Reply) -> None:
         reply.send_json(PieceResults(await self._make_here(job)))
 
-    async def _make_here(self, job: PieceJob) -> tuple[PieceResult, ...]:
+    async def _make_here(
+        self, job: PieceJob, *, stays: bool = False
+    ) -> tuple[PieceResult, ...]:
         limits = self._view.find_limits(job.service)
         if limits is None:
             return _fail_all(job, PieceFault.ERROR)
         gatherer = self._gatherers.setdefault(job.service, Gatherer())
         targets = len(self._view.list_targets(job.service))
-        number = gatherer.add(job, limits, targets, read_monotonic())
+        now = read_monotonic()
+        number = gatherer.add(job, limits, targets, now, stays=stays)
         if isinstance(number, PieceFault):
             return _fail_all(job, number)
         waiting = self._jobs[job.service, number] = _Job()
@@ -308,7 +331,10 @@
     async def tick(self) -> None:
         """Give up what is late, and try what was passed over."""
         for service, gatherer in tuple(self._gatherers.items()):
-            await self._end(service, gatherer.expire(read_monotonic()))
+            now = read_monotonic()
+            await self._end(service, gatherer.expire(now))
+            if not self._is_owner(service, now):
+                await self._end(service, gatherer.hand_over())
             if gatherer.waiting_pieces:
                 await self._pump(service)
 
@@ -367,6 +393,11 @@
     return dict(Counter(each.fault.value for each in answer if each.fault))
 
 
+def _is_moved(results: Sequence[PieceResult]) -> bool:
+    """Whether another host gathers for the service by now."""
+    return any(each.fault is PieceFault.MOVED for each in results)
+
+
 def _shorten(job: PieceJob, begun: float) -> PieceJob:
     """Take the time that has passed since a job began off what is left for it."""
     spent = (read_monotonic() - begun) * 1000
--- a/packages/forwarding/bramleyspread_forwarding/_gathering.py
+++ b/packages/forwarding/bramleyspread_forwarding/_gathering.py
@@ -66,10 +66,11 @@
 class _Waiting:
     """A job in work."""
 
-    __slots__ = ("aim", "begun", "job", "results", "tries", "until", "waiting")
+    __slots__ = ("aim", "begun", "job", "results", "stays", "tries", "until", "waiting")
 
-    def __init__(self, job: PieceJob, now: float) -> None:
+    def __init__(self, job: PieceJob, now: float, stays: bool) -> None:
         self.job = job
+        self.stays = stays
         self.until = now + job.remaining_ms / 1000
         self.aim = now + job.aim_ms / 1000
         self.results: list[PieceResult | None] = [None] * len(job.items)
@@ -128,7 +129,13 @@
         return len(self._calls)
 
     def add(
-        self, job: PieceJob, limits: PieceLimits, targets: int, now: float
+        self,
+        job: PieceJob,
+        limits: PieceLimits,
+        targets: int,
+        now: float,
+        *,
+        stays: bool = False,
     ) -> int | PieceFault:
         """Take a job.
 
@@ -136,13 +143,14 @@
         :param limits: how a target works.
         :param targets: targets that take work.
         :param now: seconds.
+        :param stays: whether it is made here whoever gathers.
         :returns: its number; or why it is refused.
         """
         expected = self._estimate_ms(job, limits, targets, now)
         if expected > job.remaining_ms:
             return PieceFault.FULL
         number = next(self._numbers)
-        self._jobs[number] = _Waiting(job, now)
+        self._jobs[number] = _Waiting(job, now, stays)
         return number
 
     def cancel(self, number: int) -> None:
@@ -223,6 +231,14 @@
             done += self._put(number, index, PieceResult(fault=fault), now)
         return done
 
+    def hand_over(self) -> list[JobDone]:
+        """Give up the jobs that were not begun: another host gathers by now."""
+        return [
+            self._give_up(number, PieceFault.MOVED)
+            for number, job in tuple(self._jobs.items())
+            if not job.begun and not job.stays
+        ]
+
     def expire(self, now: float) -> list[JobDone]:
         """Give up the jobs whose time is over.
 
--- a/packages/forwarding/bramleyspread_forwarding/_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_pieces.py
@@ -23,6 +23,8 @@
     ERROR = "error"
     #: It was not tried: it could not have ended in time.
     FULL = "full"
+    #: It was not tried here: another host gathers for its service by now.
+    MOVED = "moved"
 
 
 class PieceItem(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_gathering.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_gathering.py
@@ -186,3 +186,14 @@
     gatherer.finish(second.call, late, 0.2)
     assert set(gatherer.take_unwanted()) == {x.handle for x in (*early, *late)}
     assert gatherer.take_unwanted() == ()
+
+
+def test_jobs_not_begun_go_to_the_host_that_gathers_by_now() -> None:
+    gatherer = Gatherer()
+    for name in ("begun", "waiting"):
+        gatherer.add(make_job(name, 7), LIMITS, 3, 0.0)
+    gatherer.add(make_job("stays", 1), LIMITS, 3, 0.0, stays=True)
+    gatherer.dispatch(TARGETS[:1], LIMITS, 0.0)
+    (moved,) = gatherer.hand_over()
+    assert {x.fault for x in moved.results} == {PieceFault.MOVED}
+    assert gatherer.waiting_pieces == 1
