Ask entry hosts in their newest life only

Cause: for three seconds after a restart the list held both lives of a host; the old one's weight could win, and the new process at its address handed the work on.

--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -34,9 +34,9 @@
     WireReply,
 )
 from bramleyspread_forwarding import (
-    EntryHost,
     FeedPage,
     FeedQuery,
+    Roster,
     TargetNotice,
     TargetRegistry,
 )
@@ -99,7 +99,7 @@
         self._own = own
         self._life = life
         self._askers: list[_Asker] = []
-        self._heard: dict[EntryHost, float] = {}
+        self._roster = Roster(HOST_S)
         self._propose: Propose = _refuse_all
         #: The targets that this host has heard.
         self.registry = TargetRegistry(heartbeat_s)
@@ -173,7 +173,7 @@
             reply.send(400, write_refusal(400, str(error)))
             return
         now = read_monotonic()
-        self._heard[query.asker] = now
+        self._roster.note(query.asker, now)
         asker = _Asker(query, reply, now + FEED_WAIT_S)
         if self._has_news(query):
             self._answer(asker, now)
@@ -216,15 +216,10 @@
             version=version,
             confirmed=self._node.confirms_deployment(now),
             control=self._node.list_members(),
-            entries=self._list_hosts(now),
+            entries=self._roster.list_present(now),
         )
         asker.reply.send_json(page)
 
-    def _list_hosts(self, now: float) -> tuple[EntryHost, ...]:
-        since = now - HOST_S
-        self._heard = {host: at for host, at in self._heard.items() if at >= since}
-        return tuple(sorted(self._heard))
-
 
 def _send(reply: Reply, written: WireReply) -> None:
     reply.send(written.status, written.body, written.headers)
--- a/packages/daemon/bramleyspread_daemon/forward/_hub.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_hub.py
@@ -26,6 +26,7 @@
     KeyRing,
     Placement,
     RetryBudget,
+    Roster,
     RouteTable,
     StageTimes,
     TargetTable,
@@ -48,7 +49,7 @@
     ) -> None:
         self._settings = settings
         self._budgets: dict[str, RetryBudget] = {}
-        self._hosts: dict[EntryHost, float] = {}
+        self._roster = Roster(HOST_S)
         #: This host, as others know it.
         self.own = EntryHost(
             settings.host, settings.zone, settings.listen.address, started
@@ -118,7 +119,7 @@
             self.keys.confirm(asked_at)
         self.targets.apply(control, page, now)
         for host in page.entries:
-            self._hosts[host] = now
+            self._roster.note(host, now)
 
     async def tick(self) -> None:
         """Let time pass."""
@@ -130,9 +131,9 @@
 
     def list_hosts(self) -> tuple[EntryHost, ...]:
         """List the entry hosts that are there, this one included."""
-        since = read_monotonic() - HOST_S
-        self._hosts = {host: at for host, at in self._hosts.items() if at >= since}
-        return tuple(sorted({self.own, *self._hosts}))
+        now = read_monotonic()
+        self._roster.note(self.own, now)
+        return self._roster.list_present(now)
 
     def find_service(self, name: str) -> ForwardService | None:
         """Find a service of the document in force."""
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -47,6 +47,7 @@
     PromptPart,
     RawHeaders,
 )
+from bramleyspread_forwarding._roster import Roster
 from bramleyspread_forwarding._routing import RouteTable
 from bramleyspread_forwarding._stage_times import StageTimes
 from bramleyspread_forwarding._targets import ForwardTarget, TargetTable
@@ -86,6 +87,7 @@
     "PromptPart",
     "RawHeaders",
     "RetryBudget",
+    "Roster",
     "RouteTable",
     "StageRun",
     "Stance",
--- /dev/null
+++ b/packages/forwarding/bramleyspread_forwarding/_roster.py
@@ -0,0 +1,41 @@
+"""Which entry hosts are there."""
+
+from __future__ import annotations
+
+from bramleyspread_forwarding._feed import EntryHost
+
+
+class Roster:
+    """Entry hosts that were heard of lately, each in its newest life only.
+
+    >>> from bramleyspread_core import Address
+    >>> first = EntryHost("e", "z", Address("10.0.0.1", 1), started=1)
+    >>> again = EntryHost("e", "z", Address("10.0.0.1", 1), started=2)
+    >>> roster = Roster(kept_s=1.5)
+    >>> for host in (first, again, first):
+    ...     roster.note(host, 0.0)
+    >>> roster.list_present(1.0) == (again,)
+    True
+    >>> roster.list_present(2.0)
+    ()
+    """
+
+    __slots__ = ("_hosts", "_kept_s")
+
+    def __init__(self, kept_s: float) -> None:
+        self._kept_s = kept_s
+        self._hosts: dict[str, tuple[EntryHost, float]] = {}
+
+    def note(self, host: EntryHost, now: float) -> None:
+        """Take note of a host; an earlier life of one that is known is passed over."""
+        known = self._hosts.get(host.host)
+        if known is None or known[0].started <= host.started:
+            self._hosts[host.host] = (host, now)
+
+    def list_present(self, now: float) -> tuple[EntryHost, ...]:
+        """List the hosts heard of lately, in the order of their names."""
+        since = now - self._kept_s
+        for name, (_, at) in tuple(self._hosts.items()):
+            if at < since:
+                del self._hosts[name]
+        return tuple(self._hosts[name][0] for name in sorted(self._hosts))
