--- a/packages/daemon/bramleyspread_daemon/forward/_passage.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_passage.py
@@ -238,7 +238,8 @@
         results = await self._hub.desk.make(job)
         if late_ms > 0 and all(each.handle for each in results):
             done = read_monotonic()
-            self._hub.stage_times.note(service, (done - now) * 1000, done)
+            spent_ms = (done - now) * 1000
+            self._hub.stage_times.note(service, self._priority, spent_ms, done)
         return results
 
     def _find_input_life(self, number: int) -> float:
@@ -282,7 +283,9 @@
             return 0.0
         limits = service.pieces
         least = limits.call_ms + min(pieces[0], limits.batch) * limits.piece_ms
-        return self._hub.stage_times.estimate(name, least, read_monotonic())
+        return self._hub.stage_times.estimate(
+            name, self._priority, least, read_monotonic()
+        )
 
     def _estimate_all(self) -> float:
         """Estimate the time until the first event, in milliseconds."""
--- a/packages/forwarding/bramleyspread_forwarding/_gathering.py
+++ b/packages/forwarding/bramleyspread_forwarding/_gathering.py
@@ -27,7 +27,7 @@
 #: How long a target that had no room or failed is passed over, in seconds.
 PASSED_OVER_S = 0.3
 #: The part of a target's room that is given out; results differ in size.
-ROOM_SHARE = 0.9
+ROOM_SHARE = 0.93
 #: A call that isn't answered after this many times its expected length is given up.
 LATE_CALL = 4.0
 
@@ -209,9 +209,9 @@
         made = self._calls.pop(call)
         self._keep(made, results, now)
         done = []
+        if all(result.fault is PieceFault.ROOM for result in results):
+            self._passed_over[made.target.target] = now + PASSED_OVER_S
         for (number, index), result in zip(made.pieces, results, strict=True):
-            if result.fault is PieceFault.ROOM:
-                self._passed_over[made.target.target] = now + PASSED_OVER_S
             done += self._put(number, index, result, now)
         return done
 
--- a/packages/forwarding/bramleyspread_forwarding/_stage_times.py
+++ b/packages/forwarding/bramleyspread_forwarding/_stage_times.py
@@ -9,45 +9,54 @@
 
 
 class StageTimes:
-    """The time that one stage takes at each service, smoothed.
+    """The time that one stage takes at each service for each rank, smoothed.
+
+    Ranks are kept apart: what waits long because it is not urgent must not make
+    urgent requests look hopeless.
 
     What was learned fades, so that a service that nobody asked for a while is
     thought to be as quick as its limits say.
 
     >>> times = StageTimes()
-    >>> times.note("photos", 1_000.0, 0.0)
-    >>> round(times.estimate("photos", 200.0, 0.0))
+    >>> times.note("photos", 0, 1_000.0, 0.0)
+    >>> round(times.estimate("photos", 0, 200.0, 0.0))
     1000
-    >>> round(times.estimate("photos", 200.0, 1.0))
+    >>> round(times.estimate("photos", 0, 200.0, 1.0))
     600
+    >>> round(times.estimate("photos", 1, 200.0, 0.0))
+    200
     """
 
     __slots__ = ("_known",)
 
     def __init__(self) -> None:
-        self._known: dict[str, tuple[float, float]] = {}
+        self._known: dict[tuple[str, int], tuple[float, float]] = {}
 
-    def note(self, service: str, spent_ms: float, now: float) -> None:
+    def note(self, service: str, priority: int, spent_ms: float, now: float) -> None:
         """Take note of the time that one stage took.
 
         :param service: the service.
+        :param priority: the rank; 0 goes first.
         :param spent_ms: the time, in milliseconds.
         :param now: seconds.
         """
-        known = self._known.get(service)
+        known = self._known.get((service, priority))
         if known is not None:
             spent_ms = known[0] + NEW_WEIGHT * (spent_ms - known[0])
-        self._known[service] = (spent_ms, now)
+        self._known[service, priority] = (spent_ms, now)
 
-    def estimate(self, service: str, least_ms: float, now: float) -> float:
+    def estimate(
+        self, service: str, priority: int, least_ms: float, now: float
+    ) -> float:
         """Estimate the time that a stage will take.
 
         :param service: the service.
+        :param priority: the rank; 0 goes first.
         :param least_ms: the time without any wait, in milliseconds.
         :param now: seconds.
         :returns: milliseconds.
         """
-        known = self._known.get(service)
+        known = self._known.get((service, priority))
         if known is None:
             return least_ms
         learned, at = known
