Send what may run once only on connections known to be alive

Change: requests that can't be repeated go on a new connection unless a pooled one carried an answer in the last 0.8 s.

--- a/packages/daemon/bramleyspread_daemon/forward/_passage.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_passage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from typing import Any
 
@@ -46,6 +47,9 @@
 
 #: Most time for reaching a target, in seconds.
 CONNECT_S = 0.25
+#: A connection that carried an answer this lately is known to be alive, in seconds;
+#: what may run once goes on no other.
+LIVE_S = 0.8
 #: When a caller that was refused may come back, in seconds.
 RETRY_S = 0.5
 #: Time that the target itself is thought to need behind the stages, in ms.
@@ -335,10 +339,12 @@
 
     async def _send(self, placed: Placed) -> AttemptEnd:
         hub, request = self._hub, self._request
-        fresh = not self._route.repeatable and self._attempts > 0
+        idle_s = math.inf
+        if not self._route.repeatable:
+            idle_s = 0.0 if self._attempts else LIVE_S
         try:
             connection = await hub.upstream.take(
-                placed.target.address, CONNECT_S, fresh=fresh
+                placed.target.address, CONNECT_S, idle_s=idle_s
             )
         except UnsentError as error:
             return WasNotRun(str(error), reached=False)
--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 from collections.abc import Sequence
 from typing import Any
 
@@ -201,21 +202,22 @@
         self.reused = 0
 
     async def take(
-        self, address: Address, timeout: float, *, fresh: bool = False
+        self, address: Address, timeout: float, *, idle_s: float = math.inf
     ) -> UpstreamConnection:
         """Take an idle connection, or open one.
 
         :param address: the target's address.
         :param timeout: most time for opening one, in seconds.
-        :param fresh: True to open one in any case.
+        :param idle_s: most time that it may have been idle, in seconds; 0 to open
+            one in any case.
         :returns: a connection that belongs to the asker.
         :raises UnsentError: when the target can't be reached in time.
         """
         idle = self._idle.get(address, [])
         now = read_monotonic()
-        while idle and not fresh:
+        while idle and idle_s > 0:
             connection = idle.pop()
-            young = now - connection.idle_since < connection.kept_s
+            young = now - connection.idle_since < min(connection.kept_s, idle_s)
             if young and connection.is_reusable:
                 self.reused += 1
                 return connection
