--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_settings.py
@@ -0,0 +1,88 @@
+"""Settings of the forwarding roles: every fault with its path."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from bramleyspread_core import InvalidFileError
+from bramleyspread_daemon.forward._settings import (
+    ForwardControlSettings,
+    ForwardEntrySettings,
+    load_forward_settings,
+)
+from bramleyspread_daemon.forward._settings_source import SettingsSource
+
+ENTRY = """\
+host: entry-1
+zone: z
+listen_at: "127.0.0.1:7001"
+callers_at: "127.0.0.1:7002"
+ready_at: "127.0.0.1:7003"
+seeds: ["127.0.0.1:7101"]
+revoke_ms: 4000
+"""
+CONTROL = """\
+host: control-1
+zone: z
+listen_at: "127.0.0.1:7101"
+seeds: ["127.0.0.1:7101", "127.0.0.1:7102"]
+data: /tmp/somewhere
+"""
+
+
+def test_sound_settings(tmp_path: Path) -> None:
+    path = tmp_path / "entry.yaml"
+    path.write_text(ENTRY)
+    entry = load_forward_settings(path, ForwardEntrySettings)
+    assert entry.callers.port == 7002
+    assert entry.keys_s == 3.0
+    path.write_text(CONTROL)
+    control = load_forward_settings(path, ForwardControlSettings)
+    assert [each.port for each in control.seed_addresses] == [7101, 7102]
+
+
+def test_keys_are_believed_for_ever_only_where_settings_say_so(tmp_path: Path) -> None:
+    path = tmp_path / "entry.yaml"
+    path.write_text(ENTRY + "fail_closed: false\n")
+    settings = load_forward_settings(path, ForwardEntrySettings)
+    assert settings.keys_s == float("inf")
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "where"),
+    [
+        ('callers_at: "127.0.0.1:7002"', "callers_at: nowhere", "callers_at"),
+        ('ready_at: "127.0.0.1:7003"', 'ready_at: "x:1"', "ready_at"),
+        ('seeds: ["127.0.0.1:7101"]', "seeds: []", "seeds"),
+        ('seeds: ["127.0.0.1:7101"]', "seeds: [x]", "seeds[0]"),
+        ("revoke_ms: 4000", "revoke_ms: soon", "revoke_ms"),
+        ("zone: z\n", "", "zone"),
+    ],
+)
+def test_each_fault_names_its_path(
+    tmp_path: Path, old: str, new: str, where: str
+) -> None:
+    path = tmp_path / "entry.yaml"
+    path.write_text(ENTRY.replace(old, new))
+    with pytest.raises(InvalidFileError) as error:
+        load_forward_settings(path, ForwardEntrySettings)
+    assert where in str(error.value)
+
+
+def test_a_changed_file_is_noticed_and_a_wrong_one_is_not_taken(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / "entry.yaml"
+    path.write_text(ENTRY)
+    source = SettingsSource(path)
+    assert not source.has_changed()
+    path.write_text(ENTRY.replace("7101", "7102") + "# more\n")
+    assert source.has_changed()
+    assert not source.has_changed()
+    settings = source.read()
+    assert settings is not None
+    assert settings.seeds == ("127.0.0.1:7102",)
+    path.write_text("host: 3\n")
+    assert source.read() is None
