Split stages from the passage and rooms from gathering; send a job's inputs once

No change of behaviour but bytes: every piece of a stage has the same inputs, which went with each of them between entry hosts (16 times eight handles a request).

--- a/packages/daemon/bramleyspread_daemon/forward/_passage.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_passage.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
-from typing import Any
 
 import curio
 from loguru import logger
@@ -14,6 +12,7 @@
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import Reply
 from bramleyspread_daemon.forward._hub import ForwardHub
+from bramleyspread_daemon.forward._stage_work import StageWork
 from bramleyspread_daemon.forward._upstream import UpstreamConnection
 from bramleyspread_daemon.forward._wire import (
     CallerWire,
@@ -29,19 +28,12 @@
     ForwardRequest,
     MayHaveRun,
     NoTarget,
-    PieceFault,
-    PieceItem,
-    PieceJob,
-    PieceRelease,
-    PieceResult,
     Placed,
     PlaceQuery,
     PlaceStep,
     RetryBudget,
-    StageRun,
     TargetFailed,
     WasNotRun,
-    find_home,
     may_follow,
 )
 
@@ -52,12 +44,8 @@
 LIVE_S = 0.8
 #: When a caller that was refused may come back, in seconds.
 RETRY_S = 0.5
-#: Time that the target itself is thought to need behind the stages, in ms.
-TARGET_MS = 300.0
-#: From this size on it matters in which zone results lie, in bytes.
-LARGE_BYTES = 1_000_000
-#: The part of a result's life in which it may be waited for.
-LIFE_SHARE = 0.9
+#: The part of the time that stages take now after which it may come back.
+RETRY_SHARE = 0.25
 #: The longest wait of a request whose route and caller name none, in ms.
 DEFAULT_MS = 30_000.0
 
@@ -85,9 +73,9 @@
         self._until = self._begun + min(waits, float(route.timeout_ms)) / 1000
         own_rank = holder.priority if holder is not None else None
         self._priority = route.priority if own_rank is None else own_rank
-        self._stages: StageRun | None = None
-        self._stages_ms = 0.0
-        self._is_released = False
+        self._stages = StageWork(
+            hub, request, route, self._priority, self._begun, self._until
+        )
         self._first_ms = 0.0
         self._longest_ms = 0.0
         self._event_at = 0.0
@@ -121,7 +109,7 @@
         if self._connection is not None:
             connection, self._connection = self._connection, None
             await connection.close()
-        await self._release_inputs()
+        await self._stages.release()
 
     def _log(self, how: str) -> None:
         spent = (read_monotonic() - self._begun) * 1000
@@ -131,7 +119,7 @@
             request=self._request.request,
             route=self._route.name,
             version=self._hub.version,
-            stages_ms=round(self._stages_ms),
+            stages_ms=round(self._stages.spent_ms),
             first_ms=round(self._first_ms),
             pause_ms=round(self._longest_ms),
             ms=round(spent),
@@ -141,11 +129,12 @@
 
     async def _work(self) -> str:
         if self._route.stages:
-            needed_ms = self._estimate_all()
-            if needed_ms > (self._find_patience() - read_monotonic()) * 1000:
+            needed_ms = self._stages.estimate_ms()
+            if needed_ms > self._stages.patience_left_ms:
                 why = f"stages would take {needed_ms:.0f} ms"
-                return self._refuse(503, why, max(RETRY_S, needed_ms / 4000))
-            fault = await self._make_stages()
+                retry_s = max(RETRY_S, needed_ms / 1000 * RETRY_SHARE)
+                return self._refuse(503, why, retry_s)
+            fault = await self._stages.make()
             if fault is not None:
                 return self._refuse(503, f"stage: {fault.value}", RETRY_S)
         service = self._hub.choose_service(self._route, self._request.request)
@@ -164,9 +153,9 @@
                 step="retry", peer=self._tried[-1], request=self._request.request
             ).info(_tell_why(end))
             gone = isinstance(end, WasNotRun) and end.inputs_gone
-            if self._stages is not None and (gone or self._is_released):
-                await self._release_inputs()
-                fault = await self._make_stages()
+            if self._route.stages and (gone or self._stages.is_released):
+                await self._stages.release()
+                fault = await self._stages.make()
                 if fault is not None:
                     return self._conclude(end)
 
@@ -176,127 +165,6 @@
             return True
         return budget.take(read_monotonic(), len(self._hub.list_hosts()))
 
-    async def _make_stages(self) -> PieceFault | None:
-        begun = read_monotonic()
-        self._is_released = False
-        self._stages = StageRun(
-            self._request.request,
-            self._route.stages,
-            self._request.pieces,
-            self._request.piece_key,
-        )
-        try:
-            while not self._stages.is_done:
-                fault = await self._make_ready(self._stages)
-                if fault is not None:
-                    return fault
-                await self._release(self._stages.take_spent())
-        finally:
-            self._stages_ms = (read_monotonic() - begun) * 1000
-        return None
-
-    async def _make_ready(self, stages: StageRun) -> PieceFault | None:
-        """Make all stages that can begin, beside each other."""
-        ready = stages.take_ready()
-        tasks: list[tuple[int, Any]] = []
-        try:
-            for number, service, items in ready:
-                task = await curio.spawn(
-                    self._make_stage, stages, number, service, items
-                )
-                tasks.append((number, task))
-            for number, task in tasks:
-                results: Sequence[PieceResult] = await task.join()
-                stages.finish(number, results)
-                fault = next((x.fault for x in results if x.fault is not None), None)
-                if fault is not None:
-                    return fault
-        finally:
-            for _, task in tasks:
-                await task.cancel(blocking=False)
-        return None
-
-    async def _make_stage(
-        self,
-        stages: StageRun,
-        number: int,
-        service: str,
-        items: tuple[PieceItem, ...],
-    ) -> Sequence[PieceResult]:
-        now = read_monotonic()
-        behind = self._estimate_behind(number)
-        zone, pulled = stages.find_inputs(number)
-        is_bound = pulled >= LARGE_BYTES
-        late_ms = (self._begun - now) * 1000 + self._route.aim_ms - behind
-        remaining_ms = (self._find_patience() - now) * 1000 - behind
-        job = PieceJob(
-            service=service,
-            items=items,
-            remaining_ms=min(remaining_ms, self._find_input_life(number)),
-            aim_ms=late_ms,
-            priority=self._priority,
-            result_bytes=self._route.stages[number].result_bytes,
-            zone=zone if is_bound else self._find_zone(number),
-            is_bound=is_bound,
-        )
-        results = await self._hub.desk.make(job)
-        if late_ms > 0 and all(each.handle for each in results):
-            done = read_monotonic()
-            spent_ms = (done - now) * 1000
-            self._hub.stage_times.note(service, self._priority, spent_ms, done)
-        return results
-
-    def _find_input_life(self, number: int) -> float:
-        """Find how long the inputs of a stage will surely be kept, in ms."""
-        lives = [DEFAULT_MS]
-        for before in self._route.stages[number].after:
-            service = self._hub.find_service(self._route.stages[before].service)
-            if service is not None and service.pieces is not None:
-                lives.append(service.pieces.kept_s * 1000 * LIFE_SHARE)
-        return min(lives)
-
-    def _find_zone(self, number: int) -> str:
-        """Find where a stage's results will be needed, if it matters."""
-        if self._route.stages[number].result_bytes < LARGE_BYTES:
-            return ""
-        service = self._hub.choose_service(self._route, self._request.request)
-        home = find_home(self._request.prompt, self._hub.targets.list_usable(service))
-        return home.zone if home is not None else self._hub.own.zone
-
-    def _find_patience(self) -> float:
-        """Find when the caller will have left without a first event, in seconds."""
-        if not self._route.patience_ms:
-            return self._until
-        return min(self._until, self._begun + self._route.patience_ms / 1000)
-
-    def _estimate_behind(self, number: int) -> float:
-        """Estimate the time that is needed behind a stage, in milliseconds."""
-        longest = 0.0
-        for follower, stage in enumerate(self._route.stages):
-            if number in stage.after:
-                own = self._estimate_stage(follower)
-                longest = max(longest, own + self._estimate_behind(follower))
-        return longest or TARGET_MS
-
-    def _estimate_stage(self, number: int) -> float:
-        """Estimate the time that a stage itself will take, in milliseconds."""
-        name = self._route.stages[number].service
-        service = self._hub.find_service(name)
-        pieces = self._request.pieces[number : number + 1]
-        if service is None or service.pieces is None or not any(pieces):
-            return 0.0
-        limits = service.pieces
-        least = limits.call_ms + min(pieces[0], limits.batch) * limits.piece_ms
-        return self._hub.stage_times.estimate(
-            name, self._priority, least, read_monotonic()
-        )
-
-    def _estimate_all(self) -> float:
-        """Estimate the time until the first event, in milliseconds."""
-        stages = range(len(self._route.stages))
-        alone = [self._estimate_stage(x) + self._estimate_behind(x) for x in stages]
-        return max(alone, default=TARGET_MS)
-
     async def _attempt(self, service: str) -> AttemptEnd:
         placed = await self._hub.place.choose(self._write_query(service))
         if isinstance(placed, NoTarget):
@@ -318,7 +186,7 @@
             zone=self._hub.own.zone,
             prompt=self._request.prompt,
             tried=tuple(self._tried),
-            input_mb=self._stages.measure_inputs() if self._stages else {},
+            input_mb=self._stages.measure_inputs(),
             slack_ms=self._route.aim_ms - spent,
         )
 
@@ -369,15 +237,12 @@
         return end
 
     def _write_terms(self, placed: Placed) -> CallTerms:
-        inputs = None
-        if self._stages is not None:
-            inputs = tuple(each.handle for each in self._stages.inputs)
         return CallTerms(
             target=placed.target.target,
             remaining_ms=max((self._until - read_monotonic()) * 1000, 1.0),
             holder=self._holder.name if self._holder is not None else None,
             priority=self._priority,
-            inputs=inputs,
+            inputs=self._stages.list_inputs(),
             last_event=self._last_event,
         )
 
@@ -422,7 +287,7 @@
                 self._reply.send_piece(event.data)
                 self._last_event = event.event or self._last_event
                 self._note_event()
-            await self._release_inputs()
+            await self._stages.release()
         if not splitter.is_between:
             raise ClosedError("ended in the middle of an event")
         await self._give_back(connection, head)
@@ -459,17 +324,6 @@
         if connection is not None:
             await connection.close()
 
-    async def _release_inputs(self) -> None:
-        """Give up what the stages made, once."""
-        if self._stages is None or self._is_released:
-            return
-        self._is_released = True
-        await self._release(self._stages.take_all())
-
-    async def _release(self, releases: Sequence[PieceRelease]) -> None:
-        for release in releases:
-            await curio.spawn(self._hub.desk.release, release, daemon=True)
-
     def _conclude(self, end: AttemptEnd) -> str:
         """Give the final answer behind the last attempt."""
         if self._reply.begun:
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -28,6 +28,7 @@
     PieceRelease,
     PieceResult,
     PieceResults,
+    ReadyStage,
     StageRun,
 )
 from bramleyspread_forwarding._placement import Placement
@@ -86,6 +87,7 @@
     "Prompt",
     "PromptPart",
     "RawHeaders",
+    "ReadyStage",
     "RetryBudget",
     "Roster",
     "RouteTable",
--- a/packages/forwarding/bramleyspread_forwarding/_gathering.py
+++ b/packages/forwarding/bramleyspread_forwarding/_gathering.py
@@ -20,14 +20,13 @@
     PieceJob,
     PieceResult,
 )
+from bramleyspread_forwarding._rooms import RoomBook
 from bramleyspread_forwarding._targets import ForwardTarget
 
 #: Times that one piece is sent to a target, at most.
 MOST_TRIES = 3
 #: How long a target that had no room or failed is passed over, in seconds.
 PASSED_OVER_S = 0.3
-#: The part of a target's room that is given out; results differ in size.
-ROOM_SHARE = 0.93
 #: A call that isn't answered after this many times its expected length is given up.
 LATE_CALL = 4.0
 
@@ -39,6 +38,10 @@
     item: PieceItem
     #: Time left for it, in milliseconds.
     remaining_ms: float
+    #: What it is made from in a first stage.
+    key: str = ""
+    #: The results that it is made from in a later stage.
+    inputs: tuple[str, ...] = ()
 
 
 class GatheredCall(msgspec.Struct, frozen=True):
@@ -79,17 +82,6 @@
         self.begun = False
 
 
-class _Kept:
-    """A result that takes room at its maker."""
-
-    __slots__ = ("size", "target", "until")
-
-    def __init__(self, target: str, size: int, until: float) -> None:
-        self.target = target
-        self.size = size
-        self.until = until
-
-
 class _Call:
     """A call on its way."""
 
@@ -115,7 +107,7 @@
         self._jobs: dict[int, _Waiting] = {}
         self._calls: dict[int, _Call] = {}
         self._passed_over: dict[str, float] = {}
-        self._kept: dict[str, _Kept] = {}
+        self._rooms = RoomBook()
         self._unwanted: list[str] = []
 
     @property
@@ -186,7 +178,7 @@
         ]
         calls = []
         for target in free:
-            room = self._find_room(target.target, limits, now)
+            room = self._rooms.find_left(target.target, limits, now)
             spare = self._find_spare(targets, limits, now)
             bound = self._find_bound_zones(targets, limits)
             bound.discard(target.zone)
@@ -250,8 +242,11 @@
 
     def release(self, handles: Iterable[str]) -> None:
         """Take note that results are needed no more."""
-        for handle in handles:
-            self._kept.pop(handle, None)
+        self._rooms.release(handles)
+
+    def count_kept_bytes(self, target: str) -> int:
+        """Count the bytes of results that lie at a target, as far as is known."""
+        return self._rooms.count_bytes(target)
 
     def _keep(self, made: _Call, results: Sequence[PieceResult], now: float) -> None:
         for (number, _), result in zip(made.pieces, results, strict=True):
@@ -259,16 +254,7 @@
             if result.handle:
                 size = job.job.result_bytes if job is not None else 0
                 until = now + made.kept_s
-                self._kept[result.handle] = _Kept(made.target.target, size, until)
-
-    def _find_room(self, target: str, limits: PieceLimits, now: float) -> float:
-        """Find the bytes that a target has left for results."""
-        if not limits.room_bytes:
-            return math.inf
-        for handle, kept in tuple(self._kept.items()):
-            if kept.until <= now:
-                del self._kept[handle]
-        return limits.room_bytes * ROOM_SHARE - self.count_kept_bytes(target)
+                self._rooms.keep(result.handle, made.target.target, size, until)
 
     def _find_bound_zones(
         self, targets: Sequence[ForwardTarget], limits: PieceLimits
@@ -294,7 +280,7 @@
         """Find the bytes of room at all targets that no begun job will need."""
         if not limits.room_bytes:
             return math.inf
-        rooms = sum(self._find_room(each.target, limits, now) for each in targets)
+        rooms = sum(self._rooms.find_left(each.target, limits, now) for each in targets)
         promised = sum(
             job.job.result_bytes * sum(each is None for each in job.results)
             for job in self._jobs.values()
@@ -302,10 +288,6 @@
         )
         return rooms - promised
 
-    def count_kept_bytes(self, target: str) -> int:
-        """Count the bytes of results that lie at a target, as far as is known."""
-        return sum(x.size for x in self._kept.values() if x.target == target)
-
     def _estimate_ms(
         self, job: PieceJob, limits: PieceLimits, targets: int, now: float
     ) -> float:
@@ -352,7 +334,7 @@
             size = self._jobs[number].job.result_bytes
             if not self._jobs[number].begun:
                 whole = size * len(self._jobs[number].waiting)
-                if whole > spare and self._kept:
+                if whole > spare and not self._rooms.is_empty:
                     continue
                 spare -= whole
             for index in self._jobs[number].waiting:
@@ -379,7 +361,8 @@
             job.waiting.remove(index)
             job.begun = True
             left = (job.until - now) * 1000
-            items.append(GatheredItem(job.job.items[index], left))
+            item = job.job.items[index]
+            items.append(GatheredItem(item, left, job.job.key, job.job.inputs))
         length = limits.call_ms + len(items) * limits.piece_ms
         longest = max(each.remaining_ms for each in items)
         return GatheredCall(
--- a/packages/forwarding/bramleyspread_forwarding/_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_pieces.py
@@ -27,7 +27,7 @@
     MOVED = "moved"
 
 
-class PieceItem(msgspec.Struct, frozen=True, kw_only=True):
+class PieceItem(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """One piece to be made."""
 
     #: The caller's id of the request that needs it.
@@ -36,10 +36,6 @@
     stage: int
     #: Its number in the stage.
     piece: int
-    #: What it is made from in a first stage.
-    key: str = ""
-    #: The results that it is made from in a later stage.
-    inputs: tuple[str, ...] = ()
 
 
 class PieceJob(msgspec.Struct, frozen=True, kw_only=True):
@@ -52,6 +48,10 @@
     service: str
     #: The pieces.
     items: tuple[PieceItem, ...]
+    #: What each of them is made from in a first stage.
+    key: str = ""
+    #: The results that each of them is made from in a later stage.
+    inputs: tuple[str, ...] = ()
     #: Time left for them, in milliseconds.
     remaining_ms: float
     #: Time left until the request would be late, in milliseconds; may be below 0.
@@ -97,6 +97,21 @@
     handles: tuple[str, ...]
 
 
+class ReadyStage(msgspec.Struct, frozen=True):
+    """A stage of a request that can begin."""
+
+    #: Its number.
+    number: int
+    #: The service that makes it.
+    service: str
+    #: Its pieces.
+    items: tuple[PieceItem, ...]
+    #: What each of them is made from in a first stage.
+    key: str
+    #: The results that each of them is made from in a later stage.
+    inputs: tuple[str, ...]
+
+
 class StageRun:
     """How far the stages of one request have come."""
 
@@ -185,15 +200,15 @@
         zone = max(by_zone, key=lambda each: by_zone[each], default="")
         return zone, sum(by_zone.values()) * self._counts[number]
 
-    def take_ready(self) -> list[tuple[int, str, tuple[PieceItem, ...]]]:
+    def take_ready(self) -> list[ReadyStage]:
         """Take the stages that should begin now.
 
         A stage waits until no longer chain is left to be begun: its results would
         only take room while the chain goes on.
 
-        :returns: number, service and pieces of each.
+        :returns: the stages.
         """
-        ready: list[tuple[int, str, tuple[PieceItem, ...]]] = []
+        ready: list[ReadyStage] = []
         deepest = max(
             (x for n, x in enumerate(self._depths) if n not in self._begun), default=0
         )
@@ -207,25 +222,24 @@
             if not self._counts[number]:
                 self._made[number] = ()
                 return [*ready, *self.take_ready()]
-            ready.append((number, stage.service, self._list_items(number, stage)))
+            ready.append(self._describe(number, stage))
         return ready
 
     def finish(self, number: int, results: Sequence[PieceResult]) -> None:
         """Take the results of a stage."""
         self._made[number] = tuple(results)
 
-    def _list_items(self, number: int, stage: StagePlan) -> tuple[PieceItem, ...]:
+    def _describe(self, number: int, stage: StagePlan) -> ReadyStage:
         before = [each for after in stage.after for each in self._made[after]]
-        inputs = tuple(result.handle for result in before)
-        return tuple(
-            PieceItem(
-                request=self._request,
-                stage=number,
-                piece=piece,
-                key="" if stage.after else self._key,
-                inputs=inputs,
-            )
-            for piece in range(self._counts[number])
+        return ReadyStage(
+            number,
+            stage.service,
+            tuple(
+                PieceItem(request=self._request, stage=number, piece=piece)
+                for piece in range(self._counts[number])
+            ),
+            "" if stage.after else self._key,
+            tuple(result.handle for result in before),
         )
 
     def _find_followed(self) -> set[int]:
--- /dev/null
+++ b/packages/forwarding/bramleyspread_forwarding/_rooms.py
@@ -0,0 +1,70 @@
+"""The room that results take at the targets that made them."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+import msgspec
+
+from bramleyspread_core import PieceLimits
+
+#: The part of a target's room that is given out; results differ in size.
+ROOM_SHARE = 0.93
+
+
+class _Kept(msgspec.Struct, frozen=True):
+    """A result that takes room."""
+
+    #: Its maker.
+    target: str
+    #: About its size, in bytes.
+    size: int
+    #: When its maker forgets it by itself, in seconds.
+    until: float
+
+
+class RoomBook:
+    """Results that lie at targets, as far as one gathering host knows."""
+
+    __slots__ = ("_kept",)
+
+    def __init__(self) -> None:
+        self._kept: dict[str, _Kept] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no result is known to lie anywhere."""
+        return not self._kept
+
+    def keep(self, handle: str, target: str, size: int, until: float) -> None:
+        """Take note of a result.
+
+        :param handle: where it lies.
+        :param target: its maker.
+        :param size: about its size, in bytes.
+        :param until: when its maker forgets it by itself, in seconds.
+        """
+        self._kept[handle] = _Kept(target, size, until)
+
+    def release(self, handles: Iterable[str]) -> None:
+        """Take note that results are gone."""
+        for handle in handles:
+            self._kept.pop(handle, None)
+
+    def find_left(self, target: str, limits: PieceLimits, now: float) -> float:
+        """Find the bytes of room that a target has left.
+
+        :param target: the target.
+        :param limits: how a target works.
+        :param now: seconds.
+        :returns: bytes; infinite when nobody says how much room there is.
+        """
+        if not limits.room_bytes:
+            return math.inf
+        self.release([x for x, kept in self._kept.items() if kept.until <= now])
+        return limits.room_bytes * ROOM_SHARE - self.count_bytes(target)
+
+    def count_bytes(self, target: str) -> int:
+        """Count the bytes of results that lie at a target."""
+        return sum(kept.size for kept in self._kept.values() if kept.target == target)
--- a/packages/forwarding/bramleyspread_forwarding/tests/builders.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/builders.py
@@ -51,12 +51,11 @@
 
 def make_job(request: str, pieces: int, **changes: object) -> PieceJob:
     """Make a job of one request."""
-    items = tuple(
-        PieceItem(request=request, stage=0, piece=at, key="k") for at in range(pieces)
-    )
+    items = tuple(PieceItem(request=request, stage=0, piece=at) for at in range(pieces))
     fields: dict[str, object] = {
         "service": "photos",
         "items": items,
+        "key": "k",
         "remaining_ms": 4_000.0,
         "aim_ms": 1_000.0,
         **changes,
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_pieces.py
@@ -24,24 +24,23 @@
     begun = []
     for pieces in (1, 8):
         ready = run.take_ready()
-        begun.append([number for number, _, _ in ready])
-        finish(run, ready[0][0], pieces)
-    begun.append([number for number, _, _ in run.take_ready()])
+        begun.append([each.number for each in ready])
+        finish(run, ready[0].number, pieces)
+    begun.append([each.number for each in run.take_ready()])
     assert begun == [[1], [2], [0, 3]]
 
 
 def test_inputs_are_all_results_of_the_stages_before() -> None:
     run = StageRun("r", CHAIN_ALONE, (1, 8, 2), "key")
     (first,) = run.take_ready()
-    assert [(x.key, x.inputs) for x in first[2]] == [("key", ())]
+    assert (len(first.items), first.key, first.inputs) == (1, "key", ())
     finish(run, 0, 1)
     (second,) = run.take_ready()
-    assert {x.inputs for x in second[2]} == {("s0-0",)}
-    assert {x.key for x in second[2]} == {""}
+    assert (len(second.items), second.key, second.inputs) == (8, "", ("s0-0",))
     finish(run, 1, 8, "z1")
     assert run.find_inputs(2) == ("z1", 2 * 8 * 60_000)
     (third,) = run.take_ready()
-    assert [len(x.inputs) for x in third[2]] == [8, 8]
+    assert (len(third.items), len(third.inputs)) == (2, 8)
     finish(run, 2, 2)
     assert run.is_done
     assert [x.handle for x in run.inputs] == ["s2-0", "s2-1"]
