--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -127,8 +127,7 @@
         servers = (self.server, self.health, self.public)
         self._process.fill_server_metrics(metrics, *servers)
         for how, number in self.hub.ends.items():
-            name = how.partition(":")[0]
-            metrics.count("requests_total", "Requests by end.", number, end=name)
+            metrics.count("requests_total", "Requests by end.", number, end=how)
         metrics.gauge("requests_in_flight", "Not yet ended.", self.hub.in_flight)
         metrics.gauge("version", "Document in force.", self.hub.version)
         desk = self.hub.desk
--- a/packages/daemon/bramleyspread_daemon/forward/_passage.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_passage.py
@@ -100,7 +100,7 @@
                 how = self._end_late()
         finally:
             self._hub.in_flight -= 1
-            self._hub.ends[how] += 1
+            self._hub.ends[how.partition(":")[0]] += 1
             self._log(how)
             await self._clear()
 
