--- a/packages/daemon/bramleyspread_daemon/forward/_passage.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_passage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import sys
 
 import curio
 from loguru import logger
@@ -98,6 +99,10 @@
                 how = await curio.timeout_after(left, self._work)
             except curio.TaskTimeout:
                 how = self._end_late()
+            except curio.CancelledError:
+                raise
+            except Exception:
+                how = self._end_by_fault()
         finally:
             self._hub.in_flight -= 1
             self._hub.ends[how.partition(":")[0]] += 1
@@ -349,6 +354,15 @@
             return self._refuse(504, "out of time", None)
         return self._refuse(503, "out of time before it was sent", RETRY_S)
 
+    def _end_by_fault(self) -> str:
+        log = logger.bind(step="end", peer="-", request=self._request.request)
+        log.opt(exception=sys.exc_info()).error("a fault inside")
+        if self._reply.begun:
+            self._reply.cut()
+        else:
+            self._refuse(500, "a fault inside; see the log", None)
+        return "fault"
+
     def _refuse(self, status: int, why: str, retry_after_s: float | None) -> str:
         written = self._wire.write_refusal(
             Refusal(status=status, why=why, retry_after_s=retry_after_s)
