--- a/packages/forwarding/bramleyspread_forwarding/_gathering.py
+++ b/packages/forwarding/bramleyspread_forwarding/_gathering.py
@@ -82,13 +82,22 @@
         self.begun = False
 
 
+class _PieceRef(msgspec.Struct, frozen=True):
+    """A piece of a job in work."""
+
+    #: The job's number.
+    job: int
+    #: The piece's place in the job.
+    index: int
+
+
 class _Call:
     """A call on its way."""
 
     __slots__ = ("kept_s", "pieces", "target")
 
     def __init__(
-        self, target: ForwardTarget, pieces: list[tuple[int, int]], kept_s: float
+        self, target: ForwardTarget, pieces: list[_PieceRef], kept_s: float
     ) -> None:
         self.kept_s = kept_s
         self.target = target
@@ -203,8 +212,8 @@
         done = []
         if all(result.fault is PieceFault.ROOM for result in results):
             self._passed_over[made.target.target] = now + PASSED_OVER_S
-        for (number, index), result in zip(made.pieces, results, strict=True):
-            done += self._put(number, index, result, now)
+        for piece, result in zip(made.pieces, results, strict=True):
+            done += self._put(piece, result, now)
         return done
 
     def fail(self, call: int, now: float, *, counts: bool = True) -> list[JobDone]:
@@ -219,8 +228,8 @@
         self._passed_over[made.target.target] = now + PASSED_OVER_S
         fault = PieceFault.ERROR if counts else PieceFault.ROOM
         done = []
-        for number, index in made.pieces:
-            done += self._put(number, index, PieceResult(fault=fault), now)
+        for piece in made.pieces:
+            done += self._put(piece, PieceResult(fault=fault), now)
         return done
 
     def hand_over(self) -> list[JobDone]:
@@ -249,8 +258,8 @@
         return self._rooms.count_bytes(target)
 
     def _keep(self, made: _Call, results: Sequence[PieceResult], now: float) -> None:
-        for (number, _), result in zip(made.pieces, results, strict=True):
-            job = self._jobs.get(number)
+        for piece, result in zip(made.pieces, results, strict=True):
+            job = self._jobs.get(piece.job)
             if result.handle:
                 size = job.job.result_bytes if job is not None else 0
                 until = now + made.kept_s
@@ -311,7 +320,7 @@
         spare: float,
         bound: set[str],
         now: float,
-    ) -> list[tuple[int, int]]:
+    ) -> list[_PieceRef]:
         """Choose the pieces of one call.
 
         A job is begun only when there is room for all its results, and one that
@@ -324,7 +333,7 @@
             late = job.aim < now
             return (not job.begun, late, job.job.priority, away, job.aim)
 
-        chosen: list[tuple[int, int]] = []
+        chosen: list[_PieceRef] = []
         waiting = [
             number
             for number, job in self._jobs.items()
@@ -343,25 +352,25 @@
                 if size > room:
                     break
                 room -= size
-                chosen.append((number, index))
+                chosen.append(_PieceRef(number, index))
         return chosen
 
     def _begin(
         self,
         target: ForwardTarget,
-        pieces: list[tuple[int, int]],
+        pieces: list[_PieceRef],
         limits: PieceLimits,
         now: float,
     ) -> GatheredCall:
         call = next(self._numbers)
         self._calls[call] = _Call(target, pieces, limits.kept_s)
         items = []
-        for number, index in pieces:
-            job = self._jobs[number]
-            job.waiting.remove(index)
+        for piece in pieces:
+            job = self._jobs[piece.job]
+            job.waiting.remove(piece.index)
             job.begun = True
             left = (job.until - now) * 1000
-            item = job.job.items[index]
+            item = job.job.items[piece.index]
             items.append(GatheredItem(item, left, job.job.key, job.job.inputs))
         length = limits.call_ms + len(items) * limits.piece_ms
         longest = max(each.remaining_ms for each in items)
@@ -369,10 +378,8 @@
             call, target, tuple(items), min(longest, length * LATE_CALL)
         )
 
-    def _put(
-        self, number: int, index: int, result: PieceResult, now: float
-    ) -> list[JobDone]:
-        job = self._jobs.get(number)
+    def _put(self, piece: _PieceRef, result: PieceResult, now: float) -> list[JobDone]:
+        job = self._jobs.get(piece.job)
         if job is None:
             if result.handle:
                 self._unwanted.append(result.handle)
@@ -380,16 +387,16 @@
         again = result.fault in (PieceFault.ROOM, PieceFault.ERROR)
         if again and job.tries < MOST_TRIES * len(job.results) and now < job.until:
             job.tries += 1
-            job.waiting.append(index)
+            job.waiting.append(piece.index)
             return []
         if result.fault is not None:
-            return [self._give_up(number, result.fault)]
-        job.results[index] = result
+            return [self._give_up(piece.job, result.fault)]
+        job.results[piece.index] = result
         whole = [each for each in job.results if each is not None]
         if len(whole) < len(job.results):
             return []
-        del self._jobs[number]
-        return [JobDone(number, tuple(whole))]
+        del self._jobs[piece.job]
+        return [JobDone(piece.job, tuple(whole))]
 
     def _give_up(self, number: int, fault: PieceFault) -> JobDone:
         job = self._jobs.pop(number)
--- a/packages/forwarding/bramleyspread_forwarding/_placement.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement.py
@@ -6,6 +6,8 @@
 from itertools import count
 from random import Random
 
+import msgspec
+
 from bramleyspread_core import EngineLimits
 from bramleyspread_forwarding._accounts import TargetAccount
 from bramleyspread_forwarding._homes import find_home, list_shared
@@ -43,6 +45,17 @@
 CHARGE_S = 40.0
 
 
+class _Charge(msgspec.Struct, frozen=True):
+    """A request on a target's account."""
+
+    #: What was chosen for it.
+    placed: Placed
+    #: When, in seconds.
+    at: float
+    #: Whether its prompt was read.
+    is_read: bool = False
+
+
 class Placement:
     """Chooses targets by work in flight, load reports, shared prompts and zone.
 
@@ -53,7 +66,7 @@
     def __init__(self, rng: Random) -> None:
         self._rng = rng
         self._accounts: dict[str, TargetAccount] = {}
-        self._charges: dict[int, tuple[Placed, float, bool]] = {}
+        self._charges: dict[int, _Charge] = {}
         self._tickets = count(rng.getrandbits(40) << 20)
 
     def choose(
@@ -109,26 +122,21 @@
 
     def expire(self, now: float) -> None:
         """Drop the charges whose end nobody told."""
-        for ticket, (placed, at, _) in tuple(self._charges.items()):
-            if now - at > CHARGE_S:
-                target = placed.target.target
+        for ticket, charge in tuple(self._charges.items()):
+            if now - charge.at > CHARGE_S:
+                target = charge.placed.target.target
                 step = PlaceStep(ticket=ticket, target=target, ended=True)
                 self.take_step(step, now)
 
-    def _settle(
-        self,
-        charge: tuple[Placed, float, bool],
-        step: PlaceStep,
-        account: TargetAccount,
-    ) -> None:
-        placed, at, is_read = charge
-        if not is_read and (step.began or step.ended):
+    def _settle(self, charge: _Charge, step: PlaceStep, account: TargetAccount) -> None:
+        placed = charge.placed
+        if not charge.is_read and (step.began or step.ended):
             account.note_read(placed.reading)
         if step.ended:
             account.settle(placed.tokens)
             del self._charges[placed.ticket]
         elif step.began:
-            self._charges[placed.ticket] = (placed, at, True)
+            self._charges[placed.ticket] = _Charge(placed, charge.at, is_read=True)
 
     def _find(self, target: ForwardTarget) -> TargetAccount:
         return self._accounts.setdefault(target.target, TargetAccount())
@@ -137,7 +145,7 @@
         account = self._find(placed.target)
         account.note_parts(parts, now)
         account.charge(placed.reading, placed.tokens)
-        self._charges[placed.ticket] = (placed, now, False)
+        self._charges[placed.ticket] = _Charge(placed, now)
 
     def _weigh(
         self,
