--- a/packages/forwarding/bramleyspread_forwarding/_gathering.py
+++ b/packages/forwarding/bramleyspread_forwarding/_gathering.py
@@ -69,7 +69,17 @@
 class _Waiting:
     """A job in work."""
 
-    __slots__ = ("aim", "begun", "job", "results", "stays", "tries", "until", "waiting")
+    __slots__ = (
+        "aim",
+        "begun",
+        "job",
+        "missing",
+        "results",
+        "stays",
+        "tries",
+        "until",
+        "waiting",
+    )
 
     def __init__(self, job: PieceJob, now: float, stays: bool) -> None:
         self.job = job
@@ -78,6 +88,7 @@
         self.aim = now + job.aim_ms / 1000
         self.results: list[PieceResult | None] = [None] * len(job.items)
         self.waiting = list(range(len(job.items)))
+        self.missing = len(job.items)
         self.tries = 0
         self.begun = False
 
@@ -176,6 +187,8 @@
         :param now: seconds.
         :returns: the calls.
         """
+        if not any(job.waiting for job in self._jobs.values()):
+            return []
         busy: dict[str, int] = {}
         for call in self._calls.values():
             busy[call.target.target] = busy.get(call.target.target, 0) + 1
@@ -185,12 +198,15 @@
             if busy.get(each.target, 0) < limits.slots
             and self._passed_over.get(each.target, 0.0) <= now
         ]
+        if not free:
+            return []
         calls = []
+        self._rooms.forget(now)
+        all_bound = self._find_bound_zones(targets, limits)
         for target in free:
-            room = self._rooms.find_left(target.target, limits, now)
-            spare = self._find_spare(targets, limits, now)
-            bound = self._find_bound_zones(targets, limits)
-            bound.discard(target.zone)
+            room = self._rooms.find_left(target.target, limits)
+            spare = self._find_spare(targets, limits)
+            bound = all_bound - {target.zone}
             pieces = self._choose_pieces(target, limits, room, spare, bound, now)
             if not pieces:
                 continue
@@ -284,14 +300,14 @@
         }
 
     def _find_spare(
-        self, targets: Sequence[ForwardTarget], limits: PieceLimits, now: float
+        self, targets: Sequence[ForwardTarget], limits: PieceLimits
     ) -> float:
         """Find the bytes of room at all targets that no begun job will need."""
         if not limits.room_bytes:
             return math.inf
-        rooms = sum(self._rooms.find_left(each.target, limits, now) for each in targets)
+        rooms = sum(self._rooms.find_left(each.target, limits) for each in targets)
         promised = sum(
-            job.job.result_bytes * sum(each is None for each in job.results)
+            job.job.result_bytes * job.missing
             for job in self._jobs.values()
             if job.begun
         )
@@ -392,9 +408,10 @@
         if result.fault is not None:
             return [self._give_up(piece.job, result.fault)]
         job.results[piece.index] = result
-        whole = [each for each in job.results if each is not None]
-        if len(whole) < len(job.results):
+        job.missing -= 1
+        if job.missing:
             return []
+        whole = [each for each in job.results if each is not None]
         del self._jobs[piece.job]
         return [JobDone(piece.job, tuple(whole))]
 
--- a/packages/forwarding/bramleyspread_forwarding/_rooms.py
+++ b/packages/forwarding/bramleyspread_forwarding/_rooms.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 
 import msgspec
@@ -27,10 +28,11 @@
 class RoomBook:
     """Results that lie at targets, as far as one gathering host knows."""
 
-    __slots__ = ("_kept",)
+    __slots__ = ("_bytes", "_kept")
 
     def __init__(self) -> None:
         self._kept: dict[str, _Kept] = {}
+        self._bytes: Counter[str] = Counter()
 
     @property
     def is_empty(self) -> bool:
@@ -45,26 +47,35 @@
         :param size: about its size, in bytes.
         :param until: when its maker forgets it by itself, in seconds.
         """
+        self.release((handle,))
         self._kept[handle] = _Kept(target, size, until)
+        self._bytes[target] += size
 
     def release(self, handles: Iterable[str]) -> None:
         """Take note that results are gone."""
         for handle in handles:
-            self._kept.pop(handle, None)
+            kept = self._kept.pop(handle, None)
+            if kept is not None:
+                self._bytes[kept.target] -= kept.size
 
-    def find_left(self, target: str, limits: PieceLimits, now: float) -> float:
+    def forget(self, now: float) -> None:
+        """Drop what its makers have forgotten by themselves.
+
+        :param now: seconds.
+        """
+        self.release([x for x, kept in self._kept.items() if kept.until <= now])
+
+    def find_left(self, target: str, limits: PieceLimits) -> float:
         """Find the bytes of room that a target has left.
 
         :param target: the target.
         :param limits: how a target works.
-        :param now: seconds.
         :returns: bytes; infinite when nobody says how much room there is.
         """
         if not limits.room_bytes:
             return math.inf
-        self.release([x for x, kept in self._kept.items() if kept.until <= now])
         return limits.room_bytes * ROOM_SHARE - self.count_bytes(target)
 
     def count_bytes(self, target: str) -> int:
         """Count the bytes of results that lie at a target."""
-        return sum(kept.size for kept in self._kept.values() if kept.target == target)
+        return self._bytes[target]
