--- a/packages/daemon/bramleyspread_daemon/_pool.py
+++ b/packages/daemon/bramleyspread_daemon/_pool.py
@@ -121,6 +121,7 @@
         body: bytes,
         timeout: float,
         method: str = "POST",
+        connect_timeout: float = CONNECT_S,
     ) -> Response:
         """Make one request with a whole response.
 
@@ -129,12 +130,13 @@
         :param body: JSON.
         :param timeout: most time for it, in seconds.
         :param method: the method.
+        :param connect_timeout: most time for opening a connection, in seconds.
         :returns: the response.
         :raises UnsentError: when no byte of the request left.
         :raises ClosedError: when the response did not come whole in time; the
             connection, and idle ones as old as it, are dropped.
         """
-        connection = await self.take(address, timeout=min(timeout, CONNECT_S))
+        connection = await self.take(address, timeout=min(timeout, connect_timeout))
         whole = False
         try:
             response: Response = await curio.timeout_after(
--- a/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
@@ -6,36 +6,38 @@
 from collections.abc import Callable, Sequence
 
 import curio
-import h11
 import msgspec
 from loguru import logger
 
 from bramleyspread_core import (
-    Address,
     MessageError,
     PieceLimits,
     decode_json,
     encode_json,
 )
-from bramleyspread_daemon._client import ClosedError, Response, UnsentError, fetch
+from bramleyspread_daemon._client import ClosedError, UnsentError
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._pool import ConnectionPool
 from bramleyspread_daemon._refusal import write_refusal
-from bramleyspread_daemon.forward._upstream import UpstreamPool
-from bramleyspread_daemon.forward._wire import PiecesTurnedAway, TargetWire, WireCall
+from bramleyspread_daemon.forward._piece_calls import (
+    Answer,
+    OutcomeUnknown,
+    PieceCalls,
+)
+from bramleyspread_daemon.forward._wire import PiecesTurnedAway
 from bramleyspread_forwarding import (
     EntryHost,
     ForwardTarget,
     GatheredCall,
     Gatherer,
     JobDone,
+    Owners,
     PieceFault,
     PieceJob,
     PieceRelease,
     PieceResult,
     PieceResults,
-    find_gatherer,
 )
 
 #: Where entry hosts ask each other for pieces.
@@ -46,24 +48,16 @@
 MOST_OWNERS = 3
 #: Pause before the host that gathers by now is asked, in seconds.
 MOVED_S = 0.02
-#: How long a host gathers on after others seem to ask another one, in seconds.
-HAND_OVER_S = 0.3
-#: How long a host that didn't answer isn't asked, in seconds.
-AVOIDED_S = 1.5
 #: How often waiting jobs are looked through, in seconds.
 TICK_S = 0.05
 #: Time for the answer behind a job's own time, in milliseconds.
 ANSWER_MS = 120.0
 #: Where entry hosts tell each other that results are needed no more.
 RELEASE_PATH = "/v1/pieces-release"
-#: Most time for giving results up, in seconds.
+#: Most time for telling another host that results are needed no more, in seconds.
 RELEASE_S = 1.0
 
 
-#: Results, that there are none, or why nobody knows.
-Answer = tuple[PieceResult, ...] | PiecesTurnedAway | str
-
-
 class _Job:
     """A job that somebody waits for."""
 
@@ -98,19 +92,15 @@
         self,
         host: str,
         view: ServiceView,
-        wire: TargetWire,
+        targets: PieceCalls,
         peers: ConnectionPool,
-        targets: UpstreamPool,
     ) -> None:
-        self._host = host
         self._view = view
-        self._wire = wire
         self._peers = peers
         self._targets = targets
         self._gatherers: dict[str, Gatherer] = {}
         self._jobs: dict[tuple[str, int], _Job] = {}
-        self._avoided: dict[str, float] = {}
-        self._owned_at: dict[str, float] = {}
+        self._owners = Owners(host)
         #: Calls made to targets.
         self.calls = 0
         #: Pieces in them.
@@ -124,8 +114,8 @@
         """
         begun = read_monotonic()
         for _ in range(MOST_OWNERS):
-            owner = self._find_owner(job.service, read_monotonic())
-            if owner is None or owner.host == self._host:
+            owner = self._find_owner(job.service)
+            if owner is None:
                 break
             results = await self._ask(owner, _shorten(job, begun))
             if results is not None and not _is_moved(results):
@@ -133,68 +123,40 @@
             if results is not None:
                 await curio.sleep(MOVED_S)
                 continue
-            self._avoided[owner.host] = read_monotonic() + AVOIDED_S
+            self._owners.avoid(owner, read_monotonic())
             logger.bind(step="gather", peer=owner.host).warning("no answer")
-        owner = self._find_owner(job.service, read_monotonic())
-        stays = owner is None or owner.host != self._host
+        stays = self._find_owner(job.service) is not None
         results = await self._make_here(_shorten(job, begun), stays=stays)
         if _is_moved(results):
             return await self._make_here(_shorten(job, begun), stays=True)
         return results
 
-    def _find_owner(self, service: str, now: float) -> EntryHost | None:
-        hosts = [
-            each
-            for each in self._view.list_hosts()
-            if self._avoided.get(each.host, 0.0) <= now
-        ]
-        return find_gatherer(service, hosts)
-
-    def _is_owner(self, service: str, now: float) -> bool:
-        """Whether this host gathers for a service, or did until a moment ago."""
-        owner = self._find_owner(service, now)
-        if owner is None or owner.host == self._host:
-            self._owned_at[service] = now
-        return now - self._owned_at.get(service, now) < HAND_OVER_S
+    def _find_owner(self, service: str) -> EntryHost | None:
+        """Find the host to ask; None when it is this one."""
+        return self._owners.find_other(
+            service, self._view.list_hosts(), read_monotonic()
+        )
 
     async def _ask(
         self, owner: EntryHost, job: PieceJob
     ) -> tuple[PieceResult, ...] | None:
-        body = encode_json(job)
+        limit = (max(job.remaining_ms, 0.0) + ANSWER_MS) / 1000
         try:
-            response = await self._ask_once(owner.address, body, job.remaining_ms)
+            response = await self._peers.ask(
+                owner.address,
+                PIECES_PATH,
+                encode_json(job),
+                limit,
+                connect_timeout=REACH_S,
+            )
             if response.status != 200:
                 return None
             answer: PieceResults = decode_json(response.body, PieceResults)
-        except (UnsentError, ClosedError, MessageError, h11.ProtocolError):
+        except (UnsentError, ClosedError, MessageError):
             return None
         fits = len(answer.results) == len(job.items)
         return answer.results if fits else None
 
-    async def _ask_once(
-        self, address: Address, body: bytes, remaining_ms: float
-    ) -> Response:
-        connection = await self._peers.take(address, timeout=REACH_S)
-        whole = False
-        try:
-            response: Response = await curio.timeout_after(
-                (max(remaining_ms, 0.0) + ANSWER_MS) / 1000,
-                fetch,
-                connection,
-                "POST",
-                PIECES_PATH,
-                body,
-            )
-            whole = True
-        except curio.TaskTimeout:
-            raise ClosedError("no answer in time") from None
-        finally:
-            if whole:
-                await self._peers.give_back(connection)
-            else:
-                await connection.close()
-        return response
-
     async def serve(self, http: HttpRequest, reply: Reply) -> None:
         """Answer another host's question for pieces."""
         try:
@@ -248,15 +210,10 @@
     async def _run_call(self, service: str, call: GatheredCall) -> None:
         gatherer = self._gatherers[service]
         begun = read_monotonic()
-        try:
-            answer: Answer = await self._call(call)
-        except UnsentError as error:
-            answer = PiecesTurnedAway(str(error))
-        except (ClosedError, MessageError) as error:
-            answer = str(error)
+        answer = await self._targets.make(call)
         now = read_monotonic()
-        if isinstance(answer, str):
-            self._log_failure(call, answer)
+        if isinstance(answer, OutcomeUnknown):
+            self._log_failure(call, answer.why)
             done = gatherer.fail(call.call, now)
         elif isinstance(answer, PiecesTurnedAway):
             self._log_failure(call, answer.why)
@@ -279,42 +236,6 @@
         await self._give_up_unwanted(service)
         await self._pump(service)
 
-    async def _call(
-        self, call: GatheredCall
-    ) -> tuple[PieceResult, ...] | PiecesTurnedAway:
-        written = self._wire.write_pieces(call)
-        limit = max(call.timeout_ms, 1.0) / 1000
-        try:
-            status, body = await curio.timeout_after(
-                limit, self._post, call.target.address, written
-            )
-        except curio.TaskTimeout:
-            await self._targets.drop(call.target.address)
-            raise ClosedError(f"no answer within {limit:.3f} s") from None
-        return self._wire.read_pieces(call, status, body)
-
-    async def _post(self, address: Address, call: WireCall) -> tuple[int, bytes]:
-        connection = await self._targets.take(address, REACH_S)
-        whole = False
-        keep_s: float | None = None
-        try:
-            headers = [
-                (b"Host", str(address).encode()),
-                *call.headers,
-                (b"Content-Length", str(len(call.body)).encode()),
-            ]
-            await connection.send("POST", call.path, headers, call.body)
-            head = await connection.read_head()
-            keep_s = self._wire.read_head(head.status_code, head.headers).keep_s
-            body = await connection.read_body()
-            whole = True
-        finally:
-            if whole:
-                await self._targets.give_back(connection, keep_s)
-            else:
-                await connection.close()
-        return head.status_code, body
-
     def _log_failure(self, call: GatheredCall, why: str) -> None:
         peer = call.target.target
         logger.bind(step="gather", peer=peer).warning(
@@ -333,7 +254,7 @@
         for service, gatherer in tuple(self._gatherers.items()):
             now = read_monotonic()
             await self._end(service, gatherer.expire(now))
-            if not self._is_owner(service, now):
+            if not self._owners.may_keep(service, self._view.list_hosts(), now):
                 await self._end(service, gatherer.hand_over())
             if gatherer.waiting_pieces:
                 await self._pump(service)
@@ -349,8 +270,8 @@
 
         :param release: the results.
         """
-        owner = self._find_owner(release.service, read_monotonic())
-        if owner is None or owner.host == self._host:
+        owner = self._find_owner(release.service)
+        if owner is None:
             await self._release_here(release)
             return
         try:
@@ -370,16 +291,7 @@
         await curio.spawn(self._release_here, release, daemon=True)
 
     async def _release_here(self, release: PieceRelease) -> None:
-        by_maker: dict[str, list[str]] = {}
-        for handle in release.handles:
-            by_maker.setdefault(self._wire.find_maker(handle), []).append(handle)
-        for maker, theirs in by_maker.items():
-            call = self._wire.write_release(theirs)
-            try:
-                address = Address.from_text(maker)
-                await curio.timeout_after(RELEASE_S, self._post, address, call)
-            except (UnsentError, ClosedError, ValueError, curio.TaskTimeout) as error:
-                logger.bind(step="release", peer=maker).debug(f"not told: {error}")
+        await self._targets.release(release.handles)
         gatherer = self._gatherers.get(release.service)
         if gatherer is not None:
             gatherer.release(release.handles)
--- a/packages/daemon/bramleyspread_daemon/forward/_hub.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_hub.py
@@ -15,6 +15,7 @@
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._pool import ConnectionPool
 from bramleyspread_daemon.forward._gather_desk import GatherDesk, ServiceView
+from bramleyspread_daemon.forward._piece_calls import PieceCalls
 from bramleyspread_daemon.forward._place_desk import PlaceDesk
 from bramleyspread_daemon.forward._settings import ForwardEntrySettings
 from bramleyspread_daemon.forward._upstream import UpstreamPool
@@ -79,9 +80,8 @@
         self.desk = GatherDesk(
             settings.host,
             ServiceView(self.targets.list_usable, self._find_pieces, self.list_hosts),
-            wire,
+            PieceCalls(wire, self.upstream),
             peers,
-            self.upstream,
         )
         #: Requests by how they ended.
         self.ends: Counter[str] = Counter()
--- a/packages/daemon/bramleyspread_daemon/forward/_place_desk.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_place_desk.py
@@ -26,12 +26,12 @@
     EntryHost,
     ForwardTarget,
     NoTarget,
+    Owners,
     Placed,
     Placement,
     PlaceQuery,
     PlaceReport,
     PlaceStep,
-    find_gatherer,
 )
 
 #: Where entry hosts ask each other for targets.
@@ -44,8 +44,6 @@
 TELL_S = 0.5
 #: Hosts that are asked for one choice, one after the other, before it is made here.
 MOST_PLACERS = 2
-#: How long a host that didn't answer isn't asked, in seconds.
-AVOIDED_S = 1.5
 #: How often other hosts are told, in seconds.
 TICK_S = 0.05
 
@@ -62,13 +60,12 @@
         list_hosts: Callable[[], Sequence[EntryHost]],
         peers: ConnectionPool,
     ) -> None:
-        self._own = own
         self._placement = placement
         self._list_targets = list_targets
         self._find_service = find_service
         self._list_hosts = list_hosts
         self._peers = peers
-        self._avoided: dict[str, float] = {}
+        self._owners = Owners(own.host)
         self._placers: dict[int, EntryHost] = {}
         self._untold: dict[EntryHost, list[PlaceStep]] = {}
 
@@ -80,12 +77,12 @@
         """
         for _ in range(MOST_PLACERS):
             placer = self._find_placer(query.service)
-            if placer is None or placer.host == self._own.host:
+            if placer is None:
                 break
             answer = await self._ask(placer, query)
             if answer is not None:
                 return answer
-            self._avoided[placer.host] = read_monotonic() + AVOIDED_S
+            self._owners.avoid(placer, read_monotonic())
             logger.bind(step="place", peer=placer.host).warning("no answer")
         return self._choose_here(query)
 
@@ -103,13 +100,7 @@
         found = self._find_service(service)
         if found is None or found.engine is None:
             return None
-        now = read_monotonic()
-        hosts = [
-            each
-            for each in self._list_hosts()
-            if self._avoided.get(each.host, 0.0) <= now
-        ]
-        return find_gatherer(service, hosts)
+        return self._owners.find_other(service, self._list_hosts(), read_monotonic())
 
     def _choose_here(self, query: PlaceQuery) -> Placed | NoTarget:
         targets = self._list_targets(query.service)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_gather_desk.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_gather_desk.py
@@ -15,6 +15,7 @@
     GatherDesk,
     ServiceView,
 )
+from bramleyspread_daemon.forward._piece_calls import PieceCalls
 from bramleyspread_daemon.forward._upstream import UpstreamPool
 from bramleyspread_daemon.forward._wire import PiecesTurnedAway, TargetHead, WireCall
 from bramleyspread_daemon.tests.loopback import (
@@ -83,7 +84,8 @@
     targets = (ForwardTarget("t", target, "z", 1),)
     view = ServiceView(lambda _: targets, lambda _: LIMITS, lambda: hosts)
     pool = ConnectionPool(ProcessClock())
-    return GatherDesk(own, view, cast("Any", CountWire()), pool, UpstreamPool())
+    calls = PieceCalls(cast("Any", CountWire()), UpstreamPool())
+    return GatherDesk(own, view, calls, pool)
 
 
 def test_pieces_are_made_here_where_this_host_gathers() -> None:
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -20,7 +20,7 @@
     WasNotRun,
     may_follow,
 )
-from bramleyspread_forwarding._owners import find_gatherer
+from bramleyspread_forwarding._owners import Owners, find_owner
 from bramleyspread_forwarding._pieces import (
     PieceFault,
     PieceItem,
@@ -73,6 +73,7 @@
     "MalformedRequest",
     "MayHaveRun",
     "NoTarget",
+    "Owners",
     "PieceFault",
     "PieceItem",
     "PieceJob",
@@ -102,7 +103,7 @@
     "TargetRegistry",
     "TargetTable",
     "WasNotRun",
-    "find_gatherer",
+    "find_owner",
     "find_home",
     "may_follow",
 ]
