--- a/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
@@ -192,7 +192,7 @@
             await waiting.ended.wait()
             return waiting.results
         finally:
-            gatherer.cancel(number)
+            gatherer.jobs.cancel(number)
             self._jobs.pop((job.service, number), None)
             await self._give_up_unwanted(job.service)
 
@@ -226,7 +226,7 @@
             service=service,
             pieces=len(call.items),
             requests=len({each.item.request for each in call.items}),
-            waiting=gatherer.waiting_pieces,
+            waiting=gatherer.jobs.waiting_pieces,
             running=gatherer.calls_running,
             ms=round((now - begun) * 1000),
             kept_bytes=gatherer.count_kept_bytes(call.target.target),
@@ -253,14 +253,14 @@
         """Give up what is late, and try what was passed over."""
         for service, gatherer in tuple(self._gatherers.items()):
             now = read_monotonic()
-            await self._end(service, gatherer.expire(now))
+            await self._end(service, gatherer.jobs.expire(now))
             if not self._owners.may_keep(service, self._view.list_hosts(), now):
-                await self._end(service, gatherer.hand_over())
-            if gatherer.waiting_pieces:
+                await self._end(service, gatherer.jobs.hand_over())
+            if gatherer.jobs.waiting_pieces:
                 await self._pump(service)
 
     async def _give_up_unwanted(self, service: str) -> None:
-        unwanted = self._gatherers[service].take_unwanted()
+        unwanted = self._gatherers[service].jobs.take_unwanted()
         if unwanted:
             release = PieceRelease(service, unwanted)
             await curio.spawn(self._release_here, release, daemon=True)
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -7,7 +7,6 @@
     GatheredCall,
     GatheredItem,
     Gatherer,
-    JobDone,
 )
 from bramleyspread_forwarding._homes import find_home
 from bramleyspread_forwarding._keys import KeyRing, KeysStale, KeyUnknown
@@ -21,6 +20,7 @@
     may_follow,
 )
 from bramleyspread_forwarding._owners import Owners, find_owner
+from bramleyspread_forwarding._piece_queue import JobDone
 from bramleyspread_forwarding._pieces import (
     PieceFault,
     PieceItem,
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_gathering.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_gathering.py
@@ -47,7 +47,7 @@
             while self._held and self._held[0][0] <= self.now:
                 self.gatherer.release(heapq.heappop(self._held)[1])
             self._finish_calls()
-            for done in self.gatherer.expire(self.now):
+            for done in self.gatherer.jobs.expire(self.now):
                 self.ended[done.job] = (self.now, done.results)
             for call in self.gatherer.dispatch(TARGETS, self.limits, self.now):
                 length = self.limits.call_ms + len(call.items) * self.limits.piece_ms
@@ -155,7 +155,7 @@
     (call,) = gatherer.dispatch(TARGETS, LIMITS, 0.0)
     done = gatherer.finish(call.call, [PieceResult(fault=fault)], 0.1)
     assert (not done) is again
-    assert gatherer.waiting_pieces == int(again)
+    assert gatherer.jobs.waiting_pieces == int(again)
 
 
 def test_a_target_that_did_not_answer_is_passed_over_for_a_while() -> None:
@@ -181,11 +181,11 @@
     first, second = gatherer.dispatch(TARGETS, LIMITS, 0.0)
     early = make_results(len(first.items))
     gatherer.finish(first.call, early, 0.1)
-    gatherer.cancel(number)
+    gatherer.jobs.cancel(number)
     late = make_results(len(second.items))
     gatherer.finish(second.call, late, 0.2)
-    assert set(gatherer.take_unwanted()) == {x.handle for x in (*early, *late)}
-    assert gatherer.take_unwanted() == ()
+    assert set(gatherer.jobs.take_unwanted()) == {x.handle for x in (*early, *late)}
+    assert gatherer.jobs.take_unwanted() == ()
 
 
 def test_jobs_not_begun_go_to_the_host_that_gathers_by_now() -> None:
@@ -194,6 +194,6 @@
         gatherer.add(make_job(name, 7), LIMITS, 3, 0.0)
     gatherer.add(make_job("stays", 1), LIMITS, 3, 0.0, stays=True)
     gatherer.dispatch(TARGETS[:1], LIMITS, 0.0)
-    (moved,) = gatherer.hand_over()
+    (moved,) = gatherer.jobs.hand_over()
     assert {x.fault for x in moved.results} == {PieceFault.MOVED}
-    assert gatherer.waiting_pieces == 1
+    assert gatherer.jobs.waiting_pieces == 1
