--- a/packages/daemon/bramleyspread_daemon/forward/_hub.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -14,9 +14,9 @@
 )
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._pool import ConnectionPool
-from bramleyspread_daemon.forward._gather_desk import GatherDesk, ServiceView
 from bramleyspread_daemon.forward._piece_calls import PieceCalls
-from bramleyspread_daemon.forward._place_desk import PlaceDesk
+from bramleyspread_daemon.forward._piece_service import PieceService, ServiceView
+from bramleyspread_daemon.forward._placement_service import PlacementService
 from bramleyspread_daemon.forward._settings import ForwardEntrySettings
 from bramleyspread_daemon.forward._upstream import UpstreamPool
 from bramleyspread_daemon.forward._wire import TargetWire
@@ -25,9 +25,9 @@
     FeedPage,
     FeedQuery,
     KeyRing,
+    LiveHosts,
     Placement,
     RetryBudget,
-    Roster,
     RouteTable,
     StageTimes,
     TargetTable,
@@ -37,7 +37,7 @@
 HOST_S = 1.5
 
 
-class ForwardHub:
+class ForwardContext:
     """The document in force, the targets, and the decisions about them."""
 
     def __init__(
@@ -50,7 +50,7 @@
     ) -> None:
         self._settings = settings
         self._budgets: dict[str, RetryBudget] = {}
-        self._roster = Roster(HOST_S)
+        self._live_hosts = LiveHosts(HOST_S)
         #: This host, as others know it.
         self.own = EntryHost(
             settings.host, settings.zone, settings.listen.address, started
@@ -64,7 +64,7 @@
         #: The targets.
         self.targets = TargetTable()
         #: Where requests go.
-        self.place = PlaceDesk(
+        self.placement = PlacementService(
             self.own,
             Placement(rng),
             self.targets.list_usable,
@@ -77,7 +77,7 @@
         #: Connections to targets.
         self.upstream = UpstreamPool()
         #: Makes the pieces of stages.
-        self.desk = GatherDesk(
+        self.piece_service = PieceService(
             settings.host,
             ServiceView(self.targets.list_usable, self._find_pieces, self.list_hosts),
             PieceCalls(wire, self.upstream),
@@ -119,7 +119,7 @@
             self.keys.confirm(asked_at)
         self.targets.apply(control, page, now)
         for host in page.entries:
-            self._roster.note(host, now)
+            self._live_hosts.note(host, now)
 
     async def tick(self) -> None:
         """Let time pass."""
@@ -132,8 +132,8 @@
     def list_hosts(self) -> tuple[EntryHost, ...]:
         """List the entry hosts that are there, this one included."""
         now = read_monotonic()
-        self._roster.note(self.own, now)
-        return self._roster.list_present(now)
+        self._live_hosts.note(self.own, now)
+        return self._live_hosts.list_present(now)
 
     def find_service(self, name: str) -> ForwardService | None:
         """Find a service of the document in force."""
--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -36,7 +36,7 @@
 from bramleyspread_forwarding import (
     FeedPage,
     FeedQuery,
-    Roster,
+    LiveHosts,
     TargetNotice,
     TargetRegistry,
 )
@@ -99,7 +99,7 @@
         self._own = own
         self._life = life
         self._askers: list[_Asker] = []
-        self._roster = Roster(HOST_S)
+        self._live_hosts = LiveHosts(HOST_S)
         self._propose: Propose = _refuse_all
         #: The targets that this host has heard.
         self.registry = TargetRegistry(heartbeat_s)
@@ -173,7 +173,7 @@
             reply.send(400, write_refusal(400, str(error)))
             return
         now = read_monotonic()
-        self._roster.note(query.asker, now)
+        self._live_hosts.note(query.asker, now)
         asker = _Asker(query, reply, now + FEED_WAIT_S)
         if self._has_news(query):
             self._answer(asker, now)
@@ -216,7 +216,7 @@
             version=version,
             confirmed=self._node.confirms_deployment(now),
             control=self._node.list_members(),
-            entries=self._roster.list_present(now),
+            entries=self._live_hosts.list_present(now),
         )
         asker.reply.send_json(page)
 
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -13,19 +13,19 @@
 from bramleyspread_daemon._process import Process, repeat, wait_for_stop
 from bramleyspread_daemon._routes import Routes
 from bramleyspread_daemon._server import HttpServer
+from bramleyspread_daemon.forward._context import ForwardContext
 from bramleyspread_daemon.forward._feed_link import FeedLink
-from bramleyspread_daemon.forward._gather_desk import (
+from bramleyspread_daemon.forward._piece_service import (
     PIECES_PATH,
     RELEASE_PATH,
     TICK_S,
 )
-from bramleyspread_daemon.forward._hub import ForwardHub
-from bramleyspread_daemon.forward._passage import RETRY_S, Passage
-from bramleyspread_daemon.forward._place_desk import (
+from bramleyspread_daemon.forward._placement_service import (
     PLACE_PATH,
     PLACED_PATH,
 )
-from bramleyspread_daemon.forward._place_desk import TICK_S as PLACE_TICK_S
+from bramleyspread_daemon.forward._placement_service import TICK_S as PLACE_TICK_S
+from bramleyspread_daemon.forward._request_forwarder import RETRY_S, RequestForwarder
 from bramleyspread_daemon.forward._settings import ForwardEntrySettings
 from bramleyspread_daemon.forward._settings_source import SettingsSource
 from bramleyspread_daemon.forward._wire import (
@@ -62,17 +62,21 @@
         self._settings = settings
         self._wire = callers
         #: What all requests share.
-        self.hub = ForwardHub(settings, targets, process.pool, rng, process.incarnation)
-        self._link = FeedLink(process.pool, self.hub.make_query, self.hub.take_page)
-        routes = process.list_routes(self.hub.find_unready, self._fill_metrics)
-        routes[("POST", PIECES_PATH)] = self.hub.desk.serve
-        routes[("POST", RELEASE_PATH)] = self.hub.desk.serve_release
-        routes[("POST", PLACE_PATH)] = self.hub.place.serve
-        routes[("POST", PLACED_PATH)] = self.hub.place.serve_report
+        self.context = ForwardContext(
+            settings, targets, process.pool, rng, process.incarnation
+        )
+        self._link = FeedLink(
+            process.pool, self.context.make_query, self.context.take_page
+        )
+        routes = process.list_routes(self.context.find_unready, self._fill_metrics)
+        routes[("POST", PIECES_PATH)] = self.context.piece_service.serve
+        routes[("POST", RELEASE_PATH)] = self.context.piece_service.serve_release
+        routes[("POST", PLACE_PATH)] = self.context.placement.serve
+        routes[("POST", PLACED_PATH)] = self.context.placement.serve_report
         limits, clock = settings.limits, process.clock
         #: Takes the system's other processes.
         self.server = HttpServer(Routes(routes), limits, clock)
-        health = process.list_health_routes(self.hub.find_unready)
+        health = process.list_health_routes(self.context.find_unready)
         health[("GET", ready_path)] = health[("GET", "/v1/ready")]
         #: Takes the balancer.
         self.health = HttpServer(Routes(health), limits, clock)
@@ -83,41 +87,41 @@
 
     async def handle(self, http: HttpRequest, reply: Reply) -> None:
         """Take a caller's request."""
-        passage = self._admit(http, reply)
-        if isinstance(passage, Refusal):
-            self._refuse(passage, http, reply)
+        forwarder = self._admit(http, reply)
+        if isinstance(forwarder, Refusal):
+            self._refuse(forwarder, http, reply)
             return
-        task = await curio.spawn(passage.run, daemon=True)
+        task = await curio.spawn(forwarder.run, daemon=True)
 
         async def leave() -> None:
             await task.cancel(blocking=False)
 
         reply.on_left = leave
 
-    def _admit(self, http: HttpRequest, reply: Reply) -> Passage | Refusal:
+    def _admit(self, http: HttpRequest, reply: Reply) -> RequestForwarder | Refusal:
         """Read a request, and find its route and whose it is."""
         request = self._wire.read_request(http)
         if isinstance(request, MalformedRequest):
             return Refusal(status=request.status, why=request.why)
-        if self.hub.routes is None:
+        if self.context.routes is None:
             return Refusal(status=503, why="not ready", retry_after_s=RETRY_S)
-        route = self.hub.find_route(request.host, request.path)
+        route = self.context.find_route(request.host, request.path)
         if route is None:
             return Refusal(status=404, why="no such route")
         holder = None
         if not route.public:
-            found = self.hub.keys.find_holder(request.key, self._process.now())
+            found = self.context.keys.find_holder(request.key, self._process.now())
             if isinstance(found, KeysStale):
                 why = "keys can't be confirmed now"
                 return Refusal(status=503, why=why, retry_after_s=RETRY_S)
             if isinstance(found, KeyUnknown):
                 return Refusal(status=401, why="no such key")
             holder = found
-        return Passage(self.hub, self._wire, request, route, holder, reply)
+        return RequestForwarder(self.context, self._wire, request, route, holder, reply)
 
     def _refuse(self, refusal: Refusal, http: HttpRequest, reply: Reply) -> None:
-        self.hub.ends[f"refused with {refusal.status}"] += 1
-        logger.bind(step="admit", peer=http.path, version=self.hub.version).info(
+        self.context.ends[f"refused with {refusal.status}"] += 1
+        logger.bind(step="admit", peer=http.path, version=self.context.version).info(
             f"refused with {refusal.status}: {refusal.why}"
         )
         written: WireReply = self._wire.write_refusal(refusal)
@@ -126,14 +130,14 @@
     def _fill_metrics(self, metrics: Metrics) -> None:
         servers = (self.server, self.health, self.public)
         self._process.fill_server_metrics(metrics, *servers)
-        for how, number in self.hub.ends.items():
+        for how, number in self.context.ends.items():
             metrics.count("requests_total", "Requests by end.", number, end=how)
-        metrics.gauge("requests_in_flight", "Not yet ended.", self.hub.in_flight)
-        metrics.gauge("version", "Document in force.", self.hub.version)
-        desk = self.hub.desk
-        metrics.count("piece_calls_total", "Calls for pieces.", desk.calls)
-        metrics.count("pieces_total", "Pieces in them.", desk.pieces)
-        upstream = self.hub.upstream
+        metrics.gauge("requests_in_flight", "Not yet ended.", self.context.in_flight)
+        metrics.gauge("version", "Document in force.", self.context.version)
+        service = self.context.piece_service
+        metrics.count("piece_calls_total", "Calls for pieces.", service.calls)
+        metrics.count("pieces_total", "Pieces in them.", service.pieces)
+        upstream = self.context.upstream
         metrics.count("target_connections_total", "Opened.", upstream.opened)
         metrics.count("target_reuses_total", "Used again.", upstream.reused)
         metrics.count("feed_failures_total", "Unanswered.", self._link.failures)
@@ -149,10 +153,10 @@
         await self.health.start(self._settings.ready.address)
         await self._link.follow(self._settings.seed_addresses)
         for action, name, pause in (
-            (self.hub.desk.tick, "gather", TICK_S),
-            (self.hub.place.tick, "place", PLACE_TICK_S),
-            (self.hub.upstream.close_idle, "idle", IDLE_SWEEP_S),
-            (self.hub.tick, "targets", TARGETS_S),
+            (self.context.piece_service.tick, "batch", TICK_S),
+            (self.context.placement.tick, "place", PLACE_TICK_S),
+            (self.context.upstream.close_idle, "idle", IDLE_SWEEP_S),
+            (self.context.tick, "targets", TARGETS_S),
             (self._watch_settings, "settings", SETTINGS_S),
         ):
             await curio.spawn(
@@ -182,7 +186,7 @@
 
         servers = [self.public, self.health, self.server]
         return await self._process.drain(
-            servers, begin, lambda: self.hub.in_flight == 0
+            servers, begin, lambda: self.context.in_flight == 0
         )
 
     async def run(self) -> int:
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_calls.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_calls.py
@@ -17,7 +17,7 @@
     WireCall,
     WireReply,
 )
-from bramleyspread_forwarding import GatheredCall, PieceResult
+from bramleyspread_forwarding import BatchedCall, PieceResult
 
 #: Most time for reaching a target, in seconds.
 REACH_S = 0.25
@@ -45,7 +45,7 @@
         self._wire = wire
         self._pool = pool
 
-    async def make(self, call: GatheredCall) -> Answer:
+    async def make(self, call: BatchedCall) -> Answer:
         """Make one call.
 
         :param call: the call.
--- a/packages/daemon/bramleyspread_daemon/forward/_gather_desk.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -1,4 +1,4 @@
-"""Makes the pieces of stages: here, or at the host that gathers for the service."""
+"""Makes the pieces of stages: here, or at the host that batches for the service."""
 
 from __future__ import annotations
 
@@ -27,10 +27,10 @@
 )
 from bramleyspread_daemon.forward._wire import PiecesTurnedAway
 from bramleyspread_forwarding import (
+    BatchedCall,
+    Batcher,
     EntryHost,
     ForwardTarget,
-    GatheredCall,
-    Gatherer,
     JobDone,
     Owners,
     PieceFault,
@@ -46,7 +46,7 @@
 REACH_S = 0.25
 #: Hosts that are asked for one job, one after the other, before it is made here.
 MOST_OWNERS = 3
-#: Pause before the host that gathers by now is asked, in seconds.
+#: Pause before the host that batches by now is asked, in seconds.
 MOVED_S = 0.02
 #: How often waiting jobs are looked through, in seconds.
 TICK_S = 0.05
@@ -69,7 +69,7 @@
 
 
 class ServiceView:
-    """What the desk asks about services and hosts."""
+    """What the piece service asks about services and hosts."""
 
     def __init__(
         self,
@@ -85,7 +85,7 @@
         self.list_hosts = list_hosts
 
 
-class GatherDesk:
+class PieceService:
     """Pieces for this host's requests, and for those of other hosts."""
 
     def __init__(
@@ -98,7 +98,7 @@
         self._view = view
         self._peers = peers
         self._targets = targets
-        self._gatherers: dict[str, Gatherer] = {}
+        self._batchers: dict[str, Batcher] = {}
         self._jobs: dict[tuple[str, int], _Job] = {}
         self._owners = Owners(host)
         #: Calls made to targets.
@@ -124,7 +124,7 @@
                 await curio.sleep(MOVED_S)
                 continue
             self._owners.avoid(owner, read_monotonic())
-            logger.bind(step="gather", peer=owner.host).warning("no answer")
+            logger.bind(step="batch", peer=owner.host).warning("no answer")
         stays = self._find_owner(job.service) is not None
         results = await self._make_here(_shorten(job, begun), stays=stays)
         if _is_moved(results):
@@ -180,10 +180,10 @@
         limits = self._view.find_limits(job.service)
         if limits is None:
             return _fail_all(job, PieceFault.ERROR)
-        gatherer = self._gatherers.setdefault(job.service, Gatherer())
+        batcher = self._batchers.setdefault(job.service, Batcher())
         targets = len(self._view.list_targets(job.service))
         now = read_monotonic()
-        number = gatherer.add(job, limits, targets, now, stays=stays)
+        number = batcher.add(job, limits, targets, now, stays=stays)
         if isinstance(number, PieceFault):
             return _fail_all(job, number)
         waiting = self._jobs[job.service, number] = _Job()
@@ -192,7 +192,7 @@
             await waiting.ended.wait()
             return waiting.results
         finally:
-            gatherer.jobs.cancel(number)
+            batcher.jobs.cancel(number)
             self._jobs.pop((job.service, number), None)
             await self._give_up_unwanted(job.service)
 
@@ -200,45 +200,45 @@
         limits = self._view.find_limits(service)
         if limits is None:
             return
-        gatherer = self._gatherers[service]
+        batcher = self._batchers[service]
         targets = self._view.list_targets(service)
-        for call in gatherer.dispatch(targets, limits, read_monotonic()):
+        for call in batcher.dispatch(targets, limits, read_monotonic()):
             self.calls += 1
             self.pieces += len(call.items)
             await curio.spawn(self._run_call, service, call, daemon=True)
 
-    async def _run_call(self, service: str, call: GatheredCall) -> None:
-        gatherer = self._gatherers[service]
+    async def _run_call(self, service: str, call: BatchedCall) -> None:
+        batcher = self._batchers[service]
         begun = read_monotonic()
         answer = await self._targets.make(call)
         now = read_monotonic()
         if isinstance(answer, OutcomeUnknown):
             self._log_failure(call, answer.why)
-            done = gatherer.fail(call.call, now)
+            done = batcher.fail(call.call, now)
         elif isinstance(answer, PiecesTurnedAway):
             self._log_failure(call, answer.why)
-            done = gatherer.fail(call.call, now, counts=False)
+            done = batcher.fail(call.call, now, counts=False)
         else:
-            done = gatherer.finish(call.call, answer, now)
+            done = batcher.finish(call.call, answer, now)
         logger.bind(
-            step="gather",
+            step="batch",
             peer=call.target.target,
             service=service,
             pieces=len(call.items),
             requests=len({each.item.request for each in call.items}),
-            waiting=gatherer.jobs.waiting_pieces,
-            running=gatherer.calls_running,
+            waiting=batcher.jobs.waiting_pieces,
+            running=batcher.calls_running,
             ms=round((now - begun) * 1000),
-            kept_bytes=gatherer.count_kept_bytes(call.target.target),
+            kept_bytes=batcher.count_kept_bytes(call.target.target),
             faults=_count_faults(answer),
         ).info("called")
         await self._end(service, done)
         await self._give_up_unwanted(service)
         await self._pump(service)
 
-    def _log_failure(self, call: GatheredCall, why: str) -> None:
+    def _log_failure(self, call: BatchedCall, why: str) -> None:
         peer = call.target.target
-        logger.bind(step="gather", peer=peer).warning(
+        logger.bind(step="batch", peer=peer).warning(
             f"{len(call.items)} pieces not made: {why}"
         )
 
@@ -251,22 +251,22 @@
 
     async def tick(self) -> None:
         """Give up what is late, and try what was passed over."""
-        for service, gatherer in tuple(self._gatherers.items()):
+        for service, batcher in tuple(self._batchers.items()):
             now = read_monotonic()
-            await self._end(service, gatherer.jobs.expire(now))
+            await self._end(service, batcher.jobs.expire(now))
             if not self._owners.may_keep(service, self._view.list_hosts(), now):
-                await self._end(service, gatherer.jobs.hand_over())
-            if gatherer.jobs.waiting_pieces:
+                await self._end(service, batcher.jobs.hand_over())
+            if batcher.jobs.waiting_pieces:
                 await self._pump(service)
 
     async def _give_up_unwanted(self, service: str) -> None:
-        unwanted = self._gatherers[service].jobs.take_unwanted()
+        unwanted = self._batchers[service].jobs.take_unwanted()
         if unwanted:
             release = PieceRelease(service, unwanted)
             await curio.spawn(self._release_here, release, daemon=True)
 
     async def release(self, release: PieceRelease) -> None:
-        """Give results up, through the host that gathers for their service.
+        """Give results up, through the host that batches for their service.
 
         :param release: the results.
         """
@@ -292,9 +292,9 @@
 
     async def _release_here(self, release: PieceRelease) -> None:
         await self._targets.release(release.handles)
-        gatherer = self._gatherers.get(release.service)
-        if gatherer is not None:
-            gatherer.release(release.handles)
+        batcher = self._batchers.get(release.service)
+        if batcher is not None:
+            batcher.release(release.handles)
             await self._pump(release.service)
 
 
@@ -306,7 +306,7 @@
 
 
 def _is_moved(results: Sequence[PieceResult]) -> bool:
-    """Whether another host gathers for the service by now."""
+    """Whether another host batches for the service by now."""
     return any(each.fault is PieceFault.MOVED for each in results)
 
 
--- a/packages/daemon/bramleyspread_daemon/forward/_place_desk.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
@@ -48,7 +48,7 @@
 TICK_S = 0.05
 
 
-class PlaceDesk:
+class PlacementService:
     """Placement for this host's requests, and for those of other hosts."""
 
     def __init__(
--- a/packages/daemon/bramleyspread_daemon/forward/_passage.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -12,7 +12,7 @@
 from bramleyspread_daemon._client import ClosedError, UnsentError
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import Reply
-from bramleyspread_daemon.forward._hub import ForwardHub
+from bramleyspread_daemon.forward._context import ForwardContext
 from bramleyspread_daemon.forward._stage_work import StageWork
 from bramleyspread_daemon.forward._upstream import UpstreamConnection
 from bramleyspread_daemon.forward._wire import (
@@ -51,19 +51,19 @@
 DEFAULT_MS = 30_000.0
 
 
-class Passage:
+class RequestForwarder:
     """Brings one request to a target and the answer back to the caller."""
 
     def __init__(
         self,
-        hub: ForwardHub,
+        context: ForwardContext,
         wire: CallerWire,
         request: ForwardRequest,
         route: ForwardRoute,
         holder: KeyHolder | None,
         reply: Reply,
     ) -> None:
-        self._hub = hub
+        self._context = context
         self._wire = wire
         self._request = request
         self._route = route
@@ -75,7 +75,7 @@
         own_rank = holder.priority if holder is not None else None
         self._priority = route.priority if own_rank is None else own_rank
         self._stages = StageWork(
-            hub, request, route, self._priority, self._begun, self._until
+            context, request, route, self._priority, self._begun, self._until
         )
         self._first_ms = 0.0
         self._longest_ms = 0.0
@@ -91,7 +91,7 @@
 
     async def run(self) -> None:
         """Work until the caller has its final answer, or has left."""
-        self._hub.in_flight += 1
+        self._context.in_flight += 1
         how = "left"
         try:
             left = max(self._until - read_monotonic(), 0.001)
@@ -102,8 +102,8 @@
             except Exception:
                 how = self._end_by_fault()
         finally:
-            self._hub.in_flight -= 1
-            self._hub.ends[how.partition(":")[0]] += 1
+            self._context.in_flight -= 1
+            self._context.ends[how.partition(":")[0]] += 1
             self._log(how)
             await self._clear()
 
@@ -121,7 +121,7 @@
             peer=self._tried[-1] if self._tried else "-",
             request=self._request.request,
             route=self._route.name,
-            version=self._hub.version,
+            version=self._context.version,
             stages_ms=round(self._stages.spent_ms),
             first_ms=round(self._first_ms),
             pause_ms=round(self._longest_ms),
@@ -140,10 +140,10 @@
             fault = await self._stages.make()
             if fault is not None:
                 return self._refuse(503, f"stage: {fault.value}", RETRY_S)
-        service = self._hub.choose_service(self._route, self._request.request)
+        service = self._context.choose_service(self._route, self._request.request)
         if not service:
             return self._refuse(503, "no document", RETRY_S)
-        budget = self._hub.find_budget(service)
+        budget = self._context.find_budget(service)
         budget.note_first(read_monotonic())
         while True:
             end = await self._attempt(service)
@@ -166,10 +166,10 @@
         """Whether the budget allows it; what reached no target costs none."""
         if isinstance(end, WasNotRun) and not end.reached:
             return True
-        return budget.take(read_monotonic(), len(self._hub.list_hosts()))
+        return budget.take(read_monotonic(), len(self._context.list_hosts()))
 
     async def _attempt(self, service: str) -> AttemptEnd:
-        placed = await self._hub.place.choose(self._write_query(service))
+        placed = await self._context.placement.choose(self._write_query(service))
         if isinstance(placed, NoTarget):
             self._attempts = self._route.attempts
             return WasNotRun(placed.reason)
@@ -186,7 +186,7 @@
         spent = (read_monotonic() - self._begun) * 1000
         return PlaceQuery(
             service=service,
-            zone=self._hub.own.zone,
+            zone=self._context.own.zone,
             prompt=self._request.prompt,
             tried=tuple(self._tried),
             input_mb=self._stages.measure_inputs(),
@@ -206,21 +206,21 @@
         step = PlaceStep(
             ticket=placed.ticket, target=placed.target.target, ended=True, good=good
         )
-        self._hub.place.report(step)
+        self._context.placement.report(step)
 
     async def _send(self, placed: Placed) -> AttemptEnd:
-        hub, request = self._hub, self._request
+        context, request = self._context, self._request
         idle_s = math.inf
         if not self._route.repeatable:
             idle_s = 0.0 if self._attempts else LIVE_S
         try:
-            connection = await hub.upstream.take(
+            connection = await context.upstream.take(
                 placed.target.address, CONNECT_S, idle_s=idle_s
             )
         except UnsentError as error:
             return WasNotRun(str(error), reached=False)
         self._connection = connection
-        headers = hub.wire.write_head(request, self._write_terms(placed))
+        headers = context.wire.write_head(request, self._write_terms(placed))
         try:
             await connection.send(request.method, request.target, headers, request.body)
         except UnsentError as error:
@@ -230,7 +230,7 @@
         self._attempts += 1
         try:
             raw = await connection.read_head()
-            head = hub.wire.read_head(raw.status_code, raw.headers)
+            head = context.wire.read_head(raw.status_code, raw.headers)
             end = await self._take_answer(placed, connection, head)
         except (ClosedError, EventError) as error:
             await self._drop_connection()
@@ -252,12 +252,12 @@
     async def _take_answer(
         self, placed: Placed, connection: UpstreamConnection, head: TargetHead
     ) -> AttemptEnd:
-        hub = self._hub
+        context = self._context
         if head.load is not None:
             step = PlaceStep(
                 ticket=placed.ticket, target=placed.target.target, load=head.load
             )
-            hub.place.report(step)
+            context.placement.report(step)
         if head.not_run:
             await connection.read_body()
             await self._give_back(connection, head)
@@ -314,13 +314,13 @@
         step = PlaceStep(
             ticket=self._placed.ticket, target=self._placed.target.target, began=True
         )
-        self._hub.place.report(step)
+        self._context.placement.report(step)
 
     async def _give_back(
         self, connection: UpstreamConnection, head: TargetHead
     ) -> None:
         self._connection = None
-        await self._hub.upstream.give_back(connection, head.keep_s)
+        await self._context.upstream.give_back(connection, head.keep_s)
 
     async def _drop_connection(self) -> None:
         connection, self._connection = self._connection, None
--- a/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
@@ -9,7 +9,7 @@
 
 from bramleyspread_core import ForwardRoute
 from bramleyspread_daemon._clock import read_monotonic
-from bramleyspread_daemon.forward._hub import ForwardHub
+from bramleyspread_daemon.forward._context import ForwardContext
 from bramleyspread_forwarding import (
     ForwardRequest,
     PieceFault,
@@ -39,14 +39,14 @@
 
     def __init__(
         self,
-        hub: ForwardHub,
+        context: ForwardContext,
         request: ForwardRequest,
         route: ForwardRoute,
         priority: int,
         begun: float,
         until: float,
     ) -> None:
-        self._hub = hub
+        self._context = context
         self._request = request
         self._route = route
         self._priority = priority
@@ -137,18 +137,18 @@
             zone=zone if is_bound else self._find_zone(number),
             is_bound=is_bound,
         )
-        results = await self._hub.desk.make(job)
+        results = await self._context.piece_service.make(job)
         if late_ms > 0 and all(each.handle for each in results):
             done = read_monotonic()
             spent_ms = (done - now) * 1000
-            self._hub.stage_times.note(service, self._priority, spent_ms, done)
+            self._context.stage_times.note(service, self._priority, spent_ms, done)
         return results
 
     def _find_input_life(self, number: int) -> float:
         """Find how long the inputs of a stage will surely be kept, in ms."""
         lives = [LONGEST_MS]
         for before in self._route.stages[number].after:
-            service = self._hub.find_service(self._route.stages[before].service)
+            service = self._context.find_service(self._route.stages[before].service)
             if service is not None and service.pieces is not None:
                 lives.append(service.pieces.kept_s * 1000 * LIFE_SHARE)
         return min(lives)
@@ -157,9 +157,11 @@
         """Find where a stage's results will be needed, if it matters."""
         if self._route.stages[number].result_bytes < LARGE_BYTES:
             return ""
-        service = self._hub.choose_service(self._route, self._request.request)
-        home = find_home(self._request.prompt, self._hub.targets.list_usable(service))
-        return home.zone if home is not None else self._hub.own.zone
+        service = self._context.choose_service(self._route, self._request.request)
+        home = find_home(
+            self._request.prompt, self._context.targets.list_usable(service)
+        )
+        return home.zone if home is not None else self._context.own.zone
 
     def _find_patience(self) -> float:
         """Find when the caller will have left without a first event, in seconds."""
@@ -179,13 +181,13 @@
     def _estimate_stage(self, number: int) -> float:
         """Estimate the time that a stage itself will take, in milliseconds."""
         name = self._route.stages[number].service
-        service = self._hub.find_service(name)
+        service = self._context.find_service(name)
         pieces = self._request.pieces[number : number + 1]
         if service is None or service.pieces is None or not any(pieces):
             return 0.0
         limits = service.pieces
         least = limits.call_ms + min(pieces[0], limits.batch) * limits.piece_ms
-        return self._hub.stage_times.estimate(
+        return self._context.stage_times.estimate(
             name, self._priority, least, read_monotonic()
         )
 
@@ -204,4 +206,4 @@
 
     async def _release(self, releases: Sequence[PieceRelease]) -> None:
         for release in releases:
-            await curio.spawn(self._hub.desk.release, release, daemon=True)
+            await curio.spawn(self._context.piece_service.release, release, daemon=True)
--- a/packages/daemon/bramleyspread_daemon/forward/_wire.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_wire.py
@@ -14,8 +14,8 @@
 from bramleyspread_core import CommandResult, PutDeployment
 from bramleyspread_daemon._exchange import HttpRequest
 from bramleyspread_forwarding import (
+    BatchedCall,
     ForwardRequest,
-    GatheredCall,
     MalformedRequest,
     PieceResult,
     RawHeaders,
@@ -123,11 +123,11 @@
     ) -> TargetHead:
         """Read the head of an answer."""
 
-    def write_pieces(self, call: GatheredCall) -> WireCall:
+    def write_pieces(self, call: BatchedCall) -> WireCall:
         """Write a call for pieces."""
 
     def read_pieces(
-        self, call: GatheredCall, status: int, body: bytes
+        self, call: BatchedCall, status: int, body: bytes
     ) -> tuple[PieceResult, ...] | PiecesTurnedAway:
         """Read its answer; raises ``MessageError`` when it is none."""
 
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_gather_desk.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
@@ -10,12 +10,12 @@
 from bramleyspread_core import Address, PieceLimits
 from bramleyspread_daemon._clock import ProcessClock
 from bramleyspread_daemon._pool import ConnectionPool
-from bramleyspread_daemon.forward._gather_desk import (
+from bramleyspread_daemon.forward._piece_calls import PieceCalls
+from bramleyspread_daemon.forward._piece_service import (
     PIECES_PATH,
-    GatherDesk,
+    PieceService,
     ServiceView,
 )
-from bramleyspread_daemon.forward._piece_calls import PieceCalls
 from bramleyspread_daemon.forward._upstream import UpstreamPool
 from bramleyspread_daemon.forward._wire import PiecesTurnedAway, TargetHead, WireCall
 from bramleyspread_daemon.tests.loopback import (
@@ -25,9 +25,9 @@
     start_server,
 )
 from bramleyspread_forwarding import (
+    BatchedCall,
     EntryHost,
     ForwardTarget,
-    GatheredCall,
     PieceItem,
     PieceJob,
     PieceResult,
@@ -44,11 +44,11 @@
 class CountWire:
     """Asks for a number of pieces, and takes any answer as that many results."""
 
-    def write_pieces(self, call: GatheredCall) -> WireCall:
+    def write_pieces(self, call: BatchedCall) -> WireCall:
         return WireCall("/make", str(len(call.items)).encode())
 
     def read_pieces(
-        self, call: GatheredCall, status: int, body: bytes
+        self, call: BatchedCall, status: int, body: bytes
     ) -> tuple[PieceResult, ...] | PiecesTurnedAway:
         if status != 200:
             return PiecesTurnedAway(f"status {status}")
@@ -80,47 +80,47 @@
         )
 
 
-def make_desk(own: str, hosts: list[EntryHost], target: Address) -> GatherDesk:
+def make_service(own: str, hosts: list[EntryHost], target: Address) -> PieceService:
     targets = (ForwardTarget("t", target, "z", 1),)
     view = ServiceView(lambda _: targets, lambda _: LIMITS, lambda: hosts)
     pool = ConnectionPool(ProcessClock())
     calls = PieceCalls(cast("Any", CountWire()), UpstreamPool())
-    return GatherDesk(own, view, calls, pool)
+    return PieceService(own, view, calls, pool)
 
 
-def test_pieces_are_made_here_where_this_host_gathers() -> None:
+def test_pieces_are_made_here_where_this_host_batches() -> None:
     async def main() -> None:
         _, target = await start_raw(make_pieces)
         own = EntryHost("own", "z", Address("127.0.0.1", 1))
-        desk = make_desk("own", [own], target)
-        results = await desk.make(JOB)
+        service = make_service("own", [own], target)
+        results = await service.make(JOB)
         assert [each.handle for each in results] == ["h/0", "h/1", "h/2"]
-        assert desk.calls == 1
+        assert service.calls == 1
 
     run(main)
 
 
-def test_pieces_are_made_by_the_host_that_gathers() -> None:
+def test_pieces_are_made_by_the_host_that_batches() -> None:
     async def main() -> None:
         _, target = await start_raw(make_pieces)
         hosts: list[EntryHost] = []
-        gatherer = make_desk("other", hosts, target)
-        _, address = await start_server(("POST", PIECES_PATH, gatherer.serve))
+        batcher = make_service("other", hosts, target)
+        _, address = await start_server(("POST", PIECES_PATH, batcher.serve))
         hosts.append(EntryHost("other", "z", address))
-        asker = make_desk("own", hosts, target)
+        asker = make_service("own", hosts, target)
         results = await asker.make(JOB)
         assert all(each.handle for each in results)
-        assert (asker.calls, gatherer.calls) == (0, 1)
+        assert (asker.calls, batcher.calls) == (0, 1)
 
     run(main)
 
 
-def test_pieces_are_made_here_where_the_host_that_gathers_is_gone() -> None:
+def test_pieces_are_made_here_where_the_host_that_batches_is_gone() -> None:
     async def main() -> None:
         server, gone = await start_server()
         await server.stop_accepting()
         _, target = await start_raw(make_pieces)
-        asker = make_desk("own", [EntryHost("other", "z", gone)], target)
+        asker = make_service("own", [EntryHost("other", "z", gone)], target)
         results = await curio.timeout_after(10, asker.make, JOB)
         assert all(each.handle for each in results)
         assert asker.calls == 1
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_passage.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
@@ -7,7 +7,7 @@
 from typing import Any, cast
 
 from bramleyspread_core import ForwardRoute, RequestKind, ServiceShare
-from bramleyspread_daemon.forward._passage import Passage
+from bramleyspread_daemon.forward._request_forwarder import RequestForwarder
 from bramleyspread_daemon.forward._wire import Refusal, WireReply
 from bramleyspread_daemon.tests.loopback import run
 from bramleyspread_forwarding import ForwardRequest
@@ -49,12 +49,19 @@
     def fail(*_: object) -> str:
         raise KeyError("a fault inside")
 
-    hub = SimpleNamespace(in_flight=0, ends=Counter(), version=1, choose_service=fail)
+    context = SimpleNamespace(
+        in_flight=0, ends=Counter(), version=1, choose_service=fail
+    )
     reply = Sent()
-    passage = Passage(
-        cast("Any", hub), cast("Any", Wire()), REQUEST, ROUTE, None, cast("Any", reply)
+    forwarder = RequestForwarder(
+        cast("Any", context),
+        cast("Any", Wire()),
+        REQUEST,
+        ROUTE,
+        None,
+        cast("Any", reply),
     )
-    run(passage.run)
+    run(forwarder.run)
     assert reply.statuses == [500]
-    assert hub.in_flight == 0
-    assert hub.ends == {"fault": 1}
+    assert context.in_flight == 0
+    assert context.ends == {"fault": 1}
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -1,16 +1,17 @@
 """Decisions about calls that are passed on as they came."""
 
+from bramleyspread_forwarding._batching import (
+    BatchedCall,
+    BatchedItem,
+    Batcher,
+)
 from bramleyspread_forwarding._budget import RetryBudget
 from bramleyspread_forwarding._events import EventError, EventSplitter, StreamEvent
 from bramleyspread_forwarding._feed import EntryHost, FeedPage, FeedQuery
-from bramleyspread_forwarding._gathering import (
-    GatheredCall,
-    GatheredItem,
-    Gatherer,
-)
 from bramleyspread_forwarding._homes import find_home
 from bramleyspread_forwarding._keys import KeyRing, KeysStale, KeyUnknown
-from bramleyspread_forwarding._notices import Stance, TargetChange, TargetNotice
+from bramleyspread_forwarding._live_hosts import LiveHosts
+from bramleyspread_forwarding._notices import Readiness, TargetChange, TargetNotice
 from bramleyspread_forwarding._outcomes import (
     AttemptEnd,
     Delivered,
@@ -48,7 +49,6 @@
     PromptPart,
     RawHeaders,
 )
-from bramleyspread_forwarding._roster import Roster
 from bramleyspread_forwarding._routing import RouteTable
 from bramleyspread_forwarding._stage_times import StageTimes
 from bramleyspread_forwarding._targets import ForwardTarget, TargetTable
@@ -63,9 +63,9 @@
     "FeedQuery",
     "ForwardRequest",
     "ForwardTarget",
-    "GatheredCall",
-    "GatheredItem",
-    "Gatherer",
+    "BatchedCall",
+    "BatchedItem",
+    "Batcher",
     "JobDone",
     "KeyRing",
     "KeyUnknown",
@@ -90,10 +90,10 @@
     "RawHeaders",
     "ReadyStage",
     "RetryBudget",
-    "Roster",
+    "LiveHosts",
     "RouteTable",
     "StageRun",
-    "Stance",
+    "Readiness",
     "StageTimes",
     "StreamEvent",
     "TargetChange",
--- a/packages/forwarding/bramleyspread_forwarding/_gathering.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -1,4 +1,4 @@
-"""Gathers the pieces of many requests into few calls.
+"""Batches the pieces of many requests into few calls.
 
 A call takes long whatever it holds, and a little longer for each piece; a call
 for each request would overload a service that easily carries full calls.
@@ -21,7 +21,7 @@
     PieceJob,
     PieceResult,
 )
-from bramleyspread_forwarding._rooms import RoomBook
+from bramleyspread_forwarding._rooms import RoomAccount
 from bramleyspread_forwarding._targets import ForwardTarget
 
 #: How long a target that had no room or failed is passed over, in seconds.
@@ -30,7 +30,7 @@
 LATE_CALL = 4.0
 
 
-class GatheredItem(msgspec.Struct, frozen=True):
+class BatchedItem(msgspec.Struct, frozen=True):
     """A piece in a call."""
 
     #: The piece.
@@ -43,7 +43,7 @@
     inputs: tuple[str, ...] = ()
 
 
-class GatheredCall(msgspec.Struct, frozen=True):
+class BatchedCall(msgspec.Struct, frozen=True):
     """A call to be made."""
 
     #: Its number.
@@ -51,7 +51,7 @@
     #: The target.
     target: ForwardTarget
     #: The pieces.
-    items: tuple[GatheredItem, ...]
+    items: tuple[BatchedItem, ...]
     #: When to give it up, in milliseconds.
     timeout_ms: float
 
@@ -69,7 +69,7 @@
         self.pieces = pieces
 
 
-class Gatherer:
+class Batcher:
     """The pieces of one service that wait, and the calls on their way.
 
     The most urgent job that can still be on time goes first; jobs that are late
@@ -82,7 +82,7 @@
         self.jobs = PieceQueue()
         self._calls: dict[int, _Call] = {}
         self._passed_over: dict[str, float] = {}
-        self._rooms = RoomBook()
+        self._rooms = RoomAccount()
 
     @property
     def calls_running(self) -> int:
@@ -104,7 +104,7 @@
         :param limits: how a target works.
         :param targets: targets that take work.
         :param now: seconds.
-        :param stays: whether it is made here whoever gathers.
+        :param stays: whether it is made here whoever batches.
         :returns: its number; or why it is refused.
         """
         if self._estimate_ms(job, limits, targets) > job.remaining_ms:
@@ -122,7 +122,7 @@
 
     def dispatch(
         self, targets: Sequence[ForwardTarget], limits: PieceLimits, now: float
-    ) -> list[GatheredCall]:
+    ) -> list[BatchedCall]:
         """Make up the calls that can go out now.
 
         :param targets: targets that take work.
@@ -267,17 +267,17 @@
         pieces: list[PieceRef],
         limits: PieceLimits,
         now: float,
-    ) -> GatheredCall:
+    ) -> BatchedCall:
         call = next(self._numbers)
         self._calls[call] = _Call(target, pieces, limits.kept_s)
         items = tuple(self._describe(piece, now) for piece in pieces)
         length = limits.call_ms + len(items) * limits.piece_ms
         longest = max(each.remaining_ms for each in items)
-        return GatheredCall(call, target, items, min(longest, length * LATE_CALL))
+        return BatchedCall(call, target, items, min(longest, length * LATE_CALL))
 
-    def _describe(self, piece: PieceRef, now: float) -> GatheredItem:
+    def _describe(self, piece: PieceRef, now: float) -> BatchedItem:
         job = self.jobs.begin(piece)
-        return GatheredItem(
+        return BatchedItem(
             job.job.items[piece.index],
             (job.until - now) * 1000,
             job.job.key,
--- a/packages/forwarding/bramleyspread_forwarding/_roster.py
+++ b/packages/forwarding/bramleyspread_forwarding/_live_hosts.py
@@ -5,18 +5,18 @@
 from bramleyspread_forwarding._feed import EntryHost
 
 
-class Roster:
+class LiveHosts:
     """Entry hosts that were heard of lately, each in its newest life only.
 
     >>> from bramleyspread_core import Address
     >>> first = EntryHost("e", "z", Address("10.0.0.1", 1), started=1)
     >>> again = EntryHost("e", "z", Address("10.0.0.1", 1), started=2)
-    >>> roster = Roster(kept_s=1.5)
+    >>> live_hosts = LiveHosts(kept_s=1.5)
     >>> for host in (first, again, first):
-    ...     roster.note(host, 0.0)
-    >>> roster.list_present(1.0) == (again,)
+    ...     live_hosts.note(host, 0.0)
+    >>> live_hosts.list_present(1.0) == (again,)
     True
-    >>> roster.list_present(2.0)
+    >>> live_hosts.list_present(2.0)
     ()
     """
 
--- a/packages/forwarding/bramleyspread_forwarding/_notices.py
+++ b/packages/forwarding/bramleyspread_forwarding/_notices.py
@@ -9,10 +9,10 @@
 from bramleyspread_core import Address
 
 
-class Stance(str, Enum):
+class Readiness(str, Enum):
     """Whether a target takes work.
 
-    >>> Stance.READY.value
+    >>> Readiness.READY.value
     'ready'
     """
 
@@ -42,7 +42,7 @@
     #: Calls that it works on at once.
     slots: int
     #: Whether it takes work.
-    stance: Stance
+    readiness: Readiness
 
     @property
     def order(self) -> tuple[int, int]:
@@ -53,7 +53,7 @@
 class TargetChange(msgspec.Struct, frozen=True):
     """What a control host last knew of a target, for entry hosts."""
 
-    #: The target's newest notice, with the stance that counts now.
+    #: The target's newest notice, with the readiness that counts now.
     notice: TargetNotice
     #: Whether it was declared gone by silence alone, not by itself.
     silent: bool = False
--- a/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
+++ b/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
@@ -49,7 +49,7 @@
     def __init__(self, job: PieceJob, now: float, stays: bool) -> None:
         #: The job.
         self.job = job
-        #: Whether it is made here whoever gathers.
+        #: Whether it is made here whoever batches.
         self.stays = stays
         #: When its time is over, in seconds.
         self.until = now + job.remaining_ms / 1000
@@ -85,7 +85,7 @@
 
         :param job: the job.
         :param now: seconds.
-        :param stays: whether it is made here whoever gathers.
+        :param stays: whether it is made here whoever batches.
         :returns: its number.
         """
         number = next(self._numbers)
@@ -105,7 +105,7 @@
         return unwanted
 
     def hand_over(self) -> list[JobDone]:
-        """Give up the jobs that were not begun: another host gathers by now."""
+        """Give up the jobs that were not begun: another host batches by now."""
         return [
             self._give_up(number, PieceFault.MOVED)
             for number, job in tuple(self._jobs.items())
--- a/packages/forwarding/bramleyspread_forwarding/_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_pieces.py
@@ -23,7 +23,7 @@
     ERROR = "error"
     #: It was not tried: it could not have ended in time.
     FULL = "full"
-    #: It was not tried here: another host gathers for its service by now.
+    #: It was not tried here: another host batches for its service by now.
     MOVED = "moved"
 
 
@@ -41,7 +41,7 @@
 class PieceJob(msgspec.Struct, frozen=True, kw_only=True):
     """All pieces of one stage of one request.
 
-    ``POST /v1/pieces`` asks the host that gathers for the service.
+    ``POST /v1/pieces`` asks the host that batches for the service.
     """
 
     #: The service that makes them.
@@ -88,7 +88,7 @@
 class PieceRelease(msgspec.Struct, frozen=True):
     """Results that are needed no more.
 
-    ``POST /v1/pieces-release`` tells the host that gathers for the service.
+    ``POST /v1/pieces-release`` tells the host that batches for the service.
     """
 
     #: The service that made them.
--- a/packages/forwarding/bramleyspread_forwarding/_registry.py
+++ b/packages/forwarding/bramleyspread_forwarding/_registry.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bramleyspread_forwarding._notices import Stance, TargetChange, TargetNotice
+from bramleyspread_forwarding._notices import Readiness, TargetChange, TargetNotice
 
 #: Heartbeats that may be missed before a target counts as gone.
 MISSED_BEATS = 4
@@ -55,11 +55,11 @@
             return False
         entry.heard = now
         same_start = notice.born == known.born
-        left = known.stance is Stance.GONE and not entry.change.silent
+        left = known.readiness is Readiness.GONE and not entry.change.silent
         if same_start and left:
             return False
-        if same_start and known.stance is Stance.DRAINING:
-            notice = msgspec.structs.replace(notice, stance=Stance.DRAINING)
+        if same_start and known.readiness is Readiness.DRAINING:
+            notice = msgspec.structs.replace(notice, readiness=Readiness.DRAINING)
         changed = entry.change.silent or not _is_alike(notice, known)
         if changed:
             self._put(TargetChange(notice), now)
@@ -77,17 +77,17 @@
         entry = self._entries.get(target)
         if entry is None or 0 < born < entry.change.notice.born:
             return
-        notice = msgspec.structs.replace(entry.change.notice, stance=Stance.GONE)
+        notice = msgspec.structs.replace(entry.change.notice, readiness=Readiness.GONE)
         self._put(TargetChange(notice), now)
 
     def tick(self, now: float) -> None:
         """Let time pass: silent targets are gone, old ones forgotten."""
         for target, entry in tuple(self._entries.items()):
             silence = now - entry.heard
-            if entry.change.notice.stance is not Stance.GONE:
+            if entry.change.notice.readiness is not Readiness.GONE:
                 if silence > self._silence_s:
                     notice = msgspec.structs.replace(
-                        entry.change.notice, stance=Stance.GONE
+                        entry.change.notice, readiness=Readiness.GONE
                     )
                     self._put(TargetChange(notice, silent=True), entry.heard)
             elif silence > REMEMBERED_S:
--- a/packages/forwarding/bramleyspread_forwarding/_rooms.py
+++ b/packages/forwarding/bramleyspread_forwarding/_rooms.py
@@ -25,8 +25,8 @@
     until: float
 
 
-class RoomBook:
-    """Results that lie at targets, as far as one gathering host knows."""
+class RoomAccount:
+    """Results that lie at targets, as far as one batching host knows."""
 
     __slots__ = ("_bytes", "_kept")
 
--- a/packages/forwarding/bramleyspread_forwarding/_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/_targets.py
@@ -8,7 +8,7 @@
 
 from bramleyspread_core import Address
 from bramleyspread_forwarding._feed import FeedPage
-from bramleyspread_forwarding._notices import Stance, TargetChange, TargetNotice
+from bramleyspread_forwarding._notices import Readiness, TargetChange, TargetNotice
 
 #: How long a control host's word counts, in seconds; it is asked twice a second.
 FRESH_S = 2.5
@@ -51,7 +51,7 @@
 
     def __init__(self) -> None:
         self._views: dict[Address, _View] = {}
-        self._farewells: dict[str, tuple[TargetNotice, float]] = {}
+        self._departures: dict[str, tuple[TargetNotice, float]] = {}
         self._usable: dict[str, tuple[ForwardTarget, ...]] = {}
         self._fresh: frozenset[Address] = frozenset()
 
@@ -110,21 +110,21 @@
     def _take(self, view: _View, change: TargetChange, now: float) -> None:
         notice = change.notice
         view.targets[notice.target] = change
-        if change.silent or notice.stance is Stance.READY:
+        if change.silent or notice.readiness is Readiness.READY:
             return
-        known = self._farewells.get(notice.target)
+        known = self._departures.get(notice.target)
         if known is None or known[0].born <= notice.born:
-            self._farewells[notice.target] = (notice, now)
+            self._departures[notice.target] = (notice, now)
 
     def _rebuild(self, now: float) -> None:
-        for target, (_, since) in tuple(self._farewells.items()):
+        for target, (_, since) in tuple(self._departures.items()):
             if now - since > REMEMBERED_S:
-                del self._farewells[target]
+                del self._departures[target]
         newest: dict[str, TargetNotice] = {}
         heard: set[str] = set()
         for control, view in self._views.items():
             for target, change in view.targets.items():
-                if change.notice.stance is not Stance.READY:
+                if change.notice.readiness is not Readiness.READY:
                     continue
                 if control in self._fresh:
                     heard.add(target)
@@ -134,8 +134,8 @@
         usable: dict[str, list[ForwardTarget]] = {}
         doubtful: dict[str, list[ForwardTarget]] = {}
         for target, notice in sorted(newest.items()):
-            farewell = self._farewells.get(target)
-            if farewell is not None and farewell[0].born >= notice.born:
+            departure = self._departures.get(target)
+            if departure is not None and departure[0].born >= notice.born:
                 continue
             lists = usable if target in heard else doubtful
             lists.setdefault(notice.service, []).append(
--- a/packages/forwarding/bramleyspread_forwarding/tests/builders.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/builders.py
@@ -10,7 +10,7 @@
     PieceResult,
     Prompt,
     PromptPart,
-    Stance,
+    Readiness,
     TargetNotice,
 )
 
@@ -43,7 +43,7 @@
         "address": Address("10.0.0.1", 8000),
         "zone": "z0",
         "slots": 1,
-        "stance": Stance.READY,
+        "readiness": Readiness.READY,
         **changes,
     }
     return TargetNotice(**fields)  # type: ignore[arg-type]
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_gathering.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_batching.py
@@ -9,8 +9,8 @@
 import pytest
 
 from bramleyspread_forwarding import (
-    GatheredCall,
-    Gatherer,
+    BatchedCall,
+    Batcher,
     PieceFault,
     PieceJob,
     PieceResult,
@@ -30,26 +30,26 @@
 
     def __init__(self, batch: int = LIMITS.batch, held_s: float = 0.3) -> None:
         self.limits = msgspec.structs.replace(LIMITS, batch=batch)
-        self.gatherer = Gatherer()
+        self.batcher = Batcher()
         self.now = 0.0
         self.held_s = held_s
         self.ended: dict[int, tuple[float, tuple[PieceResult, ...]]] = {}
-        self._calls: list[tuple[float, int, GatheredCall]] = []
+        self._calls: list[tuple[float, int, BatchedCall]] = []
         self._held: list[tuple[float, tuple[str, ...]]] = []
 
     def add(self, job: PieceJob) -> int | PieceFault:
-        return self.gatherer.add(job, self.limits, len(TARGETS), self.now)
+        return self.batcher.add(job, self.limits, len(TARGETS), self.now)
 
     def run(self, seconds: float) -> None:
         until = self.now + seconds
         while self.now < until:
             self.now += 0.005
             while self._held and self._held[0][0] <= self.now:
-                self.gatherer.release(heapq.heappop(self._held)[1])
+                self.batcher.release(heapq.heappop(self._held)[1])
             self._finish_calls()
-            for done in self.gatherer.jobs.expire(self.now):
+            for done in self.batcher.jobs.expire(self.now):
                 self.ended[done.job] = (self.now, done.results)
-            for call in self.gatherer.dispatch(TARGETS, self.limits, self.now):
+            for call in self.batcher.dispatch(TARGETS, self.limits, self.now):
                 length = self.limits.call_ms + len(call.items) * self.limits.piece_ms
                 due = self.now + length / 1000
                 heapq.heappush(self._calls, (due, call.call, call))
@@ -58,7 +58,7 @@
         while self._calls and self._calls[0][0] <= self.now:
             _, number, call = heapq.heappop(self._calls)
             results = make_results(len(call.items), call.target.zone)
-            for done in self.gatherer.finish(number, results, self.now):
+            for done in self.batcher.finish(number, results, self.now):
                 self.ended[done.job] = (self.now, done.results)
                 handles = tuple(x.handle for x in done.results)
                 heapq.heappush(self._held, (self.now + self.held_s, handles))
@@ -87,7 +87,7 @@
     return len(asked) + refused, in_time
 
 
-def test_a_calm_day_is_carried_only_by_gathered_calls() -> None:
+def test_a_calm_day_is_carried_only_by_batched_calls() -> None:
     asked, in_time = serve_calm_day(Service())
     assert in_time >= 0.97 * asked
     asked, in_time = serve_calm_day(Service(batch=1))
@@ -107,7 +107,7 @@
 
 
 def test_urgent_jobs_go_first_and_late_ones_last() -> None:
-    gatherer = Gatherer()
+    batcher = Batcher()
     one = (TARGETS[0],)
     limits = msgspec.structs.replace(LIMITS, batch=1)
     for name, priority, aim in (
@@ -116,28 +116,28 @@
         ("first", 0, 1_000.0),
         ("soon", 0, 500.0),
     ):
-        gatherer.add(make_job(name, 1, priority=priority, aim_ms=aim), limits, 9, 0.0)
+        batcher.add(make_job(name, 1, priority=priority, aim_ms=aim), limits, 9, 0.0)
     order = []
     for _ in range(4):
-        (call,) = gatherer.dispatch(one, limits, 0.001)
+        (call,) = batcher.dispatch(one, limits, 0.001)
         order.append(call.items[0].item.request)
-        gatherer.finish(call.call, make_results(1), 0.002)
+        batcher.finish(call.call, make_results(1), 0.002)
     assert order == ["soon", "first", "second", "late"]
 
 
 def test_pieces_with_large_inputs_are_left_to_targets_near_them() -> None:
-    gatherer = Gatherer()
-    gatherer.add(make_job("r", 2, zone="z2", is_bound=True), LIMITS, 3, 0.0)
-    (call,) = gatherer.dispatch(TARGETS, LIMITS, 0.0)
+    batcher = Batcher()
+    batcher.add(make_job("r", 2, zone="z2", is_bound=True), LIMITS, 3, 0.0)
+    (call,) = batcher.dispatch(TARGETS, LIMITS, 0.0)
     assert call.target.zone == "z2"
 
 
 def test_pieces_go_elsewhere_when_their_zone_has_too_many() -> None:
-    gatherer = Gatherer()
+    batcher = Batcher()
     for at in range(3):
         job = make_job(f"r{at}", 5, zone="z2", is_bound=True)
-        gatherer.add(job, LIMITS, 3, 0.0)
-    assert len(gatherer.dispatch(TARGETS, LIMITS, 0.0)) > 1
+        batcher.add(job, LIMITS, 3, 0.0)
+    assert len(batcher.dispatch(TARGETS, LIMITS, 0.0)) > 1
 
 
 @pytest.mark.parametrize(
@@ -150,50 +150,50 @@
     ],
 )
 def test_which_faults_are_tried_again(fault: PieceFault, again: bool) -> None:
-    gatherer = Gatherer()
-    gatherer.add(make_job("r", 1), LIMITS, 3, 0.0)
-    (call,) = gatherer.dispatch(TARGETS, LIMITS, 0.0)
-    done = gatherer.finish(call.call, [PieceResult(fault=fault)], 0.1)
+    batcher = Batcher()
+    batcher.add(make_job("r", 1), LIMITS, 3, 0.0)
+    (call,) = batcher.dispatch(TARGETS, LIMITS, 0.0)
+    done = batcher.finish(call.call, [PieceResult(fault=fault)], 0.1)
     assert (not done) is again
-    assert gatherer.jobs.waiting_pieces == int(again)
+    assert batcher.jobs.waiting_pieces == int(again)
 
 
 def test_a_target_that_did_not_answer_is_passed_over_for_a_while() -> None:
-    gatherer = Gatherer()
-    gatherer.add(make_job("r", 1), LIMITS, 3, 0.0)
-    (call,) = gatherer.dispatch(TARGETS, LIMITS, 0.0)
-    gatherer.fail(call.call, 0.1)
-    (second,) = gatherer.dispatch(TARGETS, LIMITS, 0.1)
+    batcher = Batcher()
+    batcher.add(make_job("r", 1), LIMITS, 3, 0.0)
+    (call,) = batcher.dispatch(TARGETS, LIMITS, 0.0)
+    batcher.fail(call.call, 0.1)
+    (second,) = batcher.dispatch(TARGETS, LIMITS, 0.1)
     assert second.target != call.target
 
 
 def test_a_job_that_cannot_end_in_time_is_refused_at_once() -> None:
-    gatherer = Gatherer()
+    batcher = Batcher()
     job = make_job("r", 1, remaining_ms=100.0)
-    assert gatherer.add(job, LIMITS, 3, 0.0) is PieceFault.FULL
-    assert gatherer.add(make_job("r", 1), LIMITS, 0, 0.0) is PieceFault.FULL
+    assert batcher.add(job, LIMITS, 3, 0.0) is PieceFault.FULL
+    assert batcher.add(make_job("r", 1), LIMITS, 0, 0.0) is PieceFault.FULL
 
 
 def test_results_that_nobody_waits_for_are_told() -> None:
-    gatherer = Gatherer()
-    number = gatherer.add(make_job("r", 9), LIMITS, 3, 0.0)
+    batcher = Batcher()
+    number = batcher.add(make_job("r", 9), LIMITS, 3, 0.0)
     assert isinstance(number, int)
-    first, second = gatherer.dispatch(TARGETS, LIMITS, 0.0)
+    first, second = batcher.dispatch(TARGETS, LIMITS, 0.0)
     early = make_results(len(first.items))
-    gatherer.finish(first.call, early, 0.1)
-    gatherer.jobs.cancel(number)
+    batcher.finish(first.call, early, 0.1)
+    batcher.jobs.cancel(number)
     late = make_results(len(second.items))
-    gatherer.finish(second.call, late, 0.2)
-    assert set(gatherer.jobs.take_unwanted()) == {x.handle for x in (*early, *late)}
-    assert gatherer.jobs.take_unwanted() == ()
+    batcher.finish(second.call, late, 0.2)
+    assert set(batcher.jobs.take_unwanted()) == {x.handle for x in (*early, *late)}
+    assert batcher.jobs.take_unwanted() == ()
 
 
-def test_jobs_not_begun_go_to_the_host_that_gathers_by_now() -> None:
-    gatherer = Gatherer()
+def test_jobs_not_begun_go_to_the_host_that_batches_by_now() -> None:
+    batcher = Batcher()
     for name in ("begun", "waiting"):
-        gatherer.add(make_job(name, 7), LIMITS, 3, 0.0)
-    gatherer.add(make_job("stays", 1), LIMITS, 3, 0.0, stays=True)
-    gatherer.dispatch(TARGETS[:1], LIMITS, 0.0)
-    (moved,) = gatherer.jobs.hand_over()
+        batcher.add(make_job(name, 7), LIMITS, 3, 0.0)
+    batcher.add(make_job("stays", 1), LIMITS, 3, 0.0, stays=True)
+    batcher.dispatch(TARGETS[:1], LIMITS, 0.0)
+    (moved,) = batcher.jobs.hand_over()
     assert {x.fault for x in moved.results} == {PieceFault.MOVED}
-    assert gatherer.jobs.waiting_pieces == 1
+    assert batcher.jobs.waiting_pieces == 1
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_owners.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_owners.py
@@ -1,4 +1,4 @@
-"""Which host gathers, as hosts come and go."""
+"""Which host batches, as hosts come and go."""
 
 from __future__ import annotations
 
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_registry.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_registry.py
@@ -4,36 +4,42 @@
 
 import pytest
 
-from bramleyspread_forwarding import Stance, TargetNotice, TargetRegistry
+from bramleyspread_forwarding import Readiness, TargetNotice, TargetRegistry
 from bramleyspread_forwarding.tests.builders import make_notice
 
-READY, DRAINING, GONE = Stance.READY, Stance.DRAINING, Stance.GONE
+READY, DRAINING, GONE = Readiness.READY, Readiness.DRAINING, Readiness.GONE
 
 
-def find_stance(registry: TargetRegistry) -> Stance:
-    return registry.list_changes(0)[0].notice.stance
+def find_stance(registry: TargetRegistry) -> Readiness:
+    return registry.list_changes(0)[0].notice.readiness
 
 
 @pytest.mark.parametrize(
-    ("heard", "stance"),
+    ("heard", "readiness"),
     [
         ([make_notice(sequence=1)], READY),
-        ([make_notice(sequence=1), make_notice(sequence=2, stance=DRAINING)], DRAINING),
+        (
+            [make_notice(sequence=1), make_notice(sequence=2, readiness=DRAINING)],
+            DRAINING,
+        ),
         # A heartbeat that was held up on its way changes nothing.
         (
             [
                 make_notice(sequence=1),
-                make_notice(sequence=3, stance=DRAINING),
+                make_notice(sequence=3, readiness=DRAINING),
                 make_notice(sequence=2),
             ],
             DRAINING,
         ),
         # Draining is not taken back by the same start.
-        ([make_notice(sequence=1, stance=DRAINING), make_notice(sequence=2)], DRAINING),
+        (
+            [make_notice(sequence=1, readiness=DRAINING), make_notice(sequence=2)],
+            DRAINING,
+        ),
         # A later start under the same id is another target.
         (
             [
-                make_notice(born=1, sequence=9, stance=DRAINING),
+                make_notice(born=1, sequence=9, readiness=DRAINING),
                 make_notice(born=2, sequence=1),
             ],
             READY,
@@ -42,17 +48,17 @@
         (
             [
                 make_notice(born=2, sequence=1),
-                make_notice(born=1, sequence=9, stance=DRAINING),
+                make_notice(born=1, sequence=9, readiness=DRAINING),
             ],
             READY,
         ),
     ],
 )
-def test_order_of_heartbeats(heard: list[TargetNotice], stance: Stance) -> None:
+def test_order_of_heartbeats(heard: list[TargetNotice], readiness: Readiness) -> None:
     registry = TargetRegistry(heartbeat_s=1.0)
     for notice in heard:
         registry.hear(notice, 0.0)
-    assert find_stance(registry) is stance
+    assert find_stance(registry) is readiness
 
 
 def test_leaving_beats_every_heartbeat_of_the_same_start() -> None:
@@ -75,7 +81,7 @@
     registry.hear(make_notice(sequence=1), 0.0)
     registry.tick(4.5)
     change = registry.list_changes(0)[0]
-    assert (change.notice.stance, change.silent) == (GONE, True)
+    assert (change.notice.readiness, change.silent) == (GONE, True)
     registry.hear(make_notice(sequence=2), 5.0)
     assert find_stance(registry) is READY
 
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_targets.py
@@ -5,7 +5,7 @@
 from bramleyspread_core import Address
 from bramleyspread_forwarding import (
     FeedPage,
-    Stance,
+    Readiness,
     TargetChange,
     TargetNotice,
     TargetTable,
@@ -27,22 +27,22 @@
 def test_leaving_at_one_control_host_counts_whatever_others_believe() -> None:
     table = TargetTable()
     table.apply(A, page(make_notice(sequence=9)), 0.0)
-    table.apply(B, page(make_notice(sequence=2, stance=Stance.DRAINING)), 0.1)
+    table.apply(B, page(make_notice(sequence=2, readiness=Readiness.DRAINING)), 0.1)
     assert names(table) == []
 
 
 def test_silence_at_one_control_host_counts_only_alone() -> None:
     table = TargetTable()
     table.apply(A, page(make_notice()), 0.0)
-    table.apply(B, page(make_notice(stance=Stance.GONE), silent=True), 0.1)
+    table.apply(B, page(make_notice(readiness=Readiness.GONE), silent=True), 0.1)
     assert names(table) == ["t"]
-    table.apply(A, page(make_notice(stance=Stance.GONE), silent=True), 0.2)
+    table.apply(A, page(make_notice(readiness=Readiness.GONE), silent=True), 0.2)
     assert names(table) == []
 
 
 def test_a_later_start_comes_back_under_its_id() -> None:
     table = TargetTable()
-    table.apply(A, page(make_notice(born=1, stance=Stance.GONE)), 0.0)
+    table.apply(A, page(make_notice(born=1, readiness=Readiness.GONE)), 0.0)
     table.apply(B, page(make_notice(born=2)), 0.1)
     assert names(table) == ["t"]
 
