Leave to slow stage targets only what quick ones would not come to

Ruled out: waiting for fewer pieces at a slow target (the call's own time binds).

Change: calls' times are compared between peers (_paces.py); a slow target gets the pieces behind those that the quick ones begin before it is done, and one piece a second as a trial; calls are waited for eight times their length.

--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from bramleyspread_core import PieceLimits
+from bramleyspread_forwarding._paces import Paces
 from bramleyspread_forwarding._piece_queue import JobDone, PieceQueue, PieceRef
 from bramleyspread_forwarding._pieces import (
     PieceFault,
@@ -26,8 +27,9 @@
 
 #: How long a target that had no room or failed is passed over, in seconds.
 PASSED_OVER_S = 0.3
-#: A call that isn't answered after this many times its expected length is given up.
-LATE_CALL = 4.0
+#: A call that isn't answered after this many times its expected length is given up;
+#: a slow target works several times as long, and its results are good.
+LATE_CALL = 8.0
 
 
 class BatchedItem(msgspec.Struct, frozen=True):
@@ -56,15 +58,30 @@
     timeout_ms: float
 
 
+class _Share(msgspec.Struct, frozen=True):
+    """Which of the waiting pieces a target may have, in the order they go."""
+
+    #: Pieces in front that are left to quicker targets.
+    sooner: int
+    #: Pieces in the call, at most.
+    most: int
+
+
 class _Call:
     """A call on its way."""
 
-    __slots__ = ("kept_s", "pieces", "target")
+    __slots__ = ("begun", "kept_s", "length_ms", "pieces", "target")
 
     def __init__(
-        self, target: ForwardTarget, pieces: list[PieceRef], kept_s: float
+        self,
+        target: ForwardTarget,
+        pieces: list[PieceRef],
+        limits: PieceLimits,
+        now: float,
     ) -> None:
-        self.kept_s = kept_s
+        self.begun = now
+        self.length_ms = _measure_call(len(pieces), limits)
+        self.kept_s = limits.kept_s
         self.target = target
         self.pieces = pieces
 
@@ -73,7 +90,8 @@
     """The pieces of one service that wait, and the calls on their way.
 
     The most urgent job that can still be on time goes first; jobs that are late
-    already go behind those that aren't.
+    already go behind those that aren't. A slow target gets only what the quick ones
+    would not come to before it is done, and a single piece now and then as a trial.
     """
 
     def __init__(self) -> None:
@@ -83,6 +101,7 @@
         self._calls: dict[int, _Call] = {}
         self._passed_over: dict[str, float] = {}
         self._rooms = RoomAccount()
+        self._paces = Paces()
 
     @property
     def calls_running(self) -> int:
@@ -145,17 +164,39 @@
             return []
         calls = []
         self._rooms.forget(now)
+        names = [each.target for each in targets]
+        self._paces.forget(names)
+        factors = {each: self._paces.compare(each, names) for each in names}
         all_bound = self._find_bound_zones(targets, limits)
-        for target in free:
+        for target in sorted(free, key=lambda each: factors[each.target]):
             room = self._rooms.find_left(target.target, limits)
             spare = self._find_spare(targets, limits)
             bound = all_bound - {target.zone}
-            pieces = self._choose_pieces(target, limits, room, spare, bound, now)
+            share = self._find_share(target, factors, limits, now)
+            pieces = self._choose_pieces(target, limits, room, spare, bound, share, now)
             if not pieces:
                 continue
             calls.append(self._begin(target, pieces, limits, now))
         return calls
 
+    def _find_share(
+        self,
+        target: ForwardTarget,
+        factors: dict[str, float],
+        limits: PieceLimits,
+        now: float,
+    ) -> _Share:
+        """Find which of the waiting pieces a target may have."""
+        factor = factors[target.target]
+        if factor == 1.0:
+            return _Share(0, limits.batch)
+        quick = sum(each == 1.0 for each in factors.values())
+        sooner = int(quick * limits.slots * limits.batch * factor)
+        waiting = self.jobs.waiting_pieces
+        if waiting <= sooner and self._paces.is_trial_due(target.target, now):
+            return _Share(waiting - 1, 1)
+        return _Share(sooner, limits.batch)
+
     def finish(
         self, call: int, results: Sequence[PieceResult], now: float
     ) -> list[JobDone]:
@@ -168,6 +209,9 @@
         """
         made = self._calls.pop(call)
         self._keep(made, results, now)
+        if any(result.handle for result in results):
+            spent_ms = (now - made.begun) * 1000
+            self._paces.note(made.target.target, spent_ms / made.length_ms, now)
         done = []
         if all(result.fault is PieceFault.ROOM for result in results):
             self._passed_over[made.target.target] = now + PASSED_OVER_S
@@ -237,6 +281,7 @@
         room: float,
         spare: float,
         bound: set[str],
+        share: _Share,
         now: float,
     ) -> list[PieceRef]:
         """Choose the pieces of one call.
@@ -245,6 +290,7 @@
         is begun goes first: half a job would only keep others from their room.
         """
         chosen: list[PieceRef] = []
+        passed = 0
         for number, job in self.jobs.list_waiting(target.zone, bound, now):
             size = job.job.result_bytes
             if not job.begun:
@@ -253,8 +299,11 @@
                     continue
                 spare -= whole
             for index in job.waiting:
-                if len(chosen) >= limits.batch:
+                if len(chosen) >= share.most:
                     return chosen
+                passed += 1
+                if passed <= share.sooner:
+                    continue
                 if size > room:
                     break
                 room -= size
@@ -269,11 +318,12 @@
         now: float,
     ) -> BatchedCall:
         call = next(self._numbers)
-        self._calls[call] = _Call(target, pieces, limits.kept_s)
+        made = self._calls[call] = _Call(target, pieces, limits, now)
         items = tuple(self._describe(piece, now) for piece in pieces)
-        length = limits.call_ms + len(items) * limits.piece_ms
         longest = max(each.remaining_ms for each in items)
-        return BatchedCall(call, target, items, min(longest, length * LATE_CALL))
+        return BatchedCall(
+            call, target, items, min(longest, made.length_ms * LATE_CALL)
+        )
 
     def _describe(self, piece: PieceRef, now: float) -> BatchedItem:
         job = self.jobs.begin(piece)
@@ -283,3 +333,8 @@
             job.job.key,
             job.job.inputs,
         )
+
+
+def _measure_call(pieces: int, limits: PieceLimits) -> float:
+    """Measure how long a call takes by its service's limits, in milliseconds."""
+    return limits.call_ms + pieces * limits.piece_ms
