--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -291,7 +291,8 @@
         """
         chosen: list[PieceRef] = []
         passed = 0
-        for number, job in self.jobs.list_waiting(target.zone, bound, now):
+        by = now + _measure_call(limits.batch, limits) / 1000
+        for number, job in self.jobs.list_waiting(target.zone, bound, by):
             size = job.job.result_bytes
             if not job.begun:
                 whole = size * len(job.waiting)
--- a/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
+++ b/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
@@ -122,15 +122,16 @@
         return [self._give_up(number, PieceFault.LATE) for number in late]
 
     def list_waiting(
-        self, zone: str, bound: set[str], now: float
+        self, zone: str, bound: set[str], by: float
     ) -> list[tuple[int, WaitingJob]]:
         """List the jobs with waiting pieces for a target, in the order they go.
 
-        What is begun, on time, urgent, near and due goes first.
+        What is begun, urgent, near and due goes first; what can't be made by its aim
+        any more goes behind what can.
 
         :param zone: the target's availability zone.
         :param bound: zones whose bound jobs are left to their own targets.
-        :param now: seconds.
+        :param by: when a call that begins now would end, in seconds.
         :returns: their numbers and the jobs.
         """
 
@@ -139,7 +140,7 @@
         ) -> tuple[bool, bool, int, bool, float]:
             job = numbered[1]
             away = job.job.zone not in ("", zone)
-            late = job.aim < now
+            late = job.aim < by
             return (not job.begun, late, job.job.priority, away, job.aim)
 
         waiting = [
