--- a/packages/daemon/bramleyspread_daemon/forward/_feed_link.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_feed_link.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 
 import curio
+from loguru import logger
 
 from bramleyspread_core import Address, MessageError, decode_json, encode_json
 from bramleyspread_daemon._client import ClosedError, UnsentError
@@ -48,7 +49,12 @@
 
     async def _ask_for_ever(self, host: Address) -> None:
         while True:
-            if not await self._ask(host):
+            try:
+                heard = await self._ask(host)
+            except Exception:  # one bad page must not end the feed for good
+                logger.bind(step="feed", peer=str(host)).exception("a fault inside")
+                heard = False
+            if not heard:
                 self.failures += 1
                 await curio.sleep(PAUSE_S)
 
