Count as begun only what is in a call or made; try failing targets less

Change: begun is read off the pieces; a target that fails again and again is passed over for 0.3, 0.6 and then 1.2 s. Both tests failed first.

--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -27,6 +27,8 @@
 
 #: How long a target that had no room or failed is passed over, in seconds.
 PASSED_OVER_S = 0.3
+#: The longest that one is passed over that fails again and again, in seconds.
+LONGEST_PASSED_OVER_S = 1.2
 #: A call that isn't answered after this many times its expected length is given up;
 #: a slow target works several times as long, and its results are good.
 LATE_CALL = 8.0
@@ -100,6 +102,7 @@
         self.jobs = PieceQueue()
         self._calls: dict[int, _Call] = {}
         self._passed_over: dict[str, float] = {}
+        self._failures: Counter[str] = Counter()
         self._rooms = RoomAccount()
         self._paces = Paces()
 
@@ -165,7 +168,7 @@
         calls = []
         self._rooms.forget(now)
         names = [each.target for each in targets]
-        self._paces.forget(names)
+        self._forget_gone(names)
         factors = {each: self._paces.compare(each, names) for each in names}
         all_bound = self._find_bound_zones(targets, limits)
         for target in sorted(free, key=lambda each: factors[each.target]):
@@ -179,6 +182,12 @@
             calls.append(self._begin(target, pieces, limits, now))
         return calls
 
+    def _forget_gone(self, targets: Sequence[str]) -> None:
+        self._paces.forget(targets)
+        for known in (self._passed_over, self._failures):
+            for gone in known.keys() - set(targets):
+                del known[gone]
+
     def _find_share(
         self,
         target: ForwardTarget,
@@ -208,6 +217,7 @@
         :returns: jobs that are done by it.
         """
         made = self._calls.pop(call)
+        self._failures.pop(made.target.target, None)
         self._keep(made, results, now)
         if any(result.handle for result in results):
             spent_ms = (now - made.begun) * 1000
@@ -228,13 +238,20 @@
         :returns: jobs that are given up by it.
         """
         made = self._calls.pop(call)
-        self._passed_over[made.target.target] = now + PASSED_OVER_S
+        self._pass_over(made.target.target, now)
         fault = PieceFault.ERROR if counts else PieceFault.ROOM
         done = []
         for piece in made.pieces:
             done += self.jobs.put(piece, PieceResult(fault=fault), now)
         return done
 
+    def _pass_over(self, target: str, now: float) -> None:
+        """Pass a target over that failed, each time for longer."""
+        failures = self._failures[target]
+        self._failures[target] += 1
+        pause = min(PASSED_OVER_S * 2**failures, LONGEST_PASSED_OVER_S)
+        self._passed_over[target] = now + pause
+
     def release(self, handles: Iterable[str]) -> None:
         """Take note that results are needed no more."""
         self._rooms.release(handles)
--- a/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
+++ b/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
@@ -36,7 +36,6 @@
 
     __slots__ = (
         "aim",
-        "begun",
         "job",
         "missing",
         "results",
@@ -63,8 +62,11 @@
         self.missing = len(job.items)
         #: Pieces that were tried again.
         self.tries = 0
-        #: Whether any piece was in a call.
-        self.begun = False
+
+    @property
+    def begun(self) -> bool:
+        """Whether any piece is in a call, or made."""
+        return len(self.waiting) < len(self.job.items)
 
 
 class PieceQueue:
@@ -187,7 +189,6 @@
         """
         job = self._jobs[piece.job]
         job.waiting.remove(piece.index)
-        job.begun = True
         return job
 
     def put(self, piece: PieceRef, result: PieceResult, now: float) -> list[JobDone]:
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_batching.py
@@ -220,6 +220,32 @@
     assert batcher.add(make_job("r", 1), LIMITS, 0, 0.0) is PieceFault.FULL
 
 
+def test_what_a_target_turned_away_was_not_begun() -> None:
+    batcher = Batcher()
+    for name in ("first", "second"):
+        batcher.add(make_job(name, 4), LIMITS, 1, 0.0)
+    urgent = make_job("urgent", 7, priority=-1)
+    (call,) = batcher.dispatch(TARGETS[:1], LIMITS, 0.0)
+    batcher.fail(call.call, 0.01, counts=False)
+    batcher.add(urgent, LIMITS, 1, 0.02)
+    assert batcher.jobs.count_promised_bytes() == 0
+    (call,) = batcher.dispatch(TARGETS[1:2], LIMITS, 0.02)
+    assert {each.item.request for each in call.items} == {"urgent"}
+
+
+def test_a_target_that_keeps_failing_is_tried_less_and_less() -> None:
+    batcher = Batcher()
+    batcher.add(make_job("r", 1, remaining_ms=60_000.0), LIMITS, 1, 0.0)
+    tried = []
+    for tick in range(100):
+        now = tick * 0.05
+        for call in batcher.dispatch(TARGETS[:1], LIMITS, now):
+            tried.append(now)
+            batcher.fail(call.call, now, counts=False)
+    assert len(tried) <= 7
+    assert max(b - a for a, b in zip(tried, tried[1:], strict=False)) < 1.3
+
+
 def test_results_that_nobody_waits_for_are_told() -> None:
     batcher = Batcher()
     number = batcher.add(make_job("r", 9), LIMITS, 3, 0.0)
