Give late jobs up for which no time was left over in two calls

Cause: jobs that can't be in time any more go behind all that can, and waited there for up to 3.8 s before they were refused: most of what was held in vain.

Change: a job that is late and was not begun within two full calls is given up, so that its caller hears it when it may still come back.

--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -253,7 +253,11 @@
         """Give up what is late, and try what was passed over."""
         for service, batcher in tuple(self._batchers.items()):
             now = read_monotonic()
-            await self._end(service, batcher.jobs.expire(now))
+            limits = self._view.find_limits(service)
+            if limits is None:
+                await self._end(service, batcher.jobs.expire(now))
+            else:
+                await self._end(service, batcher.give_up(limits, now))
             if not self._owners.may_keep(service, self._view.list_hosts(), now):
                 await self._end(service, batcher.jobs.hand_over())
             if batcher.jobs.waiting_pieces:
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -29,6 +29,9 @@
 PASSED_OVER_S = 0.3
 #: The longest that one is passed over that fails again and again, in seconds.
 LONGEST_PASSED_OVER_S = 1.2
+#: Lengths of a full call for which a job that can't be in time waits to be begun;
+#: by then every target has taken other work twice.
+LATE_CALLS = 3
 #: A call that isn't answered after this many times its expected length is given up;
 #: a slow target works several times as long, and its results are good.
 LATE_CALL = 8.0
@@ -142,6 +145,17 @@
         rounds = (ahead + max(0, len(job.items) - limits.batch)) / limits.batch
         return own + rounds * whole_call / (targets * limits.slots)
 
+    def give_up(self, limits: PieceLimits, now: float) -> list[JobDone]:
+        """Give up the jobs whose time is over, and late ones that wait in vain.
+
+        :param limits: how a target works.
+        :param now: seconds.
+        :returns: the jobs.
+        """
+        length_s = _measure_call(limits.batch, limits) / 1000
+        since = now - (LATE_CALLS - 1) * length_s
+        return [*self.jobs.expire(now), *self.jobs.shed(since)]
+
     def dispatch(
         self, targets: Sequence[ForwardTarget], limits: PieceLimits, now: float
     ) -> list[BatchedCall]:
--- a/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
+++ b/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
@@ -35,6 +35,7 @@
     """A job in work."""
 
     __slots__ = (
+        "added",
         "aim",
         "job",
         "missing",
@@ -52,6 +53,8 @@
         self.stays = stays
         #: When its time is over, in seconds.
         self.until = now + job.remaining_ms / 1000
+        #: When it came, in seconds.
+        self.added = now
         #: When its request is late, in seconds.
         self.aim = now + job.aim_ms / 1000
         #: The results so far, in the order of its pieces.
@@ -123,6 +126,21 @@
         late = [number for number, job in self._jobs.items() if job.until <= now]
         return [self._give_up(number, PieceFault.LATE) for number in late]
 
+    def shed(self, since: float) -> list[JobDone]:
+        """Give up jobs that can't be in time and for which no time was left over.
+
+        What is on time goes before them, so that they would mostly wait in vain.
+
+        :param since: jobs that are late and here for longer go, in seconds.
+        :returns: the jobs.
+        """
+        late = [
+            number
+            for number, job in self._jobs.items()
+            if max(job.aim, job.added) < since and not job.begun
+        ]
+        return [self._give_up(number, PieceFault.FULL) for number in late]
+
     def list_waiting(
         self, zone: str, bound: set[str], by: float
     ) -> list[tuple[int, WaitingJob]]:
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_batching.py
@@ -41,12 +41,16 @@
         self.batcher = Batcher()
         self.now = 0.0
         self.held_s = held_s
+        self.added: dict[int, float] = {}
         self.ended: dict[int, tuple[float, tuple[PieceResult, ...]]] = {}
         self._calls: list[tuple[float, int, BatchedCall]] = []
         self._held: list[tuple[float, tuple[str, ...]]] = []
 
     def add(self, job: PieceJob) -> int | PieceFault:
-        return self.batcher.add(job, self.limits, len(TARGETS), self.now)
+        number = self.batcher.add(job, self.limits, len(TARGETS), self.now)
+        if isinstance(number, int):
+            self.added[number] = self.now
+        return number
 
     def run(self, seconds: float) -> None:
         until = self.now + seconds
@@ -55,7 +59,7 @@
             while self._held and self._held[0][0] <= self.now:
                 self.batcher.release(heapq.heappop(self._held)[1])
             self._finish_calls()
-            for done in self.batcher.jobs.expire(self.now):
+            for done in self.batcher.give_up(self.limits, self.now):
                 self.ended[done.job] = (self.now, done.results)
             for call in self.batcher.dispatch(TARGETS, self.limits, self.now):
                 length = self.limits.call_ms + len(call.items) * self.limits.piece_ms
@@ -140,6 +144,26 @@
     assert in_time >= 0.8 * carried * asked
 
 
+def test_with_too_much_to_do_what_is_late_is_given_up_soon() -> None:
+    service = Service()
+    serve_calm_day(service, requests_per_s=60.0)
+    given_up = [
+        at - service.added[number]
+        for number, (at, results) in service.ended.items()
+        if not all(each.handle for each in results)
+    ]
+    assert len(given_up) > 50
+    aim_and_two_calls = 1.0 + 2 * 0.279
+    assert sum(given_up) / len(given_up) < aim_and_two_calls + 0.1
+
+
+def test_late_work_is_done_when_there_is_time_for_it() -> None:
+    service = Service()
+    jobs = [service.add(make_job(f"r{at}", 7, aim_ms=-1.0)) for at in range(6)]
+    service.run(2.0)
+    assert all(service.ended[int(number)][1][0].handle for number in jobs)
+
+
 def test_large_results_of_half_made_jobs_never_block_the_room() -> None:
     service = Service(held_s=0.3)
     jobs = [
