--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 import curio
+from loguru import logger
 
 from bramleyspread_core import (
     Address,
@@ -101,6 +102,7 @@
         self._askers: list[_Asker] = []
         self._live_hosts = LiveHosts(HOST_S)
         self._propose: Propose = _refuse_all
+        self._logged = 0
         #: The targets that this host has heard.
         self.registry = TargetRegistry(heartbeat_s)
 
@@ -119,11 +121,11 @@
         match call:
             case TargetNotice():
                 if self.registry.hear(call, now):
-                    self._feed(now)
+                    self._tell_news(now)
                 _send(reply, self._wire.write_heard())
             case TargetLeft():
                 self.registry.leave(call.target, call.born, now)
-                self._feed(now)
+                self._tell_news(now)
                 _send(reply, self._wire.write_heard())
             case PutDeployment():
                 await curio.spawn(self._decide_for, call, reply, daemon=True)
@@ -184,6 +186,22 @@
         """Let time pass; call every few hundredths of a second."""
         now = read_monotonic()
         self.registry.tick(now)
+        self._tell_news(now)
+
+    def _tell_news(self, now: float) -> None:
+        """Log what targets have changed since the last time, and tell entry hosts."""
+        for change in self.registry.list_changes(self._logged):
+            notice = change.notice
+            logger.bind(
+                step="target",
+                peer=notice.target,
+                service=notice.service,
+                address=str(notice.address),
+                zone=notice.zone,
+                born=notice.born,
+                sequence=notice.sequence,
+            ).info("silent" if change.silent else notice.readiness.value)
+        self._logged = self.registry.position
         self._feed(now)
 
     def _feed(self, now: float) -> None:
