Let a document's limits hold for callers; wait for slow ones

Cause: head and body limits came from the settings only, whatever the document in force said; a caller that read a stream slowly was cut at 4 MB unsent.

Change: sizes are the document's, times the longer of both; a stream is read no further from its target while 128 KB wait for the caller.

Documents in force are logged.

--- a/packages/daemon/bramleyspread_daemon/_exchange.py
+++ b/packages/daemon/bramleyspread_daemon/_exchange.py
@@ -77,6 +77,11 @@
         """
         self.send(status, encode_json(value))
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait for the peer to take them; none once it has left."""
+        return 0 if self.left else self._connection.unsent_bytes
+
     def begin_events(self) -> None:
         """Send the head of a stream of server-sent events."""
         if self.begun or self.left:
--- a/packages/daemon/bramleyspread_daemon/_served.py
+++ b/packages/daemon/bramleyspread_daemon/_served.py
@@ -64,6 +64,11 @@
         unsent = self._connection.pending_bytes > 0
         return (awaited or unsent) and not self._connection.aborted
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait for the peer to take them."""
+        return self._connection.pending_bytes
+
     async def run(self) -> None:
         """Serve requests one after the other until the connection ends."""
         try:
--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from random import Random
 
+from loguru import logger
+
 from bramleyspread_core import (
     Address,
     Deployment,
@@ -47,7 +50,9 @@
         peers: ConnectionPool,
         rng: Random,
         started: int,
+        on_deployment: Callable[[Deployment], None],
     ) -> None:
+        self._on_deployment = on_deployment
         self._settings = settings
         self._budgets: dict[str, RetryBudget] = {}
         self._live_hosts = LiveHosts(HOST_S)
@@ -128,6 +133,10 @@
     def _put_in_force(self, deployment: Deployment) -> None:
         self.routes = RouteTable(deployment)
         self.keys.apply(deployment)
+        self._on_deployment(deployment)
+        logger.bind(step="document", peer="-", version=deployment.version).info(
+            "in force"
+        )
 
     def list_hosts(self) -> tuple[EntryHost, ...]:
         """List the entry hosts that are there, this one included."""
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -7,12 +7,13 @@
 import curio
 from loguru import logger
 
-from bramleyspread_core import Address
+from bramleyspread_core import Address, Deployment
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._metrics import Metrics
 from bramleyspread_daemon._process import Process, repeat, wait_for_stop
 from bramleyspread_daemon._routes import Routes
 from bramleyspread_daemon._server import HttpServer
+from bramleyspread_daemon.forward._caller_limits import widen_limits
 from bramleyspread_daemon.forward._context import ForwardContext
 from bramleyspread_daemon.forward._feed_link import FeedLink
 from bramleyspread_daemon.forward._piece_service import (
@@ -63,7 +64,12 @@
         self._wire = callers
         #: What all requests share.
         self.context = ForwardContext(
-            settings, targets, process.pool, rng, process.incarnation
+            settings,
+            targets,
+            process.pool,
+            rng,
+            process.incarnation,
+            self._apply_limits,
         )
         self._link = FeedLink(
             process.pool, self.context.make_query, self.context.take_page
@@ -85,6 +91,9 @@
         self.public.is_public = True
         self.health.is_public = True
 
+    def _apply_limits(self, deployment: Deployment) -> None:
+        self.public.limits = widen_limits(self._settings.limits, deployment.limits)
+
     async def handle(self, http: HttpRequest, reply: Reply) -> None:
         """Take a caller's request."""
         forwarder = self._admit(http, reply)
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -47,6 +47,10 @@
 RETRY_S = 0.5
 #: The part of the time that stages take now after which it may come back.
 RETRY_SHARE = 0.25
+#: Bytes of a stream that may wait for a slow caller.
+MOST_UNSENT_BYTES = 131_072
+#: How often a slow caller is looked at, in seconds.
+CALLER_POLL_S = 0.01
 #: The longest wait of a request whose route and caller name none, in ms.
 DEFAULT_MS = 30_000.0
 
@@ -291,12 +295,18 @@
                 self._last_event = event.event or self._last_event
                 self._note_event()
             await self._stages.release()
+            await self._wait_for_caller()
         if not splitter.is_between:
             raise ClosedError("ended in the middle of an event")
         await self._give_back(connection, head)
         self._reply.end()
         return Delivered()
 
+    async def _wait_for_caller(self) -> None:
+        """Read no further from the target while the caller doesn't keep up."""
+        while self._reply.unsent_bytes > MOST_UNSENT_BYTES:
+            await curio.sleep(CALLER_POLL_S)
+
     def _note_event(self) -> None:
         self._note_first_byte()
         now = read_monotonic()
