Tell a host that begins to batch which results others hold

Change: each entry host keeps note of what its requests hold (_holdings.py), and tells it with its first job to another batching host, whose rooms are then right but for what hosts that died held.

--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from bramleyspread_core import (
+    Address,
     MessageError,
     PieceLimits,
     decode_json,
@@ -31,6 +32,7 @@
     Batcher,
     EntryHost,
     ForwardTarget,
+    Holdings,
     JobDone,
     Owners,
     PieceFault,
@@ -58,6 +60,10 @@
 RELEASE_S = 1.0
 
 
+#: Stands for the batching host of a service that this host never asked.
+UNTOLD = EntryHost("", "", Address("0.0.0.0", 0))
+
+
 class _Job:
     """A job that somebody waits for."""
 
@@ -101,6 +107,8 @@
         self._batchers: dict[str, Batcher] = {}
         self._jobs: dict[tuple[str, int], _Job] = {}
         self._owners = Owners(host)
+        self._holdings = Holdings()
+        self._told: dict[str, EntryHost | None] = {}
         #: Calls made to targets.
         self.calls = 0
         #: Pieces in them.
@@ -112,6 +120,14 @@
         :param job: the job.
         :returns: the results, in the order of its pieces.
         """
+        results = await self._make_anywhere(job)
+        limits = self._view.find_limits(job.service)
+        if limits is not None:
+            until = read_monotonic() + limits.kept_s
+            self._holdings.keep(job.service, results, job.result_bytes, until)
+        return results
+
+    async def _make_anywhere(self, job: PieceJob) -> tuple[PieceResult, ...]:
         begun = read_monotonic()
         for _ in range(MOST_OWNERS):
             owner = self._find_owner(job.service)
@@ -126,6 +142,7 @@
             self._owners.avoid(owner, read_monotonic())
             logger.bind(step="batch", peer=owner.host).warning("no answer")
         stays = self._find_owner(job.service) is not None
+        job = self._add_held(job, None)
         results = await self._make_here(_shorten(job, begun), stays=stays)
         if _is_moved(results):
             return await self._make_here(_shorten(job, begun), stays=True)
@@ -141,6 +158,7 @@
         self, owner: EntryHost, job: PieceJob
     ) -> tuple[PieceResult, ...] | None:
         limit = (max(job.remaining_ms, 0.0) + ANSWER_MS) / 1000
+        job = self._add_held(job, owner)
         try:
             response = await self._peers.ask(
                 owner.address,
@@ -157,6 +175,14 @@
         fits = len(answer.results) == len(job.items)
         return answer.results if fits else None
 
+    def _add_held(self, job: PieceJob, owner: EntryHost | None) -> PieceJob:
+        """Tell a host what is held here when it didn't batch for this one before."""
+        if self._told.get(job.service, UNTOLD) == owner:
+            return job
+        self._told[job.service] = owner
+        held = self._holdings.list_held(job.service, read_monotonic())
+        return msgspec.structs.replace(job, held=held)
+
     async def serve(self, http: HttpRequest, reply: Reply) -> None:
         """Answer another host's question for pieces."""
         try:
@@ -183,6 +209,7 @@
         batcher = self._batchers.setdefault(job.service, Batcher())
         targets = len(self._view.list_targets(job.service))
         now = read_monotonic()
+        batcher.learn_held(job.held, now)
         number = batcher.add(job, limits, targets, now, stays=stays)
         if isinstance(number, PieceFault):
             return _fail_all(job, number)
@@ -263,6 +290,11 @@
             if batcher.jobs.waiting_pieces:
                 await self._pump(service)
 
+    def count_kept_bytes(self, service: str, target: str) -> int:
+        """Count the bytes of results that lie at a target, as far as is known here."""
+        batcher = self._batchers.get(service)
+        return batcher.count_kept_bytes(target) if batcher is not None else 0
+
     async def _give_up_unwanted(self, service: str) -> None:
         unwanted = self._batchers[service].jobs.take_unwanted()
         if unwanted:
@@ -274,6 +306,7 @@
 
         :param release: the results.
         """
+        self._holdings.release(release.service, release.handles)
         owner = self._find_owner(release.service)
         if owner is None:
             await self._release_here(release)
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -8,6 +8,7 @@
 from bramleyspread_forwarding._budget import RetryBudget
 from bramleyspread_forwarding._events import EventError, EventSplitter, StreamEvent
 from bramleyspread_forwarding._feed import EntryHost, FeedPage, FeedQuery
+from bramleyspread_forwarding._holdings import Holdings
 from bramleyspread_forwarding._homes import find_home
 from bramleyspread_forwarding._keys import KeyRing, KeysStale, KeyUnknown
 from bramleyspread_forwarding._live_hosts import LiveHosts
@@ -23,6 +24,7 @@
 from bramleyspread_forwarding._owners import Owners, find_owner
 from bramleyspread_forwarding._piece_queue import JobDone
 from bramleyspread_forwarding._pieces import (
+    HeldResult,
     PieceFault,
     PieceItem,
     PieceJob,
@@ -55,6 +57,9 @@
 
 __all__ = [
     "AttemptEnd",
+    "BatchedCall",
+    "BatchedItem",
+    "Batcher",
     "Delivered",
     "EntryHost",
     "EventError",
@@ -63,13 +68,13 @@
     "FeedQuery",
     "ForwardRequest",
     "ForwardTarget",
-    "BatchedCall",
-    "BatchedItem",
-    "Batcher",
+    "HeldResult",
+    "Holdings",
     "JobDone",
     "KeyRing",
     "KeyUnknown",
     "KeysStale",
+    "LiveHosts",
     "MalformedRequest",
     "MayHaveRun",
     "NoTarget",
@@ -88,12 +93,11 @@
     "Prompt",
     "PromptPart",
     "RawHeaders",
+    "Readiness",
     "ReadyStage",
     "RetryBudget",
-    "LiveHosts",
     "RouteTable",
     "StageRun",
-    "Readiness",
     "StageTimes",
     "StreamEvent",
     "TargetChange",
@@ -103,7 +107,7 @@
     "TargetRegistry",
     "TargetTable",
     "WasNotRun",
-    "find_owner",
     "find_home",
+    "find_owner",
     "may_follow",
 ]
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -17,6 +17,7 @@
 from bramleyspread_forwarding._paces import Paces
 from bramleyspread_forwarding._piece_queue import JobDone, PieceQueue, PieceRef
 from bramleyspread_forwarding._pieces import (
+    HeldResult,
     PieceFault,
     PieceItem,
     PieceJob,
@@ -231,6 +232,8 @@
         :returns: jobs that are done by it.
         """
         made = self._calls.pop(call)
+        maker = made.target.target
+        results = [msgspec.structs.replace(x, maker=maker) for x in results]
         self._failures.pop(made.target.target, None)
         self._keep(made, results, now)
         if any(result.handle for result in results):
@@ -266,6 +269,16 @@
         pause = min(PASSED_OVER_S * 2**failures, LONGEST_PASSED_OVER_S)
         self._passed_over[target] = now + pause
 
+    def learn_held(self, held: Iterable[HeldResult], now: float) -> None:
+        """Take another host's word on results that it holds.
+
+        :param held: the results.
+        :param now: seconds.
+        """
+        for each in held:
+            until = now + each.remaining_ms / 1000
+            self._rooms.keep(each.handle, each.maker, each.size, until)
+
     def release(self, handles: Iterable[str]) -> None:
         """Take note that results are needed no more."""
         self._rooms.release(handles)
--- a/packages/forwarding/bramleyspread_forwarding/_paces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_paces.py
@@ -9,8 +9,9 @@
 
 #: The weight of a new call beside what was known.
 NEW_WEIGHT = 0.7
-#: A target that takes this many times as long as its peers counts as slow.
-SLOW_FACTOR = 1.7
+#: A target that takes this many times as long as its peers counts as slow; a call
+#: that waited behind another one takes twice as long, and is no sign of that.
+SLOW_FACTOR = 2.5
 #: How long a slow target is left alone before it is tried with one piece, in seconds.
 TRIAL_S = 1.0
 
--- a/packages/forwarding/bramleyspread_forwarding/_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_pieces.py
@@ -38,6 +38,19 @@
     piece: int
 
 
+class HeldResult(msgspec.Struct, frozen=True, array_like=True):
+    """A result that a request of an entry host still needs."""
+
+    #: Where it lies.
+    handle: str
+    #: The id of the target that made it.
+    maker: str
+    #: About its size, in bytes.
+    size: int
+    #: How long its maker keeps it at most, in milliseconds.
+    remaining_ms: float
+
+
 class PieceJob(msgspec.Struct, frozen=True, kw_only=True):
     """All pieces of one stage of one request.
 
@@ -65,6 +78,8 @@
     zone: str = ""
     #: Whether the inputs are so large that targets of that zone are waited for.
     is_bound: bool = False
+    #: What the asking host holds of the service, when the asked one may not know.
+    held: tuple[HeldResult, ...] = ()
 
 
 class PieceResult(msgspec.Struct, frozen=True):
@@ -76,6 +91,8 @@
     fault: PieceFault | None = None
     #: The availability zone of its maker.
     zone: str = ""
+    #: The id of its maker.
+    maker: str = ""
 
 
 class PieceResults(msgspec.Struct, frozen=True):
