Tell one request's story: bramleyspread explain REQUEST LOGS

Every decision about a request has its line now: taken or refused (with the document's version and the age of its keys' confirmation), each stage (who batched, pieces, time left, how it ended), a job given up at its batching host (how long it waited, what waited before it, targets at work), the placement (tokens to read, requests ahead), the end.

explain merges the logs of many hosts, cause first: clocks are brought together by what must have come first (a job's end at the batching host just before the stage's end at the asking one), a host's own order holds whatever its clock did, and missing ends are told apart (host started again, log ended, lines left out). Tests: skewed and jumping clocks, lost lines, a host that died, a rejected key, a lost answer, marked lines.

--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 
 import curio
 from loguru import logger
 
 from bramleyspread_core import Address, Deployment
+from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._metrics import Metrics
 from bramleyspread_daemon._process import Process, repeat, wait_for_stop
@@ -35,7 +37,12 @@
     TargetWire,
     WireReply,
 )
-from bramleyspread_forwarding import KeysStale, KeyUnknown, MalformedRequest
+from bramleyspread_forwarding import (
+    ForwardRequest,
+    KeysStale,
+    KeyUnknown,
+    MalformedRequest,
+)
 
 #: How often the settings file is looked at, in seconds.
 SETTINGS_S = 1.0
@@ -96,9 +103,11 @@
 
     async def handle(self, http: HttpRequest, reply: Reply) -> None:
         """Take a caller's request."""
-        forwarder = self._admit(http, reply)
+        request = self._wire.read_request(http)
+        forwarder = self._admit(request, reply)
+        self._log_admission(request, forwarder)
         if isinstance(forwarder, Refusal):
-            self._refuse(forwarder, http, reply)
+            self._refuse(forwarder, reply)
             return
         task = await curio.spawn(forwarder.run, daemon=True)
 
@@ -107,9 +116,10 @@
 
         reply.on_left = leave
 
-    def _admit(self, http: HttpRequest, reply: Reply) -> RequestForwarder | Refusal:
-        """Read a request, and find its route and whose it is."""
-        request = self._wire.read_request(http)
+    def _admit(
+        self, request: ForwardRequest | MalformedRequest, reply: Reply
+    ) -> RequestForwarder | Refusal:
+        """Find the route of a request, and whose it is."""
         if isinstance(request, MalformedRequest):
             return Refusal(status=request.status, why=request.why)
         if self.context.routes is None:
@@ -128,11 +138,28 @@
             holder = found
         return RequestForwarder(self.context, self._wire, request, route, holder, reply)
 
-    def _refuse(self, refusal: Refusal, http: HttpRequest, reply: Reply) -> None:
-        self.context.ends[f"refused with {refusal.status}"] += 1
-        logger.bind(step="admit", peer=http.path, version=self.context.version).info(
-            f"refused with {refusal.status}: {refusal.why}"
+    def _log_admission(
+        self,
+        request: ForwardRequest | MalformedRequest,
+        admitted: RequestForwarder | Refusal,
+    ) -> None:
+        known = request if isinstance(request, ForwardRequest) else None
+        age_s = read_monotonic() - self.context.keys.confirmed_at
+        bound = logger.bind(
+            step="admit",
+            peer="-",
+            request=known.request if known is not None else "",
+            path=known.path if known is not None else "",
+            version=self.context.version,
+            keys_age_ms=round(age_s * 1000) if age_s < math.inf else None,
         )
+        if isinstance(admitted, Refusal):
+            bound.info(f"refused with {admitted.status}: {admitted.why}")
+        else:
+            bound.info("taken")
+
+    def _refuse(self, refusal: Refusal, reply: Reply) -> None:
+        self.context.ends[f"refused with {refusal.status}"] += 1
         written: WireReply = self._wire.write_refusal(refusal)
         reply.send(written.status, written.body, written.headers)
 
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -106,6 +106,7 @@
         self._targets = targets
         self._batchers: dict[str, Batcher] = {}
         self._jobs: dict[tuple[str, int], _Job] = {}
+        self._host = host
         self._owners = Owners(host)
         self._holdings = Holdings()
         self._told: dict[str, EntryHost | None] = {}
@@ -212,17 +213,43 @@
         batcher.learn_held(job.held, now)
         number = batcher.add(job, limits, targets, now, stays=stays)
         if isinstance(number, PieceFault):
+            self._log_job(job, number, now)
             return _fail_all(job, number)
         waiting = self._jobs[job.service, number] = _Job()
         try:
             await self._pump(job.service)
             await waiting.ended.wait()
+            fault = next((x.fault for x in waiting.results if x.fault), None)
+            if fault is not None:
+                self._log_job(job, fault, now)
             return waiting.results
         finally:
             batcher.jobs.cancel(number)
             self._jobs.pop((job.service, number), None)
             await self._give_up_unwanted(job.service)
 
+    def _log_job(self, job: PieceJob, fault: PieceFault, begun: float) -> None:
+        """Log why a job has no results, and what stood in its way."""
+        batcher = self._batchers[job.service]
+        logger.bind(
+            step="job",
+            peer="-",
+            request=job.items[0].request if job.items else "",
+            service=job.service,
+            pieces=len(job.items),
+            priority=job.priority,
+            aim_ms=round(job.aim_ms),
+            waited_ms=round((read_monotonic() - begun) * 1000),
+            waiting=batcher.jobs.waiting_pieces,
+            running=batcher.calls_running,
+            targets=len(self._view.list_targets(job.service)),
+        ).warning(f"given up: {fault.value}")
+
+    def name_batching_host(self, service: str) -> str:
+        """Name the host that batches for a service, this one included."""
+        owner = self._find_owner(service)
+        return owner.host if owner is not None else self._host
+
     async def _pump(self, service: str) -> None:
         limits = self._view.find_limits(service)
         if limits is None:
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -173,7 +173,9 @@
         return budget.take(read_monotonic(), len(self._context.list_hosts()))
 
     async def _attempt(self, service: str) -> AttemptEnd:
-        placed = await self._context.placement.choose(self._write_query(service))
+        query = self._write_query(service)
+        placed = await self._context.placement.choose(query)
+        self._log_placement(query, placed)
         if isinstance(placed, NoTarget):
             self._attempts = self._route.attempts
             return WasNotRun(placed.reason)
@@ -186,6 +188,21 @@
             self._settle_target(end)
         return end
 
+    def _log_placement(self, query: PlaceQuery, placed: Placed | NoTarget) -> None:
+        bound = logger.bind(
+            step="place",
+            peer=placed.target.target if isinstance(placed, Placed) else "-",
+            request=self._request.request,
+            service=query.service,
+            tried=len(query.tried),
+            slack_ms=round(query.slack_ms),
+        )
+        if isinstance(placed, NoTarget):
+            bound.info(f"no target: {placed.reason}")
+            return
+        load = {"reading": round(placed.reading), "ahead": placed.ahead}
+        bound.bind(zone=placed.target.zone, **load).info("placed")
+
     def _write_query(self, service: str) -> PlaceQuery:
         spent = (read_monotonic() - self._begun) * 1000
         return PlaceQuery(
--- a/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import curio
+from loguru import logger
 
 from bramleyspread_core import ForwardRoute
 from bramleyspread_daemon._clock import read_monotonic
@@ -138,12 +139,29 @@
             is_bound=is_bound,
         )
         results = await self._context.piece_service.make(job)
+        self._log_stage(job, results, now)
         if late_ms > 0 and all(each.handle for each in results):
             done = read_monotonic()
             spent_ms = (done - now) * 1000
             self._context.stage_times.note(service, self._priority, spent_ms, done)
         return results
 
+    def _log_stage(
+        self, job: PieceJob, results: Sequence[PieceResult], begun: float
+    ) -> None:
+        fault = next((x.fault for x in results if x.fault is not None), None)
+        logger.bind(
+            step="stage",
+            peer=self._context.piece_service.name_batching_host(job.service),
+            request=self._request.request,
+            service=job.service,
+            stage=job.items[0].stage if job.items else 0,
+            pieces=len(job.items),
+            aim_ms=round(job.aim_ms),
+            left_ms=round(job.remaining_ms),
+            ms=round((read_monotonic() - begun) * 1000),
+        ).info(f"not made: {fault.value}" if fault is not None else "made")
+
     def _find_input_life(self, number: int) -> float:
         """Find how long the inputs of a stage will surely be kept, in ms."""
         lives = [LONGEST_MS]
--- a/packages/forwarding/bramleyspread_forwarding/_placement.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement.py
@@ -99,7 +99,8 @@
             key=lambda each: self._weigh(query, each, each == home, limits, now),
         )
         reading = self._find(best).count_unread(query.prompt, now)
-        placed = Placed(next(self._tickets), best, reading, tokens)
+        ahead = round(self._find(best).count_present(now))
+        placed = Placed(next(self._tickets), best, reading, tokens, ahead)
         self._charge(placed, list_shared(query.prompt), now)
         return placed
 
--- a/packages/forwarding/bramleyspread_forwarding/_placing.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placing.py
@@ -50,6 +50,8 @@
     reading: float = 0.0
     #: Tokens of its memory.
     tokens: int = 0
+    #: Requests that were thought to be there already.
+    ahead: int = 0
 
 
 class NoTarget(msgspec.Struct, frozen=True, tag="no-target"):
--- a/packages/tool/bramleyspread_tool/_arguments.py
+++ b/packages/tool/bramleyspread_tool/_arguments.py
@@ -35,6 +35,9 @@
     timeline = _add(commands, "timeline", "merge processes' time lines into one order")
     timeline.add_argument("files", nargs="+", type=Path, metavar="FILE")
     timeline.add_argument("--request", help="only events of this request")
+    explain = _add(commands, "explain", "tell one request's story from logs")
+    explain.add_argument("request", help="the caller's id of the request")
+    explain.add_argument("files", nargs="+", type=Path, metavar="LOG")
     cost = _add(commands, "cost", "show cost by service, organisation, brand and stage")
     cost.add_argument(
         "--by",
--- a/packages/tool/bramleyspread_tool/_main.py
+++ b/packages/tool/bramleyspread_tool/_main.py
@@ -17,6 +17,8 @@
 from bramleyspread_tool._control import ControlHosts
 from bramleyspread_tool._cost import ask_costs, list_cost_lines, merge_reports
 from bramleyspread_tool._exit import ExitCode
+from bramleyspread_tool._explain import UnknownRequest, explain, list_story_lines
+from bramleyspread_tool._log_files import read_logs
 from bramleyspread_tool._report import list_document_lines, list_status_lines
 from bramleyspread_tool._settings import ToolSettings, read_file
 from bramleyspread_tool._submit import submit_document, wait_in_force
@@ -110,6 +112,18 @@
     return ExitCode.DONE
 
 
+def _run_explain(arguments: Namespace) -> int:
+    story = explain(arguments.request, read_logs(arguments.files))
+    if isinstance(story, UnknownRequest):
+        _complain([f"no line tells of request {story.request!r}"])
+        return ExitCode.INVALID
+    if arguments.json:
+        _print_json(story)
+    else:
+        _print_lines(list_story_lines(story))
+    return ExitCode.DONE
+
+
 def _run_cost(arguments: Namespace) -> int:
     settings = ToolSettings.from_arguments(arguments)
     reports, faults = ask_costs(settings.list_entry())
@@ -144,5 +158,6 @@
     "show": _run_show,
     "status": _run_status,
     "timeline": _run_timeline,
+    "explain": _run_explain,
     "cost": _run_cost,
 }
--- /dev/null
+++ b/packages/tool/bramleyspread_tool/tests/test_explain.py
@@ -0,0 +1,156 @@
+"""Stories of requests, from logs that are skewed, cut and incomplete."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from bramleyspread_tool import ExitCode, main
+from bramleyspread_tool._explain import Story, UnknownRequest, explain
+from bramleyspread_tool._log_files import read_logs
+
+
+def write(path: Path, host: str, *lines: dict[str, object]) -> Path:
+    """Write one host's log."""
+    path.write_text("".join(json.dumps({"host": host, **x}) + "\n" for x in lines))
+    return path
+
+
+def make_line(at: float, step: str, text: str, **fields: object) -> dict[str, object]:
+    return {"at": at, "step": step, "text": text, "peer": "-", **fields}
+
+
+def tell(request: str, *paths: Path) -> Story:
+    story = explain(request, read_logs(paths))
+    assert isinstance(story, Story)
+    return story
+
+
+def crowd(at: float) -> dict[str, object]:
+    return make_line(
+        at,
+        "job",
+        "given up: late",
+        request="r",
+        service="photos",
+        pieces=6,
+        waited_ms=1_500,
+        waiting=163,
+        running=1,
+        targets=2,
+    )
+
+
+def test_a_crowded_stage_is_told_across_skewed_clocks(tmp_path: Path) -> None:
+    front = write(
+        tmp_path / "a",
+        "a",
+        make_line(10.0, "admit", "taken", request="r", version=3),
+        make_line(
+            12.0, "stage", "not made: late", request="r", service="photos", peer="b"
+        ),
+        make_line(12.0, "end", "refused with 503: stage: late", request="r", ms=2_000),
+    )
+    batching = write(tmp_path / "b", "b", crowd(112.0))
+    story = tell("r", front, batching)
+    assert story.outcome == "refused with 503: stage: late (2000 ms after it came)"
+    assert story.cause.startswith("6 pieces for photos waited 1500 ms at b, where 163")
+    assert [each.step for each in story.moments] == ["admit", "job", "stage", "end"]
+    assert story.shifts == {"b": -100.0}
+
+
+def test_a_host_whose_clock_jumps_keeps_its_own_order(tmp_path: Path) -> None:
+    front = write(
+        tmp_path / "a",
+        "a",
+        make_line(10.0, "admit", "taken", request="r"),
+        make_line(5.0, "place", "placed", request="r"),
+        make_line(5.1, "end", "delivered", request="r", ms=100),
+    )
+    assert [x.step for x in tell("r", front).moments] == ["admit", "place", "end"]
+
+
+@pytest.mark.parametrize(
+    ("later", "cause"),
+    [
+        ([make_line(13.0, "start", "entry host")], "started again 3.0 s after"),
+        ([], "wrote nothing after that"),
+        ([make_line(13.0, "end", "delivered", request="x")], "lines were left out"),
+    ],
+)
+def test_a_request_without_an_end(
+    tmp_path: Path, later: list[dict[str, object]], cause: str
+) -> None:
+    taken = make_line(10.0, "admit", "taken", request="r")
+    story = tell("r", write(tmp_path / "a", "a", taken, *later))
+    assert story.outcome == "no end was logged"
+    assert cause in story.cause
+
+
+def test_lines_left_out_and_cut_off_are_said(tmp_path: Path) -> None:
+    path = write(
+        tmp_path / "a",
+        "a",
+        make_line(10.0, "end", "delivered", request="r", ms=5),
+        make_line(10.5, "end", "delivered", request="x", left_out=7),
+    )
+    with path.open("a") as file:
+        file.write('{"at": 11.0, "host": "a", "te')
+    story = tell("r", path)
+    assert story.doubts == (
+        "a left 7 line(s) out around then",
+        "1 line(s) can't be read",
+    )
+
+
+def test_a_key_that_came_too_late_names_both_versions(tmp_path: Path) -> None:
+    path = write(
+        tmp_path / "a",
+        "a",
+        make_line(
+            10.0,
+            "admit",
+            "refused with 401: no such key",
+            request="r",
+            version=3,
+            keys_age_ms=120,
+        ),
+        make_line(10.4, "document", "in force", version=4),
+    )
+    story = tell("r", path)
+    assert "by version 3 of the document; version 4 came 0.4 s later" in story.cause
+
+
+def test_a_lost_answer_names_the_target(tmp_path: Path) -> None:
+    text = "refused with 502: outcome unknown: reset"
+    path = write(
+        tmp_path / "a",
+        "a",
+        make_line(10.0, "end", text, request="r", peer="t7", attempts=1, ms=40),
+    )
+    assert tell("r", path).cause.startswith(
+        "t7 had the request and its answer was lost"
+    )
+
+
+def test_marked_lines_and_events_of_the_time_line_are_read(tmp_path: Path) -> None:
+    path = tmp_path / "all"
+    event = {"stamp": {"wall_ms": 9_900, "count": 0}, "host": "a", "kind": "started"}
+    line = make_line(10.0, "end", "delivered", request="r", host="a")
+    path.write_text(f"  0.1 a {json.dumps(event)}\n  0.2 a {json.dumps(line)}\nnoise\n")
+    logs = read_logs([path])
+    assert [x.step for x in logs.by_host["a"]] == ["started", "end"]
+
+
+def test_the_command(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    line = make_line(10.0, "end", "delivered", request="r", ms=5)
+    path = str(write(tmp_path / "a", "a", line))
+    assert main(["explain", "r", path]) == ExitCode.DONE
+    assert capsys.readouterr().out.startswith("request r: delivered (5 ms")
+    assert main(["explain", "--json", "r", path]) == ExitCode.DONE
+    assert json.loads(capsys.readouterr().out)["request"] == "r"
+    assert main(["explain", "x", path]) == ExitCode.INVALID
+    assert main(["explain", "x", str(tmp_path / "none")]) == ExitCode.INVALID
+    assert isinstance(explain("x", read_logs([Path(path)])), UnknownRequest)
