Notice a batching host that falls silent by asking it for a sign of life

Ruled out: the kernel's timeout (nothing is unacknowledged); control's list of hosts (1.5 to 3 s old).

Change: an answer that is overdue by 0.4 s makes its host be asked whether it is there, 0.25 s and twice, while anything waits for it; then the next host is asked. The test failed with the patience taken out; a busy host is waited for.

--- a/packages/daemon/bramleyspread_daemon/forward/_feed_link.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_feed_link.py
@@ -48,12 +48,15 @@
                 await curio.spawn(self._ask_for_ever, host, daemon=True)
 
     async def _ask_for_ever(self, host: Address) -> None:
+        failed_since: float | None = None
         while True:
+            asked_at = read_monotonic()
             try:
                 heard = await self._ask(host)
             except Exception:  # one bad page must not end the feed for good
                 logger.bind(step="feed", peer=str(host)).exception("a fault inside")
                 heard = False
+            failed_since = _log_change(host, heard, failed_since, asked_at)
             if not heard:
                 self.failures += 1
                 await curio.sleep(PAUSE_S)
@@ -71,3 +74,26 @@
         await self._take_page(host, page, asked_at)
         await self.follow(page.control)
         return True
+
+
+def _log_change(
+    host: Address, heard: bool, failed_since: float | None, asked_at: float
+) -> float | None:
+    """Log when a control host is lost and heard again.
+
+    :param host: the control host.
+    :param heard: whether it answered now.
+    :param failed_since: when it first didn't answer; None while it does.
+    :param asked_at: when it was asked.
+    :returns: since when it doesn't answer; None when it does.
+    """
+    log = logger.bind(step="feed", peer=str(host))
+    if heard:
+        if failed_since is not None:
+            lost_ms = round((read_monotonic() - failed_since) * 1000)
+            log.bind(ms=lost_ms).info("heard again")
+        return None
+    if failed_since is None:
+        log.warning("not heard")
+        return asked_at
+    return failed_since
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -21,6 +21,7 @@
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._pool import ConnectionPool
 from bramleyspread_daemon._refusal import write_refusal
+from bramleyspread_daemon.forward._host_watch import HostWatch
 from bramleyspread_daemon.forward._piece_calls import (
     Answer,
     OutcomeUnknown,
@@ -108,6 +109,7 @@
         self._jobs: dict[tuple[str, int], _Job] = {}
         self._host = host
         self._owners = Owners(host)
+        self._watch = HostWatch(peers)
         self._holdings = Holdings()
         self._told: dict[str, EntryHost | None] = {}
         #: Calls made to targets.
@@ -134,7 +136,8 @@
             owner = self._find_owner(job.service)
             if owner is None:
                 break
-            results = await self._ask(owner, _shorten(job, begun))
+            asked = self._ask(owner, _shorten(job, begun))
+            results = await self._watch.wait(owner, asked)
             if results is not None and not _is_moved(results):
                 return results
             if results is not None:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
@@ -11,7 +11,9 @@
 
 from bramleyspread_core import Address, PieceLimits
 from bramleyspread_daemon._clock import ProcessClock
+from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._pool import ConnectionPool
+from bramleyspread_daemon.forward._host_watch import LIVE_PATH, PATIENCE_S
 from bramleyspread_daemon.forward._piece_calls import PieceCalls
 from bramleyspread_daemon.forward._piece_service import (
     PIECES_PATH,
@@ -152,6 +154,46 @@
     run(main)
 
 
+def test_pieces_are_made_here_where_the_host_that_batches_falls_silent() -> None:
+    async def fall_silent(connected: Any) -> None:  # noqa: ANN401
+        await read_request(connected)
+        await curio.sleep(60)
+
+    async def main() -> None:
+        _, target = await start_raw(make_pieces)
+        _, silent = await start_raw(fall_silent)
+        asker = make_service("own", [EntryHost("other", "z", silent)], target)
+        results = await curio.timeout_after(JOB.remaining_ms / 1000, asker.make, JOB)
+        assert all(each.handle for each in results)
+        assert asker.calls == 1
+
+    run(main)
+
+
+def test_a_host_that_is_only_busy_is_waited_for() -> None:
+    async def main() -> None:
+        _, target = await start_raw(make_pieces)
+        hosts: list[EntryHost] = []
+        batcher = make_service("other", hosts, target)
+
+        async def serve_late(http: HttpRequest, reply: Reply) -> None:
+            await curio.sleep(4 * PATIENCE_S)
+            await batcher.serve(http, reply)
+
+        async def live(http: HttpRequest, reply: Reply) -> None:
+            reply.send(200, b"")
+
+        _, address = await start_server(
+            ("POST", PIECES_PATH, serve_late), ("GET", LIVE_PATH, live)
+        )
+        hosts.append(EntryHost("other", "z", address))
+        asker = make_service("own", hosts, target)
+        await asker.make(JOB)
+        assert (asker.calls, batcher.calls) == (0, 1)
+
+    run(main)
+
+
 def test_pieces_are_made_here_where_the_host_that_batches_is_gone() -> None:
     async def main() -> None:
         _, target = await start_raw(make_pieces)  # first, so that its port is another
--- a/packages/tool/bramleyspread_tool/_explain.py
+++ b/packages/tool/bramleyspread_tool/_explain.py
@@ -12,7 +12,7 @@
 #: Lines before and after a request that tell what its hosts believed, in seconds.
 AROUND_S = 3.0
 #: Steps that change what a host believes, whatever the request.
-BELIEFS = frozenset({"start", "stop", "document", "target", "reload"})
+BELIEFS = frozenset({"start", "stop", "document", "feed", "target", "reload", "watch"})
 
 
 class Moment(msgspec.Struct, frozen=True):
