Give a call up after three times the length that its target is known for

Ruled out: learning how long was waited in vain (patience then grows without bound: 4 s in the test).

Change: three times the length; a target known to be slow gets twice that, and what is given up counts as slow, so that only single pieces are tried there.

--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -33,9 +33,12 @@
 #: Lengths of a full call for which a job that can't be in time waits to be begun;
 #: by then every target has taken other work twice.
 LATE_CALLS = 3
-#: A call that isn't answered after this many times its expected length is given up;
-#: a slow target works several times as long, and its results are good.
-LATE_CALL = 8.0
+#: A call that isn't answered after this many times the length that its target is
+#: known for is given up, and its pieces are made elsewhere.
+LATE_CALL = 3.0
+#: As slow as this a target may be known for in that: what takes six times as long as
+#: it should is not told from what never ends.
+SLOWEST = 2.0
 
 
 class BatchedItem(msgspec.Struct, frozen=True):
@@ -256,6 +259,9 @@
         """
         made = self._calls.pop(call)
         self._pass_over(made.target.target, now)
+        waited = (now - made.begun) * 1000 / made.length_ms
+        if waited >= LATE_CALL:
+            self._paces.note_overdue(made.target.target, LATE_CALL, now)
         fault = PieceFault.ERROR if counts else PieceFault.ROOM
         done = []
         for piece in made.pieces:
@@ -366,9 +372,9 @@
         made = self._calls[call] = _Call(target, pieces, limits, now)
         items = tuple(self._describe(piece, now) for piece in pieces)
         longest = max(each.remaining_ms for each in items)
-        return BatchedCall(
-            call, target, items, min(longest, made.length_ms * LATE_CALL)
-        )
+        known = min(max(1.0, self._paces.find(target.target)), SLOWEST)
+        patience = made.length_ms * known * LATE_CALL
+        return BatchedCall(call, target, items, min(longest, patience))
 
     def _describe(self, piece: PieceRef, now: float) -> BatchedItem:
         job = self.jobs.begin(piece)
--- a/packages/forwarding/bramleyspread_forwarding/_paces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_paces.py
@@ -57,6 +57,20 @@
             factor = known.factor + NEW_WEIGHT * (factor - known.factor)
         self._known[target] = _Pace(factor, now)
 
+    def note_overdue(self, target: str, factor: float, now: float) -> None:
+        """Take note of a call that was given up.
+
+        :param target: the target.
+        :param factor: how many times as long as its limits say it was waited for.
+        :param now: seconds.
+        """
+        self._known[target] = _Pace(max(factor, self.find(target)), now)
+
+    def find(self, target: str) -> float:
+        """Find how many times as long as its limits say a target takes."""
+        known = self._known.get(target)
+        return known.factor if known is not None else 1.0
+
     def compare(self, target: str, targets: Sequence[str]) -> float:
         """Compare a target with its peers.
 
@@ -67,7 +81,7 @@
         known = self._known.get(target)
         if known is None:
             return 1.0
-        others = [self._find_factor(each) for each in targets if each != target]
+        others = [self.find(each) for each in targets if each != target]
         factor = known.factor / max(median(others), 1.0) if others else 1.0
         return factor if factor > SLOW_FACTOR else 1.0
 
@@ -81,7 +95,3 @@
         gone = self._known.keys() - set(targets)
         for each in gone:
             del self._known[each]
-
-    def _find_factor(self, target: str) -> float:
-        known = self._known.get(target)
-        return known.factor if known is not None else 1.0
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_batching.py
@@ -44,7 +44,7 @@
         self.held_s = held_s
         self.added: dict[int, float] = {}
         self.ended: dict[int, tuple[float, tuple[PieceResult, ...]]] = {}
-        self._calls: list[tuple[float, int, BatchedCall]] = []
+        self._calls: list[tuple[float, int, BatchedCall, bool]] = []
         self._held: list[tuple[float, tuple[str, ...]]] = []
 
     def add(self, job: PieceJob) -> int | PieceFault:
@@ -66,12 +66,17 @@
                 length = self.limits.call_ms + len(call.items) * self.limits.piece_ms
                 self.calls[call.target.target] += 1
                 length *= self.factors.get(call.target.target, 1.0)
-                due = self.now + length / 1000
-                heapq.heappush(self._calls, (due, call.call, call))
+                waited = min(length, call.timeout_ms)
+                due = self.now + waited / 1000
+                heapq.heappush(self._calls, (due, call.call, call, waited < length))
 
     def _finish_calls(self) -> None:
         while self._calls and self._calls[0][0] <= self.now:
-            _, number, call = heapq.heappop(self._calls)
+            _, number, call, is_overdue = heapq.heappop(self._calls)
+            if is_overdue:
+                for done in self.batcher.fail(number, self.now):
+                    self.ended[done.job] = (self.now, done.results)
+                continue
             results = make_results(len(call.items), call.target.zone)
             for done in self.batcher.finish(number, results, self.now):
                 self.ended[done.job] = (self.now, done.results)
@@ -120,6 +125,15 @@
     assert in_time >= 0.93 * asked
 
 
+def test_a_target_that_falls_silent_holds_pieces_for_a_bounded_time() -> None:
+    service = Service(factors={"t0": 1e9})
+    asked, in_time = serve_calm_day(service, within_s=1.0)
+    assert in_time >= 0.9 * asked
+    longest = max(at - service.added[x] for x, (at, _) in service.ended.items())
+    six_times_one_piece, two_calls = 6 * 0.169, 2 * 0.279
+    assert longest <= six_times_one_piece + two_calls
+
+
 def test_a_slow_target_helps_when_the_quick_ones_have_too_much() -> None:
     service = Service(factors={"t0": 3.0})
     for at in range(60):
