--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -89,6 +89,7 @@
         self._last_event = request.last_event
         self._is_sent = False
         self._in_doubt = False
+        self._failure: TargetFailed | None = None
         self._placed: Placed | None = None
         self._began = False
         self._connection: UpstreamConnection | None = None
@@ -135,15 +136,9 @@
         bound.info(how)
 
     async def _work(self) -> str:
-        if self._route.stages:
-            needed_ms = self._stages.estimate_ms()
-            if needed_ms > self._stages.patience_left_ms:
-                why = f"stages would take {needed_ms:.0f} ms"
-                retry_s = max(RETRY_S, needed_ms / 1000 * RETRY_SHARE)
-                return self._refuse(503, why, retry_s)
-            fault = await self._stages.make()
-            if fault is not None:
-                return self._refuse(503, f"stage: {fault.value}", RETRY_S)
+        refused = await self._make_stages()
+        if refused:
+            return refused
         service = self._context.choose_service(self._route, self._request.request)
         if not service:
             return self._refuse(503, "no document", RETRY_S)
@@ -153,18 +148,38 @@
             end = await self._attempt(service)
             if isinstance(end, Delivered):
                 return "delivered"
+            if isinstance(end, TargetFailed):
+                self._failure = end
             again = may_follow(self._route, end, self._attempts)
             if not again or not self._may_send_again(budget, end):
                 return self._conclude(end)
             logger.bind(
                 step="retry", peer=self._tried[-1], request=self._request.request
             ).info(_tell_why(end))
-            gone = isinstance(end, WasNotRun) and end.inputs_gone
-            if self._route.stages and (gone or self._stages.is_released):
-                await self._stages.release()
-                fault = await self._stages.make()
-                if fault is not None:
-                    return self._conclude(end)
+            if not await self._has_inputs(end):
+                return self._conclude(end)
+
+    async def _make_stages(self) -> str:
+        """Make the stages; empty when all is made, else how the request ended."""
+        if not self._route.stages:
+            return ""
+        needed_ms = self._stages.estimate_ms()
+        if needed_ms > self._stages.patience_left_ms:
+            why = f"stages would take {needed_ms:.0f} ms"
+            retry_s = max(RETRY_S, needed_ms / 1000 * RETRY_SHARE)
+            return self._refuse(503, why, retry_s)
+        fault = await self._stages.make()
+        if fault is not None:
+            return self._refuse(503, f"stage: {fault.value}", RETRY_S)
+        return ""
+
+    async def _has_inputs(self, end: AttemptEnd) -> bool:
+        """Whether the inputs are there for another attempt; made anew if need be."""
+        gone = isinstance(end, WasNotRun) and end.inputs_gone
+        if not self._route.stages or not (gone or self._stages.is_released):
+            return True
+        await self._stages.release()
+        return await self._stages.make() is None
 
     def _may_send_again(self, budget: RetryBudget, end: AttemptEnd) -> bool:
         """Whether the budget allows it; what reached no target costs none."""
@@ -359,6 +374,8 @@
         if self._reply.begun:
             self._reply.cut()
             return "cut off"
+        if isinstance(end, WasNotRun) and self._failure is not None:
+            end = self._failure
         if isinstance(end, TargetFailed):
             self._reply.send(end.status, end.body, end.headers)
             return f"target failed with {end.status}"
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
@@ -26,6 +26,7 @@
     EntryHost,
     ForwardRequest,
     ForwardTarget,
+    NoTarget,
     Placed,
     PlaceQuery,
     RetryBudget,
@@ -152,7 +153,7 @@
     def __init__(self) -> None:
         self.queries: list[PlaceQuery] = []
 
-    async def choose(self, query: PlaceQuery) -> Placed:
+    async def choose(self, query: PlaceQuery) -> Placed | NoTarget:
         self.queries.append(query)
         name = f"t{len(self.queries)}"
         target = ForwardTarget(name, Address("127.0.0.1", 1), "z", 1)
@@ -250,3 +251,34 @@
         assert (len(reply.pieces), reply.ended) == (5, "whole")
 
     run(main)
+
+
+def test_a_target_s_own_failure_is_answered_when_no_other_target_is_left() -> None:
+    wire, reply = Wire(), Sent()
+    context = make_context(wire, Failing())
+    context.placement = OneTarget()
+    run(forward(ROUTE_TWICE, context, wire, reply).run)
+    assert reply.statuses == [500]
+    assert len(wire.terms) == 1
+
+
+ROUTE_TWICE = msgspec.structs.replace(ROUTE, attempts=2)
+
+
+class Failing(Target):
+    """A target that answers with a failure of its own."""
+
+    async def read_head(self) -> SimpleNamespace:
+        return SimpleNamespace(status_code=500, headers=())
+
+    async def read_body(self) -> bytes:
+        return b"failed"
+
+
+class OneTarget(Placing):
+    """Knows one target only."""
+
+    async def choose(self, query: PlaceQuery) -> Placed | NoTarget:
+        if query.tried:
+            return NoTarget("every target was tried")
+        return await super().choose(query)
