--- a/packages/daemon/bramleyspread_daemon/_exchange.py
+++ b/packages/daemon/bramleyspread_daemon/_exchange.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Sequence
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 import msgspec
 
 from bramleyspread_core import encode_json
 
-if TYPE_CHECKING:
-    from bramleyspread_daemon._served import ServedConnection
-
 #: Header names and values, as they go out.
 Headers = Sequence[tuple[str, str]]
 
@@ -38,6 +35,29 @@
     raw_headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
+class ReplyCarrier(Protocol):
+    """What carries the parts of a reply to the peer."""
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait for the peer to take them."""
+
+    def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole reply in one piece."""
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Send the head of a reply of unknown length."""
+
+    def send_piece(self, piece: bytes) -> None:
+        """Send a piece of a reply's body."""
+
+    def send_end(self) -> None:
+        """Send the end of a reply of unknown length."""
+
+    def abort(self) -> None:
+        """Cut the connection."""
+
+
 class Reply:
     """The reply to one HTTP request, sent whole or piece by piece.
 
@@ -46,7 +66,7 @@
 
     __slots__ = ("_connection", "begun", "ended", "left", "on_left")
 
-    def __init__(self, connection: ServedConnection) -> None:
+    def __init__(self, connection: ReplyCarrier) -> None:
         self._connection = connection
         #: Whether the head was sent.
         self.begun = False
--- a/packages/daemon/bramleyspread_daemon/_owner.py
+++ b/packages/daemon/bramleyspread_daemon/_owner.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from bramleyspread_daemon._clock import ProcessClock
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._settings import Limits
 
-if TYPE_CHECKING:
-    from bramleyspread_daemon._served import ServedConnection
+
+class Stalled(Protocol):
+    """A connection with bytes that wait for a slow reader."""
+
+    def flush(self, now: float) -> bool:
+        """Try to send them.
+
+        :param now: monotonic seconds.
+        :returns: True when nothing waits any more.
+        """
 
 
 class Owner(Protocol):
@@ -27,7 +35,7 @@
     async def answer(self, request: HttpRequest, reply: Reply) -> None:
         """Pass a request to the handler."""
 
-    def note_stalled(self, served: ServedConnection) -> None:
+    def note_stalled(self, served: Stalled) -> None:
         """Remember a connection with bytes that wait for a slow reader."""
 
     def count_refusal(self, status: int) -> None:
--- a/packages/daemon/bramleyspread_daemon/_server.py
+++ b/packages/daemon/bramleyspread_daemon/_server.py
@@ -13,6 +13,7 @@
 from bramleyspread_daemon._clock import STAMP_HEADER, ProcessClock, read_monotonic
 from bramleyspread_daemon._connection import Connection
 from bramleyspread_daemon._exchange import Handler, HttpRequest, Reply
+from bramleyspread_daemon._owner import Stalled
 from bramleyspread_daemon._refusal import write_failure
 from bramleyspread_daemon._served import FLUSH_S, ServedConnection
 from bramleyspread_daemon._settings import Limits
@@ -38,7 +39,7 @@
         self._listening: Any = None
         self._accepting: Any = None
         self._connections: set[ServedConnection] = set()
-        self._stalled: set[ServedConnection] = set()
+        self._stalled: set[Stalled] = set()
         #: Bounds on peers.
         self.limits = limits
         #: Stamps what is sent.
@@ -119,7 +120,7 @@
             if not reply.begun:
                 reply.send(500, write_failure("internal fault; see the log"))
 
-    def note_stalled(self, served: ServedConnection) -> None:
+    def note_stalled(self, served: Stalled) -> None:
         """Remember a connection with bytes that wait for a slow reader.
 
         :param served: the connection.
--- a/packages/proof/bramleyspread_proof/_document_follower.py
+++ b/packages/proof/bramleyspread_proof/_document_follower.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator, Sequence
-from typing import TYPE_CHECKING
 
 from bramleyspread_core import DocumentsPage, DocumentsQuery, Happening, HostName
 from bramleyspread_membership import EntryDirectory, StartGate
 from bramleyspread_proof._control_process import ControlProcess
+from bramleyspread_proof._entry_host import EntryHost
 from bramleyspread_proof._network import Network
 
-if TYPE_CHECKING:
-    from bramleyspread_proof._entry_process import EntryProcess
-
 #: Between two questions for documents, in seconds.
 POLL = 0.5
 #: Pause before a control host is asked again at the start, in seconds.
@@ -24,7 +21,7 @@
 
     def __init__(
         self,
-        owner: EntryProcess,
+        owner: EntryHost,
         directory: EntryDirectory,
         control_hosts: Sequence[ControlProcess],
         network: Network,
--- a/packages/proof/bramleyspread_proof/_entry_process.py
+++ b/packages/proof/bramleyspread_proof/_entry_process.py
@@ -46,9 +46,9 @@
 from bramleyspread_proof._control_asker import ControlAsker
 from bramleyspread_proof._control_process import ControlProcess
 from bramleyspread_proof._document_follower import DocumentFollower
+from bramleyspread_proof._entry_host import EntryHost
 from bramleyspread_proof._ledger import Ledger
 from bramleyspread_proof._network import Network
-from bramleyspread_proof._process import Process
 from bramleyspread_proof._target_process import TargetProcess
 
 #: Between two ticks of the directory, in seconds.
@@ -77,7 +77,7 @@
 AnswerTaker = Callable[[Answer | None], None]
 
 
-class EntryProcess(Process):
+class EntryProcess(EntryHost):
     """An entry host, its connections, and the callers that wait for it."""
 
     def __init__(
--- a/packages/proof/bramleyspread_proof/_target_process.py
+++ b/packages/proof/bramleyspread_proof/_target_process.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
-from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -32,13 +31,11 @@
     encode_json,
 )
 from bramleyspread_proof._agenda import Agenda
+from bramleyspread_proof._entry_host import EntryHost
 from bramleyspread_proof._ledger import Ledger, Run
 from bramleyspread_proof._network import Network
 from bramleyspread_proof._process import Process
 
-if TYPE_CHECKING:
-    from bramleyspread_proof._entry_process import EntryProcess
-
 #: Between two announcements, in seconds.
 ANNOUNCE = 0.5
 #: Shortest and longest run of a call, in seconds.
@@ -77,7 +74,7 @@
     """A call being run."""
 
     #: Who waits for it.
-    caller: EntryProcess
+    caller: Process
     #: Called there with how it ended.
     reply: Callable[[Outcome], None]
 
@@ -100,7 +97,7 @@
         #: When it said that it leaves, in virtual seconds; None when it has not.
         self.left_at: float | None = None
         #: Entry hosts it may announce itself to.
-        self.entry_hosts: Sequence[EntryProcess] = ()
+        self.entry_hosts: Sequence[EntryHost] = ()
         #: Factor on the time of each run.
         self.slowness = 1.0
         #: Share of its answers that it gives to another call than the one they are of.
@@ -138,7 +135,7 @@
     def take(
         self,
         call: TargetCall,
-        caller: EntryProcess,
+        caller: Process,
         reply: Callable[[Outcome], None],
     ) -> None:
         """Take a call.
