Split one attempt at a target from the request that makes it

_request_forwarder.py held two jobs in 419 lines: what a request does next, and sending one attempt and passing its answer on (_attempt.py now, with the times of its events in _stream_times.py).

--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -9,37 +9,31 @@
 from loguru import logger
 
 from bramleyspread_core import ForwardRoute, KeyHolder
-from bramleyspread_daemon._client import ClosedError, UnsentError
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import Reply
+from bramleyspread_daemon.forward._attempt import Attempt
 from bramleyspread_daemon.forward._context import ForwardContext
 from bramleyspread_daemon.forward._stage_work import StageWork
-from bramleyspread_daemon.forward._upstream import UpstreamConnection
+from bramleyspread_daemon.forward._stream_times import StreamTimes
 from bramleyspread_daemon.forward._wire import (
     CallerWire,
     CallTerms,
     Refusal,
-    TargetHead,
 )
 from bramleyspread_forwarding import (
     AttemptEnd,
     Delivered,
-    EventError,
-    EventSplitter,
     ForwardRequest,
     MayHaveRun,
     NoTarget,
     Placed,
     PlaceQuery,
-    PlaceStep,
     RetryBudget,
     TargetFailed,
     WasNotRun,
     may_follow,
 )
 
-#: Most time for reaching a target, in seconds.
-CONNECT_S = 0.25
 #: A connection that carried an answer this lately is known to be alive, in seconds;
 #: what may run once goes on no other.
 LIVE_S = 0.8
@@ -47,10 +41,6 @@
 RETRY_S = 0.5
 #: The part of the time that stages take now after which it may come back.
 RETRY_SHARE = 0.25
-#: Bytes of a stream that may wait for a slow caller.
-MOST_UNSENT_BYTES = 131_072
-#: How often a slow caller is looked at, in seconds.
-CALLER_POLL_S = 0.01
 #: The longest wait of a request whose route and caller name none, in ms.
 DEFAULT_MS = 30_000.0
 
@@ -81,18 +71,13 @@
         self._stages = StageWork(
             context, request, route, self._priority, self._begun, self._until
         )
-        self._first_ms = 0.0
-        self._longest_ms = 0.0
-        self._event_at = 0.0
+        self._times = StreamTimes(self._begun)
         self._attempts = 0
         self._tried: list[str] = []
         self._last_event = request.last_event
-        self._is_sent = False
         self._in_doubt = False
         self._failure: TargetFailed | None = None
-        self._placed: Placed | None = None
-        self._began = False
-        self._connection: UpstreamConnection | None = None
+        self._current: Attempt | None = None
 
     async def run(self) -> None:
         """Work until the caller has its final answer, or has left."""
@@ -113,10 +98,8 @@
             await self._clear()
 
     async def _clear(self) -> None:
-        self._settle_target()
-        if self._connection is not None:
-            connection, self._connection = self._connection, None
-            await connection.close()
+        if self._current is not None:
+            await self._current.close()
         await self._stages.release()
 
     def _log(self, how: str) -> None:
@@ -128,10 +111,10 @@
             route=self._route.name,
             version=self._context.version,
             stages_ms=round(self._stages.spent_ms),
-            first_ms=round(self._first_ms),
-            pause_ms=round(self._longest_ms),
+            first_ms=round(self._times.first_ms),
+            pause_ms=round(self._times.longest_ms),
             ms=round(spent),
-            attempts=self._attempts,
+            attempts=self._attempts + self._is_open,
         )
         bound.info(how)
 
@@ -195,14 +178,30 @@
             self._attempts = self._route.attempts
             return WasNotRun(placed.reason)
         self._tried.append(placed.target.target)
-        self._placed, self._began = placed, False
-        end: AttemptEnd | None = None
-        try:
-            end = await self._send(placed)
-        finally:
-            self._settle_target(end)
+        attempt = self._current = Attempt(
+            self._context,
+            self._request,
+            self._reply,
+            self._stages,
+            self._times,
+            placed,
+        )
+        end = await attempt.run(self._write_terms(placed), self._find_idle())
+        self._attempts += attempt.was_sent
+        self._last_event = attempt.last_event or self._last_event
+        ran = attempt.was_sent and not isinstance(end, WasNotRun)
+        self._in_doubt = self._in_doubt or ran
         return end
 
+    def _find_idle(self) -> float:
+        """Find how long a connection may have been idle, in seconds.
+
+        What may run once goes on none that could have died without a word.
+        """
+        if self._route.repeatable:
+            return math.inf
+        return 0.0 if self._attempts else LIVE_S
+
     def _log_placement(self, query: PlaceQuery, placed: Placed | NoTarget) -> None:
         bound = logger.bind(
             step="place",
@@ -229,52 +228,6 @@
             slack_ms=self._route.aim_ms - spent,
         )
 
-    def _settle_target(self, end: AttemptEnd | None = None) -> None:
-        """Tell the placement that a request is off its target, and how it ended."""
-        if self._placed is None:
-            return
-        placed, self._placed = self._placed, None
-        good: bool | None = None
-        if isinstance(end, Delivered):
-            good = True
-        elif end is not None:
-            good = None if isinstance(end, WasNotRun) and end.inputs_gone else False
-        step = PlaceStep(
-            ticket=placed.ticket, target=placed.target.target, ended=True, good=good
-        )
-        self._context.placement.report(step)
-
-    async def _send(self, placed: Placed) -> AttemptEnd:
-        context, request = self._context, self._request
-        idle_s = math.inf
-        if not self._route.repeatable:
-            idle_s = 0.0 if self._attempts else LIVE_S
-        try:
-            connection = await context.upstream.take(
-                placed.target.address, CONNECT_S, idle_s=idle_s
-            )
-        except UnsentError as error:
-            return WasNotRun(str(error), reached=False)
-        self._connection = connection
-        headers = context.wire.write_head(request, self._write_terms(placed))
-        try:
-            await connection.send(request.method, request.target, headers, request.body)
-        except UnsentError as error:
-            await self._drop_connection()
-            return WasNotRun(str(error), reached=False)
-        self._is_sent = True
-        self._attempts += 1
-        try:
-            raw = await connection.read_head()
-            head = context.wire.read_head(raw.status_code, raw.headers)
-            end = await self._take_answer(placed, connection, head)
-        except (ClosedError, EventError) as error:
-            await self._drop_connection()
-            end = MayHaveRun(str(error))
-        self._is_sent = False
-        self._in_doubt = self._in_doubt or not isinstance(end, WasNotRun)
-        return end
-
     def _write_terms(self, placed: Placed) -> CallTerms:
         return CallTerms(
             target=placed.target.target,
@@ -285,90 +238,6 @@
             last_event=self._last_event,
         )
 
-    async def _take_answer(
-        self, placed: Placed, connection: UpstreamConnection, head: TargetHead
-    ) -> AttemptEnd:
-        context = self._context
-        if head.load is not None:
-            step = PlaceStep(
-                ticket=placed.ticket, target=placed.target.target, load=head.load
-            )
-            context.placement.report(step)
-        if head.not_run:
-            await connection.read_body()
-            await self._give_back(connection, head)
-            return WasNotRun(f"turned away with {head.status}", head.status == 409)
-        if head.request != self._request.request:
-            raise ClosedError("an answer to another request")
-        good = 200 <= head.status < 300
-        if good and not head.sealed:
-            raise ClosedError("an answer without a seal")
-        if good and head.is_stream:
-            return await self._pass_stream(connection, head)
-        body = await connection.read_body()
-        self._note_first_byte()
-        await self._give_back(connection, head)
-        if not good:
-            return TargetFailed(head.status, head.headers, body)
-        if self._reply.begun:
-            raise ClosedError("no stream where one went on")
-        self._reply.send(head.status, body, head.headers)
-        return Delivered()
-
-    async def _pass_stream(
-        self, connection: UpstreamConnection, head: TargetHead
-    ) -> AttemptEnd:
-        splitter = EventSplitter()
-        if not self._reply.begun:
-            self._reply.begin(head.status, head.headers)
-        while piece := await connection.read_piece():
-            for event in splitter.feed(piece):
-                self._reply.send_piece(event.data)
-                self._last_event = event.event or self._last_event
-                self._note_event()
-            await self._stages.release()
-            await self._wait_for_caller()
-        if not splitter.is_between:
-            raise ClosedError("ended in the middle of an event")
-        await self._give_back(connection, head)
-        self._reply.end()
-        return Delivered()
-
-    async def _wait_for_caller(self) -> None:
-        """Read no further from the target while the caller doesn't keep up."""
-        while self._reply.unsent_bytes > MOST_UNSENT_BYTES:
-            await curio.sleep(CALLER_POLL_S)
-
-    def _note_event(self) -> None:
-        self._note_first_byte()
-        now = read_monotonic()
-        if not self._event_at:
-            self._first_ms = (now - self._begun) * 1000
-        else:
-            pause = (now - self._event_at) * 1000
-            self._longest_ms = max(self._longest_ms, pause)
-        self._event_at = now
-
-    def _note_first_byte(self) -> None:
-        if self._placed is None or self._began:
-            return
-        self._began = True
-        step = PlaceStep(
-            ticket=self._placed.ticket, target=self._placed.target.target, began=True
-        )
-        self._context.placement.report(step)
-
-    async def _give_back(
-        self, connection: UpstreamConnection, head: TargetHead
-    ) -> None:
-        self._connection = None
-        await self._context.upstream.give_back(connection, head.keep_s)
-
-    async def _drop_connection(self) -> None:
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            await connection.close()
-
     def _conclude(self, end: AttemptEnd) -> str:
         """Give the final answer behind the last attempt."""
         if self._reply.begun:
@@ -386,7 +255,12 @@
     @property
     def _may_have_run(self) -> bool:
         """Whether any attempt may have run, the one on its way included."""
-        return self._is_sent or self._in_doubt
+        return self._is_open or self._in_doubt
+
+    @property
+    def _is_open(self) -> bool:
+        """Whether a target may be at work on it now."""
+        return self._current is not None and self._current.is_open
 
     def _end_late(self) -> str:
         if self._reply.begun:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
@@ -11,10 +11,8 @@
 
 from bramleyspread_core import Address, ForwardRoute, RequestKind, ServiceShare
 from bramleyspread_daemon._client import ClosedError
-from bramleyspread_daemon.forward._request_forwarder import (
-    MOST_UNSENT_BYTES,
-    RequestForwarder,
-)
+from bramleyspread_daemon.forward._attempt import MOST_UNSENT_BYTES
+from bramleyspread_daemon.forward._request_forwarder import RequestForwarder
 from bramleyspread_daemon.forward._wire import (
     CallTerms,
     Refusal,
