--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -15,14 +15,11 @@
 from bramleyspread_daemon._process import Process, repeat, wait_for_stop
 from bramleyspread_daemon._routes import Routes
 from bramleyspread_daemon._server import HttpServer
+from bramleyspread_daemon.forward._batching_hosts import PIECES_PATH, RELEASE_PATH
 from bramleyspread_daemon.forward._caller_limits import widen_limits
 from bramleyspread_daemon.forward._context import ForwardContext
 from bramleyspread_daemon.forward._feed_link import FeedLink
-from bramleyspread_daemon.forward._piece_service import (
-    PIECES_PATH,
-    RELEASE_PATH,
-    TICK_S,
-)
+from bramleyspread_daemon.forward._piece_service import TICK_S
 from bramleyspread_daemon.forward._placement_service import (
     PLACE_PATH,
     PLACED_PATH,
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -10,18 +10,15 @@
 from loguru import logger
 
 from bramleyspread_core import (
-    Address,
     MessageError,
     PieceLimits,
     decode_json,
-    encode_json,
 )
-from bramleyspread_daemon._client import ClosedError, UnsentError
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._pool import ConnectionPool
 from bramleyspread_daemon._refusal import write_refusal
-from bramleyspread_daemon.forward._host_watch import HostWatch
+from bramleyspread_daemon.forward._batching_hosts import BatchingHosts
 from bramleyspread_daemon.forward._piece_calls import (
     Answer,
     OutcomeUnknown,
@@ -33,9 +30,7 @@
     Batcher,
     EntryHost,
     ForwardTarget,
-    Holdings,
     JobDone,
-    Owners,
     PieceFault,
     PieceJob,
     PieceRelease,
@@ -43,26 +38,12 @@
     PieceResults,
 )
 
-#: Where entry hosts ask each other for pieces.
-PIECES_PATH = "/v1/pieces"
-#: Most time for reaching another entry host, in seconds.
-REACH_S = 0.25
 #: Hosts that are asked for one job, one after the other, before it is made here.
 MOST_OWNERS = 3
 #: Pause before the host that batches by now is asked, in seconds.
 MOVED_S = 0.02
 #: How often waiting jobs are looked through, in seconds.
 TICK_S = 0.05
-#: Time for the answer behind a job's own time, in milliseconds.
-ANSWER_MS = 120.0
-#: Where entry hosts tell each other that results are needed no more.
-RELEASE_PATH = "/v1/pieces-release"
-#: Most time for telling another host that results are needed no more, in seconds.
-RELEASE_S = 1.0
-
-
-#: Stands for the batching host of a service that this host never asked.
-UNTOLD = EntryHost("", "", Address("0.0.0.0", 0))
 
 
 class _Job:
@@ -103,15 +84,10 @@
         peers: ConnectionPool,
     ) -> None:
         self._view = view
-        self._peers = peers
         self._targets = targets
         self._batchers: dict[str, Batcher] = {}
         self._jobs: dict[tuple[str, int], _Job] = {}
-        self._host = host
-        self._owners = Owners(host)
-        self._watch = HostWatch(peers)
-        self._holdings = Holdings()
-        self._told: dict[str, EntryHost | None] = {}
+        self._hosts = BatchingHosts(host, view.list_hosts, peers)
         #: Calls made to targets.
         self.calls = 0
         #: Pieces in them.
@@ -126,67 +102,28 @@
         results = await self._make_anywhere(job)
         limits = self._view.find_limits(job.service)
         if limits is not None:
-            until = read_monotonic() + limits.kept_s
-            self._holdings.keep(job.service, results, job.result_bytes, until)
+            self._hosts.keep(job, results, limits.kept_s)
         return results
 
     async def _make_anywhere(self, job: PieceJob) -> tuple[PieceResult, ...]:
         begun = read_monotonic()
         for _ in range(MOST_OWNERS):
-            owner = self._find_owner(job.service)
+            owner = self._hosts.find_other(job.service)
             if owner is None:
                 break
-            asked = self._ask(owner, _shorten(job, begun))
-            results = await self._watch.wait(owner, asked)
-            if results is not None and not _is_moved(results):
-                return results
-            if results is not None:
-                await curio.sleep(MOVED_S)
+            results = await self._hosts.ask(owner, _shorten(job, begun))
+            if results is None:
                 continue
-            self._owners.avoid(owner, read_monotonic())
-            logger.bind(step="batch", peer=owner.host).warning("no answer")
-        stays = self._find_owner(job.service) is not None
-        job = self._add_held(job, None)
+            if not _is_moved(results):
+                return results
+            await curio.sleep(MOVED_S)
+        stays = self._hosts.find_other(job.service) is not None
+        job = self._hosts.add_held(job, None)
         results = await self._make_here(_shorten(job, begun), stays=stays)
         if _is_moved(results):
             return await self._make_here(_shorten(job, begun), stays=True)
         return results
 
-    def _find_owner(self, service: str) -> EntryHost | None:
-        """Find the host to ask; None when it is this one."""
-        return self._owners.find_other(
-            service, self._view.list_hosts(), read_monotonic()
-        )
-
-    async def _ask(
-        self, owner: EntryHost, job: PieceJob
-    ) -> tuple[PieceResult, ...] | None:
-        limit = (max(job.remaining_ms, 0.0) + ANSWER_MS) / 1000
-        job = self._add_held(job, owner)
-        try:
-            response = await self._peers.ask(
-                owner.address,
-                PIECES_PATH,
-                encode_json(job),
-                limit,
-                connect_timeout=REACH_S,
-            )
-            if response.status != 200:
-                return None
-            answer: PieceResults = decode_json(response.body, PieceResults)
-        except (UnsentError, ClosedError, MessageError):
-            return None
-        fits = len(answer.results) == len(job.items)
-        return answer.results if fits else None
-
-    def _add_held(self, job: PieceJob, owner: EntryHost | None) -> PieceJob:
-        """Tell a host what is held here when it didn't batch for this one before."""
-        if self._told.get(job.service, UNTOLD) == owner:
-            return job
-        self._told[job.service] = owner
-        held = self._holdings.list_held(job.service, read_monotonic())
-        return msgspec.structs.replace(job, held=held)
-
     async def serve(self, http: HttpRequest, reply: Reply) -> None:
         """Answer another host's question for pieces."""
         try:
@@ -250,8 +187,7 @@
 
     def name_batching_host(self, service: str) -> str:
         """Name the host that batches for a service, this one included."""
-        owner = self._find_owner(service)
-        return owner.host if owner is not None else self._host
+        return self._hosts.name(service)
 
     async def _pump(self, service: str) -> None:
         limits = self._view.find_limits(service)
@@ -315,7 +251,7 @@
                 await self._end(service, batcher.jobs.expire(now))
             else:
                 await self._end(service, batcher.give_up(limits, now))
-            if not self._owners.may_keep(service, self._view.list_hosts(), now):
+            if not self._hosts.may_keep(service):
                 await self._end(service, batcher.jobs.hand_over())
             if batcher.jobs.waiting_pieces:
                 await self._pump(service)
@@ -336,15 +272,8 @@
 
         :param release: the results.
         """
-        self._holdings.release(release.service, release.handles)
-        owner = self._find_owner(release.service)
-        if owner is None:
-            await self._release_here(release)
-            return
-        try:
-            body = encode_json(release)
-            await self._peers.ask(owner.address, RELEASE_PATH, body, RELEASE_S)
-        except (UnsentError, ClosedError):
+        self._hosts.forget(release.service, release.handles)
+        if not await self._hosts.pass_release(release):
             await self._release_here(release)
 
     async def serve_release(self, http: HttpRequest, reply: Reply) -> None:
