Random runs with the deployment document and hosts that are replaced

On the way: a deployment that does not trust its folders elects no leader while one voter is away after a restart of all, as documented; hosts asked to hand over never stand again in that process, so the runs restart all in the end, like the others.

--- /dev/null
+++ b/packages/control/bramleyspread_control/tests/_chaos_open.py
@@ -0,0 +1,126 @@
+"""Random runs of hosts that admit others: the document, and hosts gone for good."""
+
+from __future__ import annotations
+
+import msgspec
+
+from bramleyspread_control import ControlTimings
+from bramleyspread_control.tests._chaos import Chaos
+from bramleyspread_control.tests._cluster import Cluster
+from bramleyspread_core import (
+    ConfirmDeployment,
+    Deployment,
+    DeploymentRead,
+    DeploymentTaken,
+    PutDeployment,
+    ZoneName,
+)
+
+TIMINGS = ControlTimings(snapshot_every=40, log_kept=10, replaced_after=2.5)
+FOUNDERS, SPARES = "abc", "defg"
+#: Zones of all seven, so that each spare may follow one founder.
+ZONES = dict(zip(FOUNDERS + SPARES, "xyzxyzx", strict=True))
+
+
+class OpenChaos(Chaos):
+    """Three hosts found a deployment; spares stand in for those that are gone."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(3, seed)
+        self.cluster = cluster = Cluster(7, seed, timings=TIMINGS)
+        for name in FOUNDERS + SPARES:
+            cluster.kill(name)
+            cluster.lose_disk(name)
+        cluster.members = tuple(
+            msgspec.structs.replace(each, zone=ZoneName(ZONES[each.host]))
+            for each in cluster.members
+        )
+        self.spares = list(SPARES)
+        self.gone: list[str] = []
+        self.replaced = 0
+        self.newest = 0
+        self.acknowledged = 0
+        self.reads: dict[int, int] = {}
+        everyone = cluster.members
+        cluster.members = everyone[:3]
+        cluster.options = {"founds": True, "admits": True}
+        for name in FOUNDERS:
+            cluster.start(name)
+        cluster.members = everyone
+        # Folders come back whole or empty here, as on the users' machines.
+        cluster.options = {"founds": False, "admits": True, "trust_folder": True}
+        for name in SPARES:
+            del cluster.disks[name]
+
+    def act(self) -> None:
+        self.rng.choices(
+            [self.do_put, self.do_read, self.do_replace, super().act], [20, 10, 2, 60]
+        )[0]()
+
+    def do_put(self) -> None:
+        self.newest += self.rng.randint(1, 4)
+        text = f"text {self.newest}"
+        self.ask("-", "put", PutDeployment(Deployment(version=self.newest), text))
+
+    def do_read(self) -> None:
+        nodes = sorted(set(self.cluster.nodes) - self.cluster.frozen)
+        if nodes:
+            ticket = self.cluster.ask(self.rng.choice(nodes), ConfirmDeployment())
+            self.reads[ticket] = self.acknowledged
+
+    def do_copy(self) -> None:
+        """No folder comes back older than it was."""
+
+    def do_replace(self) -> None:
+        """Take a host away for good; a spare of its zone comes with an empty disk."""
+        if self.mending is not None and not self.is_mended(self.mending):
+            return
+        here = sorted(self.cluster.disks)
+        pairs = [(x, s) for x in here for s in self.spares if ZONES[x] == ZONES[s]]
+        if not pairs or set(here) != set(self.cluster.nodes):
+            return
+        former, spare = self.rng.choice(pairs)
+        self.cluster.kill(former)
+        del self.cluster.disks[former]
+        self.gone.append(former)
+        self.spares.remove(spare)
+        self.cluster.lose_disk(spare)
+        self.cluster.start(spare)
+        self.mending = spare
+        self.replaced += 1
+
+    def is_mended(self, name: str) -> bool:
+        voters = self._list_voters(name)
+        return super().is_mended(name) and not voters & set(self.gone)
+
+    def _list_voters(self, name: str) -> set[str]:
+        node = self.cluster.nodes.get(name)
+        if node is None:
+            return set(self.gone)
+        return set(node.report_status(self.cluster.now).voters["0"])
+
+    def take_replies(self) -> None:
+        for ticket, result in self.cluster.replies.items():
+            if isinstance(result, DeploymentTaken):
+                self.acknowledged = max(self.acknowledged, result.version)
+            asked_at = self.reads.pop(ticket, 0)
+            if isinstance(result, DeploymentRead):
+                assert result.version >= asked_at, "an older document was read"
+        super().take_replies()
+
+    def settle_down(self) -> None:
+        """Mend everything; then the newest acknowledged document must be there."""
+        cluster = self.cluster
+        cluster.heal()
+        cluster.frozen.clear()
+        cluster.loss = 0.0
+        for name in sorted(cluster.disks):
+            cluster.kill(name)
+            cluster.start(name)
+        for _ in range(1_500):
+            self.step()
+        read = cluster.call(ConfirmDeployment())
+        assert isinstance(read, DeploymentRead), f"no leader confirms: {read}"
+        assert read.version >= self.acknowledged, "an acknowledged document is gone"
+        here = sorted(cluster.disks)
+        assert self._list_voters(here[0]) == set(here), "voters aren't those there"
--- a/packages/control/bramleyspread_control/tests/_cluster.py
+++ b/packages/control/bramleyspread_control/tests/_cluster.py
@@ -65,6 +65,8 @@
         #: Directions that lose everything.
         self.cuts: set[tuple[str, str]] = set()
         self.frozen: set[str] = set()
+        #: What hosts are started with, unless a start says otherwise.
+        self.options: dict[str, bool] = {}
         self.loss = 0.0
         self.replies: dict[int, CommandResult] = {}
         self.happenings: list[tuple[float, str, Happening]] = []
@@ -83,7 +85,7 @@
             self.members,
             self.groups,
             timings=self.timings,
-            **changes,
+            **{**self.options, **changes},
         )
 
     def start(self, name: str, **changes: bool) -> None:
