--- /dev/null
+++ b/packages/proof/bramleyspread_proof/_bench_forwarding.py
@@ -0,0 +1,154 @@
+"""The bench of what one host decides for a whole service when calls are forwarded."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from random import Random
+
+from bramleyspread_core import Address, EngineLimits, PieceLimits, encode_json
+from bramleyspread_forwarding import (
+    Batcher,
+    EntryHost,
+    FeedPage,
+    ForwardTarget,
+    PieceItem,
+    PieceJob,
+    PieceResult,
+    Placed,
+    Placement,
+    PlaceQuery,
+    PlaceStep,
+    Prompt,
+    PromptPart,
+    Readiness,
+    TargetNotice,
+    TargetRegistry,
+)
+from bramleyspread_proof._figures import Figure
+
+#: Pieces that wait while calls are made up.
+WAITING = (20, 200, 2_000)
+#: Targets of one service; the last is a twelfth of all at the target's size.
+TARGETS = (9, 100, 900)
+#: Entry hosts that a control host tells of one change.
+HOSTS = 480
+#: Pieces of one job.
+JOB_PIECES = 6
+#: Repeats of each measurement; the fastest counts.
+REPEATS = 3
+LIMITS = PieceLimits(
+    slots=1,
+    queue=2,
+    batch=9,
+    call_ms=150.0,
+    piece_ms=14.3,
+    room_bytes=1_500_000,
+    kept_s=4.0,
+)
+ENGINE = EngineLimits(slots=64, memory_tokens=360_000)
+
+
+def run() -> Iterator[Figure]:
+    """Measure processor time: a piece, a choice of engine, a change of a target.
+
+    :returns: one figure for each number of waiting pieces, of targets, and one change.
+    """
+    for waiting in WAITING:
+        took = min(_time_piece(waiting) for _ in range(REPEATS))
+        yield Figure("forwarding", f"piece, {waiting} waiting", took, "us")
+    for count in TARGETS:
+        took = min(_time_choice(count) for _ in range(REPEATS))
+        yield Figure("forwarding", f"choice of engine among {count}", took, "us")
+    took = min(_time_change() for _ in range(REPEATS))
+    yield Figure("forwarding", "a target's change told to one entry host", took, "us")
+
+
+def _make_targets(number: int) -> tuple[ForwardTarget, ...]:
+    return tuple(
+        ForwardTarget(f"t{at}", Address("10.0.0.1", 8_000 + at), f"z{at % 4}", 1)
+        for at in range(number)
+    )
+
+
+def _time_piece(waiting: int) -> float:
+    """Measure a piece's way through the batcher, in microseconds."""
+    batcher, targets, now = Batcher(), _make_targets(4), 0.0
+    rng, made, released = Random(1), 0, 0
+    begun = time.process_time()
+    while made < 3_000:
+        while batcher.jobs.waiting_pieces < waiting:
+            batcher.add(_make_job(rng, released), LIMITS, len(targets), now)
+            released += 1
+        for call in batcher.dispatch(targets, LIMITS, now):
+            made += len(call.items)
+            handles = [f"h{made}-{at}" for at in range(len(call.items))]
+            batcher.finish(call.call, [PieceResult(x) for x in handles], now)
+            batcher.release(handles)
+        now += 0.07
+    return (time.process_time() - begun) / made * 1e6
+
+
+def _make_job(rng: Random, number: int) -> PieceJob:
+    items = tuple(
+        PieceItem(request=f"r{number}", stage=1, piece=at) for at in range(JOB_PIECES)
+    )
+    return PieceJob(
+        service="ledger",
+        items=items,
+        inputs=("h",),
+        remaining_ms=1e9,
+        aim_ms=rng.uniform(1e6, 2e6),
+        priority=rng.randrange(3),
+        result_bytes=60_000,
+    )
+
+
+def _time_choice(count: int) -> float:
+    """Measure a choice of engine and its settlement, in microseconds."""
+    rng = Random(1)
+    placement, targets = Placement(rng), _make_targets(count)
+    choices, begun = 1_000, time.process_time()
+    for at in range(choices):
+        parts = (PromptPart(f"p{at % 100}", 6_300), PromptPart(f"own{at}", 2_900))
+        prompt = Prompt(tokens_in=9_200, tokens_out=50, parts=parts)
+        query = PlaceQuery(service="llm", zone="z0", prompt=prompt, slack_ms=900.0)
+        placed = placement.choose(query, targets, ENGINE, at * 0.01)
+        assert isinstance(placed, Placed)
+        step = PlaceStep(ticket=placed.ticket, target=placed.target.target, ended=True)
+        placement.take_step(step, at * 0.01)
+    return (time.process_time() - begun) / choices * 1e6
+
+
+def _time_change() -> float:
+    """Measure hearing a change and writing its page, an entry host's part, in us."""
+    registry, changes = TargetRegistry(1.2), 50
+    hosts = tuple(
+        EntryHost(f"e{at}", "z0", Address("10.0.0.2", 7_000 + at)) for at in range(8)
+    )
+    begun = time.process_time()
+    for number in range(1, changes + 1):
+        known = registry.position
+        state = Readiness.READY if number % 2 else Readiness.DRAINING
+        registry.hear(_make_notice(number, state), 0.1 * number)
+        for _ in range(HOSTS):
+            page = FeedPage(
+                life="l",
+                position=registry.position,
+                changes=registry.list_changes(known),
+                entries=hosts,
+            )
+            encode_json(page)
+    return (time.process_time() - begun) / changes / HOSTS * 1e6
+
+
+def _make_notice(number: int, state: Readiness) -> TargetNotice:
+    return TargetNotice(
+        target=f"t{number}",
+        sequence=number,
+        service="llm",
+        address=Address("10.0.0.1", 8_000 + number),
+        zone="z0",
+        slots=64,
+        readiness=state,
+    )
