Split calls and their history from the choice of pieces

_batching.py held three jobs in 391 lines: which pieces go (stays), calls by their length (_batched_calls.py), and how targets have done lately (_call_history.py: who is passed over, how fast each is, how long one is waited for). LATE_CALL and LATE_CALLS read alike; they are PATIENCE and LATE_WAIT_CALLS now.

--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -1,10 +1,7 @@
 """Decisions about calls that are passed on as they came."""
 
-from bramleyspread_forwarding._batching import (
-    BatchedCall,
-    BatchedItem,
-    Batcher,
-)
+from bramleyspread_forwarding._batched_calls import BatchedCall, BatchedItem
+from bramleyspread_forwarding._batching import Batcher
 from bramleyspread_forwarding._budget import RetryBudget
 from bramleyspread_forwarding._events import EventError, EventSplitter, StreamEvent
 from bramleyspread_forwarding._feed import EntryHost, FeedPage, FeedQuery
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -14,57 +14,26 @@
 import msgspec
 
 from bramleyspread_core import PieceLimits
-from bramleyspread_forwarding._paces import Paces
+from bramleyspread_forwarding._batched_calls import (
+    BatchedCall,
+    BatchedItem,
+    RunningCall,
+    measure_call,
+)
+from bramleyspread_forwarding._call_history import CallHistory
 from bramleyspread_forwarding._piece_queue import JobDone, PieceQueue, PieceRef
 from bramleyspread_forwarding._pieces import (
     HeldResult,
     PieceFault,
-    PieceItem,
     PieceJob,
     PieceResult,
 )
 from bramleyspread_forwarding._rooms import RoomAccount
 from bramleyspread_forwarding._targets import ForwardTarget
 
-#: How long a target that had no room or failed is passed over, in seconds.
-PASSED_OVER_S = 0.3
-#: The longest that one is passed over that fails again and again, in seconds.
-LONGEST_PASSED_OVER_S = 1.2
 #: Lengths of a full call for which a job that can't be in time waits to be begun;
 #: by then every target has taken other work twice.
-LATE_CALLS = 3
-#: A call that isn't answered after this many times the length that its target is
-#: known for is given up, and its pieces are made elsewhere.
-LATE_CALL = 3.0
-#: As slow as this a target may be known for in that: what takes six times as long as
-#: it should is not told from what never ends.
-SLOWEST = 2.0
-
-
-class BatchedItem(msgspec.Struct, frozen=True):
-    """A piece in a call."""
-
-    #: The piece.
-    item: PieceItem
-    #: Time left for it, in milliseconds.
-    remaining_ms: float
-    #: What it is made from in a first stage.
-    key: str = ""
-    #: The results that it is made from in a later stage.
-    inputs: tuple[str, ...] = ()
-
-
-class BatchedCall(msgspec.Struct, frozen=True):
-    """A call to be made."""
-
-    #: Its number.
-    call: int
-    #: The target.
-    target: ForwardTarget
-    #: The pieces.
-    items: tuple[BatchedItem, ...]
-    #: When to give it up, in milliseconds.
-    timeout_ms: float
+LATE_WAIT_CALLS = 3
 
 
 class _Share(msgspec.Struct, frozen=True):
@@ -76,25 +45,6 @@
     most: int
 
 
-class _Call:
-    """A call on its way."""
-
-    __slots__ = ("begun", "kept_s", "length_ms", "pieces", "target")
-
-    def __init__(
-        self,
-        target: ForwardTarget,
-        pieces: list[PieceRef],
-        limits: PieceLimits,
-        now: float,
-    ) -> None:
-        self.begun = now
-        self.length_ms = _measure_call(len(pieces), limits)
-        self.kept_s = limits.kept_s
-        self.target = target
-        self.pieces = pieces
-
-
 class Batcher:
     """The pieces of one service that wait, and the calls on their way.
 
@@ -107,11 +57,9 @@
         self._numbers = count(1)
         #: The jobs in work.
         self.jobs = PieceQueue()
-        self._calls: dict[int, _Call] = {}
-        self._passed_over: dict[str, float] = {}
-        self._failures: Counter[str] = Counter()
+        self._calls: dict[int, RunningCall] = {}
         self._rooms = RoomAccount()
-        self._paces = Paces()
+        self._history = CallHistory()
 
     @property
     def calls_running(self) -> int:
@@ -156,8 +104,8 @@
         :param now: seconds.
         :returns: the jobs.
         """
-        length_s = _measure_call(limits.batch, limits) / 1000
-        since = now - (LATE_CALLS - 1) * length_s
+        length_s = measure_call(limits.batch, limits) / 1000
+        since = now - (LATE_WAIT_CALLS - 1) * length_s
         return [*self.jobs.expire(now), *self.jobs.shed(since)]
 
     def dispatch(
@@ -179,15 +127,15 @@
             each
             for each in targets
             if busy.get(each.target, 0) < limits.slots
-            and self._passed_over.get(each.target, 0.0) <= now
+            and self._history.may_call(each.target, now)
         ]
         if not free:
             return []
         calls = []
         self._rooms.forget(now)
         names = [each.target for each in targets]
-        self._forget_gone(names)
-        factors = {each: self._paces.compare(each, names) for each in names}
+        self._history.forget_gone(names)
+        factors = {each: self._history.paces.compare(each, names) for each in names}
         all_bound = self._find_bound_zones(targets, limits)
         for target in sorted(free, key=lambda each: factors[each.target]):
             room = self._rooms.find_left(target.target, limits)
@@ -200,12 +148,6 @@
             calls.append(self._begin(target, pieces, limits, now))
         return calls
 
-    def _forget_gone(self, targets: Sequence[str]) -> None:
-        self._paces.forget(targets)
-        for known in (self._passed_over, self._failures):
-            for gone in known.keys() - set(targets):
-                del known[gone]
-
     def _find_share(
         self,
         target: ForwardTarget,
@@ -220,7 +162,7 @@
         quick = sum(each == 1.0 for each in factors.values())
         sooner = int(quick * limits.slots * limits.batch * factor)
         waiting = self.jobs.waiting_pieces
-        if waiting <= sooner and self._paces.is_trial_due(target.target, now):
+        if waiting <= sooner and self._history.paces.is_trial_due(target.target, now):
             return _Share(waiting // 2, 1)
         return _Share(sooner, limits.batch)
 
@@ -237,14 +179,12 @@
         made = self._calls.pop(call)
         maker = made.target.target
         results = [msgspec.structs.replace(x, maker=maker) for x in results]
-        self._failures.pop(made.target.target, None)
         self._keep(made, results, now)
-        if any(result.handle for result in results):
-            spent_ms = (now - made.begun) * 1000
-            self._paces.note(made.target.target, spent_ms / made.length_ms, now)
-        done = []
+        any_made = any(result.handle for result in results)
+        self._history.note_answer(made, any_made, now)
         if all(result.fault is PieceFault.ROOM for result in results):
-            self._passed_over[made.target.target] = now + PASSED_OVER_S
+            self._history.note_no_room(maker, now)
+        done = []
         for piece, result in zip(made.pieces, results, strict=True):
             done += self.jobs.put(piece, result, now)
         return done
@@ -258,23 +198,13 @@
         :returns: jobs that are given up by it.
         """
         made = self._calls.pop(call)
-        self._pass_over(made.target.target, now)
-        waited = (now - made.begun) * 1000 / made.length_ms
-        if waited >= LATE_CALL:
-            self._paces.note_overdue(made.target.target, LATE_CALL, now)
+        self._history.note_failure(made, now)
         fault = PieceFault.ERROR if counts else PieceFault.ROOM
         done = []
         for piece in made.pieces:
             done += self.jobs.put(piece, PieceResult(fault=fault), now)
         return done
 
-    def _pass_over(self, target: str, now: float) -> None:
-        """Pass a target over that failed, each time for longer."""
-        failures = self._failures[target]
-        self._failures[target] += 1
-        pause = min(PASSED_OVER_S * 2**failures, LONGEST_PASSED_OVER_S)
-        self._passed_over[target] = now + pause
-
     def learn_held(self, held: Iterable[HeldResult], now: float) -> None:
         """Take another host's word on results that it holds.
 
@@ -293,7 +223,9 @@
         """Count the bytes of results that lie at a target, as far as is known."""
         return self._rooms.count_bytes(target)
 
-    def _keep(self, made: _Call, results: Sequence[PieceResult], now: float) -> None:
+    def _keep(
+        self, made: RunningCall, results: Sequence[PieceResult], now: float
+    ) -> None:
         for piece, result in zip(made.pieces, results, strict=True):
             if result.handle:
                 size = self.jobs.find_result_bytes(piece)
@@ -341,7 +273,7 @@
         """
         chosen: list[PieceRef] = []
         passed = 0
-        by = now + _measure_call(limits.batch, limits) / 1000
+        by = now + measure_call(limits.batch, limits) / 1000
         for number, job in self.jobs.list_waiting(target.zone, bound, by):
             if passed < share.sooner:
                 passed += len(job.waiting)
@@ -369,11 +301,11 @@
         now: float,
     ) -> BatchedCall:
         call = next(self._numbers)
-        made = self._calls[call] = _Call(target, pieces, limits, now)
+        made = RunningCall.from_pieces(target, pieces, limits, now)
+        self._calls[call] = made
         items = tuple(self._describe(piece, now) for piece in pieces)
         longest = max(each.remaining_ms for each in items)
-        known = min(max(1.0, self._paces.find(target.target)), SLOWEST)
-        patience = made.length_ms * known * LATE_CALL
+        patience = self._history.find_patience(target.target, made.length_ms)
         return BatchedCall(call, target, items, min(longest, patience))
 
     def _describe(self, piece: PieceRef, now: float) -> BatchedItem:
@@ -384,8 +316,3 @@
             job.job.key,
             job.job.inputs,
         )
-
-
-def _measure_call(pieces: int, limits: PieceLimits) -> float:
-    """Measure how long a call takes by its service's limits, in milliseconds."""
-    return limits.call_ms + pieces * limits.piece_ms
