Bound the bytes of all requests' bodies together

Change: bodies that arrive count until their request has ended; beyond 64 MB a request is turned away as not run (503, come back). The test failed first.

--- a/packages/daemon/bramleyspread_daemon/_owner.py
+++ b/packages/daemon/bramleyspread_daemon/_owner.py
@@ -38,5 +38,11 @@
     def note_stalled(self, served: Stalled) -> None:
         """Remember a connection with bytes that wait for a slow reader."""
 
+    def hold(self, size: int) -> bool:
+        """Take bytes of a body into account; False when there are too many."""
+
+    def let_go(self, size: int) -> None:
+        """Take note that bytes of a body are held no more."""
+
     def count_refusal(self, status: int) -> None:
         """Count a request that was not taken as HTTP."""
--- a/packages/daemon/bramleyspread_daemon/_served.py
+++ b/packages/daemon/bramleyspread_daemon/_served.py
@@ -36,6 +36,7 @@
         "_connection",
         "_early_bytes",
         "_head_only",
+        "_held_bytes",
         "_http",
         "_reply",
         "_server",
@@ -51,6 +52,7 @@
         )
         self._reply: Reply | None = None
         self._early_bytes = 0
+        self._held_bytes = 0
         self._head_only = False
         #: Whether nothing more is sent on it.
         self.closing = False
@@ -73,13 +75,19 @@
         """Serve requests one after the other until the connection ends."""
         try:
             while not self.closing and await self._serve_one():
-                pass
+                self._let_go()
+            self._let_go()
             await self._linger()
         finally:
+            self._let_go()
             self._connection.abort()
             await self._leave()
             await self._connection.close()
 
+    def _let_go(self) -> None:
+        self._server.let_go(self._held_bytes)
+        self._held_bytes = 0
+
     async def _serve_one(self) -> bool:
         try:
             request = await self._read_request()
@@ -135,6 +143,7 @@
                 self._check_head(event)
             elif isinstance(event, h11.Data):
                 size += len(event.data)
+                self._hold(len(event.data))
                 if size > self._server.limits.body_bytes:
                     raise self._refuse_body()
                 body.append(bytes(event.data))
@@ -155,6 +164,12 @@
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._connection.write(self._http.send(interim) or b"")
 
+    def _hold(self, size: int) -> None:
+        self._held_bytes += size
+        if not self._server.hold(size):
+            why = "too many requests' bodies at once; try again or another host"
+            raise _BadRequestError(503, why)
+
     def _refuse_body(self) -> _BadRequestError:
         return _BadRequestError(
             413, f"body over {self._server.limits.body_bytes} bytes"
--- a/packages/daemon/bramleyspread_daemon/_server.py
+++ b/packages/daemon/bramleyspread_daemon/_server.py
@@ -52,6 +52,8 @@
         self.accepted = 0
         #: Requests taken so far.
         self.requests = 0
+        #: Bytes of bodies held now.
+        self.held_bytes = 0
         #: Requests refused as HTTP, by status.
         self.refusals: dict[int, int] = {}
 
@@ -127,6 +129,22 @@
         """
         self._stalled.add(served)
 
+    def hold(self, size: int) -> bool:
+        """Take bytes of a body into account.
+
+        :param size: the bytes.
+        :returns: False when there are too many; they count until let go all the same.
+        """
+        self.held_bytes += size
+        return self.held_bytes <= self.limits.held_bytes
+
+    def let_go(self, size: int) -> None:
+        """Take note that bytes of a body are held no more.
+
+        :param size: the bytes.
+        """
+        self.held_bytes -= size
+
     def count_refusal(self, status: int) -> None:
         """Count a request that was not taken as HTTP.
 
--- a/packages/daemon/bramleyspread_daemon/_settings.py
+++ b/packages/daemon/bramleyspread_daemon/_settings.py
@@ -64,6 +64,8 @@
     head_bytes: Annotated[int, msgspec.Meta(ge=1_024, le=1_048_576)] = 16_384
     #: Most bytes of a request's body.
     body_bytes: Annotated[int, msgspec.Meta(ge=0, le=67_108_864)] = 1_048_576
+    #: Most bytes of all requests' bodies that are held at once; more is turned away.
+    held_bytes: Annotated[int, msgspec.Meta(ge=65_536)] = 67_108_864
     #: Time for one request's head and body to arrive, in seconds.
     receive_s: Seconds = 10.0
     #: Time that a connection may stay open without a request, in seconds.
--- a/packages/daemon/bramleyspread_daemon/tests/test_server.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_server.py
@@ -228,3 +228,27 @@
         assert (await read_all(busy)).endswith(b"done")
 
     run(main)
+
+
+def test_bodies_of_all_requests_together_are_bounded() -> None:
+    async def main() -> None:
+        limits = Limits(held_bytes=100_000, body_bytes=90_000)
+        server, address = await start_server(("POST", "/echo", echo), limits=limits)
+        head = b"POST /echo HTTP/1.1\r\nhost: a\r\ncontent-length: 80000\r\n\r\n"
+        async with await connect(address) as slow:
+            await slow.sendall(head + b"x" * 70_000)
+            while server.held_bytes < 70_000:
+                await curio.sleep(0.01)
+            async with await connect(address) as second:
+                await second.sendall(head + b"x" * 80_000)
+                answer = await read_until(second, b"\r\n\r\n")
+            assert answer.startswith(b"HTTP/1.1 503")
+            assert b"retry-after" in answer.lower()
+            await slow.sendall(b"x" * 10_000)
+            assert b"200" in await read_until(slow, b"\r\n\r\n")
+        while server.open_connections:
+            await curio.sleep(0.01)
+        assert server.held_bytes == 0
+        await _check_good(address)
+
+    run(main)
