--- a/packages/control/bramleyspread_control/tests/_chaos.py
+++ b/packages/control/bramleyspread_control/tests/_chaos.py
@@ -204,6 +204,11 @@
 
     def settle_down(self) -> None:
         """Mend everything; then all that was accepted must be there."""
+        self.mend_all()
+        self.check_accepted()
+
+    def mend_all(self) -> None:
+        """End all faults, start every host anew, and let them settle."""
         cluster = self.cluster
         cluster.heal()
         cluster.frozen.clear()
@@ -214,6 +219,10 @@
             cluster.start(name)
         for _ in range(1_500):
             self.step()
+
+    def check_accepted(self) -> None:
+        """Find every accepted change again, and every host among the voters."""
+        cluster = self.cluster
         newest: dict[str, int] = {}
         for change, accepted in self.accepted.items():
             newest[accepted.service] = max(
--- a/packages/control/bramleyspread_control/tests/_chaos_open.py
+++ b/packages/control/bramleyspread_control/tests/_chaos_open.py
@@ -110,15 +110,8 @@
 
     def settle_down(self) -> None:
         """Mend everything; then the newest acknowledged document must be there."""
+        self.mend_all()
         cluster = self.cluster
-        cluster.heal()
-        cluster.frozen.clear()
-        cluster.loss = 0.0
-        for name in sorted(cluster.disks):
-            cluster.kill(name)
-            cluster.start(name)
-        for _ in range(1_500):
-            self.step()
         read = cluster.call(ConfirmDeployment())
         assert isinstance(read, DeploymentRead), f"no leader confirms: {read}"
         assert read.version >= self.acknowledged, "an acknowledged document is gone"
