--- a/packages/daemon/bramleyspread_daemon/forward/_batching_hosts.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_batching_hosts.py
@@ -134,8 +134,9 @@
         :param results: the results.
         :param kept_s: how long their makers keep them, in seconds.
         """
-        until = read_monotonic() + kept_s
-        self._holdings.keep(job.service, results, job.result_bytes, until)
+        now = read_monotonic()
+        size = job.result_bytes
+        self._holdings.keep(job.service, results, size, now, now + kept_s)
 
     def forget(self, service: str, handles: Iterable[str]) -> None:
         """Take note that results are needed no more."""
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -92,8 +92,8 @@
         if not targets:
             return math.inf
         ahead = self.jobs.count_ahead(job.priority)
-        whole_call = limits.call_ms + limits.batch * limits.piece_ms
-        own = limits.call_ms + min(len(job.items), limits.batch) * limits.piece_ms
+        whole_call = measure_call(limits.batch, limits)
+        own = measure_call(min(len(job.items), limits.batch), limits)
         rounds = (ahead + max(0, len(job.items) - limits.batch)) / limits.batch
         return own + rounds * whole_call / (targets * limits.slots)
 
--- a/packages/forwarding/bramleyspread_forwarding/_holdings.py
+++ b/packages/forwarding/bramleyspread_forwarding/_holdings.py
@@ -23,7 +23,7 @@
 
     >>> holdings = Holdings()
     >>> made = (PieceResult("h1", maker="t"), PieceResult("h2", maker="t"))
-    >>> holdings.keep("photos", made, size=5, until=4.0)
+    >>> holdings.keep("photos", made, size=5, now=0.0, until=4.0)
     >>> holdings.release("photos", ["h1"])
     >>> [(each.handle, each.remaining_ms) for each in holdings.list_held("photos", 3.0)]
     [('h2', 1000.0)]
@@ -37,15 +37,22 @@
         self._held: dict[str, dict[str, _Holding]] = {}
 
     def keep(
-        self, service: str, results: Sequence[PieceResult], size: int, until: float
+        self,
+        service: str,
+        results: Sequence[PieceResult],
+        size: int,
+        now: float,
+        until: float,
     ) -> None:
-        """Take note of results that were made for this host.
+        """Take note of results that were made for this host, and drop old ones.
 
         :param service: the service that made them.
         :param results: the results.
         :param size: about the size of one, in bytes.
+        :param now: seconds.
         :param until: when their makers forget them by themselves, in seconds.
         """
+        self._forget(service, now)
         held = self._held.setdefault(service, {})
         for each in results:
             if each.handle and each.maker:
@@ -64,10 +71,22 @@
         :param now: seconds.
         :returns: the results that their makers still keep.
         """
+        self._forget(service, now)
         held = self._held.get(service, {})
-        for handle in [x for x, each in held.items() if each.until <= now]:
-            del held[handle]
         return tuple(
             HeldResult(handle, each.maker, each.size, (each.until - now) * 1000)
             for handle, each in held.items()
         )
+
+    def count(self, service: str) -> int:
+        """Count the results of a service that are noted."""
+        return len(self._held.get(service, {}))
+
+    def _forget(self, service: str, now: float) -> None:
+        """Drop what its makers have forgotten; the oldest stand first."""
+        held = self._held.get(service, {})
+        while held:
+            oldest = next(iter(held))
+            if held[oldest].until > now:
+                break
+            del held[oldest]
