Count and log the bytes of each conversation on a host's link

Cause: logs could not tell whether a batching host's link binds, nor by which bytes. Change: every connection counts its bytes; requests and replies are counted by path of the other host or kind of peer; a 'link' line a second and the metric link_bytes_total; 'batch' lines say how long a call should take beside how long it took. No decision changes.

--- a/packages/daemon/bramleyspread_daemon/_client.py
+++ b/packages/daemon/bramleyspread_daemon/_client.py
@@ -241,6 +241,10 @@
             self._http.start_next_cycle()
             self.idle_since = read_monotonic()
 
+    def take_byte_counts(self) -> tuple[int, int]:
+        """Return the bytes sent and received since the last call."""
+        return self._connection.take_byte_counts()
+
     def abort(self) -> None:
         """Close the connection at once.
 
--- a/packages/daemon/bramleyspread_daemon/_connection.py
+++ b/packages/daemon/bramleyspread_daemon/_connection.py
@@ -38,6 +38,8 @@
     __slots__ = (
         "_pending",
         "_raw",
+        "_received_bytes",
+        "_sent_bytes",
         "_receive_buffer_empty",
         "_socket",
         "aborted",
@@ -52,6 +54,8 @@
         self._raw: stdlib_socket.socket = connected_socket._socket
         self._raw.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
         self._receive_buffer_empty = False
+        self._sent_bytes = 0
+        self._received_bytes = 0
         self._pending: deque[bytes] = deque()
         #: Number of bytes buffered because the socket does not accept them yet.
         self.pending_bytes = 0
@@ -94,6 +98,7 @@
             self.was_reset = True
             return b""
         self._receive_buffer_empty = len(data) < READ_BYTES
+        self._received_bytes += len(data)
         return data
 
     async def send_all(self, data: bytes) -> None:
@@ -103,6 +108,7 @@
         :raises OSError: when the connection is lost.
         """
         await self._socket.sendall(data)
+        self._sent_bytes += len(data)
 
     def send_nonblocking(self, data: bytes) -> int:
         """Send as many bytes as the socket accepts without blocking.
@@ -112,9 +118,11 @@
         :raises OSError: when the connection is lost before any byte is sent.
         """
         try:
-            return self._raw.send(data)
+            sent = self._raw.send(data)
         except BlockingIOError:
             return 0
+        self._sent_bytes += sent
+        return sent
 
     def write(self, data: bytes) -> None:
         """Send bytes without blocking; the rest is buffered for :meth:`flush`.
@@ -133,6 +141,7 @@
         except OSError:
             self.abort()
             return
+        self._sent_bytes += sent
         if sent < len(data):
             self.stalled_since = read_monotonic()
             self._enqueue(data[sent:])
@@ -158,6 +167,7 @@
                 self.abort()
                 return
             self.pending_bytes -= sent
+            self._sent_bytes += sent
             if sent:
                 self.stalled_since = now
             if sent < len(data):
@@ -166,6 +176,12 @@
         if self._pending and now - self.stalled_since > MAX_STALL_S:
             self.abort()
 
+    def take_byte_counts(self) -> tuple[int, int]:
+        """Return the bytes sent and received since the last call."""
+        counts = self._sent_bytes, self._received_bytes
+        self._sent_bytes = self._received_bytes = 0
+        return counts
+
     def finish_writing(self) -> None:
         """Shut down the sending side, so that the peer reads an end of file."""
         try:
--- a/packages/daemon/bramleyspread_daemon/_control.py
+++ b/packages/daemon/bramleyspread_daemon/_control.py
@@ -112,10 +112,16 @@
         self.orders = OrderDispatcher(
             node, reconciler, self.propose, process.timeline, process.clock
         )
+        routes = self._list_routes()
+        fallback = extension.answer_unrouted if extension is not None else None
         #: The HTTP server.
-        self.server = HttpServer(self._list_routes(), settings.limits, process.clock)
+        self.server = HttpServer(
+            Routes(routes, fallback=fallback), settings.limits, process.clock
+        )
+        self.server.traffic = process.pool.traffic
+        self.server.counted_paths = frozenset(path for _, path in routes)
 
-    def _list_routes(self) -> Routes:
+    def _list_routes(self) -> dict[tuple[str, str], RouteHandler]:
         routes = self._process.list_routes(
             self._find_unready_reason, self._fill_metrics
         )
@@ -125,10 +131,9 @@
         routes[("GET", "/v1/control/status")] = self._answer_status
         routes[("GET", "/v1/control/documents-in-force")] = self._answer_documents
         routes[("POST", "/v1/peer")] = self._receive_messages
-        if self._extension is None:
-            return Routes(routes)
-        routes.update(self._extension.list_routes())
-        return Routes(routes, fallback=self._extension.answer_unrouted)
+        if self._extension is not None:
+            routes.update(self._extension.list_routes())
+        return routes
 
     def _find_unready_reason(self) -> str:
         leaders = self._node.report_status(read_monotonic()).leaders
--- a/packages/daemon/bramleyspread_daemon/_pool.py
+++ b/packages/daemon/bramleyspread_daemon/_pool.py
@@ -14,6 +14,7 @@
     fetch,
 )
 from bramleyspread_daemon._clock import ProcessClock, read_monotonic
+from bramleyspread_daemon._traffic import Traffic
 
 #: Maximum idle time after which a connection is not reused.
 MAX_IDLE_S = 15.0
@@ -43,13 +44,15 @@
     response was abandoned is closed by its user instead.
     """
 
-    __slots__ = ("_clock", "_idle", "counts")
+    __slots__ = ("_clock", "_idle", "counts", "traffic")
 
     def __init__(self, clock: ProcessClock) -> None:
         self._clock = clock
         self._idle: dict[Address, list[ClientConnection]] = {}
         #: Counters of its activity.
         self.counts = PoolCounts()
+        #: Bytes of its requests, by path.
+        self.traffic = Traffic()
 
     async def acquire(
         self,
@@ -156,6 +159,7 @@
         except h11.RemoteProtocolError as error:
             raise ConnectionClosedError(f"not HTTP: {error}") from None
         finally:
+            self.traffic.record_exchange(path, connection)
             if is_complete:
                 await self.release_connection(connection)
             else:
--- a/packages/daemon/bramleyspread_daemon/_process.py
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -23,6 +23,7 @@
 from bramleyspread_daemon._server import HttpServer
 from bramleyspread_daemon._settings import Limits
 from bramleyspread_daemon._timeline import TimelineFile
+from bramleyspread_daemon._traffic import TRAFFIC_LOG_INTERVAL_S
 
 #: How often expired idle connections are closed.
 POOL_SWEEP_INTERVAL_S = 5.0
@@ -47,6 +48,10 @@
     def limits(self) -> Limits:
         """The limits on connections and requests."""
 
+    @property
+    def link_mbps(self) -> float:
+        """The rate of the host's network link, in Mbit/s; 0 if unknown."""
+
 
 class Process:
     """The components that entry and control processes have in common."""
@@ -148,6 +153,7 @@
         count("peer_messages_total", "Sent to hosts.", self.messenger.sent)
         count("peer_messages_lost_total", "Not delivered.", self.messenger.lost)
         count("peer_bytes_total", "Bytes sent to hosts.", self.messenger.bytes_sent)
+        self.pool.traffic.fill_metrics(metrics)
         pool_counts = self.pool.counts
         count("connections_opened_total", "To others.", pool_counts.opened)
         count("connections_reused_total", "To others.", pool_counts.reused)
@@ -187,6 +193,13 @@
         :param address: the address it listens on.
         """
         await curio.spawn(self.sweep_pool, daemon=True)
+        await curio.spawn(
+            run_periodically,
+            self.log_traffic,
+            "link",
+            lambda: TRAFFIC_LOG_INTERVAL_S,
+            daemon=True,
+        )
         self.write_timeline_event("started", detail=f"{role} at {address}")
         logger.bind(step="start", peer="-").info(f"{role} host at {address}")
 
@@ -226,6 +239,10 @@
         self.write_timeline_event("stopped", detail="" if finished else "cut off")
         return finished
 
+    async def log_traffic(self) -> None:
+        """Log the bytes sent and received since the last call, by conversation."""
+        self.pool.traffic.log(self.now(), self.settings.link_mbps)
+
     async def sweep_pool(self) -> None:
         """Close expired idle connections periodically."""
         while True:
--- a/packages/daemon/bramleyspread_daemon/_server.py
+++ b/packages/daemon/bramleyspread_daemon/_server.py
@@ -17,6 +17,7 @@
 from bramleyspread_daemon._server_connection import FLUSH_INTERVAL_S, ServerConnection
 from bramleyspread_daemon._server_context import StalledConnection
 from bramleyspread_daemon._settings import Limits
+from bramleyspread_daemon._traffic import ByteCountSource, Traffic
 
 #: Listen backlog of the socket.
 BACKLOG = 1_024
@@ -55,6 +56,12 @@
         self.requests = 0
         #: Body bytes currently held in memory.
         self.held_bytes = 0
+        #: Bytes of its requests and replies.
+        self.traffic = Traffic()
+        #: Paths whose bytes are counted under their own names.
+        self.counted_paths: frozenset[str] = frozenset()
+        #: Conversation under which the bytes of all other paths are counted.
+        self.conversation = "other"
         #: Requests refused before they reached the handler, by HTTP status.
         self.refusals: dict[int, int] = {}
 
@@ -149,6 +156,16 @@
         """
         self.held_bytes -= size
 
+    def record_traffic(self, path: str, connection: ByteCountSource) -> None:
+        """Count the bytes of a request and its reply.
+
+        :param path: the path of the request.
+        :param connection: the connection that carried it.
+        """
+        is_counted = path in self.counted_paths
+        conversation = path if is_counted else self.conversation
+        self.traffic.record_exchange(conversation, connection)
+
     def count_refusal(self, status: int) -> None:
         """Count a request that was refused before it reached the handler.
 
--- a/packages/daemon/bramleyspread_daemon/_server_connection.py
+++ b/packages/daemon/bramleyspread_daemon/_server_connection.py
@@ -103,8 +103,11 @@
         self.deadline = None
         self._pipelined_bytes = 0
         self._reply = reply = Reply(self)
-        await self._server.answer(request, reply)
-        return reply.ended or await self._wait_for_reply_end(reply)
+        try:
+            await self._server.answer(request, reply)
+            return reply.ended or await self._wait_for_reply_end(reply)
+        finally:
+            self._server.record_traffic(request.path, self._connection)
 
     async def _wait_for_reply_end(self, reply: Reply) -> bool:
         """Wait until an asynchronous reply ends, and detect a caller disconnect.
--- a/packages/daemon/bramleyspread_daemon/_server_context.py
+++ b/packages/daemon/bramleyspread_daemon/_server_context.py
@@ -7,6 +7,7 @@
 from bramleyspread_daemon._clock import ProcessClock
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._settings import Limits
+from bramleyspread_daemon._traffic import ByteCountSource
 
 
 class StalledConnection(Protocol):
@@ -44,5 +45,8 @@
     def release_body_bytes(self, size: int) -> None:
         """Stop counting body bytes that were reserved and are no longer held."""
 
+    def record_traffic(self, path: str, connection: ByteCountSource) -> None:
+        """Count the bytes of a request and its reply."""
+
     def count_refusal(self, status: int) -> None:
         """Count a request that was refused before it reached a handler."""
--- a/packages/daemon/bramleyspread_daemon/_settings.py
+++ b/packages/daemon/bramleyspread_daemon/_settings.py
@@ -93,6 +93,8 @@
     log: LogSettings = LogSettings()
     #: The limits on connections and requests.
     limits: Limits = Limits()
+    #: The rate of the host's network link, in Mbit/s; 0 if unknown.
+    link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class EntrySettings(_ProcessSettings, frozen=True, kw_only=True):
--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -27,6 +27,8 @@
 
 #: Timeout for connecting to a target, in seconds.
 CONNECT_TIMEOUT_S = 0.25
+#: Conversation under which the bytes of callers' requests to targets are counted.
+REQUESTS = "requests"
 #: Maximum number of stream bytes buffered for a slow caller.
 MAX_UNSENT_BYTES = 131_072
 #: Interval at which a slow caller's buffer is checked, in seconds.
@@ -203,9 +205,11 @@
         self, connection: UpstreamConnection, head: TargetHead
     ) -> None:
         self._connection = None
+        self._context.upstream.record_traffic(REQUESTS, connection)
         await self._context.upstream.release_connection(connection, head.keep_alive_s)
 
     async def _close_connection(self) -> None:
         connection, self._connection = self._connection, None
         if connection is not None:
+            self._context.upstream.record_traffic(REQUESTS, connection)
             await connection.close()
--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -80,7 +80,7 @@
         #: Recent durations of stages.
         self.stage_times = StageTimes()
         #: Connections to targets.
-        self.upstream = UpstreamPool()
+        self.upstream = UpstreamPool(peers.traffic)
         #: Computes the pieces of stages.
         self.piece_service = PieceService(
             settings.host,
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -94,6 +94,7 @@
         limits, clock = settings.limits, process.clock
         #: Serves the other processes of the system.
         self.server = HttpServer(Routes(routes), limits, clock)
+        self.server.counted_paths = frozenset(path for _, path in routes)
         health = process.list_health_routes(self.context.find_unready_reason)
         health[("GET", ready_path)] = health[("GET", "/v1/ready")]
         #: Serves the load balancer's health checks.
@@ -102,6 +103,10 @@
         self.public = HttpServer(self, limits, clock)
         self.public.is_public = True
         self.health.is_public = True
+        self.public.conversation = "callers"
+        self.health.conversation = "health checks"
+        for server in (self.server, self.health, self.public):
+            server.traffic = process.pool.traffic
 
     def _apply_limits(self, deployment: Deployment) -> None:
         self.public.limits = merge_limits(self._settings.limits, deployment.limits)
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_calls.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_calls.py
@@ -111,6 +111,7 @@
             body = await connection.read_body()
             is_complete = True
         finally:
+            self._pool.record_traffic(call.path, connection)
             if is_complete:
                 await self._pool.release_connection(connection, keep_alive_s)
             else:
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -236,6 +236,7 @@
             waiting=batcher.jobs.waiting_pieces,
             running=batcher.calls_in_flight,
             ms=round((now - started_at) * 1000),
+            expected_ms=round(call.expected_ms),
             kept_bytes=batcher.count_stored_bytes(call.target.target),
             faults=_count_faults(answer),
         ).info("called")
--- a/packages/daemon/bramleyspread_daemon/forward/_settings.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_settings.py
@@ -40,6 +40,8 @@
     seeds: tuple[str, ...]
     #: File to which timeline events are appended; ``-`` for standard output.
     timeline: str = "-"
+    #: Rate of the host's network link, in Mbit/s; 0 if unknown.
+    link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     #: Logging settings.
     log: LogSettings = LogSettings()
     #: Resource limits.
--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -14,6 +14,7 @@
 from bramleyspread_daemon._client import ConnectionClosedError, RequestNotSentError
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._connection import Connection
+from bramleyspread_daemon._traffic import Traffic
 
 #: Maximum size of a response head.
 MAX_HEAD_BYTES = 65_536
@@ -192,6 +193,10 @@
             self._http.start_next_cycle()
         self.idle_since = read_monotonic()
 
+    def take_byte_counts(self) -> tuple[int, int]:
+        """Return the bytes sent and received since the last call."""
+        return self._connection.take_byte_counts()
+
     async def close(self) -> None:
         """Close the connection, dropping bytes that are not yet sent."""
         if self._send_task is not None:
@@ -202,9 +207,10 @@
 class UpstreamPool:
     """Pool of idle connections to targets."""
 
-    __slots__ = ("_idle", "opened", "reused")
+    __slots__ = ("_idle", "_traffic", "opened", "reused")
 
-    def __init__(self) -> None:
+    def __init__(self, traffic: Traffic | None = None) -> None:
+        self._traffic = traffic if traffic is not None else Traffic()
         self._idle: dict[Address, list[UpstreamConnection]] = {}
         #: Number of connections opened.
         self.opened = 0
@@ -254,6 +260,14 @@
         else:
             await connection.close()
 
+    def record_traffic(self, conversation: str, connection: UpstreamConnection) -> None:
+        """Count the bytes of a connection's last exchange.
+
+        :param conversation: name of the conversation.
+        :param connection: the connection that carried it.
+        """
+        self._traffic.record_exchange(conversation, connection)
+
     async def close_idle_to(self, address: Address) -> None:
         """Close all idle connections to a target."""
         for connection in self._idle.pop(address, []):
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
@@ -150,6 +150,9 @@
     async def release_connection(self, *_: object) -> None:
         pass
 
+    def record_traffic(self, *_: object) -> None:
+        pass
+
 
 class FakePlacement:
     """Placement that chooses a new target each time."""
--- a/packages/forwarding/bramleyspread_forwarding/_batched_calls.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batched_calls.py
@@ -31,6 +31,8 @@
     call: int
     target: ForwardTarget
     items: tuple[BatchedItem, ...]
+    #: Expected duration according to the service's limits, in milliseconds.
+    expected_ms: float
     #: Time after which the call is abandoned, in milliseconds.
     timeout_ms: float
 
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -340,7 +340,9 @@
         items = tuple(self._start_piece(piece, now) for piece in pieces)
         remaining_ms = max(each.remaining_ms for each in items)
         timeout_ms = self._history.find_timeout_ms(target.target, call.expected_ms)
-        return BatchedCall(number, target, items, min(remaining_ms, timeout_ms))
+        return BatchedCall(
+            number, target, items, call.expected_ms, min(remaining_ms, timeout_ms)
+        )
 
     def _start_piece(self, piece: PieceRef, now: float) -> BatchedItem:
         job = self.jobs.start_piece(piece)
