Reproduce the incident SHORT in virtual time, known red

What callers saw: dossier summaries late or refused on grown Hoang Mai. Evidence: with link lines, the one host that batches the mail stage sends 0.87 to 0.94 of its 5 Mbit/s (calls, answers, releases); its calls take 349 ms where targets need 240; the ledger before it runs out of room, since its results wait for the mail stage. The test sends the sheet's jobs through real piece services over links of 5 Mbit/s: 0.746 within two calls' time, 0.95 wanted.

--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_link_capacity.py
@@ -0,0 +1,94 @@
+"""Stages of a large site, whose entry hosts are many and have slow links."""
+
+from __future__ import annotations
+
+from itertools import count
+from random import Random
+
+import curio
+import pytest
+
+from bramleyspread_core import PieceLimits
+from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon.forward.tests.simulated_site import SimulatedSite
+from bramleyspread_daemon.tests.virtual_time import run_in_virtual_time
+from bramleyspread_forwarding import PieceItem, PieceJob
+
+#: The last stage of a site with 83 entry hosts, 81 requests a second and 16 pieces a
+#: request: 1,300 of the 2,190 pieces a second that its targets can make.
+LIMITS = PieceLimits(
+    slots=1, queue=2, batch=68, call_ms=150.0, piece_ms=1.9, result_retention_s=4.0
+)
+HOSTS, TARGETS, REQUESTS_PER_S, PIECES, INPUTS = 83, 9, 81.0, 16, 6
+#: Time in which a job is served by targets that are not overloaded: it waits for at
+#: most one full call before its own, in seconds.
+TWO_CALLS_S = 2 * (LIMITS.call_ms + LIMITS.batch * LIMITS.piece_ms) / 1000
+#: Share of jobs that must be served in that time.
+ON_TIME_SHARE = 0.95
+#: Share of a link's rate that may be used in the mean, so that bursts pass.
+MAX_LINK_SHARE = 0.7
+#: Length of a run, in seconds.
+RUN_S = 10.0
+
+
+def make_job(rng: Random, number: int) -> PieceJob:
+    request = f"{rng.getrandbits(64):016x}"
+    return PieceJob(
+        service=SimulatedSite.service,
+        items=tuple(
+            PieceItem(request=request, stage=3, piece=at) for at in range(PIECES)
+        ),
+        inputs=tuple(
+            f"10.1.65.{rng.randrange(8)}:8080/{number:07x}{at:04x}"
+            for at in range(INPUTS)
+        ),
+        remaining_ms=5_000.0,
+        aim_ms=1_000.0,
+        result_bytes=6_000,
+    )
+
+
+async def send_jobs(site: SimulatedSite) -> list[float | None]:
+    """Send jobs from all hosts; return how long each took, None for failed ones."""
+    rng = Random(18)
+    numbers = count(1)
+    elapsed: list[float | None] = []
+
+    async def run_job(number: int) -> None:
+        job = make_job(rng, number)
+        elapsed.append(await site.run_job(rng.choice(site.hosts), job))
+
+    await curio.spawn(site.run_ticks, daemon=True)
+    tasks = []
+    ends_at = read_monotonic() + RUN_S
+    while read_monotonic() < ends_at:
+        await curio.sleep(rng.expovariate(REQUESTS_PER_S))
+        tasks.append(await curio.spawn(run_job, next(numbers)))
+    for task in tasks:
+        await task.join()
+    return elapsed
+
+
+def measure_on_time_share(elapsed: list[float | None]) -> float:
+    on_time = sum(each is not None and each <= TWO_CALLS_S for each in elapsed)
+    return on_time / len(elapsed)
+
+
+def test_targets_of_the_large_site_suffice_if_links_are_fast(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = SimulatedSite(HOSTS, TARGETS, LIMITS, link_mbps=1_000.0)
+    elapsed = run_in_virtual_time(monkeypatch, lambda: send_jobs(site))
+    assert measure_on_time_share(elapsed) >= ON_TIME_SHARE
+
+
+# Guards against the incident SHORT: all calls and results of a stage service passed the
+# link of one entry host, and stages were late although their targets had time.
+def test_stages_of_a_large_site_are_on_time_over_slow_links(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = SimulatedSite(HOSTS, TARGETS, LIMITS, link_mbps=5.0)
+    elapsed = run_in_virtual_time(monkeypatch, lambda: send_jobs(site))
+    busiest_bytes = max(max(each.bytes.values()) for each in site.links.values())
+    assert measure_on_time_share(elapsed) >= ON_TIME_SHARE
+    assert busiest_bytes * 8 / 1e6 / RUN_S <= MAX_LINK_SHARE * 5.0
