Divide a stage service among as many batching hosts as their links need

Cause: one entry host batched all pieces of a stage service, whatever the size of the site. The mail stage's calls, answers and releases filled its link of 5 Mbit/s; its results came late, so the stage before it ran out of room. Fix: the targets of a service are divided into shards, each with a batching host of its own. Their number follows from the rate at which the targets can make pieces, the bytes that a piece adds to a link, and the link's rate (from the settings); a small site keeps one host, so that calls stay full. A job goes to one shard, its results are released there; a batching host is told the results at targets that join its shard.

--- a/packages/daemon/bramleyspread_daemon/forward/_batching_hosts.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_batching_hosts.py
@@ -14,12 +14,14 @@
 from bramleyspread_daemon.forward._host_watch import HostWatch
 from bramleyspread_forwarding import (
     EntryHost,
+    HeldResult,
     HeldResults,
     PieceJob,
     PieceRelease,
     PieceResult,
     PieceResults,
     ServiceOwners,
+    ShardId,
 )
 
 #: Path on which entry hosts ask each other to compute pieces.
@@ -32,12 +34,12 @@
 ANSWER_MARGIN_MS = 120.0
 #: Timeout for forwarding a release to another host, in seconds.
 RELEASE_TIMEOUT_S = 1.0
-#: Placeholder for the batching host of a service that this host has not used yet.
+#: Placeholder for the batching host of a shard that this host has not used yet.
 NO_HOST = EntryHost("", "", Address("0.0.0.0", 0))
 
 
 class BatchingHosts:
-    """Finds the batching host of each service, and sends it jobs and releases."""
+    """Finds the batching host of each shard, and sends it jobs and releases."""
 
     __slots__ = (
         "_held_results",
@@ -61,36 +63,41 @@
         self._owners = ServiceOwners(host)
         self._watch = HostWatch(peers)
         self._held_results = HeldResults()
-        self._informed_hosts: dict[str, EntryHost | None] = {}
-
-    def find_remote_owner(self, service: str) -> EntryHost | None:
-        """Return the service's batching host, or None if it is this host."""
+        #: For each shard, its batching host and its targets when the host was told the
+        #: results that this host holds there.
+        self._informed_hosts: dict[
+            ShardId, tuple[EntryHost | None, frozenset[str]]
+        ] = {}
+
+    def find_remote_owner(self, shard: ShardId) -> EntryHost | None:
+        """Return the shard's batching host, or None if it is this host."""
         return self._owners.find_remote_owner(
-            service, self._list_hosts(), read_monotonic()
+            shard.service, self._list_hosts(), read_monotonic(), shard.number
         )
 
-    def get_batching_host_name(self, service: str) -> str:
-        """Return the name of the service's batching host, which may be this host."""
-        batching_host = self.find_remote_owner(service)
+    def get_batching_host_name(self, shard: ShardId) -> str:
+        """Return the name of the shard's batching host, which may be this host."""
+        batching_host = self.find_remote_owner(shard)
         return batching_host.host if batching_host is not None else self._host
 
-    def may_run_received_jobs(self, service: str) -> bool:
+    def may_run_received_jobs(self, shard: ShardId) -> bool:
         """Return whether this host may still run the jobs that other hosts sent it."""
         return self._owners.may_continue_work(
-            service, self._list_hosts(), read_monotonic()
+            shard.service, self._list_hosts(), read_monotonic(), shard.number
         )
 
     async def request_results(
-        self, batching_host: EntryHost, job: PieceJob
+        self, batching_host: EntryHost, job: PieceJob, targets: frozenset[str]
     ) -> tuple[PieceResult, ...] | None:
-        """Have a job run by the batching host of its service.
+        """Have a job run by the batching host of its shard.
 
         :param batching_host: the batching host.
         :param job: the job.
+        :param targets: ids of the shard's targets.
         :returns: the results; None if the host didn't answer, in which case it is not
             asked again for a while.
         """
-        job_with_held = self.add_held(job, batching_host)
+        job_with_held = self.add_held(job, batching_host, targets)
         results = await self._watch.wait(
             batching_host, self._post(batching_host, job_with_held)
         )
@@ -121,19 +128,40 @@
         is_complete = len(answer.results) == len(job.items)
         return answer.results if is_complete else None
 
-    def add_held(self, job: PieceJob, batching_host: EntryHost | None) -> PieceJob:
-        """Attach the results held here if the service's batching host is new.
+    def add_held(
+        self, job: PieceJob, batching_host: EntryHost | None, targets: frozenset[str]
+    ) -> PieceJob:
+        """Attach the results held here that the shard's batching host can't know.
+
+        A new batching host is told the results at all targets of the shard, the same
+        one those at targets that joined the shard.
 
         :param job: the job to send.
         :param batching_host: the batching host; None for this host.
-        :returns: the job, with the held results attached if the batching host has
-            changed since the last job.
+        :param targets: ids of the shard's targets.
+        :returns: the job, with those results attached.
         """
-        if self._informed_hosts.get(job.service, NO_HOST) == batching_host:
+        shard = ShardId(job.service, job.shard)
+        informed_host, known_targets = self._informed_hosts.get(
+            shard, (NO_HOST, frozenset())
+        )
+        if informed_host != batching_host:
+            known_targets = frozenset()
+        joined = targets - known_targets
+        if informed_host == batching_host and not joined:
             return job
-        self._informed_hosts[job.service] = batching_host
-        held = self._held_results.list_held(job.service, read_monotonic())
-        return msgspec.structs.replace(job, held=held)
+        self._informed_hosts[shard] = (batching_host, targets)
+        return msgspec.structs.replace(job, held=self._list_held(job.service, joined))
+
+    def _list_held(
+        self, service: str, makers: frozenset[str]
+    ) -> tuple[HeldResult, ...]:
+        held = self._held_results.list_held(service, read_monotonic())
+        return tuple(each for each in held if each.maker in makers)
+
+    def find_maker(self, service: str, handle: str) -> str:
+        """Return the target that stores a result; empty if it isn't held here."""
+        return self._held_results.find_maker(service, handle)
 
     def record_results(
         self, job: PieceJob, results: Sequence[PieceResult], result_retention_s: float
@@ -155,12 +183,12 @@
         self._held_results.release(service, handles)
 
     async def forward_release(self, release: PieceRelease) -> bool:
-        """Forward a release to the batching host of the service.
+        """Forward a release to the batching host of the shard.
 
         :param release: the results to release.
         :returns: whether another host received the release.
         """
-        batching_host = self.find_remote_owner(release.service)
+        batching_host = self.find_remote_owner(ShardId(release.service, release.shard))
         if batching_host is None:
             return False
         try:
--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -85,7 +85,10 @@
         self.piece_service = PieceService(
             settings.host,
             ServiceDirectory(
-                self.targets.list_usable, self._find_piece_limits, self.list_hosts
+                self.targets.list_usable,
+                self._find_piece_limits,
+                self.list_hosts,
+                settings.link_mbps,
             ),
             PieceCalls(wire, self.upstream),
             peers,
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -1,4 +1,4 @@
-"""Computes stage pieces: locally, or at the service's batching host."""
+"""Computes stage pieces: locally, or at the batching host of a shard of the service."""
 
 from __future__ import annotations
 
@@ -36,12 +36,17 @@
     PieceRelease,
     PieceResult,
     PieceResults,
+    ServiceShards,
+    ShardId,
+    Shards,
+    choose_shard,
+    find_shard_of,
 )
 
 #: Maximum number of batching hosts asked for a job, one after another, before it is
 #: run locally.
 MAX_HOSTS_TRIED = 3
-#: Delay before a job is sent to the new batching host of its service, after the old
+#: Delay before a job is sent to the new batching host of its shard, after the old
 #: one refused it, in seconds.
 MOVED_RETRY_DELAY_S = 0.02
 #: Interval at which waiting jobs are checked, in seconds.
@@ -66,6 +71,7 @@
         list_targets: Callable[[str], Sequence[ForwardTarget]],
         find_limits: Callable[[str], PieceLimits | None],
         list_hosts: Callable[[], Sequence[EntryHost]],
+        link_mbps: float = 0.0,
     ) -> None:
         #: Returns the targets of a service that accept work.
         self.list_targets = list_targets
@@ -73,6 +79,18 @@
         self.find_limits = find_limits
         #: Returns the live entry hosts, including this one.
         self.list_hosts = list_hosts
+        self._shards = ServiceShards(link_mbps)
+
+    def list_shards(self, service: str) -> Shards:
+        """Return the targets of each shard of a service."""
+        return self._shards.divide(
+            service, self.list_targets(service), self.find_limits(service)
+        )
+
+    def list_shard_targets(self, shard: ShardId) -> Sequence[ForwardTarget]:
+        """Return the targets of a shard; none if there is no such shard now."""
+        shards = self.list_shards(shard.service)
+        return shards[shard.number] if shard.number < len(shards) else ()
 
 
 class PieceService:
@@ -87,8 +105,8 @@
     ) -> None:
         self._directory = directory
         self._targets = targets
-        self._batchers: dict[str, Batcher] = {}
-        self._jobs: dict[tuple[str, int], _PendingJob] = {}
+        self._batchers: dict[ShardId, Batcher] = {}
+        self._jobs: dict[tuple[ShardId, int], _PendingJob] = {}
         self._hosts = BatchingHosts(host, directory.list_hosts, peers)
         #: Number of batched calls sent to targets.
         self.calls = 0
@@ -101,6 +119,8 @@
         :param job: the job.
         :returns: the results, in the order of the job's pieces.
         """
+        shards = self._directory.list_shards(job.service)
+        job = msgspec.structs.replace(job, shard=choose_shard(job, shards))
         results = await self._run_with_fallback(job)
         limits = self._directory.find_limits(job.service)
         if limits is not None:
@@ -108,25 +128,28 @@
         return results
 
     async def _run_with_fallback(self, job: PieceJob) -> tuple[PieceResult, ...]:
-        """Run a job at the service's batching host.
+        """Run a job at its shard's batching host.
 
         This host runs it if it is the batching host, or if no batching host answers.
         """
         started_at = read_monotonic()
+        shard = ShardId(job.service, job.shard)
+        targets = self._directory.list_shard_targets(shard)
+        target_ids = frozenset(each.target for each in targets)
         for _ in range(MAX_HOSTS_TRIED):
-            batching_host = self._hosts.find_remote_owner(job.service)
+            batching_host = self._hosts.find_remote_owner(shard)
             if batching_host is None:
                 break
             results = await self._hosts.request_results(
-                batching_host, _deduct_elapsed(job, started_at)
+                batching_host, _deduct_elapsed(job, started_at), target_ids
             )
             if results is None:
                 continue
             if not _has_moved(results):
                 return results
             await curio.sleep(MOVED_RETRY_DELAY_S)
-        is_local = self._hosts.find_remote_owner(job.service) is not None
-        job = self._hosts.add_held(job, None)
+        is_local = self._hosts.find_remote_owner(shard) is not None
+        job = self._hosts.add_held(job, None, target_ids)
         results = await self._run_locally(
             _deduct_elapsed(job, started_at), is_local=is_local
         )
@@ -159,17 +182,18 @@
         limits = self._directory.find_limits(job.service)
         if limits is None:
             return _fail_all(job, PieceFault.ERROR)
-        batcher = self._batchers.setdefault(job.service, Batcher())
-        targets = len(self._directory.list_targets(job.service))
+        shard = ShardId(job.service, job.shard)
+        batcher = self._batchers.setdefault(shard, Batcher())
+        targets = len(self._directory.list_shard_targets(shard))
         now = read_monotonic()
         batcher.add_held_results(job.held, now)
         number = batcher.add(job, limits, targets, now, is_local=is_local)
         if isinstance(number, PieceFault):
             self._log_failed_job(job, number, now)
             return _fail_all(job, number)
-        pending = self._jobs[job.service, number] = _PendingJob()
+        pending = self._jobs[shard, number] = _PendingJob()
         try:
-            await self._dispatch(job.service)
+            await self._dispatch(shard)
             await pending.finished.wait()
             fault = next((x.fault for x in pending.results if x.fault), None)
             if fault is not None:
@@ -177,45 +201,49 @@
             return pending.results
         finally:
             batcher.jobs.cancel(number)
-            self._jobs.pop((job.service, number), None)
-            await self._release_unwanted(job.service)
+            self._jobs.pop((shard, number), None)
+            await self._release_unwanted(shard)
 
     def _log_failed_job(
         self, job: PieceJob, fault: PieceFault, started_at: float
     ) -> None:
         """Log why a job failed, together with the load at that time."""
-        batcher = self._batchers[job.service]
+        shard = ShardId(job.service, job.shard)
+        batcher = self._batchers[shard]
         logger.bind(
             step="job",
             peer="-",
             request=job.items[0].request if job.items else "",
             service=job.service,
+            shard=job.shard,
             pieces=len(job.items),
             priority=job.priority,
             aim_ms=round(job.aim_ms),
             waited_ms=round((read_monotonic() - started_at) * 1000),
             waiting=batcher.jobs.waiting_pieces,
             running=batcher.calls_in_flight,
-            targets=len(self._directory.list_targets(job.service)),
+            targets=len(self._directory.list_shard_targets(shard)),
         ).warning(f"given up: {fault.value}")
 
-    def get_batching_host_name(self, service: str) -> str:
-        """Return the name of the service's batching host, which may be this host."""
-        return self._hosts.get_batching_host_name(service)
+    def get_batching_host_name(self, job: PieceJob) -> str:
+        """Return the name of the batching host of a job, which may be this host."""
+        shards = self._directory.list_shards(job.service)
+        shard = ShardId(job.service, choose_shard(job, shards))
+        return self._hosts.get_batching_host_name(shard)
 
-    async def _dispatch(self, service: str) -> None:
-        limits = self._directory.find_limits(service)
+    async def _dispatch(self, shard: ShardId) -> None:
+        limits = self._directory.find_limits(shard.service)
         if limits is None:
             return
-        batcher = self._batchers[service]
-        targets = self._directory.list_targets(service)
+        batcher = self._batchers[shard]
+        targets = self._directory.list_shard_targets(shard)
         for call in batcher.dispatch(targets, limits, read_monotonic()):
             self.calls += 1
             self.pieces += len(call.items)
-            await curio.spawn(self._run_call, service, call, daemon=True)
+            await curio.spawn(self._run_call, shard, call, daemon=True)
 
-    async def _run_call(self, service: str, call: BatchedCall) -> None:
-        batcher = self._batchers[service]
+    async def _run_call(self, shard: ShardId, call: BatchedCall) -> None:
+        batcher = self._batchers[shard]
         started_at = read_monotonic()
         answer = await self._targets.send(call)
         now = read_monotonic()
@@ -230,7 +258,8 @@
         logger.bind(
             step="batch",
             peer=call.target.target,
-            service=service,
+            service=shard.service,
+            shard=shard.number,
             pieces=len(call.items),
             requests=len({each.item.request for each in call.items}),
             waiting=batcher.jobs.waiting_pieces,
@@ -240,9 +269,9 @@
             kept_bytes=batcher.count_stored_bytes(call.target.target),
             faults=_count_faults(answer),
         ).info("called")
-        await self._finish_jobs(service, done)
-        await self._release_unwanted(service)
-        await self._dispatch(service)
+        await self._finish_jobs(shard, done)
+        await self._release_unwanted(shard)
+        await self._dispatch(shard)
 
     def _log_failure(self, call: BatchedCall, why: str) -> None:
         peer = call.target.target
@@ -250,9 +279,9 @@
             f"{len(call.items)} pieces not computed: {why}"
         )
 
-    async def _finish_jobs(self, service: str, done: Sequence[JobDone]) -> None:
+    async def _finish_jobs(self, shard: ShardId, done: Sequence[JobDone]) -> None:
         for each in done:
-            pending = self._jobs.get((service, each.job))
+            pending = self._jobs.get((shard, each.job))
             if pending is not None:
                 pending.results = each.results
                 await pending.finished.set()
@@ -260,43 +289,64 @@
     async def tick(self) -> None:
         """Expire late jobs, and dispatch waiting pieces.
 
-        If this host is no longer the batching host of a service, other hosts' jobs that
+        If this host is no longer the batching host of a shard, other hosts' jobs that
         have not started fail with ``PieceFault.MOVED``.
         """
-        for service, batcher in tuple(self._batchers.items()):
+        for shard, batcher in tuple(self._batchers.items()):
             now = read_monotonic()
-            limits = self._directory.find_limits(service)
+            limits = self._directory.find_limits(shard.service)
             if limits is None:
-                await self._finish_jobs(service, batcher.jobs.expire(now))
+                await self._finish_jobs(shard, batcher.jobs.expire(now))
             else:
-                await self._finish_jobs(service, batcher.expire_and_shed(limits, now))
-            if not self._hosts.may_run_received_jobs(service):
-                await self._finish_jobs(service, batcher.jobs.fail_unstarted())
+                await self._finish_jobs(shard, batcher.expire_and_shed(limits, now))
+            if not self._may_run_received_jobs(shard):
+                await self._finish_jobs(shard, batcher.jobs.fail_unstarted())
             if batcher.jobs.waiting_pieces:
-                await self._dispatch(service)
+                await self._dispatch(shard)
+
+    def _may_run_received_jobs(self, shard: ShardId) -> bool:
+        is_in_use = shard.number < len(self._directory.list_shards(shard.service))
+        return is_in_use and self._hosts.may_run_received_jobs(shard)
 
     def count_stored_bytes(self, service: str, target: str) -> int:
         """Return the bytes of results stored at a target, as far as this host knows."""
-        batcher = self._batchers.get(service)
-        return batcher.count_stored_bytes(target) if batcher is not None else 0
+        return sum(
+            batcher.count_stored_bytes(target)
+            for shard, batcher in self._batchers.items()
+            if shard.service == service
+        )
 
-    async def _release_unwanted(self, service: str) -> None:
-        unwanted = self._batchers[service].jobs.take_unwanted_handles()
+    async def _release_unwanted(self, shard: ShardId) -> None:
+        unwanted = self._batchers[shard].jobs.take_unwanted_handles()
         if unwanted:
-            release = PieceRelease(service, unwanted)
+            release = PieceRelease(shard.service, unwanted, shard.number)
             await curio.spawn(self._release_locally, release, daemon=True)
 
     async def release(self, release: PieceRelease) -> None:
-        """Release results through the batching host of their service.
+        """Release results through the batching hosts of the shards that store them.
 
         This host releases them itself if it is the batching host, or if the batching
         host can't be reached.
 
         :param release: the results to release.
         """
+        parts = self._split_by_shard(release)
         self._hosts.forget(release.service, release.handles)
-        if not await self._hosts.forward_release(release):
-            await self._release_locally(release)
+        for part in parts:
+            if not await self._hosts.forward_release(part):
+                await self._release_locally(part)
+
+    def _split_by_shard(self, release: PieceRelease) -> list[PieceRelease]:
+        service = release.service
+        shards = self._directory.list_shards(service)
+        handles: dict[int, list[str]] = {}
+        for handle in release.handles:
+            maker = self._hosts.find_maker(service, handle)
+            handles.setdefault(find_shard_of(maker, shards), []).append(handle)
+        return [
+            PieceRelease(service, tuple(own_handles), number)
+            for number, own_handles in handles.items()
+        ]
 
     async def serve_release(self, http: HttpRequest, reply: Reply) -> None:
         """Handle another entry host's notice that results are no longer needed."""
@@ -310,10 +360,11 @@
 
     async def _release_locally(self, release: PieceRelease) -> None:
         await self._targets.release(release.handles)
-        batcher = self._batchers.get(release.service)
+        shard = ShardId(release.service, release.shard)
+        batcher = self._batchers.get(shard)
         if batcher is not None:
             batcher.release(release.handles)
-            await self._dispatch(release.service)
+            await self._dispatch(shard)
 
 
 def _count_faults(answer: CallOutcome) -> dict[str, int]:
--- a/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
@@ -158,7 +158,7 @@
         fault = next((x.fault for x in results if x.fault is not None), None)
         logger.bind(
             step="stage",
-            peer=self._context.piece_service.get_batching_host_name(job.service),
+            peer=self._context.piece_service.get_batching_host_name(job),
             request=self._request.request_id,
             service=job.service,
             stage=job.items[0].stage if job.items else 0,
--- a/packages/daemon/bramleyspread_daemon/forward/tests/simulated_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/simulated_site.py
@@ -183,7 +183,7 @@
 
     def _make_service(self, host: EntryHost, link_mbps: float) -> PieceService:
         directory = ServiceDirectory(
-            lambda _: self.targets, lambda _: self.limits, lambda: self.hosts
+            lambda _: self.targets, lambda _: self.limits, lambda: self.hosts, link_mbps
         )
         calls = cast("Any", _Calls(self, host.address))
         peers = cast("Any", _Peers(self, host.address))
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
@@ -207,3 +207,31 @@
         assert requester.calls == 1
 
     run(main)
+
+
+def test_results_are_released_at_the_shard_that_stores_them() -> None:
+    async def main() -> None:
+        _, address = await start_scripted_server(serve_pieces)
+        targets = tuple(ForwardTarget(f"t{at}", address, "z", 1) for at in range(4))
+        # A link so slow that two shards are needed.
+        directory = ServiceDirectory(
+            lambda _: targets, lambda _: LIMITS, list, link_mbps=0.05
+        )
+        pool = ConnectionPool(ProcessClock())
+        calls = PieceCalls(cast("Any", CountingWire()), UpstreamPool())
+        service = PieceService("own", directory, calls, pool)
+        assert len(directory.list_shards("photos")) == 2
+        results: list[PieceResult] = []
+        for number in range(8):
+            job = msgspec.structs.replace(
+                JOB,
+                items=(PieceItem(request=f"r{number}", stage=0, piece=0),),
+                result_bytes=1_000,
+            )
+            results += await service.run_job(job)
+        assert len({each.maker for each in results}) > 1
+        await service.release(PieceRelease("photos", tuple(x.handle for x in results)))
+        stored = sum(service.count_stored_bytes("photos", x.target) for x in targets)
+        assert stored == 0
+
+    run(main)
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -53,6 +53,15 @@
     RawHeaders,
 )
 from bramleyspread_forwarding._routing import RouteTable
+from bramleyspread_forwarding._shards import (
+    ServiceShards,
+    ShardId,
+    Shards,
+    choose_shard,
+    count_shards,
+    divide_targets,
+    find_shard_of,
+)
 from bramleyspread_forwarding._stage_times import StageTimes
 from bramleyspread_forwarding._targets import ForwardTarget, TargetTable
 
@@ -98,6 +107,9 @@
     "RetryBudget",
     "RouteTable",
     "ServiceOwners",
+    "ServiceShards",
+    "ShardId",
+    "Shards",
     "StageRun",
     "StageTimes",
     "StreamEvent",
@@ -108,7 +120,11 @@
     "TargetRegistry",
     "TargetTable",
     "WasNotRun",
+    "choose_shard",
+    "count_shards",
+    "divide_targets",
     "find_owner",
     "find_preferred_engine",
+    "find_shard_of",
     "may_retry",
 ]
--- a/packages/forwarding/bramleyspread_forwarding/_held_results.py
+++ b/packages/forwarding/bramleyspread_forwarding/_held_results.py
@@ -69,6 +69,11 @@
         for handle in handles:
             held.pop(handle, None)
 
+    def find_maker(self, service: str, handle: str) -> str:
+        """Return the target that stores a held result; empty if it isn't held."""
+        entry = self._held.get(service, {}).get(handle)
+        return entry.maker if entry is not None else ""
+
     def list_held(self, service: str, now: float) -> tuple[HeldResult, ...]:
         """List the held results of a service.
 
--- a/packages/forwarding/bramleyspread_forwarding/_owners.py
+++ b/packages/forwarding/bramleyspread_forwarding/_owners.py
@@ -1,4 +1,4 @@
-"""Chooses the entry host that does shared work of a service: batching or placement."""
+"""Chooses the entry hosts that do shared work of a service: batching or placement."""
 
 from __future__ import annotations
 
@@ -23,20 +23,21 @@
     def __init__(self, own_host: str) -> None:
         self._own_host = own_host
         self._backoff_until: dict[str, float] = {}
-        self._last_owned_at: dict[str, float] = {}
+        self._last_owned_at: dict[tuple[str, int], float] = {}
 
     def find_remote_owner(
-        self, service: str, hosts: Sequence[EntryHost], now: float
+        self, service: str, hosts: Sequence[EntryHost], now: float, shard: int = 0
     ) -> EntryHost | None:
         """Find the owner of a service if it is another host.
 
         :param service: the service.
         :param hosts: the live entry hosts.
         :param now: the current time, in seconds.
+        :param shard: number of the shard if the service is divided into shards.
         :returns: the owner; None when it is this host, or there is none.
         """
         candidates = [x for x in hosts if self._backoff_until.get(x.host, 0.0) <= now]
-        owner = find_owner(service, candidates)
+        owner = find_owner(service, candidates, shard)
         return None if owner is None or owner.host == self._own_host else owner
 
     def start_backoff(self, host: EntryHost, now: float) -> None:
@@ -44,33 +45,50 @@
         self._backoff_until[host.host] = now + BACKOFF_S
 
     def may_continue_work(
-        self, service: str, hosts: Sequence[EntryHost], now: float
+        self, service: str, hosts: Sequence[EntryHost], now: float, shard: int = 0
     ) -> bool:
         """Whether this host may continue work that other hosts requested from it.
 
         :param service: the service.
         :param hosts: the live entry hosts.
         :param now: the current time, in seconds.
+        :param shard: number of the shard if the service is divided into shards.
         :returns: True while this host owns the service, and for a grace period after.
         """
-        if self.find_remote_owner(service, hosts, now) is None:
-            self._last_owned_at[service] = now
-        return now - self._last_owned_at.setdefault(service, now) < HANDOVER_GRACE_S
+        key = (service, shard)
+        if self.find_remote_owner(service, hosts, now, shard) is None:
+            self._last_owned_at[key] = now
+        return now - self._last_owned_at.setdefault(key, now) < HANDOVER_GRACE_S
 
 
-def find_owner(service: str, hosts: Sequence[EntryHost]) -> EntryHost | None:
-    """Find the host that owns a service's shared work.
+def find_owner(
+    service: str, hosts: Sequence[EntryHost], shard: int = 0
+) -> EntryHost | None:
+    """Find the host that owns a service's shared work, or one shard of it.
 
     All hosts with the same list find the same owner, by rendezvous hashing. The hash
     includes the start time of the process, so a host that restarts usually does not
-    take the work back from the host that replaced it.
+    take the work back from the host that replaced it. The shards of a service have
+    different owners while there are enough hosts.
 
     :param service: the service.
     :param hosts: the live entry hosts.
+    :param shard: number of the shard.
     :returns: the owner; None when there are no hosts.
     """
+    if not hosts:
+        return None
+    remaining = list(hosts)
+    for number in range(shard):
+        remaining.remove(_find_heaviest(service, number, remaining))
+        remaining = remaining or list(hosts)
+    return _find_heaviest(service, shard, remaining)
+
+
+def _find_heaviest(service: str, shard: int, hosts: Sequence[EntryHost]) -> EntryHost:
+    key = f"{service}#{shard}" if shard else service
 
     def hash_weight(each: EntryHost) -> int:
-        return int(xxhash.xxh3_64_intdigest(f"{service}/{each.host}/{each.started}"))
+        return int(xxhash.xxh3_64_intdigest(f"{key}/{each.host}/{each.started}"))
 
-    return max(hosts, key=hash_weight, default=None)
+    return max(hosts, key=hash_weight)
--- a/packages/forwarding/bramleyspread_forwarding/_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_pieces.py
@@ -59,12 +59,14 @@
 class PieceJob(msgspec.Struct, frozen=True, kw_only=True):
     """All pieces of one stage of one request.
 
-    Sent with ``POST /v1/pieces`` to the batching host of the service.
+    Sent with ``POST /v1/pieces`` to the batching host of the shard.
     """
 
     #: The service that processes the pieces.
     service: str
     items: tuple[PieceItem, ...]
+    #: Number of the shard of the service whose targets process the pieces.
+    shard: int = 0
     #: Identifies the source data that pieces of a first stage read; empty in later
     #: stages.
     key: str = ""
@@ -112,13 +114,16 @@
 class PieceRelease(msgspec.Struct, frozen=True):
     """Releases results that are no longer needed.
 
-    Sent with ``POST /v1/pieces-release`` to the batching host of the service.
+    Sent with ``POST /v1/pieces-release`` to the batching host of the shard whose
+    targets store the results.
     """
 
     #: The service that produced the results.
     service: str
     #: Handles of the results.
     handles: tuple[str, ...]
+    #: Number of that shard.
+    shard: int = 0
 
 
 class ReadyStage(msgspec.Struct, frozen=True):
