--- a/packages/daemon/bramleyspread_daemon/forward/_batching_hosts.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_batching_hosts.py
@@ -123,10 +123,10 @@
             if response.status != 200:
                 return None
             answer: PieceResults = decode_json(response.body, PieceResults)
+            results = answer.unpack()
         except (RequestNotSentError, ConnectionClosedError, MessageError):
             return None
-        is_complete = len(answer.results) == len(job.items)
-        return answer.results if is_complete else None
+        return results if len(results) == job.pieces else None
 
     def add_held(
         self, job: PieceJob, batching_host: EntryHost | None, targets: frozenset[str]
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -174,7 +174,7 @@
         reply.on_disconnect = cancel_task
 
     async def _serve_job(self, job: PieceJob, reply: Reply) -> None:
-        reply.send_json(PieceResults(await self._run_locally(job)))
+        reply.send_json(PieceResults.pack(await self._run_locally(job)))
 
     async def _run_locally(
         self, job: PieceJob, *, is_local: bool = False
@@ -213,10 +213,10 @@
         logger.bind(
             step="job",
             peer="-",
-            request=job.items[0].request if job.items else "",
+            request=job.request,
             service=job.service,
             shard=job.shard,
-            pieces=len(job.items),
+            pieces=job.pieces,
             priority=job.priority,
             aim_ms=round(job.aim_ms),
             waited_ms=round((read_monotonic() - started_at) * 1000),
@@ -388,4 +388,4 @@
 
 
 def _fail_all(job: PieceJob, fault: PieceFault) -> tuple[PieceResult, ...]:
-    return tuple(PieceResult(fault=fault) for _ in job.items)
+    return tuple(PieceResult(fault=fault) for _ in range(job.pieces))
--- a/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
@@ -84,7 +84,6 @@
         started_at = read_monotonic()
         self.is_released = False
         self._run = run = StageRun(
-            self._request.request_id,
             self._route.stages,
             self._request.pieces,
             self._request.piece_key,
@@ -132,7 +131,9 @@
         remaining_ms = (self._find_first_event_deadline() - now) * 1000 - downstream_ms
         job = PieceJob(
             service=service,
-            items=ready.items,
+            request=self._request.request_id,
+            stage=ready.number,
+            pieces=ready.pieces,
             key=ready.key,
             inputs=ready.inputs,
             remaining_ms=min(remaining_ms, self._find_input_lifetime_ms(number)),
@@ -159,10 +160,10 @@
         logger.bind(
             step="stage",
             peer=self._context.piece_service.get_batching_host_name(job),
-            request=self._request.request_id,
+            request=job.request,
             service=job.service,
-            stage=job.items[0].stage if job.items else 0,
-            pieces=len(job.items),
+            stage=job.stage,
+            pieces=job.pieces,
             aim_ms=round(job.aim_ms),
             left_ms=round(job.remaining_ms),
             ms=round((read_monotonic() - started_at) * 1000),
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_link_capacity.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_link_capacity.py
@@ -12,7 +12,7 @@
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon.forward.tests.simulated_site import SimulatedSite
 from bramleyspread_daemon.tests.virtual_time import run_in_virtual_time
-from bramleyspread_forwarding import PieceItem, PieceJob
+from bramleyspread_forwarding import PieceJob
 
 #: The last stage of a site with 83 entry hosts, 81 requests a second and 16 pieces a
 #: request: 1,300 of the 2,190 pieces a second that its targets can make.
@@ -32,12 +32,11 @@
 
 
 def make_job(rng: Random, number: int) -> PieceJob:
-    request = f"{rng.getrandbits(64):016x}"
     return PieceJob(
         service=SimulatedSite.service,
-        items=tuple(
-            PieceItem(request=request, stage=3, piece=at) for at in range(PIECES)
-        ),
+        request=f"{rng.getrandbits(64):016x}",
+        stage=3,
+        pieces=PIECES,
         inputs=tuple(
             f"10.1.65.{rng.randrange(8)}:8080/{number:07x}{at:04x}"
             for at in range(INPUTS)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
@@ -29,7 +29,6 @@
     BatchedCall,
     EntryHost,
     ForwardTarget,
-    PieceItem,
     PieceJob,
     PieceRelease,
     PieceResult,
@@ -41,7 +40,9 @@
 )
 JOB = PieceJob(
     service="photos",
-    items=tuple(PieceItem(request="r", stage=0, piece=at) for at in range(3)),
+    request="r",
+    stage=0,
+    pieces=3,
     remaining_ms=5_000.0,
 )
 
@@ -225,7 +226,8 @@
         for number in range(8):
             job = msgspec.structs.replace(
                 JOB,
-                items=(PieceItem(request=f"r{number}", stage=0, piece=0),),
+                request=f"r{number}",
+                pieces=1,
                 result_bytes=1_000,
             )
             results += await service.run_job(job)
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -99,10 +99,8 @@
             return math.inf
         pieces_ahead = self.jobs.count_ahead(job.priority)
         full_call_ms = estimate_call_ms(limits.batch, limits)
-        own_call_ms = estimate_call_ms(min(len(job.items), limits.batch), limits)
-        full_calls = (
-            pieces_ahead + max(0, len(job.items) - limits.batch)
-        ) / limits.batch
+        own_call_ms = estimate_call_ms(min(job.pieces, limits.batch), limits)
+        full_calls = (pieces_ahead + max(0, job.pieces - limits.batch)) / limits.batch
         return own_call_ms + full_calls * full_call_ms / (targets * limits.slots)
 
     def expire_and_shed(self, limits: PieceLimits, now: float) -> list[JobDone]:
@@ -347,7 +345,7 @@
     def _start_piece(self, piece: PieceRef, now: float) -> BatchedItem:
         job = self.jobs.start_piece(piece)
         return BatchedItem(
-            job.job.items[piece.index],
+            job.job.make_item(piece.index),
             (job.deadline - now) * 1000,
             job.job.key,
             job.job.inputs,
--- a/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
+++ b/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
@@ -57,18 +57,18 @@
         #: When the job's request misses its latency goal, in seconds.
         self.goal_at = now + job.aim_ms / 1000
         #: The results so far, in the order of the job's pieces.
-        self.results: list[PieceResult | None] = [None] * len(job.items)
+        self.results: list[PieceResult | None] = [None] * job.pieces
         #: Indexes of the pieces that wait to be put into a call.
-        self.waiting = list(range(len(job.items)))
+        self.waiting = list(range(job.pieces))
         #: Number of pieces without a result.
-        self.missing_results = len(job.items)
+        self.missing_results = job.pieces
         #: Number of times that a piece of the job was retried.
         self.retries = 0
 
     @property
     def is_started(self) -> bool:
         """Whether any piece is in a call or has a result."""
-        return len(self.waiting) < len(self.job.items)
+        return len(self.waiting) < self.job.pieces
 
 
 class PieceQueue:
--- a/packages/forwarding/bramleyspread_forwarding/_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_pieces.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from bramleyspread_core import StagePlan
+from bramleyspread_core import MessageError, StagePlan
 
 
 class PieceFault(str, Enum):
@@ -56,7 +56,7 @@
     remaining_ms: float
 
 
-class PieceJob(msgspec.Struct, frozen=True, kw_only=True):
+class PieceJob(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """All pieces of one stage of one request.
 
     Sent with ``POST /v1/pieces`` to the batching host of the shard.
@@ -64,7 +64,12 @@
 
     #: The service that processes the pieces.
     service: str
-    items: tuple[PieceItem, ...]
+    #: The caller's id of the request that needs the pieces.
+    request: str
+    #: Number of the pieces' stage in the route.
+    stage: int
+    #: Number of pieces; they are numbered from 0.
+    pieces: int
     #: Number of the shard of the service whose targets process the pieces.
     shard: int = 0
     #: Identifies the source data that pieces of a first stage read; empty in later
@@ -91,6 +96,10 @@
     #: reported them to the batching host.
     held: tuple[HeldResult, ...] = ()
 
+    def make_item(self, piece: int) -> PieceItem:
+        """Return the identity of one of its pieces."""
+        return PieceItem(request=self.request, stage=self.stage, piece=piece)
+
 
 class PieceResult(msgspec.Struct, frozen=True):
     """The result of a piece, or the reason for which there is none."""
@@ -105,10 +114,55 @@
     maker: str = ""
 
 
-class PieceResults(msgspec.Struct, frozen=True):
-    """The results of a job, in the order of its items."""
+class PieceResults(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The results of a job, in the order of its pieces, as sent between hosts.
+
+    Results of one call have the same maker, which is named once.
 
-    results: tuple[PieceResult, ...]
+    >>> results = (PieceResult("h1", None, "z", "t"), PieceResult("h2", None, "z", "t"))
+    >>> PieceResults.pack(results).unpack() == results
+    True
+    """
+
+    #: Handle of each result; empty where there is none.
+    handles: tuple[str, ...]
+    #: Targets that produced results, with their availability zones.
+    makers: tuple[tuple[str, str], ...]
+    #: For each result, the number of its maker in ``makers``.
+    made_by: tuple[int, ...]
+    #: Why there is no result, by number of the piece.
+    faults: dict[int, PieceFault] = {}
+
+    @classmethod
+    def pack(cls, results: Sequence[PieceResult]) -> PieceResults:
+        """Build the message.
+
+        :param results: the results.
+        """
+        makers = tuple(dict.fromkeys((each.maker, each.zone) for each in results))
+        numbers = {maker: number for number, maker in enumerate(makers)}
+        return cls(
+            tuple(each.handle for each in results),
+            makers,
+            tuple(numbers[each.maker, each.zone] for each in results),
+            {at: each.fault for at, each in enumerate(results) if each.fault},
+        )
+
+    def unpack(self) -> tuple[PieceResult, ...]:
+        """Return the results.
+
+        :raises MessageError: if the parts of the message don't fit together.
+        """
+        if len(self.handles) != len(self.made_by):
+            raise MessageError("handles and makers differ in number")
+        if any(not 0 <= number < len(self.makers) for number in self.made_by):
+            raise MessageError("a result's maker is not in the message")
+        return tuple(
+            PieceResult(handle, self.faults.get(at), *reversed(self.makers[number]))
+            for at, (handle, number) in enumerate(
+                zip(self.handles, self.made_by, strict=True)
+            )
+        )
 
 
 class PieceRelease(msgspec.Struct, frozen=True):
@@ -133,7 +187,8 @@
     number: int
     #: The service that processes the stage.
     service: str
-    items: tuple[PieceItem, ...]
+    #: Number of pieces.
+    pieces: int
     #: Identifies the source data that pieces of a first stage read; empty in later
     #: stages.
     key: str
@@ -144,16 +199,14 @@
 class StageRun:
     """Progress of the stages that prepare the inputs of one request.
 
-    :param request: the caller's id of the request.
     :param stages: the stages of the request's route.
     :param counts: number of pieces of each stage.
     :param key: identifies the source data that pieces of first stages read.
     """
 
     def __init__(
-        self, request: str, stages: Sequence[StagePlan], counts: Sequence[int], key: str
+        self, stages: Sequence[StagePlan], counts: Sequence[int], key: str
     ) -> None:
-        self._request = request
         self._stages = tuple(stages)
         self._piece_counts = tuple(counts) + (0,) * (len(self._stages) - len(counts))
         self._key = key
@@ -276,10 +329,7 @@
         return ReadyStage(
             number,
             stage.service,
-            tuple(
-                PieceItem(request=self._request, stage=number, piece=piece)
-                for piece in range(self._piece_counts[number])
-            ),
+            self._piece_counts[number],
             "" if stage.after else self._key,
             tuple(result.handle for result in inputs),
         )
--- a/packages/forwarding/bramleyspread_forwarding/_shards.py
+++ b/packages/forwarding/bramleyspread_forwarding/_shards.py
@@ -146,10 +146,9 @@
     sizes = [sum(target.zone == job.zone for target in each) for each in shards]
     if not any(sizes):
         sizes = [len(each) for each in shards]
-    request = job.items[0].request if job.items else ""
 
     def draw(number: int) -> float:
-        uniform = (_hash(f"{request}/{number}") + 1) / 2**64
+        uniform = (_hash(f"{job.request}/{number}") + 1) / 2**64
         return math.log(uniform) / sizes[number] if sizes[number] else -math.inf
 
     return max(range(len(shards)), key=draw)
--- a/packages/forwarding/bramleyspread_forwarding/tests/builders.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/builders.py
@@ -5,7 +5,6 @@
 from bramleyspread_core import Address, PieceLimits
 from bramleyspread_forwarding import (
     ForwardTarget,
-    PieceItem,
     PieceJob,
     PieceResult,
     Prompt,
@@ -62,12 +61,11 @@
     :param pieces: number of pieces.
     :param changes: fields that differ from the defaults.
     """
-    items = tuple(
-        PieceItem(request=request, stage=0, piece=index) for index in range(pieces)
-    )
     fields: dict[str, object] = {
         "service": "photos",
-        "items": items,
+        "request": request,
+        "stage": 0,
+        "pieces": pieces,
         "key": "k",
         "remaining_ms": 4_000.0,
         "aim_ms": 1_000.0,
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_pieces.py
@@ -23,7 +23,7 @@
 
 
 def test_independent_stage_starts_with_the_last_stage_of_the_longest_chain() -> None:
-    run = StageRun("r", (INDEPENDENT_STAGE, *CHAIN_FROM_STAGE_1), (2, 1, 8, 16), "key")
+    run = StageRun((INDEPENDENT_STAGE, *CHAIN_FROM_STAGE_1), (2, 1, 8, 16), "key")
     started = []
     for pieces in (1, 8):
         ready = run.start_ready_stages()
@@ -34,16 +34,16 @@
 
 
 def test_inputs_are_all_results_of_the_preceding_stages() -> None:
-    run = StageRun("r", CHAIN_FROM_STAGE_0, (1, 8, 2), "key")
+    run = StageRun(CHAIN_FROM_STAGE_0, (1, 8, 2), "key")
     (first,) = run.start_ready_stages()
-    assert (len(first.items), first.key, first.inputs) == (1, "key", ())
+    assert (first.pieces, first.key, first.inputs) == (1, "key", ())
     finish(run, 0, 1)
     (second,) = run.start_ready_stages()
-    assert (len(second.items), second.key, second.inputs) == (8, "", ("s0-0",))
+    assert (second.pieces, second.key, second.inputs) == (8, "", ("s0-0",))
     finish(run, 1, 8, "z1")
     assert run.find_input_location(2) == ("z1", 2 * 8 * 60_000)
     (third,) = run.start_ready_stages()
-    assert (len(third.items), len(third.inputs)) == (2, 8)
+    assert (third.pieces, len(third.inputs)) == (2, 8)
     finish(run, 2, 2)
     assert run.is_done
     assert [x.handle for x in run.inputs] == ["s2-0", "s2-1"]
@@ -58,7 +58,7 @@
 
 
 def test_stage_without_pieces_is_skipped() -> None:
-    run = StageRun("r", (INDEPENDENT_STAGE,), (0,), "key")
+    run = StageRun((INDEPENDENT_STAGE,), (0,), "key")
     assert run.start_ready_stages() == []
     assert run.is_done
     assert run.inputs == ()
@@ -66,7 +66,7 @@
 
 
 def test_every_result_is_released_at_the_service_that_produced_it() -> None:
-    run = StageRun("r", CHAIN_FROM_STAGE_0, (1, 1, 1), "key")
+    run = StageRun(CHAIN_FROM_STAGE_0, (1, 1, 1), "key")
     for number in range(3):
         run.start_ready_stages()
         finish(run, number, 1)
@@ -75,7 +75,7 @@
 
 
 def test_results_are_released_once_all_following_stages_are_done() -> None:
-    run = StageRun("r", CHAIN_FROM_STAGE_0, (1, 1, 1), "key")
+    run = StageRun(CHAIN_FROM_STAGE_0, (1, 1, 1), "key")
     released = []
     for number in range(3):
         run.start_ready_stages()
--- a/packages/proof/bramleyspread_proof/_bench_forwarding.py
+++ b/packages/proof/bramleyspread_proof/_bench_forwarding.py
@@ -12,7 +12,6 @@
     EntryHost,
     FeedPage,
     ForwardTarget,
-    PieceItem,
     PieceJob,
     PieceResult,
     Placed,
@@ -93,12 +92,11 @@
 
 
 def _make_job(rng: Random, number: int) -> PieceJob:
-    items = tuple(
-        PieceItem(request=f"r{number}", stage=1, piece=at) for at in range(JOB_PIECES)
-    )
     return PieceJob(
         service="ledger",
-        items=items,
+        request=f"r{number}",
+        stage=1,
+        pieces=JOB_PIECES,
         inputs=("h",),
         remaining_ms=1e9,
         aim_ms=rng.uniform(1e6, 2e6),
