Name the entry hosts in a page of the feed only when their list has changed

Change: a query names the revision of the list that the entry host knows from this process of the control host; a page holds the list only where its revision is another one.

--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -28,6 +28,7 @@
     FeedPage,
     FeedQuery,
     KeyRing,
+    KnownEntries,
     LiveHosts,
     Placement,
     RetryBudget,
@@ -56,6 +57,7 @@
         self._settings = settings
         self._budgets: dict[str, RetryBudget] = {}
         self._live_hosts = LiveHosts(HOST_EXPIRY_S)
+        self._known_entries: dict[Address, KnownEntries] = {}
         #: This host, as other hosts address it.
         self.own = EntryHost(
             settings.host, settings.zone, settings.listen.address, started
@@ -114,11 +116,13 @@
     def make_query(self, control: Address) -> FeedQuery:
         """Build the next feed query to a control host."""
         incarnation, position = self.targets.find_position(control)
+        known = self._known_entries.get(control, KnownEntries())
         return FeedQuery(
             asker=self.own,
             version=self.version,
             incarnation=incarnation,
             position=position,
+            entries_revision=known.revision if known.incarnation == incarnation else 0,
         )
 
     async def handle_page(
@@ -131,7 +135,9 @@
         if page.confirmed and page.version <= self.version:
             self.keys.confirm(requested_at)
         self.targets.apply(control, page, now)
-        for host in page.entries:
+        known = self._known_entries.get(control, KnownEntries()).apply(page)
+        self._known_entries[control] = known
+        for host in known.entries:
             self._live_hosts.record(host, now)
 
     async def tick(self) -> None:
--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -232,6 +232,11 @@
         known = query.position if query.incarnation == self._incarnation else 0
         deployment = self._node.deployment
         version = deployment.version if deployment is not None else 0
+        entries = self._live_hosts.list_live(now)
+        is_list_new = (
+            query.incarnation != self._incarnation
+            or query.entries_revision != self._live_hosts.revision
+        )
         page = FeedPage(
             incarnation=self._incarnation,
             position=self.registry.position,
@@ -240,7 +245,8 @@
             version=version,
             confirmed=self._node.is_deployment_confirmed(now),
             control=self._node.list_control_addresses(),
-            entries=self._live_hosts.list_live(now),
+            entries=entries if is_list_new else None,
+            entries_revision=self._live_hosts.revision,
         )
         pending.reply.send_json(page)
 
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -4,7 +4,7 @@
 from bramleyspread_forwarding._batching import Batcher
 from bramleyspread_forwarding._budget import RetryBudget
 from bramleyspread_forwarding._events import EventError, EventSplitter, StreamEvent
-from bramleyspread_forwarding._feed import EntryHost, FeedPage, FeedQuery
+from bramleyspread_forwarding._feed import EntryHost, FeedPage, FeedQuery, KnownEntries
 from bramleyspread_forwarding._heartbeats import (
     Readiness,
     TargetChange,
@@ -82,6 +82,7 @@
     "HeldResults",
     "JobDone",
     "KeyRing",
+    "KnownEntries",
     "KeyUnknown",
     "KeysUnconfirmed",
     "LiveHosts",
--- a/packages/forwarding/bramleyspread_forwarding/_feed.py
+++ b/packages/forwarding/bramleyspread_forwarding/_feed.py
@@ -37,6 +37,9 @@
     #: Position in that process's sequence of target changes up to which the entry host
     #: knows all of them.
     position: int = 0
+    #: Revision of that process's list of entry hosts that the entry host knows; 0 for
+    #: none.
+    entries_revision: int = 0
 
 
 class FeedPage(msgspec.Struct, frozen=True, kw_only=True):
@@ -57,5 +60,44 @@
     confirmed: bool = False
     #: Addresses of the control hosts.
     control: tuple[Address, ...] = ()
-    #: The entry hosts that polled the feed lately.
+    #: The entry hosts that polled the feed lately; None if they are those of the
+    #: revision that the query names.
+    entries: tuple[EntryHost, ...] | None = None
+    #: Revision of that list, in this process of the control host.
+    entries_revision: int = 0
+
+
+class KnownEntries(msgspec.Struct, frozen=True):
+    """The entry hosts that one process of a control host has named."""
+
+    #: Id of the control host's process.
+    incarnation: str = ""
+    #: Revision of its list.
+    revision: int = 0
     entries: tuple[EntryHost, ...] = ()
+
+    def apply(self, page: FeedPage) -> KnownEntries:
+        """Return the entry hosts after a page of the same control host.
+
+        :param page: the page.
+
+        >>> from bramleyspread_core import Address
+        >>> host = EntryHost("e", "z", Address("10.0.0.1", 1))
+        >>> named = FeedPage(
+        ...     incarnation="a", position=0, entries=(host,), entries_revision=1
+        ... )
+        >>> unchanged = FeedPage(incarnation="a", position=0, entries_revision=1)
+        >>> known = KnownEntries().apply(named)
+        >>> known.apply(unchanged).entries == (host,)
+        True
+        >>> restarted = FeedPage(incarnation="b", position=0, entries_revision=1)
+        >>> known.apply(restarted).entries
+        ()
+        """
+        if page.entries is not None:
+            return KnownEntries(page.incarnation, page.entries_revision, page.entries)
+        is_known = (page.incarnation, page.entries_revision) == (
+            self.incarnation,
+            self.revision,
+        )
+        return self if is_known else KnownEntries()
--- a/packages/forwarding/bramleyspread_forwarding/_live_hosts.py
+++ b/packages/forwarding/bramleyspread_forwarding/_live_hosts.py
@@ -20,17 +20,20 @@
     ()
     """
 
-    __slots__ = ("_hosts", "_ttl_s")
+    __slots__ = ("_hosts", "_ttl_s", "revision")
 
     def __init__(self, ttl_s: float) -> None:
         self._ttl_s = ttl_s
         self._hosts: dict[str, tuple[EntryHost, float]] = {}
+        #: Number of changes of the list so far.
+        self.revision = 0
 
     def record(self, host: EntryHost, now: float) -> None:
         """Record that a host is live; an older process of a known host is ignored."""
         known = self._hosts.get(host.host)
         if known is None or known[0].started <= host.started:
             self._hosts[host.host] = (host, now)
+            self.revision += known is None or known[0] != host
 
     def list_live(self, now: float) -> tuple[EntryHost, ...]:
         """List the live hosts, sorted by name, and remove the expired ones."""
@@ -38,4 +41,5 @@
         for name, (_, recorded_at) in tuple(self._hosts.items()):
             if recorded_at < expired_before:
                 del self._hosts[name]
+                self.revision += 1
         return tuple(self._hosts[name][0] for name in sorted(self._hosts))
