Give each shard jobs in proportion to its targets only

Cause: jobs whose inputs lie in a zone went to shards with targets there. Change: the zone no longer counts in the choice of the shard; within it targets of the zone still go first. Ruled out: shards by zone, since makers and readers lie in zones in different numbers.

--- a/packages/forwarding/bramleyspread_forwarding/_shards.py
+++ b/packages/forwarding/bramleyspread_forwarding/_shards.py
@@ -134,8 +134,8 @@
 def choose_shard(job: PieceJob, shards: Shards) -> int:
     """Choose the shard whose targets compute a job's pieces.
 
-    Shards get jobs in proportion to their targets; if the job prefers a zone, to their
-    targets there.
+    Shards get jobs in proportion to their targets, wherever the inputs lie: a shard
+    can't leave work to the targets of another one, so each must get its share.
 
     :param job: the job.
     :param shards: the shards of the job's service.
@@ -143,13 +143,10 @@
     """
     if len(shards) == 1:
         return 0
-    sizes = [sum(target.zone == job.zone for target in each) for each in shards]
-    if not any(sizes):
-        sizes = [len(each) for each in shards]
 
     def draw(number: int) -> float:
         uniform = (_hash(f"{job.request}/{number}") + 1) / 2**64
-        return math.log(uniform) / sizes[number] if sizes[number] else -math.inf
+        return math.log(uniform) / max(len(shards[number]), 1)
 
     return max(range(len(shards)), key=draw)
 
