Send the next call before its target is free, by the time that a call takes over the link

Change: one call may be sent while another is about to end, by the time that a full call takes over the batching host's link (nothing on fast links). An overdue call holds the next one back; a call sent ahead is timed from the end of the one before it.

--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -40,6 +40,7 @@
     ShardId,
     Shards,
     choose_shard,
+    find_call_lead_s,
     find_shard_of,
 )
 
@@ -49,6 +50,8 @@
 #: Delay before a job is sent to the new batching host of its shard, after the old
 #: one refused it, in seconds.
 MOVED_RETRY_DELAY_S = 0.02
+#: Margin by which a timer must not fire too early, in seconds.
+TIMER_MARGIN_S = 0.001
 #: Interval at which waiting jobs are checked, in seconds.
 TICK_INTERVAL_S = 0.05
 
@@ -79,6 +82,8 @@
         self.find_limits = find_limits
         #: Returns the live entry hosts, including this one.
         self.list_hosts = list_hosts
+        #: Rate of an entry host's link, in Mbit/s; 0 if unknown.
+        self.link_mbps = link_mbps
         self._shards = ServiceShards(link_mbps)
 
     def list_shards(self, service: str) -> Shards:
@@ -237,10 +242,19 @@
             return
         batcher = self._batchers[shard]
         targets = self._directory.list_shard_targets(shard)
-        for call in batcher.dispatch(targets, limits, read_monotonic()):
+        lead_s = find_call_lead_s(limits, self._directory.link_mbps)
+        for call in batcher.dispatch(targets, limits, read_monotonic(), lead_s):
             self.calls += 1
             self.pieces += len(call.items)
             await curio.spawn(self._run_call, shard, call, daemon=True)
+            if lead_s:
+                delay_s = call.expected_ms / 1000 - lead_s
+                await curio.spawn(self._dispatch_later, shard, delay_s, daemon=True)
+
+    async def _dispatch_later(self, shard: ShardId, delay_s: float) -> None:
+        """Dispatch when a call is about to end, so that the next one is not late."""
+        await curio.sleep(max(delay_s, 0.0) + TIMER_MARGIN_S)
+        await self._dispatch(shard)
 
     async def _run_call(self, shard: ShardId, call: BatchedCall) -> None:
         batcher = self._batchers[shard]
--- a/packages/daemon/bramleyspread_daemon/forward/tests/simulated_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/simulated_site.py
@@ -127,6 +127,7 @@
         limits = site.limits
         ends_at = starts_at + (limits.call_ms + len(call.items) * limits.piece_ms) / 1e3
         site.target_free_at[target.target] = ends_at
+        site.add_busy_time(ends_at - starts_at)
         await curio.sleep(ends_at - now)
         results = tuple(
             PieceResult(f"{target.address}/{next_handle(site)}", None, target.zone)
@@ -165,6 +166,9 @@
     ) -> None:
         self.limits = limits
         self.made = 0
+        self._busy_s = 0.0
+        #: Share of time for which targets were at work, as the test measured it.
+        self.busy_share = 0.0
         self.target_free_at: dict[str, float] = {}
         self.targets = tuple(
             ForwardTarget(
@@ -189,6 +193,16 @@
         peers = cast("Any", _Peers(self, host.address))
         return PieceService(host.host, directory, calls, peers)
 
+    def add_busy_time(self, seconds: float) -> None:
+        """Count the work of one call."""
+        self._busy_s += seconds
+
+    def measure_busy_time(self) -> float:
+        """Return for how long targets were at work so far, summed, in seconds."""
+        now = read_monotonic()
+        ahead = sum(max(0.0, each - now) for each in self.target_free_at.values())
+        return self._busy_s - ahead
+
     async def run_ticks(self) -> None:
         """Tick all hosts for ever."""
         while True:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_link_capacity.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_link_capacity.py
@@ -27,6 +27,11 @@
 ON_TIME_SHARE = 0.95
 #: Share of a link's rate that may be used in the mean, so that bursts pass.
 MAX_LINK_SHARE = 0.7
+#: Requests a second of which the targets can serve four fifths.
+OVERLOAD_PER_S = 170.0
+#: Share of time for which targets must be at work while more work waits than they can
+#: do.
+BUSY_SHARE = 0.95
 #: Length of a run, in seconds.
 RUN_S = 10.0
 
@@ -47,7 +52,9 @@
     )
 
 
-async def send_jobs(site: SimulatedSite) -> list[float | None]:
+async def send_jobs(
+    site: SimulatedSite, requests_per_s: float = REQUESTS_PER_S
+) -> list[float | None]:
     """Send jobs from all hosts; return how long each took, None for failed ones."""
     rng = Random(18)
     numbers = count(1)
@@ -61,8 +68,9 @@
     tasks = []
     ends_at = read_monotonic() + RUN_S
     while read_monotonic() < ends_at:
-        await curio.sleep(rng.expovariate(REQUESTS_PER_S))
+        await curio.sleep(rng.expovariate(requests_per_s))
         tasks.append(await curio.spawn(run_job, next(numbers)))
+    site.busy_share = site.measure_busy_time() / (TARGETS * RUN_S)
     for task in tasks:
         await task.join()
     return elapsed
@@ -91,3 +99,13 @@
     busiest_bytes = max(max(each.bytes.values()) for each in site.links.values())
     assert measure_on_time_share(elapsed) >= ON_TIME_SHARE
     assert busiest_bytes * 8 / 1e6 / RUN_S <= MAX_LINK_SHARE * 5.0
+
+
+# Guards against what was left of the incident SHORT on a fast service: each target
+# stood idle while its next call was on its way over the batching host's link.
+def test_overloaded_targets_do_not_wait_for_calls_on_their_way(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = SimulatedSite(HOSTS, TARGETS, LIMITS, link_mbps=5.0)
+    run_in_virtual_time(monkeypatch, lambda: send_jobs(site, OVERLOAD_PER_S))
+    assert site.busy_share >= BUSY_SHARE
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -60,6 +60,7 @@
     choose_shard,
     count_shards,
     divide_targets,
+    find_call_lead_s,
     find_shard_of,
 )
 from bramleyspread_forwarding._stage_times import StageTimes
@@ -126,6 +127,7 @@
     "divide_targets",
     "find_owner",
     "find_preferred_engine",
+    "find_call_lead_s",
     "find_shard_of",
     "may_retry",
 ]
--- a/packages/forwarding/bramleyspread_forwarding/_batched_calls.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batched_calls.py
@@ -43,12 +43,15 @@
     target: ForwardTarget
     #: The pieces, in the order in which the call carries them.
     pieces: tuple[PieceRef, ...]
-    #: When the call was created, in seconds.
+    #: When the call was created or, if it was sent ahead, when the target was free for
+    #: it, in seconds.
     started_at: float
     #: Expected duration according to the service's limits, in milliseconds.
     expected_ms: float
     #: How long the target keeps the results of the call, in seconds.
     retention_s: float
+    #: Whether the call was sent while all slots of its target were still occupied.
+    is_ahead: bool = False
 
     @classmethod
     def start(
@@ -57,10 +60,13 @@
         pieces: Sequence[PieceRef],
         limits: PieceLimits,
         now: float,
+        *,
+        is_ahead: bool = False,
     ) -> RunningCall:
         """Create the record of a call that starts now."""
         expected_ms = estimate_call_ms(len(pieces), limits)
-        return cls(target, tuple(pieces), now, expected_ms, limits.result_retention_s)
+        retention_s = limits.result_retention_s
+        return cls(target, tuple(pieces), now, expected_ms, retention_s, is_ahead)
 
 
 def estimate_call_ms(pieces: int, limits: PieceLimits) -> float:
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -116,24 +116,28 @@
         return [*self.jobs.expire(now), *self.jobs.shed(late_before)]
 
     def dispatch(
-        self, targets: Sequence[ForwardTarget], limits: PieceLimits, now: float
+        self,
+        targets: Sequence[ForwardTarget],
+        limits: PieceLimits,
+        now: float,
+        lead_s: float = 0.0,
     ) -> list[BatchedCall]:
         """Create the calls that can be sent now.
 
         :param targets: targets that accept work.
         :param limits: the capacity limits of the service's targets.
         :param now: the current time, in seconds.
+        :param lead_s: how long before a target is free its next call is sent, because
+            a call takes that long to reach it, in seconds.
         :returns: the calls.
         """
         if not self.jobs.waiting_pieces:
             return []
-        in_flight: dict[str, int] = {}
-        for call in self._calls.values():
-            in_flight[call.target.target] = in_flight.get(call.target.target, 0) + 1
+        occupied = self._count_occupied_slots(now, lead_s)
         free = [
             each
             for each in targets
-            if in_flight.get(each.target, 0) < limits.slots
+            if occupied[each.target] < limits.slots
             and self._history.is_available(each.target, now)
         ]
         if not free:
@@ -166,6 +170,24 @@
             calls.append(self._start_call(target, pieces, limits, now))
         return calls
 
+    def _count_occupied_slots(self, now: float, lead_s: float) -> Counter[str]:
+        """Count the slots of each target that a call sent now could not use in time.
+
+        One call may be sent while another is about to end. An overdue call is not about
+        to end, since nobody knows when it ends.
+        """
+        occupied: Counter[str] = Counter()
+        ending: set[str] = set()
+        for call in self._calls.values():
+            target = call.target.target
+            occupied[target] += 1
+            slowdown = max(1.0, self._history.slowdowns.find_slowdown(target))
+            remaining_s = call.started_at + call.expected_ms * slowdown / 1000 - now
+            if abs(remaining_s) < lead_s and not call.is_ahead:
+                ending.add(target)
+        occupied.subtract(ending)
+        return occupied
+
     def _allocate(
         self,
         target: ForwardTarget,
@@ -200,7 +222,7 @@
         :param now: the current time, in seconds.
         :returns: the jobs that end with this answer.
         """
-        finished = self._calls.pop(call)
+        finished = self._end_call(call, now)
         target_id = finished.target.target
         results = [msgspec.structs.replace(x, maker=target_id) for x in results]
         self._record_storage(finished, results, now)
@@ -223,7 +245,7 @@
         :param may_have_run: whether the target may have processed the pieces.
         :returns: the jobs that fail with this call.
         """
-        failed = self._calls.pop(call)
+        failed = self._end_call(call, now)
         self._history.record_failure(failed, now)
         fault = PieceFault.ERROR if may_have_run else PieceFault.STORAGE_FULL
         done = []
@@ -231,6 +253,17 @@
             done += self.jobs.record_result(piece, PieceResult(fault=fault), now)
         return done
 
+    def _end_call(self, number: int, now: float) -> RunningCall:
+        """Remove a call; the one that was sent ahead of its end starts now."""
+        ended = self._calls.pop(number)
+        for other, call in self._calls.items():
+            if call.target == ended.target and call.is_ahead:
+                self._calls[other] = msgspec.structs.replace(
+                    call, started_at=now, is_ahead=False
+                )
+                break
+        return ended
+
     def add_held_results(self, held: Iterable[HeldResult], now: float) -> None:
         """Add results that another host's requests hold to the storage usage.
 
@@ -333,7 +366,9 @@
         now: float,
     ) -> BatchedCall:
         number = next(self._call_numbers)
-        call = RunningCall.start(target, pieces, limits, now)
+        in_flight = sum(x.target == target for x in self._calls.values())
+        is_ahead = in_flight >= limits.slots
+        call = RunningCall.start(target, pieces, limits, now, is_ahead=is_ahead)
         self._calls[number] = call
         items = tuple(self._start_piece(piece, now) for piece in pieces)
         remaining_ms = max(each.remaining_ms for each in items)
--- a/packages/forwarding/bramleyspread_forwarding/_shards.py
+++ b/packages/forwarding/bramleyspread_forwarding/_shards.py
@@ -107,6 +107,18 @@
     return max(1, min(needed, targets // MIN_SHARD_TARGETS))
 
 
+def find_call_lead_s(limits: PieceLimits, link_mbps: float) -> float:
+    """Find how long a full call takes over a batching host's link.
+
+    :param limits: the limits of the service's targets.
+    :param link_mbps: rate of the link, in Mbit/s; 0 if unknown.
+    :returns: the time, in seconds.
+    """
+    if not link_mbps:
+        return 0.0
+    return limits.batch * BYTES_PER_PIECE * 8 / (link_mbps * 1e6)
+
+
 def divide_targets(targets: Sequence[ForwardTarget], shards: int) -> Shards:
     """Divide targets into shards whose sizes differ by one at most.
 
