Leave storage for the calls in flight at a target when the next one is sent ahead

Cause: storage is counted when a call's results arrive; a call sent ahead was given what the results of the call before it were about to take. The test fails before (7 pieces in place of 3).

--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -152,7 +152,7 @@
         }
         reserved_zones = self._find_reserved_zones(targets, limits)
         for target in sorted(free, key=lambda each: relative_slowdowns[each.target]):
-            free_bytes = self._storage.find_free_bytes(target.target, limits)
+            free_bytes = self._find_free_bytes(target, limits)
             spare_bytes = self._find_spare_bytes(targets, limits)
             other_reserved_zones = reserved_zones - {target.zone}
             allocation = self._allocate(target, relative_slowdowns, limits, now)
@@ -307,6 +307,16 @@
             if bound_pieces[zone] <= number * limits.slots * limits.batch
         }
 
+    def _find_free_bytes(self, target: ForwardTarget, limits: PieceLimits) -> float:
+        """Find the bytes that a target has left after its calls in flight."""
+        expected = sum(
+            self.jobs.find_result_bytes(piece)
+            for call in self._calls.values()
+            if call.target == target
+            for piece in call.pieces
+        )
+        return self._storage.find_free_bytes(target.target, limits) - expected
+
     def _find_spare_bytes(
         self, targets: Sequence[ForwardTarget], limits: PieceLimits
     ) -> float:
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_batching.py
@@ -346,3 +346,45 @@
     (moved,) = batcher.jobs.fail_unstarted()
     assert {x.fault for x in moved.results} == {PieceFault.MOVED}
     assert batcher.jobs.waiting_pieces == 1
+
+
+# Guards against pieces that are turned away for want of storage: a call sent ahead was
+# given storage that the results of the call before it were about to take.
+def test_call_sent_ahead_leaves_storage_for_the_call_before_it() -> None:
+    capacity = 10 / 0.93 + 0.1
+    limits = msgspec.structs.replace(LIMITS, result_capacity_bytes=capacity)
+    batcher = Batcher()
+    target = make_targets(1)
+    for number in range(20):
+        batcher.add(make_job(f"r{number}", 1, result_bytes=1), limits, 1, 0.0)
+    (first,) = batcher.dispatch(target, limits, 0.0, lead_s=0.05)
+    assert len(first.items) == limits.batch
+    assert batcher.dispatch(target, limits, 0.1, lead_s=0.05) == []
+    ends_at = first.expected_ms / 1000
+    (second,) = batcher.dispatch(target, limits, ends_at - 0.04, lead_s=0.05)
+    assert len(second.items) == 10 - limits.batch
+    assert batcher.dispatch(target, limits, ends_at - 0.03, lead_s=0.05) == []
+
+
+def test_call_sent_ahead_is_timed_from_the_end_of_the_call_before_it() -> None:
+    batcher = Batcher()
+    target = make_targets(1)
+    for number in range(20):
+        batcher.add(make_job(f"r{number}", 1), LIMITS, 1, 0.0)
+    (first,) = batcher.dispatch(target, LIMITS, 0.0, lead_s=0.05)
+    ends_at = first.expected_ms / 1000
+    (second,) = batcher.dispatch(target, LIMITS, ends_at - 0.04, lead_s=0.05)
+    batcher.finish(first.call, make_results(len(first.items)), ends_at)
+    assert batcher.dispatch(target, LIMITS, ends_at + 0.1, lead_s=0.05) == []
+    (third,) = batcher.dispatch(target, LIMITS, 2 * ends_at - 0.04, lead_s=0.05)
+    assert third.call > second.call
+
+
+def test_overdue_call_holds_the_next_one_back() -> None:
+    batcher = Batcher()
+    target = make_targets(1)
+    for number in range(20):
+        batcher.add(make_job(f"r{number}", 1), LIMITS, 1, 0.0)
+    (first,) = batcher.dispatch(target, LIMITS, 0.0, lead_s=0.05)
+    overdue_at = first.expected_ms / 1000 + 0.06
+    assert batcher.dispatch(target, LIMITS, overdue_at, lead_s=0.05) == []
