Pass a job on when its batching host does not have the job's shard

Cause: while targets come and go, hosts see different numbers of shards for a moment; a job for a shard that its batching host does not have was refused as full. It is 'moved' now: the host that asked chooses the shard anew, and runs the job itself in the end. The test fails before. Owners are hashed only when the hosts have changed: with many shards and hosts, each lookup would hash all hosts once a shard.

--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -124,8 +124,6 @@
         :param job: the job.
         :returns: the results, in the order of the job's pieces.
         """
-        shards = self._directory.list_shards(job.service)
-        job = msgspec.structs.replace(job, shard=choose_shard(job, shards))
         results = await self._run_with_fallback(job)
         limits = self._directory.find_limits(job.service)
         if limits is not None:
@@ -138,10 +136,8 @@
         This host runs it if it is the batching host, or if no batching host answers.
         """
         started_at = read_monotonic()
-        shard = ShardId(job.service, job.shard)
-        targets = self._directory.list_shard_targets(shard)
-        target_ids = frozenset(each.target for each in targets)
         for _ in range(MAX_HOSTS_TRIED):
+            job, shard, target_ids = self._assign_shard(job)
             batching_host = self._hosts.find_remote_owner(shard)
             if batching_host is None:
                 break
@@ -153,6 +149,7 @@
             if not _has_moved(results):
                 return results
             await curio.sleep(MOVED_RETRY_DELAY_S)
+        job, shard, target_ids = self._assign_shard(job)
         is_local = self._hosts.find_remote_owner(shard) is not None
         job = self._hosts.add_held(job, None, target_ids)
         results = await self._run_locally(
@@ -164,6 +161,14 @@
             )
         return results
 
+    def _assign_shard(self, job: PieceJob) -> tuple[PieceJob, ShardId, frozenset[str]]:
+        """Choose a job's shard; return the job, the shard and ids of its targets."""
+        shards = self._directory.list_shards(job.service)
+        number = choose_shard(job, shards)
+        target_ids = frozenset(each.target for each in shards[number])
+        job = msgspec.structs.replace(job, shard=number)
+        return job, ShardId(job.service, number), target_ids
+
     async def serve(self, http: HttpRequest, reply: Reply) -> None:
         """Handle another entry host's request to compute pieces."""
         try:
@@ -188,6 +193,8 @@
         if limits is None:
             return _fail_all(job, PieceFault.ERROR)
         shard = ShardId(job.service, job.shard)
+        if not self._is_in_use(shard):
+            return _fail_all(job, PieceFault.MOVED)
         batcher = self._batchers.setdefault(shard, Batcher())
         targets = len(self._directory.list_shard_targets(shard))
         now = read_monotonic()
@@ -319,8 +326,10 @@
                 await self._dispatch(shard)
 
     def _may_run_received_jobs(self, shard: ShardId) -> bool:
-        is_in_use = shard.number < len(self._directory.list_shards(shard.service))
-        return is_in_use and self._hosts.may_run_received_jobs(shard)
+        return self._is_in_use(shard) and self._hosts.may_run_received_jobs(shard)
+
+    def _is_in_use(self, shard: ShardId) -> bool:
+        return shard.number < len(self._directory.list_shards(shard.service))
 
     def count_stored_bytes(self, service: str, target: str) -> int:
         """Return the bytes of results stored at a target, as far as this host knows."""
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
@@ -237,3 +237,30 @@
         assert stored == 0
 
     run(main)
+
+
+# Guards against refusals while hosts see different numbers of targets: a batching host
+# without the shard of a job has nowhere to run it.
+def test_job_of_a_shard_that_its_batching_host_does_not_know_is_run() -> None:
+    async def main() -> None:
+        _, address = await start_scripted_server(serve_pieces)
+        targets = tuple(ForwardTarget(f"t{at}", address, "z", 1) for at in range(4))
+        hosts: list[EntryHost] = []
+        batcher = make_service("other", hosts, address)
+        _, peer = await start_server(("POST", PIECES_PATH, batcher.serve))
+        hosts.append(EntryHost("other", "z", peer))
+        directory = ServiceDirectory(
+            lambda _: targets, lambda _: LIMITS, lambda: hosts, link_mbps=0.05
+        )
+        calls = PieceCalls(cast("Any", CountingWire()), UpstreamPool())
+        requester = PieceService(
+            "own", directory, calls, ConnectionPool(ProcessClock())
+        )
+        for number in range(6):
+            job = msgspec.structs.replace(JOB, request=f"r{number}")
+            results = await requester.run_job(job)
+            assert all(each.handle for each in results)
+        assert requester.calls > 0
+        assert batcher.calls > 0
+
+    run(main)
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -21,7 +21,7 @@
     WasNotRun,
     may_retry,
 )
-from bramleyspread_forwarding._owners import ServiceOwners, find_owner
+from bramleyspread_forwarding._owners import ServiceOwners, find_owner, rank_owners
 from bramleyspread_forwarding._piece_queue import JobDone
 from bramleyspread_forwarding._pieces import (
     HeldResult,
@@ -129,5 +129,6 @@
     "find_preferred_engine",
     "find_call_lead_s",
     "find_shard_of",
+    "rank_owners",
     "may_retry",
 ]
--- a/packages/forwarding/bramleyspread_forwarding/_owners.py
+++ b/packages/forwarding/bramleyspread_forwarding/_owners.py
@@ -18,11 +18,14 @@
 class ServiceOwners:
     """The owner of each service's shared work, as one host sees it."""
 
-    __slots__ = ("_backoff_until", "_last_owned_at", "_own_host")
+    __slots__ = ("_backoff_until", "_known_owners", "_last_owned_at", "_own_host")
 
     def __init__(self, own_host: str) -> None:
         self._own_host = own_host
         self._backoff_until: dict[str, float] = {}
+        self._known_owners: dict[
+            str, tuple[tuple[EntryHost, ...], tuple[EntryHost, ...]]
+        ] = {}
         self._last_owned_at: dict[tuple[str, int], float] = {}
 
     def find_remote_owner(
@@ -36,10 +39,22 @@
         :param shard: number of the shard if the service is divided into shards.
         :returns: the owner; None when it is this host, or there is none.
         """
-        candidates = [x for x in hosts if self._backoff_until.get(x.host, 0.0) <= now]
-        owner = find_owner(service, candidates, shard)
+        candidates = tuple(
+            x for x in hosts if self._backoff_until.get(x.host, 0.0) <= now
+        )
+        owner = self._find_known_owner(service, candidates, shard)
         return None if owner is None or owner.host == self._own_host else owner
 
+    def _find_known_owner(
+        self, service: str, hosts: tuple[EntryHost, ...], shard: int
+    ) -> EntryHost | None:
+        """Find an owner; hosts are hashed only if they changed since the last call."""
+        known_hosts, owners = self._known_owners.get(service, ((), ()))
+        if known_hosts != hosts or len(owners) <= shard:
+            owners = rank_owners(service, hosts, shard + 1)
+            self._known_owners[service] = (hosts, owners)
+        return owners[shard] if owners else None
+
     def start_backoff(self, host: EntryHost, now: float) -> None:
         """Start the backoff of a host that did not answer."""
         self._backoff_until[host.host] = now + BACKOFF_S
@@ -61,28 +76,42 @@
         return now - self._last_owned_at.setdefault(key, now) < HANDOVER_GRACE_S
 
 
-def find_owner(
-    service: str, hosts: Sequence[EntryHost], shard: int = 0
-) -> EntryHost | None:
-    """Find the host that owns a service's shared work, or one shard of it.
+def find_owner(service: str, hosts: Sequence[EntryHost]) -> EntryHost | None:
+    """Find the host that owns a service's shared work.
+
+    :param service: the service.
+    :param hosts: the live entry hosts.
+    :returns: the owner; None when there are no hosts.
+    """
+    owners = rank_owners(service, hosts, 1)
+    return owners[0] if owners else None
+
+
+def rank_owners(
+    service: str, hosts: Sequence[EntryHost], shards: int
+) -> tuple[EntryHost, ...]:
+    """Find the hosts that own the shards of a service's shared work.
 
-    All hosts with the same list find the same owner, by rendezvous hashing. The hash
+    All hosts with the same list find the same owners, by rendezvous hashing. The hash
     includes the start time of the process, so a host that restarts usually does not
     take the work back from the host that replaced it. The shards of a service have
     different owners while there are enough hosts.
 
     :param service: the service.
     :param hosts: the live entry hosts.
-    :param shard: number of the shard.
-    :returns: the owner; None when there are no hosts.
+    :param shards: number of shards.
+    :returns: the owner of each shard; empty when there are no hosts.
     """
     if not hosts:
-        return None
-    remaining = list(hosts)
-    for number in range(shard):
-        remaining.remove(_find_heaviest(service, number, remaining))
+        return ()
+    owners: list[EntryHost] = []
+    remaining: list[EntryHost] = []
+    for number in range(shards):
         remaining = remaining or list(hosts)
-    return _find_heaviest(service, shard, remaining)
+        owner = _find_heaviest(service, number, remaining)
+        remaining.remove(owner)
+        owners.append(owner)
+    return tuple(owners)
 
 
 def _find_heaviest(service: str, shard: int, hosts: Sequence[EntryHost]) -> EntryHost:
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_shards.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_shards.py
@@ -9,12 +9,14 @@
 
 from bramleyspread_core import PieceLimits
 from bramleyspread_forwarding import (
+    ServiceOwners,
     ServiceShards,
     choose_shard,
     count_shards,
     divide_targets,
     find_owner,
     find_shard_of,
+    rank_owners,
 )
 from bramleyspread_forwarding.tests.builders import LIMITS, make_job, make_targets
 from bramleyspread_forwarding.tests.test_owners import HOSTS
@@ -73,11 +75,22 @@
 
 
 def test_shards_of_a_service_have_different_owners() -> None:
-    owners = [find_owner("mail", HOSTS, shard) for shard in range(len(HOSTS))]
-    assert len(set(owners)) == len(HOSTS)
-    assert find_owner("mail", HOSTS, len(HOSTS) + 1) in HOSTS
-    assert find_owner("mail", HOSTS[:1], 3) == HOSTS[0]
-    assert find_owner("mail", [], 3) is None
+    owners = rank_owners("mail", HOSTS, len(HOSTS) + 2)
+    assert len(set(owners[: len(HOSTS)])) == len(HOSTS)
+    assert owners[0] == find_owner("mail", HOSTS)
+    assert rank_owners("mail", HOSTS[:1], 3) == (HOSTS[0],) * 3
+    assert rank_owners("mail", [], 3) == ()
+
+
+def test_owner_of_a_shard_changes_with_the_hosts() -> None:
+    first, second, third = rank_owners("mail", HOSTS, 3)
+    own = next(each for each in HOSTS if each not in (first, second, third))
+    owners = ServiceOwners(own.host)
+    assert owners.find_remote_owner("mail", HOSTS, 0.0, 1) == second
+    assert owners.find_remote_owner("mail", HOSTS, 0.0, 0) == first
+    owners.start_backoff(second, 0.0)
+    assert owners.find_remote_owner("mail", HOSTS, 0.1, 1) not in (first, second)
+    assert owners.find_remote_owner("mail", HOSTS, 2.0, 1) == second
 
 
 def test_division_changes_with_targets_and_limits_only() -> None:
