--- a/packages/control/bramleyspread_control/tests/test_deployment.py
+++ b/packages/control/bramleyspread_control/tests/test_deployment.py
@@ -237,3 +237,27 @@
         )
     cluster.run_until_leader()
     assert cluster.call(ConfirmDeployment()) == DeploymentRead(7, "text 7")
+
+
+@pytest.mark.parametrize("size", [5, 6])
+@pytest.mark.parametrize("other_at", [0, 1, 2, 3])
+def test_document_survives_loss_of_two_disks_while_all_others_lose_power(
+    size: int, other_at: int
+) -> None:
+    names = "abcdef"[:size]
+    cluster = start_open_cluster("abc", size)
+    cluster.run(10.0)
+    leader = cluster.run_until_leader()
+    assert list_voters(cluster, leader) == set(names)
+    assert cluster.call(make_put(8), leader) == DeploymentAccepted(8)
+    wiped = (leader, [each for each in names if each != leader][other_at])
+    for name in names:
+        cluster.kill(name, power_cut=True)
+    for name in wiped:
+        cluster.lose_disk(name)
+    for name in names:
+        cluster.start(name, trust_folder=True, admits_unlisted_hosts=True)
+    cluster.run_until_leader()
+    assert cluster.call(ConfirmDeployment()) == DeploymentRead(8, "text 8")
+    cluster.run(10.0)
+    assert list_voters(cluster, cluster.run_until_leader()) == set(names)
