Use seven tenths of a batching host's link, and spread each zone's targets over the shards

Change: a piece is reckoned as 360 bytes (measured: 270 of a call, 43 of an answer, 40 of a release), seven tenths of the link may be used as of any other resource (CAPACITY), and a zone's targets are spread over the shards.

--- a/packages/forwarding/bramleyspread_forwarding/_shards.py
+++ b/packages/forwarding/bramleyspread_forwarding/_shards.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Sequence
 
 import msgspec
@@ -18,10 +19,10 @@
 
 #: Bytes that a piece adds to the busier direction of its batching host's link: its part
 #: of a call, of the answer to the host that asked, and of the release of its result.
-BYTES_PER_PIECE = 400.0
+BYTES_PER_PIECE = 360.0
 #: Share of a batching host's link that pieces may take while all targets are busy; the
 #: rest is for bursts, and for the host's own requests.
-USABLE_LINK_SHARE = 0.5
+USABLE_LINK_SHARE = 0.7
 #: Pieces per second that the processor of one batching host carries.
 MAX_PIECES_PER_S = 5_000.0
 #: Minimum number of targets of a shard; with fewer, a slow target has no peer to be
@@ -95,7 +96,7 @@
     ...     result_retention_s=4.0
     ... )
     >>> [count_shards(9, limits, mbps) for mbps in (1_000.0, 10.0, 5.0, 1.0)]
-    [1, 2, 3, 4]
+    [1, 1, 2, 4]
     """
     full_call_s = (limits.call_ms + limits.batch * limits.piece_ms) / 1000
     pieces_per_s = targets * limits.slots * limits.batch / full_call_s
@@ -122,8 +123,9 @@
 def divide_targets(targets: Sequence[ForwardTarget], shards: int) -> Shards:
     """Divide targets into shards whose sizes differ by one at most.
 
-    Each target goes to the shard that rendezvous hashing prefers and that still has
-    room, so that few others move when a target joins or leaves.
+    A zone's targets are spread over the shards, so that a piece finds one near its
+    inputs in any shard. Among the shards that are left rendezvous hashing chooses, so
+    that few other targets move when one joins or leaves.
 
     :param targets: the targets.
     :param shards: number of shards.
@@ -131,18 +133,36 @@
     """
     if shards == 1:
         return (tuple(targets),)
-    max_size = len(targets) // shards
     divided: list[list[ForwardTarget]] = [[] for _ in range(shards)]
+    by_zone: Counter[tuple[int, str]] = Counter()
+    max_size = len(targets) // shards
     for target in sorted(targets, key=lambda each: _hash(each.target)):
-        open_shards = [at for at in range(shards) if len(divided[at]) < max_size]
-        if not open_shards:
-            # The targets that are left over when all shards have the same size.
-            open_shards = [at for at in range(shards) if len(divided[at]) == max_size]
-        best = max(open_shards, key=lambda at: _hash(f"{target.target}/{at}"))
-        divided[best].append(target)
+        number = _find_shard_for(target, divided, by_zone, max_size)
+        divided[number].append(target)
+        by_zone[number, target.zone] += 1
     return tuple(tuple(each) for each in divided)
 
 
+def _find_shard_for(
+    target: ForwardTarget,
+    divided: Sequence[Sequence[ForwardTarget]],
+    by_zone: Counter[tuple[int, str]],
+    max_size: int,
+) -> int:
+    """Find the shard for the next target.
+
+    Shards are filled up to ``max_size``; targets that are left over go one to a shard.
+    """
+    numbers = range(len(divided))
+    open_shards = [at for at in numbers if len(divided[at]) < max_size]
+    open_shards = open_shards or [at for at in numbers if len(divided[at]) == max_size]
+    least = min(by_zone[at, target.zone] for at in open_shards)
+    return max(
+        (at for at in open_shards if by_zone[at, target.zone] == least),
+        key=lambda at: _hash(f"{target.target}/{at}"),
+    )
+
+
 def choose_shard(job: PieceJob, shards: Shards) -> int:
     """Choose the shard whose targets compute a job's pieces.
 
