Let what a shard has started end when the shard is no longer used

Cause: with fewer targets a service has fewer shards; a job of which a piece had been made stayed in a shard without targets until its deadline, and its caller was held so long. Change: a shard that is no longer used has all targets of the service; jobs that have not started go to another shard as before. The test fails before (not made within 5 s). An entry host's record stays the same object, which makes lists of hosts cheap to compare.

--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -93,9 +93,15 @@
         )
 
     def list_shard_targets(self, shard: ShardId) -> Sequence[ForwardTarget]:
-        """Return the targets of a shard; none if there is no such shard now."""
+        """Return the targets of a shard.
+
+        A shard that is no longer used has all targets of the service, so that what it
+        has started can end.
+        """
         shards = self.list_shards(shard.service)
-        return shards[shard.number] if shard.number < len(shards) else ()
+        if shard.number < len(shards):
+            return shards[shard.number]
+        return self.list_targets(shard.service)
 
 
 class PieceService:
@@ -156,6 +162,7 @@
             _deduct_elapsed(job, started_at), is_local=is_local
         )
         if _has_moved(results):
+            job, _, _ = self._assign_shard(job)
             return await self._run_locally(
                 _deduct_elapsed(job, started_at), is_local=True
             )
--- a/packages/daemon/bramleyspread_daemon/forward/tests/simulated_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/simulated_site.py
@@ -22,6 +22,8 @@
     PieceJob,
     PieceRelease,
     PieceResult,
+    ServiceShards,
+    Shards,
 )
 
 #: Approximate size of the head of an HTTP message, in bytes.
@@ -157,19 +159,29 @@
     :param targets: number of targets.
     :param limits: limits of the targets.
     :param link_mbps: rate of each entry host's link, in Mbit/s.
+    :param stated_mbps: rate that the hosts' settings state, if it is another one.
     """
 
     service = "mail"
 
     def __init__(
-        self, hosts: int, targets: int, limits: PieceLimits, link_mbps: float
+        self,
+        hosts: int,
+        targets: int,
+        limits: PieceLimits,
+        link_mbps: float,
+        stated_mbps: float | None = None,
     ) -> None:
         self.limits = limits
+        self.stated_mbps = link_mbps if stated_mbps is None else stated_mbps
         self.made = 0
         self._busy_s = 0.0
+        #: Longest time that a job took, whether it failed or not, in seconds.
+        self.longest_s = 0.0
         #: Share of time for which targets were at work, as the test measured it.
         self.busy_share = 0.0
         self.target_free_at: dict[str, float] = {}
+        #: The targets that accept work; tests may change them.
         self.targets = tuple(
             ForwardTarget(
                 f"i-{at:08x}", Address(f"10.1.64.{at}", 8080), f"zone-{at % 5}", 1
@@ -181,18 +193,24 @@
             for at in range(hosts)
         )
         self.links = {each.address: Link(link_mbps) for each in self.hosts}
-        self.services = {
-            each.address: self._make_service(each, link_mbps) for each in self.hosts
-        }
+        self.services = {each.address: self._make_service(each) for each in self.hosts}
 
-    def _make_service(self, host: EntryHost, link_mbps: float) -> PieceService:
+    def _make_service(self, host: EntryHost) -> PieceService:
         directory = ServiceDirectory(
-            lambda _: self.targets, lambda _: self.limits, lambda: self.hosts, link_mbps
+            lambda _: self.targets,
+            lambda _: self.limits,
+            lambda: self.hosts,
+            self.stated_mbps,
         )
         calls = cast("Any", _Calls(self, host.address))
         peers = cast("Any", _Peers(self, host.address))
         return PieceService(host.host, directory, calls, peers)
 
+    def list_shards(self) -> Shards:
+        """Return the targets of each shard, as the hosts see them."""
+        shards = ServiceShards(self.stated_mbps)
+        return shards.divide(self.service, self.targets, self.limits)
+
     def add_busy_time(self, seconds: float) -> None:
         """Count the work of one call."""
         self._busy_s += seconds
@@ -219,6 +237,7 @@
         service = self.services[host.address]
         results = await service.run_job(job)
         elapsed_s = read_monotonic() - started_at
+        self.longest_s = max(self.longest_s, elapsed_s)
         await self._release(service, results)
         return elapsed_s if all(each.handle for each in results) else None
 
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_link_capacity.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_link_capacity.py
@@ -6,13 +6,14 @@
 from random import Random
 
 import curio
+import msgspec
 import pytest
 
 from bramleyspread_core import PieceLimits
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon.forward.tests.simulated_site import SimulatedSite
 from bramleyspread_daemon.tests.virtual_time import run_in_virtual_time
-from bramleyspread_forwarding import PieceJob
+from bramleyspread_forwarding import PieceJob, choose_shard
 
 #: The last stage of a site with 83 entry hosts, 81 requests a second and 16 pieces a
 #: request: 1,300 of the 2,190 pieces a second that its targets can make.
@@ -32,6 +33,8 @@
 #: Share of time for which targets must be at work while more work waits than they can
 #: do.
 BUSY_SHARE = 0.95
+#: Time after which a job is of no use, in seconds.
+DEADLINE_S = 5.0
 #: Length of a run, in seconds.
 RUN_S = 10.0
 
@@ -46,7 +49,7 @@
             f"10.1.65.{rng.randrange(8)}:8080/{number:07x}{at:04x}"
             for at in range(INPUTS)
         ),
-        remaining_ms=5_000.0,
+        remaining_ms=DEADLINE_S * 1000,
         aim_ms=1_000.0,
         result_bytes=6_000,
     )
@@ -109,3 +112,27 @@
     site = SimulatedSite(HOSTS, TARGETS, LIMITS, link_mbps=5.0)
     run_in_virtual_time(monkeypatch, lambda: send_jobs(site, OVERLOAD_PER_S))
     assert site.busy_share >= BUSY_SHARE
+
+
+# Guards against requests held until their deadline: jobs that had started in a shard
+# stayed there without targets when so few were left that the shard was no longer used.
+def test_started_jobs_end_soon_when_their_shard_is_no_longer_used(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    limits = msgspec.structs.replace(LIMITS, batch=4)
+    site = SimulatedSite(8, 4, limits, link_mbps=1_000.0, stated_mbps=0.15)
+    rng = Random(18)
+    jobs = [make_job(rng, number) for number in range(20)]
+    job = next(each for each in jobs if choose_shard(each, site.list_shards()) == 1)
+
+    async def main() -> None:
+        await curio.spawn(site.run_ticks, daemon=True)
+        task = await curio.spawn(site.run_job, site.hosts[0], job)
+        await curio.sleep(0.1)
+        assert len(site.list_shards()) == 2
+        site.targets = site.targets[:2]
+        assert len(site.list_shards()) == 1
+        assert await task.join() is not None
+
+    run_in_virtual_time(monkeypatch, main)
+    assert site.longest_s < DEADLINE_S / 2
--- a/packages/forwarding/bramleyspread_forwarding/_live_hosts.py
+++ b/packages/forwarding/bramleyspread_forwarding/_live_hosts.py
@@ -31,9 +31,12 @@
     def record(self, host: EntryHost, now: float) -> None:
         """Record that a host is live; an older process of a known host is ignored."""
         known = self._hosts.get(host.host)
-        if known is None or known[0].started <= host.started:
+        if known is not None and known[0] == host:
+            # The same object each time makes lists of hosts cheap to compare.
+            self._hosts[host.host] = (known[0], now)
+        elif known is None or known[0].started <= host.started:
             self._hosts[host.host] = (host, now)
-            self.revision += known is None or known[0] != host
+            self.revision += 1
 
     def list_live(self, now: float) -> tuple[EntryHost, ...]:
         """List the live hosts, sorted by name, and remove the expired ones."""
