--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -18,8 +18,9 @@
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._pool import ConnectionPool
 from bramleyspread_daemon.forward._piece_calls import PieceCalls
-from bramleyspread_daemon.forward._piece_service import PieceService, ServiceDirectory
+from bramleyspread_daemon.forward._piece_service import PieceService
 from bramleyspread_daemon.forward._placement_service import PlacementService
+from bramleyspread_daemon.forward._service_directory import ServiceDirectory
 from bramleyspread_daemon.forward._settings import ForwardEntrySettings
 from bramleyspread_daemon.forward._upstream import UpstreamPool
 from bramleyspread_daemon.forward._wire import TargetWire
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -3,17 +3,13 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 import curio
 import msgspec
 from loguru import logger
 
-from bramleyspread_core import (
-    MessageError,
-    PieceLimits,
-    decode_json,
-)
+from bramleyspread_core import MessageError, decode_json
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._pool import ConnectionPool
@@ -24,21 +20,18 @@
     OutcomeUnknown,
     PieceCalls,
 )
+from bramleyspread_daemon.forward._service_directory import ServiceDirectory
 from bramleyspread_daemon.forward._wire import PiecesRejected
 from bramleyspread_forwarding import (
     BatchedCall,
     Batcher,
-    EntryHost,
-    ForwardTarget,
     JobDone,
     PieceFault,
     PieceJob,
     PieceRelease,
     PieceResult,
     PieceResults,
-    ServiceShards,
     ShardId,
-    Shards,
     choose_shard,
     find_call_lead_s,
     find_shard_of,
@@ -66,44 +59,6 @@
         self.results: tuple[PieceResult, ...] = ()
 
 
-class ServiceDirectory:
-    """Lookups that the piece service needs: targets, limits and entry hosts."""
-
-    def __init__(
-        self,
-        list_targets: Callable[[str], Sequence[ForwardTarget]],
-        find_limits: Callable[[str], PieceLimits | None],
-        list_hosts: Callable[[], Sequence[EntryHost]],
-        link_mbps: float = 0.0,
-    ) -> None:
-        #: Returns the targets of a service that accept work.
-        self.list_targets = list_targets
-        #: Returns the limits under which the targets of a service process pieces.
-        self.find_limits = find_limits
-        #: Returns the live entry hosts, including this one.
-        self.list_hosts = list_hosts
-        #: Rate of an entry host's link, in Mbit/s; 0 if unknown.
-        self.link_mbps = link_mbps
-        self._shards = ServiceShards(link_mbps)
-
-    def list_shards(self, service: str) -> Shards:
-        """Return the targets of each shard of a service."""
-        return self._shards.divide(
-            service, self.list_targets(service), self.find_limits(service)
-        )
-
-    def list_shard_targets(self, shard: ShardId) -> Sequence[ForwardTarget]:
-        """Return the targets of a shard.
-
-        A shard that is no longer used has all targets of the service, so that what it
-        has started can end.
-        """
-        shards = self.list_shards(shard.service)
-        if shard.number < len(shards):
-            return shards[shard.number]
-        return self.list_targets(shard.service)
-
-
 class PieceService:
     """Computes pieces for the requests of this host and of other entry hosts."""
 
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/forward/_service_directory.py
@@ -0,0 +1,52 @@
+"""Lookups of what the batching of pieces depends on: targets, limits, entry hosts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from bramleyspread_core import PieceLimits
+from bramleyspread_forwarding import (
+    EntryHost,
+    ForwardTarget,
+    ServiceShards,
+    ShardId,
+    Shards,
+)
+
+
+class ServiceDirectory:
+    """Lookups that the piece service needs: targets, limits and entry hosts."""
+
+    def __init__(
+        self,
+        list_targets: Callable[[str], Sequence[ForwardTarget]],
+        find_limits: Callable[[str], PieceLimits | None],
+        list_hosts: Callable[[], Sequence[EntryHost]],
+        link_mbps: float = 0.0,
+    ) -> None:
+        #: Returns the targets of a service that accept work.
+        self.list_targets = list_targets
+        #: Returns the limits under which the targets of a service process pieces.
+        self.find_limits = find_limits
+        #: Returns the live entry hosts, including this one.
+        self.list_hosts = list_hosts
+        #: Rate of an entry host's link, in Mbit/s; 0 if unknown.
+        self.link_mbps = link_mbps
+        self._shards = ServiceShards(link_mbps)
+
+    def list_shards(self, service: str) -> Shards:
+        """Return the targets of each shard of a service."""
+        return self._shards.divide(
+            service, self.list_targets(service), self.find_limits(service)
+        )
+
+    def list_shard_targets(self, shard: ShardId) -> Sequence[ForwardTarget]:
+        """Return the targets of a shard.
+
+        A shard that is no longer used has all targets of the service, so that what it
+        has started can end.
+        """
+        shards = self.list_shards(shard.service)
+        if shard.number < len(shards):
+            return shards[shard.number]
+        return self.list_targets(shard.service)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/simulated_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/simulated_site.py
@@ -14,7 +14,8 @@
 from bramleyspread_daemon._exchange import Headers, HttpRequest, Reply
 from bramleyspread_daemon.forward._batching_hosts import PIECES_PATH, RELEASE_PATH
 from bramleyspread_daemon.forward._host_watch import LIVE_PATH
-from bramleyspread_daemon.forward._piece_service import PieceService, ServiceDirectory
+from bramleyspread_daemon.forward._piece_service import PieceService
+from bramleyspread_daemon.forward._service_directory import ServiceDirectory
 from bramleyspread_forwarding import (
     BatchedCall,
     EntryHost,
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
@@ -16,7 +16,8 @@
 from bramleyspread_daemon.forward._batching_hosts import PIECES_PATH, RELEASE_PATH
 from bramleyspread_daemon.forward._host_watch import LIVE_PATH, PROBE_DELAY_S
 from bramleyspread_daemon.forward._piece_calls import PieceCalls
-from bramleyspread_daemon.forward._piece_service import PieceService, ServiceDirectory
+from bramleyspread_daemon.forward._piece_service import PieceService
+from bramleyspread_daemon.forward._service_directory import ServiceDirectory
 from bramleyspread_daemon.forward._upstream import UpstreamPool
 from bramleyspread_daemon.forward._wire import PiecesRejected, TargetHead, WireCall
 from bramleyspread_daemon.tests.loopback import (
