Keep the loop of a control process running through a planned stop, and end with it

Cause: run() waited for the stop signal and the flush loop in a curio task group. Leaving the group cancels the loop, so that commands pending at the stop were never answered, nor expired, and the hand-over of leadership was never sent. And a daemonic task does not count in a group: when the loop failed, nobody noticed, and the process went on without it. Change: the stop signal and the loop's failure set one event; the loop runs to the end.

--- a/packages/daemon/bramleyspread_daemon/_control.py
+++ b/packages/daemon/bramleyspread_daemon/_control.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 import curio
 from loguru import logger
@@ -107,7 +107,9 @@
         self._pending_commands: dict[int, _PendingCommand] = {}
         self._last_ticket = 0
         self._flush_event = curio.Event()
-        self._flush_task: Any = None
+        self._ending = curio.Event()
+        self._stop_signal = ""
+        self._failure: Exception | None = None
         #: Sends orders while this host holds the order lease.
         self.orders = OrderDispatcher(
             node, reconciler, self.propose, process.timeline, process.clock
@@ -231,6 +233,14 @@
             await curio.sleep(TICK_INTERVAL_S)
             await self._flush_event.set()
 
+    async def _run_flush_loop(self) -> None:
+        """Run the flush loop; its failure ends the process."""
+        try:
+            await self._flush_loop()
+        except Exception as error:
+            self._failure = error
+            await self._ending.set()
+
     async def _flush_loop(self) -> None:
         while True:
             await self._flush_event.wait()
@@ -268,7 +278,7 @@
         :raises OSError: when the address cannot be bound.
         """
         address = await self.server.start(self._settings.listen.address)
-        self._flush_task = await curio.spawn(self._flush_loop, daemon=True)
+        await curio.spawn(self._run_flush_loop, daemon=True)
         await curio.spawn(self._tick_loop, daemon=True)
         run_once = self.orders.run_once
         await curio.spawn(
@@ -294,7 +304,7 @@
         return await self._process.drain(
             [self.server],
             self._hand_over_leadership,
-            lambda: not self._pending_commands,
+            lambda: not self._pending_commands or self._failure is not None,
         )
 
     async def _hand_over_leadership(self) -> None:
@@ -307,18 +317,22 @@
         :returns: the exit code.
         """
         await self.start()
-        stop = await curio.spawn(wait_for_stop)
-        async with curio.TaskGroup([stop, self._flush_task], wait=any) as group:
-            pass
-        if group.completed is not stop:
-            return self._fail(self._flush_task.exception)
-        logger.bind(step="stop", peer="-").info(
-            f"{stop.result}: handing leadership over"
-        )
-        finished = await self.stop()
+        await curio.spawn(self._wait_for_stop, daemon=True)
+        await self._ending.wait()
+        if self._failure is None:
+            logger.bind(step="stop", peer="-").info(
+                f"{self._stop_signal}: handing leadership over"
+            )
+            finished = await self.stop()
+        if self._failure is not None:
+            return self._fail(self._failure)
         return 0 if finished else 1
 
-    def _fail(self, error: BaseException | None) -> int:
+    async def _wait_for_stop(self) -> None:
+        self._stop_signal = await wait_for_stop()
+        await self._ending.set()
+
+    def _fail(self, error: Exception) -> int:
         """Report the flush loop's failure, and return the exit code.
 
         The process exits at once, so that commands not synced are not acknowledged.
