--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -228,8 +228,14 @@
         if isinstance(placed, NoTarget):
             bound.info(f"no target: {placed.reason}")
             return
-        load = {"reading": round(placed.unread_tokens), "ahead": placed.requests_ahead}
-        bound.bind(zone=placed.target.zone, **load).info("placed")
+        zone = placed.target.zone
+        crossing_mb = sum(mb for at, mb in query.input_mb.items() if at != zone)
+        bound.bind(
+            zone=zone,
+            reading=round(placed.unread_tokens),
+            ahead=placed.requests_ahead,
+            crossing_mb=round(crossing_mb, 3),
+        ).info("placed")
 
     def _build_query(self, service: str) -> PlaceQuery:
         elapsed_ms = (read_monotonic() - self._started_at) * 1000
--- a/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
@@ -166,6 +166,8 @@
             pieces=job.pieces,
             aim_ms=round(job.aim_ms),
             left_ms=round(job.remaining_ms),
+            zone=job.zone,
+            outside=sum(each.zone != job.zone for each in results if each.handle),
             ms=round((read_monotonic() - started_at) * 1000),
         ).info(f"not made: {fault.value}" if fault is not None else "made")
 
