Let the next host batch for those that can't reach the batching host

After three tries each asker batched for itself: four hosts shared two targets, none knew what the others had stored there (37.5 to 39.7 s: 30 calls whose pieces found no room, jobs given up as room and full). A job now names the hosts that its sender can't reach, and the one that is asked in place of such a host keeps the job. A silent host's backoff doubles (1.5 s to 6 s): it was asked again every 1.5 s while control hosts still listed it. Ruled out: telling the receiver to believe the sender: a broken link between two hosts would move the shard for everybody.

--- a/packages/daemon/bramleyspread_daemon/forward/_batching_hosts.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_batching_hosts.py
@@ -86,6 +86,15 @@
             shard.service, self._list_hosts(), read_monotonic(), shard.number
         )
 
+    def is_stand_in(self, shard: ShardId, unreachable: Sequence[str]) -> bool:
+        """Whether this host was sent a job because the batching host is unreachable.
+
+        :param shard: the job's shard.
+        :param unreachable: the hosts that the job's sender can't reach.
+        """
+        batching_host = self.find_remote_owner(shard)
+        return batching_host is not None and batching_host.host in unreachable
+
     async def request_results(
         self, batching_host: EntryHost, job: PieceJob, targets: frozenset[str]
     ) -> tuple[PieceResult, ...] | None:
@@ -97,11 +106,14 @@
         :returns: the results; None if the host didn't answer, in which case it is not
             asked again for a while.
         """
-        job_with_held = self.add_held(job, batching_host, targets)
-        results = await self._watch.wait(
-            batching_host, self._post(batching_host, job_with_held)
+        sent = msgspec.structs.replace(
+            self.add_held(job, batching_host, targets),
+            unreachable=self._owners.list_unreachable(read_monotonic()),
         )
-        if results is None:
+        results = await self._watch.wait(batching_host, self._post(batching_host, sent))
+        if results is not None:
+            self._owners.end_backoff(batching_host)
+        else:
             self._owners.start_backoff(batching_host, read_monotonic())
             logger.bind(step="batch", peer=batching_host.host).warning(
                 "batching host did not answer"
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -146,7 +146,10 @@
         reply.on_disconnect = cancel_task
 
     async def _serve_job(self, job: PieceJob, reply: Reply) -> None:
-        reply.send_json(PieceResults.pack(await self._run_locally(job)))
+        shard = ShardId(job.service, job.shard)
+        is_local = self._hosts.is_stand_in(shard, job.unreachable)
+        results = await self._run_locally(job, is_local=is_local)
+        reply.send_json(PieceResults.pack(results))
 
     async def _run_locally(
         self, job: PieceJob, *, is_local: bool = False
--- a/packages/daemon/bramleyspread_daemon/forward/tests/simulated_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/simulated_site.py
@@ -31,6 +31,8 @@
 HEAD_BYTES = 130
 #: Time that a message takes in addition to its transmission, in seconds.
 DELAY_S = 0.0005
+#: Longer than any test, in seconds.
+FOREVER_S = 1e6
 #: Interval between two ticks of a host, in seconds.
 TICK_S = 0.05
 
@@ -94,6 +96,8 @@
         self, address: Address, path: str, body: bytes, method: str
     ) -> Response:
         own_link, peer_link = self._site.links[self._own], self._site.links[address]
+        if address in self._site.silent_hosts:
+            await curio.sleep(FOREVER_S)
         await own_link.carry("sent", len(body))
         await peer_link.carry("received", len(body))
         connection = _ReplyConnection()
@@ -176,6 +180,8 @@
         self.limits = limits
         self.stated_mbps = link_mbps if stated_mbps is None else stated_mbps
         self.made = 0
+        #: Addresses of hosts that answer nothing, although all hosts still list them.
+        self.silent_hosts: set[Address] = set()
         self._busy_s = 0.0
         #: Longest time that a job took, whether it failed or not, in seconds.
         self.longest_s = 0.0
--- a/packages/forwarding/bramleyspread_forwarding/_owners.py
+++ b/packages/forwarding/bramleyspread_forwarding/_owners.py
@@ -10,6 +10,8 @@
 
 #: Backoff of a host that did not answer, in seconds.
 BACKOFF_S = 1.5
+#: Maximum backoff of a host that repeatedly does not answer, in seconds.
+MAX_BACKOFF_S = 6.0
 #: How long a host continues with the work of a service after another host became the
 #: owner, in seconds; hosts notice changes of membership at slightly different times.
 HANDOVER_GRACE_S = 0.3
@@ -18,11 +20,18 @@
 class ServiceOwners:
     """The owner of each service's shared work, as one host sees it."""
 
-    __slots__ = ("_backoff_until", "_known_owners", "_last_owned_at", "_own_host")
+    __slots__ = (
+        "_backoff_until",
+        "_backoffs_s",
+        "_known_owners",
+        "_last_owned_at",
+        "_own_host",
+    )
 
     def __init__(self, own_host: str) -> None:
         self._own_host = own_host
         self._backoff_until: dict[str, float] = {}
+        self._backoffs_s: dict[str, float] = {}
         self._known_owners: dict[
             str, tuple[tuple[EntryHost, ...], tuple[EntryHost, ...]]
         ] = {}
@@ -56,8 +65,25 @@
         return owners[shard] if owners else None
 
     def start_backoff(self, host: EntryHost, now: float) -> None:
-        """Start the backoff of a host that did not answer."""
-        self._backoff_until[host.host] = now + BACKOFF_S
+        """Start the backoff of a host that did not answer.
+
+        The backoff doubles if the host did not answer after the previous one either.
+        """
+        name = host.host
+        if self._backoff_until.get(name, 0.0) > now:
+            return
+        backoff_s = min(2 * self._backoffs_s.get(name, BACKOFF_S / 2), MAX_BACKOFF_S)
+        self._backoffs_s[name] = backoff_s
+        self._backoff_until[name] = now + backoff_s
+
+    def end_backoff(self, host: EntryHost) -> None:
+        """Record that a host answered."""
+        self._backoff_until.pop(host.host, None)
+        self._backoffs_s.pop(host.host, None)
+
+    def list_unreachable(self, now: float) -> tuple[str, ...]:
+        """List the names of the hosts in backoff."""
+        return tuple(x for x, until in self._backoff_until.items() if until > now)
 
     def may_continue_work(
         self, service: str, hosts: Sequence[EntryHost], now: float, shard: int = 0
--- a/packages/forwarding/bramleyspread_forwarding/_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_pieces.py
@@ -95,6 +95,8 @@
     #: Results of the service that the sending host holds; empty when it already
     #: reported them to the batching host.
     held: tuple[HeldResult, ...] = ()
+    #: Hosts that didn't answer the sending host lately, so that it asks another one.
+    unreachable: tuple[str, ...] = ()
 
     def make_item(self, piece: int) -> PieceItem:
         """Return the identity of one of its pieces."""
