Keep pieces in the zone of their data as far as goal and bytes allow; probe failing targets

One commit, since both decide in the same place which pieces a target leaves alone.

A job now says how many bytes cross if its pieces are made elsewhere, and its pieces wait for their zone for 0.3 s a megabyte at most, never past their goal, nor for a zone whose targets fail, are overdue or lack storage. The rule of whole zones (is_bound) is gone; a started job doesn't wait while another one lacks storage. Replaced: the two tests of is_bound, by stricter ones in test_zone_waits.py (the overload is now a goal that would be missed). Before: no such field; with the bytes untold (the old choice for results) 2,205 MB cross in the test, now 204 MB; 126 and 0.

Failing targets. Cause: after a cut, unreachable targets stay listed for 4 s, got a full call of started jobs after each backoff, and their storage counted as room for new jobs. Now they get single pieces of unstarted jobs, their storage doesn't count, jobs are refused at once while all fail twice in a row, and a target that said it had no room is believed for a second. Before: all four tests of test_unreachable_targets.py fail (5 jobs of 16 end, then none).

--- a/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
@@ -24,9 +24,6 @@
 
 #: Assumed time from the end of the last stage to the target's first event, in ms.
 DEFAULT_TARGET_MS = 300.0
-#: Minimum size of results for which the availability zone is taken into account, in
-#: bytes.
-LARGE_RESULT_BYTES = 1_000_000
 #: Share of a result's lifetime during which stages may wait to use it.
 RESULT_LIFETIME_SHARE = 0.9
 #: Maximum time for which a stage without inputs may wait, in ms.
@@ -123,8 +120,7 @@
         number, service = ready.number, ready.service
         now = read_monotonic()
         downstream_ms = self._estimate_downstream_ms(number)
-        zone, input_bytes = stages.find_input_location(number)
-        is_bound = input_bytes >= LARGE_RESULT_BYTES
+        zone, crossing_bytes = self._choose_zone(stages, number)
         goal_remaining_ms = (
             (self._started_at - now) * 1000 + self._route.aim_ms - downstream_ms
         )
@@ -140,8 +136,8 @@
             aim_ms=goal_remaining_ms,
             priority=self._priority,
             result_bytes=self._route.stages[number].result_bytes,
-            zone=zone if is_bound else self._choose_result_zone(number),
-            is_bound=is_bound,
+            zone=zone,
+            crossing_bytes=crossing_bytes,
         )
         results = await self._context.piece_service.run_job(job)
         self._log_stage(job, results, now)
@@ -182,10 +178,21 @@
                 )
         return min(lifetimes_ms)
 
-    def _choose_result_zone(self, number: int) -> str:
-        """Choose the zone for a stage's results; empty if their zone doesn't matter."""
-        if self._route.stages[number].result_bytes < LARGE_RESULT_BYTES:
-            return ""
+    def _choose_zone(self, stages: StageRun, number: int) -> tuple[str, int]:
+        """Choose the zone where a stage's pieces should be processed.
+
+        :returns: the zone, and the bytes that cross zones if the pieces are processed
+            elsewhere. The zone is empty if any one will do for all pieces.
+        """
+        zone, input_bytes = stages.find_input_location(number)
+        read_bytes = stages.find_read_bytes(number)
+        if input_bytes >= read_bytes:
+            return zone, round(input_bytes)
+        zone = self._choose_request_zone() if stages.is_last(number) else ""
+        return zone, round(read_bytes)
+
+    def _choose_request_zone(self) -> str:
+        """Choose the zone of the target that will probably get the request."""
         service = self._context.choose_service(self._route, self._request.request_id)
         home = find_preferred_engine(
             self._request.prompt, self._context.targets.list_usable(service)
--- a/packages/forwarding/bramleyspread_forwarding/_batched_calls.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batched_calls.py
@@ -48,8 +48,8 @@
     started_at: float
     #: Expected duration according to the service's limits, in milliseconds.
     expected_ms: float
-    #: How long the target keeps the results of the call, in seconds.
-    retention_s: float
+    #: The capacity limits of the target.
+    limits: PieceLimits
     #: Whether the call was sent while all slots of its target were still occupied.
     is_ahead: bool = False
 
@@ -65,8 +65,7 @@
     ) -> RunningCall:
         """Create the record of a call that starts now."""
         expected_ms = estimate_call_ms(len(pieces), limits)
-        retention_s = limits.result_retention_s
-        return cls(target, tuple(pieces), now, expected_ms, retention_s, is_ahead)
+        return cls(target, tuple(pieces), now, expected_ms, limits, is_ahead)
 
 
 def estimate_call_ms(pieces: int, limits: PieceLimits) -> float:
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -30,11 +30,14 @@
 )
 from bramleyspread_forwarding._rooms import StorageUsage
 from bramleyspread_forwarding._targets import ForwardTarget
+from bramleyspread_forwarding._zone_waits import ZoneTarget, ZoneWaits
 
 #: A job that has not started is shed when this many durations of a full call have
 #: passed since the last moment at which it could start and still meet its latency goal;
 #: by then every target has started other work twice.
 LATE_WAIT_CALLS = 3
+#: Slowdown that is assumed of a target whose latest call failed.
+FAILING_SLOWDOWN = 6.0
 
 
 class _Allocation(msgspec.Struct, frozen=True):
@@ -44,15 +47,17 @@
     skipped_pieces: int
     #: Maximum number of pieces in the call.
     max_pieces: int
+    #: Whether the call only shows whether the target works again.
+    is_probe: bool = False
 
 
 class Batcher:
     """Queues the pieces of one service and assigns them to calls.
 
     Jobs that can still meet their latency goal go before jobs that can't, and more
-    urgent jobs go first among them. A slow target gets only the pieces that faster
-    targets would not start before the slow target completes them, and now and then a
-    single piece as a probe.
+    urgent jobs go first among them. A slow or failing target gets only the pieces that
+    faster targets would not start before the slow target completes them, and now and
+    then a single piece as a probe.
     """
 
     def __init__(self) -> None:
@@ -79,6 +84,9 @@
     ) -> int | PieceFault:
         """Enqueue a job unless it can't end before its deadline.
 
+        While no target is available, one job waits to find out when one is again;
+        others are refused.
+
         :param job: the job.
         :param limits: the capacity limits of the service's targets.
         :param targets: number of targets that accept work.
@@ -87,7 +95,11 @@
             becomes the batching host of the service.
         :returns: the job's number, or the reason for which it is refused.
         """
-        if self._estimate_job_ms(job, limits, targets) > job.remaining_ms:
+        unavailable = self._history.count_unavailable()
+        if targets <= unavailable and self.jobs.waiting_pieces:
+            return PieceFault.SHED
+        working = max(targets - unavailable, min(targets, 1))
+        if self._estimate_job_ms(job, limits, working) > job.remaining_ms:
             return PieceFault.SHED
         return self.jobs.add(job, now, is_local=is_local)
 
@@ -146,22 +158,19 @@
         self._storage.expire(now)
         target_ids = [each.target for each in targets]
         self._history.remove_unlisted(target_ids)
-        relative_slowdowns = {
-            each: self._history.slowdowns.find_relative_slowdown(each, target_ids)
-            for each in target_ids
-        }
-        reserved_zones = self._find_reserved_zones(targets, limits)
+        relative_slowdowns = self._find_relative_slowdowns(target_ids)
+        fast_targets = [x for x in targets if relative_slowdowns[x.target] == 1.0]
         for target in sorted(free, key=lambda each: relative_slowdowns[each.target]):
             free_bytes = self._find_free_bytes(target, limits)
             spare_bytes = self._find_spare_bytes(targets, limits)
-            other_reserved_zones = reserved_zones - {target.zone}
+            zone_waits = self._estimate_zone_waits(fast_targets, limits, now)
             allocation = self._allocate(target, relative_slowdowns, limits, now)
             pieces = self._choose_pieces(
                 target,
                 limits,
                 free_bytes,
                 spare_bytes,
-                other_reserved_zones,
+                zone_waits,
                 allocation,
                 now,
             )
@@ -170,6 +179,20 @@
             calls.append(self._start_call(target, pieces, limits, now))
         return calls
 
+    def _find_relative_slowdowns(self, targets: Sequence[str]) -> dict[str, float]:
+        """Compare each target with its peers; 1 for those that are not slow.
+
+        A target whose latest call failed counts as slow while another one works.
+        """
+        slowdowns = {
+            each: self._history.slowdowns.find_relative_slowdown(each, targets)
+            for each in targets
+        }
+        failing = {each for each in targets if self._history.is_failing(each)}
+        if len(failing) < len(targets):
+            slowdowns |= dict.fromkeys(failing, FAILING_SLOWDOWN)
+        return slowdowns
+
     def _count_occupied_slots(self, now: float, lead_s: float) -> Counter[str]:
         """Count the slots of each target that a call sent now could not use in time.
 
@@ -209,7 +232,7 @@
         if waiting <= skipped and self._history.slowdowns.is_probe_due(
             target.target, now
         ):
-            return _Allocation(waiting // 2, 1)
+            return _Allocation(waiting // 2, 1, is_probe=True)
         return _Allocation(skipped, limits.batch)
 
     def finish(
@@ -285,27 +308,53 @@
     def _record_storage(
         self, call: RunningCall, results: Sequence[PieceResult], now: float
     ) -> None:
+        target_id, limits = call.target.target, call.limits
+        expires_at = now + limits.result_retention_s
+        rejected_sizes = []
         for piece, result in zip(call.pieces, results, strict=True):
+            size = self.jobs.find_result_bytes(piece)
             if result.handle:
-                size = self.jobs.find_result_bytes(piece)
-                expires_at = now + call.retention_s
-                self._storage.add(result.handle, call.target.target, size, expires_at)
-
-    def _find_reserved_zones(
-        self, targets: Sequence[ForwardTarget], limits: PieceLimits
-    ) -> set[str]:
-        """Find the zones whose targets can take all their bound pieces in full calls.
-
-        These pieces are left to the targets of their zone, so that results need not
-        cross zones.
+                self._storage.add(result.handle, target_id, size, expires_at)
+            elif result.fault is PieceFault.STORAGE_FULL:
+                rejected_sizes.append(size)
+        if rejected_sizes:
+            self._storage.record_full(target_id, min(rejected_sizes), limits, now)
+
+    def _estimate_zone_waits(
+        self, targets: Sequence[ForwardTarget], limits: PieceLimits, now: float
+    ) -> ZoneWaits:
+        """Estimate when targets can take calls, for pieces that wait for one zone.
+
+        :param targets: targets that accept work and are not slow.
+        :param limits: their limits.
+        :param now: the current time, in seconds.
         """
-        targets_by_zone = Counter(each.zone for each in targets)
-        bound_pieces = self.jobs.count_bound()
-        return {
-            zone
-            for zone, number in targets_by_zone.items()
-            if bound_pieces[zone] <= number * limits.slots * limits.batch
-        }
+        zone_targets = [
+            ZoneTarget(
+                each.zone,
+                self._find_free_in(each, limits, now),
+                self._find_free_bytes(each, limits),
+            )
+            for each in targets
+            if self._history.is_available(each.target, now)
+        ]
+        needed_bytes = self.jobs.find_largest_unstarted_bytes()
+        is_storage_short = needed_bytes > self._find_spare_bytes(targets, limits)
+        return ZoneWaits(zone_targets, limits, now, is_storage_short=is_storage_short)
+
+    def _find_free_in(
+        self, target: ForwardTarget, limits: PieceLimits, now: float
+    ) -> float:
+        """Find when a target can take a call, in seconds; infinite if it is overdue."""
+        calls = [call for call in self._calls.values() if call.target == target]
+        if len(calls) < limits.slots:
+            return 0.0
+        call_s = [each.expected_ms / 1000 for each in calls]
+        ends_at = [each.started_at + x for each, x in zip(calls, call_s, strict=True)]
+        free_in_s = min(ends_at) - now
+        if free_in_s < -min(call_s):
+            return math.inf
+        return max(free_in_s, 0.0)
 
     def _find_free_bytes(self, target: ForwardTarget, limits: PieceLimits) -> float:
         """Find the bytes that a target has left after its calls in flight."""
@@ -320,11 +369,16 @@
     def _find_spare_bytes(
         self, targets: Sequence[ForwardTarget], limits: PieceLimits
     ) -> float:
-        """Find the free bytes at all targets beyond what started jobs will need."""
+        """Find the free bytes at all targets beyond what started jobs will need.
+
+        Targets whose latest call failed don't count while another one works.
+        """
         if not limits.result_capacity_bytes:
             return math.inf
+        working = [x for x in targets if not self._history.is_failing(x.target)]
         free_bytes = sum(
-            self._storage.find_free_bytes(each.target, limits) for each in targets
+            self._storage.find_free_bytes(each.target, limits)
+            for each in working or targets
         )
         return free_bytes - self.jobs.count_reserved_bytes()
 
@@ -334,7 +388,7 @@
         limits: PieceLimits,
         free_bytes: float,
         spare_bytes: float,
-        reserved_zones: set[str],
+        zone_waits: ZoneWaits,
         allocation: _Allocation,
         now: float,
     ) -> list[PieceRef]:
@@ -347,12 +401,14 @@
         chosen: list[PieceRef] = []
         skipped = 0
         call_end = now + estimate_call_ms(limits.batch, limits) / 1000
-        for number, job in self.jobs.list_waiting(
-            target.zone, reserved_zones, call_end
-        ):
+        for number, job in self.jobs.list_waiting(target.zone, call_end):
+            if zone_waits.must_wait(job, target.zone):
+                continue
             if skipped < allocation.skipped_pieces:
                 skipped += len(job.waiting)
                 continue
+            if allocation.is_probe and job.is_started:
+                continue
             size = job.job.result_bytes
             if not job.is_started:
                 job_bytes = size * len(job.waiting)
@@ -380,15 +436,15 @@
         is_ahead = in_flight >= limits.slots
         call = RunningCall.start(target, pieces, limits, now, is_ahead=is_ahead)
         self._calls[number] = call
-        items = tuple(self._start_piece(piece, now) for piece in pieces)
+        items = tuple(self._start_piece(piece, target.zone, now) for piece in pieces)
         remaining_ms = max(each.remaining_ms for each in items)
         timeout_ms = self._history.find_timeout_ms(target.target, call.expected_ms)
         return BatchedCall(
             number, target, items, call.expected_ms, min(remaining_ms, timeout_ms)
         )
 
-    def _start_piece(self, piece: PieceRef, now: float) -> BatchedItem:
-        job = self.jobs.start_piece(piece)
+    def _start_piece(self, piece: PieceRef, zone: str, now: float) -> BatchedItem:
+        job = self.jobs.start_piece(piece, zone, now)
         return BatchedItem(
             job.job.make_item(piece.index),
             (job.deadline - now) * 1000,
--- a/packages/forwarding/bramleyspread_forwarding/_call_history.py
+++ b/packages/forwarding/bramleyspread_forwarding/_call_history.py
@@ -12,6 +12,8 @@
 BACKOFF_S = 0.3
 #: Maximum backoff of a target that fails repeatedly, in seconds.
 MAX_BACKOFF_S = 1.2
+#: Number of failures in a row after which a target counts as unavailable.
+UNAVAILABLE_FAILURES = 2
 #: A call times out after this many times the duration that is usual for its target;
 #: its pieces are then sent to other targets.
 TIMEOUT_FACTOR = 3.0
@@ -39,6 +41,14 @@
         """Whether a target is not in backoff."""
         return self._backoff_until.get(target, 0.0) <= now
 
+    def is_failing(self, target: str) -> bool:
+        """Whether the latest call to a target got no answer or was rejected."""
+        return self._failures[target] > 0
+
+    def count_unavailable(self) -> int:
+        """Count the targets that failed several times in a row."""
+        return sum(x >= UNAVAILABLE_FAILURES for x in self._failures.values())
+
     def find_timeout_ms(self, target: str, expected_ms: float) -> float:
         """Find the timeout of a call.
 
--- a/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
+++ b/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from itertools import count
 
 import msgspec
@@ -44,6 +43,8 @@
         "results",
         "retries",
         "waiting",
+        "waiting_since",
+        "zone",
     )
 
     def __init__(self, job: PieceJob, now: float, is_local: bool) -> None:
@@ -54,6 +55,11 @@
         self.deadline = now + job.remaining_ms / 1000
         #: When the job was enqueued, in seconds.
         self.added_at = now
+        #: When the job was enqueued or, once it has started, when it started, in
+        #: seconds.
+        self.waiting_since = now
+        #: Availability zone where the pieces should be processed; empty for any.
+        self.zone = job.zone
         #: When the job's request misses its latency goal, in seconds.
         self.goal_at = now + job.aim_ms / 1000
         #: The results so far, in the order of the job's pieces.
@@ -152,9 +158,7 @@
         ]
         return [self._fail_job(number, PieceFault.SHED) for number in late]
 
-    def list_waiting(
-        self, zone: str, reserved_zones: set[str], call_end: float
-    ) -> list[tuple[int, QueuedJob]]:
+    def list_waiting(self, zone: str, call_end: float) -> list[tuple[int, QueuedJob]]:
         """List the jobs from which a target may get pieces, best choice first.
 
         Started jobs go first, then jobs that can still meet their latency goal, then
@@ -162,7 +166,6 @@
         goal.
 
         :param zone: the target's availability zone.
-        :param reserved_zones: zones whose bound jobs are left to targets there.
         :param call_end: when a call that starts now would end, in seconds.
         :returns: the jobs with their numbers.
         """
@@ -171,7 +174,7 @@
             numbered: tuple[int, QueuedJob],
         ) -> tuple[bool, bool, int, bool, float]:
             job = numbered[1]
-            is_remote = job.job.zone not in ("", zone)
+            is_remote = job.zone not in ("", zone)
             is_late = job.goal_at < call_end
             return (
                 not job.is_started,
@@ -181,11 +184,7 @@
                 job.goal_at,
             )
 
-        waiting = [
-            (number, job)
-            for number, job in self._jobs.items()
-            if job.waiting and not (job.job.is_bound and job.job.zone in reserved_zones)
-        ]
+        waiting = [(number, job) for number, job in self._jobs.items() if job.waiting]
         return sorted(waiting, key=rank)
 
     def count_ahead(self, priority: int) -> int:
@@ -196,14 +195,6 @@
             if job.job.priority <= priority
         )
 
-    def count_bound(self) -> Counter[str]:
-        """Count the waiting pieces that are bound to a zone, by zone."""
-        bound_pieces: Counter[str] = Counter()
-        for job in self._jobs.values():
-            if job.job.is_bound:
-                bound_pieces[job.job.zone] += len(job.waiting)
-        return bound_pieces
-
     def count_reserved_bytes(self) -> int:
         """Count the bytes that the missing results of started jobs will occupy."""
         return sum(
@@ -212,18 +203,35 @@
             if job.is_started
         )
 
+    def find_largest_unstarted_bytes(self) -> int:
+        """Find the size of all results of the largest job that has not started."""
+        return max(
+            (
+                job.job.result_bytes * job.job.pieces
+                for job in self._jobs.values()
+                if not job.is_started
+            ),
+            default=0,
+        )
+
     def find_result_bytes(self, piece: PieceRef) -> int:
         """Find the size of a piece's result; 0 when its job was removed."""
         job = self._jobs.get(piece.job)
         return job.job.result_bytes if job is not None else 0
 
-    def start_piece(self, piece: PieceRef) -> QueuedJob:
+    def start_piece(self, piece: PieceRef, zone: str, now: float) -> QueuedJob:
         """Remove a piece from the waiting ones because a call carries it.
 
         :param piece: a waiting piece.
+        :param zone: availability zone of the call's target, where the job's other
+            pieces should be processed too if the job names no zone.
+        :param now: the current time, in seconds.
         :returns: the piece's job.
         """
         job = self._jobs[piece.job]
+        if not job.is_started:
+            job.waiting_since = now
+            job.zone = job.zone or zone
         job.waiting.remove(piece.index)
         return job
 
--- a/packages/forwarding/bramleyspread_forwarding/_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_pieces.py
@@ -87,11 +87,10 @@
     #: Approximate size of one result, in bytes.
     result_bytes: int = 0
     #: Availability zone where the results will be needed or the inputs are stored;
-    #: empty for any.
+    #: empty for any, as long as all pieces are processed in the same one.
     zone: str = ""
-    #: Whether the inputs are so large that the pieces wait for targets in that zone,
-    #: unless more such pieces wait than one full call for each slot there can carry.
-    is_bound: bool = False
+    #: Approximate bytes that cross zones if the pieces are processed in another zone.
+    crossing_bytes: int = 0
     #: Results of the service that the sending host holds; empty when it already
     #: reported them to the batching host.
     held: tuple[HeldResult, ...] = ()
@@ -295,6 +294,27 @@
         zone = max(by_zone, key=lambda each: by_zone[each], default="")
         return zone, sum(by_zone.values()) * self._piece_counts[number]
 
+    def is_last(self, number: int) -> bool:
+        """Whether the request itself reads a stage's results."""
+        return number not in self._find_required_stages()
+
+    def find_read_bytes(self, number: int) -> float:
+        """Find how many bytes of a stage's results will be read.
+
+        Each piece of a later stage reads all results of the stages that it follows.
+
+        :param number: the stage.
+        :returns: the bytes, counting results as often as they are read.
+        """
+        readers = sum(
+            self._piece_counts[later]
+            for later, stage in enumerate(self._stages)
+            if number in stage.after
+        )
+        readers += self.is_last(number)
+        size = float(self._stages[number].result_bytes)
+        return size * self._piece_counts[number] * readers
+
     def start_ready_stages(self) -> list[ReadyStage]:
         """Start the stages that can start now.
 
--- a/packages/forwarding/bramleyspread_forwarding/_rooms.py
+++ b/packages/forwarding/bramleyspread_forwarding/_rooms.py
@@ -13,6 +13,10 @@
 #: Share of a target's storage that is assigned to results; the rest allows for results
 #: larger than estimated.
 USABLE_SHARE = 0.93
+#: How long storage that is full for unknown reasons counts as full, in seconds.
+UNACCOUNTED_TTL_S = 1.0
+#: Begins the handle under which such storage is recorded; no result has such a handle.
+UNACCOUNTED = "unaccounted "
 
 
 class _StoredResult(msgspec.Struct, frozen=True):
@@ -52,6 +56,26 @@
         self._results[handle] = _StoredResult(target, size, expires_at)
         self._bytes[target] += size
 
+    def record_full(
+        self, target: str, size: int, limits: PieceLimits, now: float
+    ) -> None:
+        """Record that a target had no storage for a result.
+
+        Whatever occupies the storage may be there for as long as results are kept, but
+        may also be released at any time, unnoticed by this host.
+
+        :param target: the target.
+        :param size: approximate size of the result, in bytes.
+        :param limits: the capacity limits of the service's targets.
+        :param now: the current time, in seconds.
+        """
+        unaccounted = self.find_free_bytes(target, limits) - size + 1
+        if size and 0 < unaccounted < math.inf:
+            handle = f"{UNACCOUNTED}{target}"
+            known = self._results.get(handle)
+            unaccounted += known.size if known is not None else 0
+            self.add(handle, target, int(unaccounted), now + UNACCOUNTED_TTL_S)
+
     def release(self, handles: Iterable[str]) -> None:
         """Remove results that their targets no longer store."""
         for handle in handles:
