Suspend a control host whose disk fails, instead of ending it

Now the host is suspended: no message, no vote, no acknowledgement, pending commands undecided; the feed goes on from memory, unconfirmed. It loads its folder again every 0.25 to 1 s, checked record by record, and rewrites it before it takes part, as nobody knows after a failed sync which bytes are durable. Ruled out: keeping the replica in memory and writing on: the second sync may report success for lost bytes. Another process in the folder is an error of its own now, which still ends the start (test_disk.py checks the more exact error). Before: DiskError out of flush, process ends. Slow and stalled disks are not done.

--- a/packages/control/bramleyspread_control/__init__.py
+++ b/packages/control/bramleyspread_control/__init__.py
@@ -6,9 +6,16 @@
     ControlMember,
     ControlTimings,
 )
-from bramleyspread_control._disk import CorruptFileError, Disk, DiskError, FileDisk
+from bramleyspread_control._disk import (
+    CorruptFileError,
+    Disk,
+    DiskError,
+    FileDisk,
+    FolderInUseError,
+)
 from bramleyspread_control._host import ControlHost, find_claim_group
 from bramleyspread_control._memory_disk import MemoryDisk, SimulatedKillError
+from bramleyspread_control._recovering_host import HostOpener, RecoveringControlHost
 from bramleyspread_control._store import SettingsError
 
 __all__ = [
@@ -20,8 +27,11 @@
     "Disk",
     "DiskError",
     "FileDisk",
+    "FolderInUseError",
+    "HostOpener",
     "MAX_CLOCK_DRIFT",
     "MemoryDisk",
+    "RecoveringControlHost",
     "SettingsError",
     "SimulatedKillError",
     "find_claim_group",
--- a/packages/control/bramleyspread_control/_disk.py
+++ b/packages/control/bramleyspread_control/_disk.py
@@ -17,8 +17,8 @@
 class DiskError(Exception):
     """An operation on the data folder failed; whatever was not synced counts as lost.
 
-    The process must stop: after a failed sync the content of the file is undefined, and
-    a second sync may report success although the data was lost.
+    The folder must be loaded again: after a failed sync the content of the file is
+    undefined, and a second sync may report success although the data was lost.
     """
 
     def __init__(self, operation: str, name: str, detail: str) -> None:
@@ -31,6 +31,10 @@
         self.detail = detail
 
 
+class FolderInUseError(Exception):
+    """Another process uses the data folder."""
+
+
 class CorruptFileError(Exception):
     """The content of a file differs from what was synced to it."""
 
@@ -111,8 +115,8 @@
 
         :param path: path of the folder.
         :returns: the folder, locked until :meth:`close`.
-        :raises DiskError: when the folder cannot be created, or another process uses
-            it.
+        :raises DiskError: when the folder cannot be created.
+        :raises FolderInUseError: when another process uses the folder.
         """
         disk = cls(Path(path))
         try:
@@ -120,8 +124,9 @@
             disk._lock = (disk._folder / LOCK_FILE).open("ab")
             fcntl.flock(disk._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
-            detail = "another process uses this data folder; stop it first"
-            raise DiskError("lock", LOCK_FILE, detail) from None
+            raise FolderInUseError(
+                f"{path}: another process uses this data folder; stop it first"
+            ) from None
         except OSError as error:
             raise DiskError("open", str(path), str(error)) from None
         return disk
--- a/packages/control/bramleyspread_control/_host.py
+++ b/packages/control/bramleyspread_control/_host.py
@@ -58,7 +58,7 @@
     """All decisions of one control host; implements ``ControlNode``.
 
     Call ``receive``, ``propose`` and ``tick`` for events, then ``flush``, and send the
-    messages and replies that it returns. The process must stop after a ``DiskError``.
+    messages and replies that it returns. It must not be used after a ``DiskError``.
     """
 
     def __init__(
@@ -158,6 +158,14 @@
             tuple(events),
         )
 
+    def rewrite_folder(self) -> None:
+        """Write the whole state to new files, and sync them.
+
+        :raises DiskError: when an operation on the data folder fails.
+        """
+        self._store.checkpoint_due = True
+        self._store.write()
+
     def answer_query(self, query: DocumentsQuery, now: float) -> DocumentsPage:
         """Return the committed documents that are newer than the query's revision."""
         self._entry_hosts[query.host] = (query, now)
--- a/packages/control/bramleyspread_control/_memory_disk.py
+++ b/packages/control/bramleyspread_control/_memory_disk.py
@@ -51,6 +51,8 @@
         #: Number of operations after which the next one fails with
         #: ``SimulatedKillError``; None for never.
         self.kill_at_step: int | None = None
+        #: Number of bytes that can still be written; None for no limit.
+        self.free_bytes: int | None = None
 
     def lose_power(self, rng: random.Random) -> MemoryDisk:
         """Return the folder as it may be found after a power cut.
@@ -59,7 +61,7 @@
         :returns: a new folder.
         """
         folder = MemoryDisk()
-        folder._boot_id = rng.getrandbits(64)
+        folder._boot_id, folder.free_bytes = rng.getrandbits(64), self.free_bytes
         files = self._files if rng.random() < 0.5 else self._synced_files
         for name, file in files.items():
             kept = _File()
@@ -73,6 +75,7 @@
         """Copy the folder as it is after the process was killed, without any loss."""
         folder = MemoryDisk()
         folder._boot_id, folder.steps = self._boot_id, self.steps
+        folder.free_bytes = self.free_bytes
         for name, file in self._files.items():
             kept = _File(file.changed_at_step)
             kept.content = bytearray(file.content)
@@ -115,10 +118,12 @@
     def append(self, name: str, data: bytes) -> None:
         """Append to a file, which is created if it is missing."""
         self._count_step()
+        written = self._allocate(data)
         file = self._files.setdefault(name, _File())
-        file.content += data
+        file.content += written
         file.changed_at_step = self.steps
-        self.appended_bytes += len(data)
+        self.appended_bytes += len(written)
+        self._check_written("append", name, data, written)
 
     def sync(self, name: str) -> None:
         """Make the content of a file durable."""
@@ -154,6 +159,8 @@
     def overwrite(self, name: str, data: bytes) -> None:
         """Overwrite a small file; the change is neither durable nor atomic."""
         self._count_step()
+        written = self._allocate(data)
+        self._check_written("write", name, data, written)
         self._files.setdefault(name, _File()).content = bytearray(data)
 
     def fingerprint(self, names: Sequence[str]) -> str:
@@ -161,6 +168,20 @@
         changed = [self._find("stat", name).changed_at_step for name in names]
         return f"{self._boot_id} {changed}"
 
+    def _allocate(self, data: bytes) -> bytes:
+        """Return the part of the data for which there is space, and take the space."""
+        if self.free_bytes is None:
+            return data
+        written = data[: self.free_bytes]
+        self.free_bytes -= len(written)
+        return written
+
+    def _check_written(
+        self, operation: str, name: str, data: bytes, written: bytes
+    ) -> None:
+        if len(written) < len(data):
+            raise DiskError(operation, name, "no space left")
+
     def _find(self, operation: str, name: str) -> _File:
         file = self._files.get(name)
         if file is None:
--- a/packages/control/bramleyspread_control/tests/test_disk.py
+++ b/packages/control/bramleyspread_control/tests/test_disk.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from bramleyspread_control import DiskError, FileDisk
+from bramleyspread_control import DiskError, FileDisk, FolderInUseError
 
 
 def test_file_operations(tmp_path: Path) -> None:
@@ -29,7 +29,7 @@
 
 def test_folder_is_locked_for_one_process(tmp_path: Path) -> None:
     disk = FileDisk.from_folder(tmp_path)
-    with pytest.raises(DiskError, match="another process"):
+    with pytest.raises(FolderInUseError, match="another process"):
         FileDisk.from_folder(tmp_path)
     disk.close()
     FileDisk.from_folder(tmp_path).close()
--- a/packages/daemon/bramleyspread_daemon/_build.py
+++ b/packages/daemon/bramleyspread_daemon/_build.py
@@ -7,13 +7,13 @@
 
 from bramleyspread_control import (
     ControlConfig,
-    ControlHost,
     ControlMember,
-    FileDisk,
+    RecoveringControlHost,
 )
 from bramleyspread_core import Address, HostName, ZoneName
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._control import ControlProcess
+from bramleyspread_daemon._control_folder import ControlFolder
 from bramleyspread_daemon._entry import EntryProcess
 from bramleyspread_daemon._process import Process
 from bramleyspread_daemon._settings import ControlSettings, EntrySettings
@@ -89,9 +89,9 @@
         settings.listen.address,
         members,
     )
-    disk = FileDisk.from_folder(settings.data)
     rng = _make_rng()
-    node = ControlHost.from_config(config, disk, rng, read_monotonic())
+    folder = ControlFolder(config, settings.data, rng)
+    node = RecoveringControlHost.from_config(config, folder.open, read_monotonic())
     reconciler = Reconciler.from_config(ReconcilerConfig(), rng)
     return ControlProcess(process, settings, node, reconciler)
 
--- a/packages/daemon/bramleyspread_daemon/forward/_build_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_build_control.py
@@ -7,14 +7,14 @@
 
 from bramleyspread_control import (
     ControlConfig,
-    ControlHost,
     ControlMember,
     ControlTimings,
-    FileDisk,
+    RecoveringControlHost,
 )
 from bramleyspread_core import Address, HostName, ZoneName
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._control import ControlProcess
+from bramleyspread_daemon._control_folder import ControlFolder
 from bramleyspread_daemon._process import Process
 from bramleyspread_daemon.forward._control import ForwardControl
 from bramleyspread_daemon.forward._settings import ForwardControlSettings
@@ -46,8 +46,9 @@
     """
     process = Process(settings)
     rng = Random(int.from_bytes(os.urandom(16)))
-    disk = FileDisk.from_folder(settings.data)
-    node = ControlHost.from_config(_build_config(settings), disk, rng, read_monotonic())
+    config = _build_config(settings)
+    folder = ControlFolder(config, settings.data, rng)
+    node = RecoveringControlHost.from_config(config, folder.open, read_monotonic())
     forward = ForwardControl(
         node,
         wire,
--- a/packages/proof/bramleyspread_proof/_control_process.py
+++ b/packages/proof/bramleyspread_proof/_control_process.py
@@ -11,6 +11,7 @@
     ControlMember,
     CorruptFileError,
     MemoryDisk,
+    RecoveringControlHost,
 )
 from bramleyspread_core import (
     Command,
@@ -51,13 +52,13 @@
         self._network = network
         self._ledger = ledger
         self._disk = MemoryDisk()
-        self._node: ControlHost | None = None
+        self._node: RecoveringControlHost | None = None
         self._replies: dict[int, Callable[[CommandResult], None]] = {}
         self._last_ticket = 0
         network.register(member.address, self)
 
     @property
-    def node(self) -> ControlHost:
+    def node(self) -> RecoveringControlHost:
         """The control logic; available only while the process is alive."""
         assert self._node is not None
         return self._node
@@ -66,10 +67,9 @@
         """Start the host from the contents of its disk."""
         super().start()
         self._replies.clear()
-        rng = Random(self.rng.getrandbits(64))
         try:
-            self._node = ControlHost.from_config(
-                self._config, self._disk, rng, self.now
+            self._node = RecoveringControlHost.from_config(
+                self._config, self._open_host, self.now
             )
         except CorruptFileError as error:
             refused = UnstampedEvent("start-refused", step="load", detail=str(error))
@@ -78,6 +78,18 @@
             return
         self.call_every(TICK_S, self._tick)
 
+    def _open_host(self, now: float) -> ControlHost:
+        rng = Random(self.rng.getrandbits(64))
+        return ControlHost.from_config(self._config, self._disk, rng, now)
+
+    def fill_disk(self) -> None:
+        """Leave no space on the disk, so that every write fails."""
+        self._disk.free_bytes = 0
+
+    def free_disk(self) -> None:
+        """Remove the limit on the space of the disk."""
+        self._disk.free_bytes = None
+
     def kill(self) -> None:
         """End the process; writes that were not synced may be lost."""
         if self.alive:
--- a/packages/proof/bramleyspread_proof/_explore.py
+++ b/packages/proof/bramleyspread_proof/_explore.py
@@ -146,6 +146,7 @@
 def _repair_all() -> tuple[Step, ...]:
     return (
         Step(heal=True),
+        *(Step(free_disk=zone) for zone in ZONES),
         *(Step(thaw=zone) for zone in ZONES),
         *(Step(restart=zone) for zone in ZONES),
         Step(wait_s=RESTORE_S),
@@ -200,6 +201,10 @@
         ),
         targets.map(lambda name: _make_step("slow", Slow(target=name, factor=10.0))),
         control.map(_lose_disk),
+        strategies.one_of(control, strategies.just("leader"), zones).map(
+            make_step("fill_disk")
+        ),
+        zones.map(make_step("free_disk")),
     )
 
 
--- a/packages/proof/bramleyspread_proof/_scenario.py
+++ b/packages/proof/bramleyspread_proof/_scenario.py
@@ -235,6 +235,20 @@
 
         return self._apply_to_each(name, lose)
 
+    def _do_fill_disk(self, name: str) -> str | None:
+        def fill(process: Process) -> None:
+            if isinstance(process, ControlProcess):
+                process.fill_disk()
+
+        return self._apply_to_each(name, fill)
+
+    def _do_free_disk(self, name: str) -> str | None:
+        def free(process: Process) -> None:
+            if isinstance(process, ControlProcess):
+                process.free_disk()
+
+        return self._apply_to_each(name, free)
+
     def _do_drain(self, name: str) -> str | None:
         def drain(process: Process) -> None:
             if isinstance(process, EntryProcess):
--- a/packages/proof/bramleyspread_proof/_steps.py
+++ b/packages/proof/bramleyspread_proof/_steps.py
@@ -126,6 +126,10 @@
     thaw: str | UnsetType = UNSET
     #: Kill control hosts and empty their data folders.
     lose_disk: str | UnsetType = UNSET
+    #: Leave no space on the disks of control hosts.
+    fill_disk: str | UnsetType = UNSET
+    #: Make space on the disks of control hosts.
+    free_disk: str | UnsetType = UNSET
     #: Begin a planned stop of hosts.
     drain: str | UnsetType = UNSET
     #: Make targets announce that they leave.
