Find storage and waits once a dispatch round, and choose pieces in a module of its own

Bytes in flight are counted as calls start and end now, spare storage and the times at which targets are free are found once a round, and a target whose calls are not slow isn't compared with its peers' median.

--- a/packages/forwarding/bramleyspread_forwarding/_batched_calls.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batched_calls.py
@@ -50,6 +50,8 @@
     expected_ms: float
     #: The capacity limits of the target.
     limits: PieceLimits
+    #: Approximate size of all results, in bytes.
+    result_bytes: int = 0
     #: Whether the call was sent while all slots of its target were still occupied.
     is_ahead: bool = False
 
@@ -60,12 +62,15 @@
         pieces: Sequence[PieceRef],
         limits: PieceLimits,
         now: float,
+        result_bytes: int,
         *,
         is_ahead: bool = False,
     ) -> RunningCall:
         """Create the record of a call that starts now."""
         expected_ms = estimate_call_ms(len(pieces), limits)
-        return cls(target, tuple(pieces), now, expected_ms, limits, is_ahead)
+        return cls(
+            target, tuple(pieces), now, expected_ms, limits, result_bytes, is_ahead
+        )
 
 
 def estimate_call_ms(pieces: int, limits: PieceLimits) -> float:
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -21,6 +21,7 @@
     estimate_call_ms,
 )
 from bramleyspread_forwarding._call_history import CallHistory
+from bramleyspread_forwarding._dispatch import Allocation, DispatchRound
 from bramleyspread_forwarding._piece_queue import JobDone, PieceQueue, PieceRef
 from bramleyspread_forwarding._pieces import (
     HeldResult,
@@ -30,7 +31,7 @@
 )
 from bramleyspread_forwarding._rooms import StorageUsage
 from bramleyspread_forwarding._targets import ForwardTarget
-from bramleyspread_forwarding._zone_waits import ZoneTarget, ZoneWaits
+from bramleyspread_forwarding._zone_waits import ZoneTarget
 
 #: A job that has not started is shed when this many durations of a full call have
 #: passed since the last moment at which it could start and still meet its latency goal;
@@ -40,17 +41,6 @@
 FAILING_SLOWDOWN = 6.0
 
 
-class _Allocation(msgspec.Struct, frozen=True):
-    """The part of the queue that may go into a target's next call."""
-
-    #: Number of pieces at the head of the queue that are left to faster targets.
-    skipped_pieces: int
-    #: Maximum number of pieces in the call.
-    max_pieces: int
-    #: Whether the call only shows whether the target works again.
-    is_probe: bool = False
-
-
 class Batcher:
     """Queues the pieces of one service and assigns them to calls.
 
@@ -65,6 +55,8 @@
         #: The jobs that have not ended.
         self.jobs = PieceQueue()
         self._calls: dict[int, RunningCall] = {}
+        # By target, the approximate bytes that its calls in flight will store.
+        self._expected_bytes: Counter[str] = Counter()
         self._storage = StorageUsage()
         self._history = CallHistory()
 
@@ -160,23 +152,22 @@
         self._history.remove_unlisted(target_ids)
         relative_slowdowns = self._find_relative_slowdowns(target_ids)
         fast_targets = [x for x in targets if relative_slowdowns[x.target] == 1.0]
+        dispatch_round = DispatchRound(
+            self.jobs,
+            limits,
+            now,
+            self._find_spare_bytes(targets, limits),
+            self._describe_zone_targets(fast_targets, limits, now),
+        )
         for target in sorted(free, key=lambda each: relative_slowdowns[each.target]):
-            free_bytes = self._find_free_bytes(target, limits)
-            spare_bytes = self._find_spare_bytes(targets, limits)
-            zone_waits = self._estimate_zone_waits(fast_targets, limits, now)
             allocation = self._allocate(target, relative_slowdowns, limits, now)
-            pieces = self._choose_pieces(
-                target,
-                limits,
-                free_bytes,
-                spare_bytes,
-                zone_waits,
-                allocation,
-                now,
-            )
+            free_bytes = self._find_free_bytes(target, limits)
+            pieces = dispatch_round.choose_pieces(target, allocation, free_bytes)
             if not pieces:
                 continue
-            calls.append(self._start_call(target, pieces, limits, now))
+            call = self._start_call(target, pieces, limits, now)
+            calls.append(call)
+            dispatch_round.record_call(target, self._calls[call.call].result_bytes)
         return calls
 
     def _find_relative_slowdowns(self, targets: Sequence[str]) -> dict[str, float]:
@@ -217,7 +208,7 @@
         relative_slowdowns: dict[str, float],
         limits: PieceLimits,
         now: float,
-    ) -> _Allocation:
+    ) -> Allocation:
         """Find the part of the queue from which a target may get pieces.
 
         A slow target skips as many pieces as the fast targets start before the slow
@@ -225,15 +216,15 @@
         """
         relative_slowdown = relative_slowdowns[target.target]
         if relative_slowdown == 1.0:
-            return _Allocation(0, limits.batch)
+            return Allocation(0, limits.batch)
         fast_targets = sum(each == 1.0 for each in relative_slowdowns.values())
         skipped = int(fast_targets * limits.slots * limits.batch * relative_slowdown)
         waiting = self.jobs.waiting_pieces
         if waiting <= skipped and self._history.slowdowns.is_probe_due(
             target.target, now
         ):
-            return _Allocation(waiting // 2, 1, is_probe=True)
-        return _Allocation(skipped, limits.batch)
+            return Allocation(waiting // 2, 1, is_probe=True)
+        return Allocation(skipped, limits.batch)
 
     def finish(
         self, call: int, results: Sequence[PieceResult], now: float
@@ -279,6 +270,7 @@
     def _end_call(self, number: int, now: float) -> RunningCall:
         """Remove a call; the one that was sent ahead of its end starts now."""
         ended = self._calls.pop(number)
+        self._expected_bytes[ended.target.target] -= ended.result_bytes
         for other, call in self._calls.items():
             if call.target == ended.target and call.is_ahead:
                 self._calls[other] = msgspec.structs.replace(
@@ -320,27 +312,24 @@
         if rejected_sizes:
             self._storage.record_full(target_id, min(rejected_sizes), limits, now)
 
-    def _estimate_zone_waits(
+    def _describe_zone_targets(
         self, targets: Sequence[ForwardTarget], limits: PieceLimits, now: float
-    ) -> ZoneWaits:
-        """Estimate when targets can take calls, for pieces that wait for one zone.
+    ) -> dict[str, ZoneTarget]:
+        """Describe, by id, the targets for which pieces may wait.
 
         :param targets: targets that accept work and are not slow.
         :param limits: their limits.
         :param now: the current time, in seconds.
         """
-        zone_targets = [
-            ZoneTarget(
+        return {
+            each.target: ZoneTarget(
                 each.zone,
                 self._find_free_in(each, limits, now),
                 self._find_free_bytes(each, limits),
             )
             for each in targets
             if self._history.is_available(each.target, now)
-        ]
-        needed_bytes = self.jobs.find_largest_unstarted_bytes()
-        is_storage_short = needed_bytes > self._find_spare_bytes(targets, limits)
-        return ZoneWaits(zone_targets, limits, now, is_storage_short=is_storage_short)
+        }
 
     def _find_free_in(
         self, target: ForwardTarget, limits: PieceLimits, now: float
@@ -358,13 +347,8 @@
 
     def _find_free_bytes(self, target: ForwardTarget, limits: PieceLimits) -> float:
         """Find the bytes that a target has left after its calls in flight."""
-        expected = sum(
-            self.jobs.find_result_bytes(piece)
-            for call in self._calls.values()
-            if call.target == target
-            for piece in call.pieces
-        )
-        return self._storage.find_free_bytes(target.target, limits) - expected
+        free_bytes = self._storage.find_free_bytes(target.target, limits)
+        return free_bytes - self._expected_bytes[target.target]
 
     def _find_spare_bytes(
         self, targets: Sequence[ForwardTarget], limits: PieceLimits
@@ -373,7 +357,7 @@
 
         Targets whose latest call failed don't count while another one works.
         """
-        if not limits.result_capacity_bytes:
+        if not limits.result_capacity_bytes or self._storage.is_empty:
             return math.inf
         working = [x for x in targets if not self._history.is_failing(x.target)]
         free_bytes = sum(
@@ -382,48 +366,6 @@
         )
         return free_bytes - self.jobs.count_reserved_bytes()
 
-    def _choose_pieces(
-        self,
-        target: ForwardTarget,
-        limits: PieceLimits,
-        free_bytes: float,
-        spare_bytes: float,
-        zone_waits: ZoneWaits,
-        allocation: _Allocation,
-        now: float,
-    ) -> list[PieceRef]:
-        """Choose the pieces of one call.
-
-        A job is started only when there is storage for all its results, and started
-        jobs go first: the results of an incomplete job occupy storage that other
-        jobs need.
-        """
-        chosen: list[PieceRef] = []
-        skipped = 0
-        call_end = now + estimate_call_ms(limits.batch, limits) / 1000
-        for number, job in self.jobs.list_waiting(target.zone, call_end):
-            if zone_waits.must_wait(job, target.zone):
-                continue
-            if skipped < allocation.skipped_pieces:
-                skipped += len(job.waiting)
-                continue
-            if allocation.is_probe and job.is_started:
-                continue
-            size = job.job.result_bytes
-            if not job.is_started:
-                job_bytes = size * len(job.waiting)
-                if job_bytes > spare_bytes and not self._storage.is_empty:
-                    continue
-                spare_bytes -= job_bytes
-            for index in job.waiting:
-                if len(chosen) >= allocation.max_pieces:
-                    return chosen
-                if size > free_bytes:
-                    break
-                free_bytes -= size
-                chosen.append(PieceRef(number, index))
-        return chosen
-
     def _start_call(
         self,
         target: ForwardTarget,
@@ -434,8 +376,12 @@
         number = next(self._call_numbers)
         in_flight = sum(x.target == target for x in self._calls.values())
         is_ahead = in_flight >= limits.slots
-        call = RunningCall.start(target, pieces, limits, now, is_ahead=is_ahead)
+        result_bytes = sum(self.jobs.find_result_bytes(piece) for piece in pieces)
+        call = RunningCall.start(
+            target, pieces, limits, now, result_bytes, is_ahead=is_ahead
+        )
         self._calls[number] = call
+        self._expected_bytes[target.target] += result_bytes
         items = tuple(self._start_piece(piece, target.zone, now) for piece in pieces)
         remaining_ms = max(each.remaining_ms for each in items)
         timeout_ms = self._history.find_timeout_ms(target.target, call.expected_ms)
--- a/packages/forwarding/bramleyspread_forwarding/_paces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_paces.py
@@ -84,7 +84,7 @@
             less, when the target counts as slow; else 1.
         """
         slowdown = self._slowdowns.get(target)
-        if slowdown is None:
+        if slowdown is None or slowdown.factor <= MIN_SLOW_FACTOR:
             return 1.0
         others = [self.find_slowdown(each) for each in targets if each != target]
         factor = slowdown.factor / max(median(others), 1.0) if others else 1.0
