Leave stages less time when an engine will read a long prompt

Cause: stages were given all but 300 ms of the goal, whatever the prompt. The estimate now counts the prompt's own part, up to half of the goal, so that the longest prompts are not taken as late from the start.

--- a/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
@@ -19,11 +19,13 @@
     PieceResult,
     ReadyStage,
     StageRun,
+    estimate_reading_ms,
     find_preferred_engine,
 )
 
-#: Assumed time from the end of the last stage to the target's first event, in ms.
-DEFAULT_TARGET_MS = 300.0
+#: Share of the latency goal that a long prompt may take at most in estimates, so that
+#: its request does not count as late before it has started.
+MAX_TARGET_SHARE = 0.5
 #: Share of a result's lifetime during which stages may wait to use it.
 RESULT_LIFETIME_SHARE = 0.9
 #: Maximum time for which a stage without inputs may wait, in ms.
@@ -216,7 +218,12 @@
                 longest = max(
                     longest, stage_ms + self._estimate_downstream_ms(successor)
                 )
-        return longest or DEFAULT_TARGET_MS
+        return longest or self._estimate_target_ms()
+
+    def _estimate_target_ms(self) -> float:
+        """Estimate the time from the last stage to the first event, in ms."""
+        target_ms = estimate_reading_ms(self._request.prompt)
+        return min(target_ms, self._route.aim_ms * MAX_TARGET_SHARE)
 
     def _estimate_stage_ms(self, number: int) -> float:
         """Estimate the duration of a stage, in milliseconds."""
@@ -237,7 +244,7 @@
         estimates_ms = [
             self._estimate_stage_ms(x) + self._estimate_downstream_ms(x) for x in stages
         ]
-        return max(estimates_ms, default=DEFAULT_TARGET_MS)
+        return max(estimates_ms, default=self._estimate_target_ms())
 
     async def release(self) -> None:
         """Release the results of the last run, unless they are released already."""
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -43,7 +43,10 @@
     PlaceStep,
     TargetLoad,
 )
-from bramleyspread_forwarding._prompt_affinity import find_preferred_engine
+from bramleyspread_forwarding._prompt_affinity import (
+    estimate_reading_ms,
+    find_preferred_engine,
+)
 from bramleyspread_forwarding._registry import TargetRegistry
 from bramleyspread_forwarding._requests import (
     ForwardRequest,
@@ -127,6 +130,7 @@
     "divide_targets",
     "find_owner",
     "find_preferred_engine",
+    "estimate_reading_ms",
     "find_call_lead_s",
     "find_shard_of",
     "rank_owners",
--- a/packages/forwarding/bramleyspread_forwarding/_placement.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement.py
@@ -17,14 +17,12 @@
     PlaceStep,
 )
 from bramleyspread_forwarding._prompt_affinity import (
+    PREFILL_TOKENS_PER_MS,
     find_preferred_engine,
     list_shared_parts,
 )
 from bramleyspread_forwarding._targets import ForwardTarget
 
-#: Approximate number of prompt tokens that an engine reads per millisecond alongside
-#: its other work.
-PREFILL_TOKENS_PER_MS = 30.0
 #: Time that each other request at the target adds to the time to first token, in ms.
 RUNNING_REQUEST_MS = 0.5
 #: Additional time to first token for each request waiting at the target, in ms.
