Tell callers of a host that isn't ready to come back when it is

They refused with 0.5 s to come back, so a caller's one retry came too early and was refused as well. Now the time says what is left of 1.5 s since the start.

--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -46,6 +46,9 @@
     MalformedRequest,
 )
 
+#: Time in which a host is ready for callers after its start, also when all control
+#: hosts start at the same time, in seconds.
+READY_IN_S = 1.5
 #: Interval at which the settings file is checked for changes, in seconds.
 SETTINGS_CHECK_INTERVAL_S = 1.0
 #: Interval at which it is checked whether the views received from control hosts are
@@ -70,6 +73,7 @@
     ) -> None:
         self._source = source
         self._process = process
+        self._started_at = process.now()
         self._settings = settings
         self._wire = callers
         #: State shared by all requests.
@@ -132,13 +136,14 @@
         """Match a request to a route, and authenticate its caller."""
         if isinstance(request, MalformedRequest):
             return Refusal(status=request.status, why=request.why)
+        retry_after_s = self._estimate_ready_in()
         if self.context.routes is None:
-            return Refusal(status=503, why="not ready", retry_after_s=RETRY_AFTER_S)
+            return Refusal(status=503, why="not ready", retry_after_s=retry_after_s)
         route = self.context.find_route(request.host, request.path)
         is_fresh = self.context.keys.is_fresh(self._process.now())
         if route is None and not is_fresh:
             why = "no such route in a document that can't be confirmed now"
-            return Refusal(status=503, why=why, retry_after_s=RETRY_AFTER_S)
+            return Refusal(status=503, why=why, retry_after_s=retry_after_s)
         if route is None:
             return Refusal(status=404, why="no such route")
         holder = None
@@ -146,12 +151,17 @@
             found = self.context.keys.find_holder(request.key, self._process.now())
             if isinstance(found, KeysUnconfirmed):
                 why = "keys can't be confirmed now"
-                return Refusal(status=503, why=why, retry_after_s=RETRY_AFTER_S)
+                return Refusal(status=503, why=why, retry_after_s=retry_after_s)
             if isinstance(found, KeyUnknown):
                 return Refusal(status=401, why="no such key")
             holder = found
         return RequestForwarder(self.context, self._wire, request, route, holder, reply)
 
+    def _estimate_ready_in(self) -> float:
+        """Estimate when this host is ready if it isn't now, in seconds."""
+        ready_at = self._started_at + READY_IN_S
+        return max(RETRY_AFTER_S, ready_at - self._process.now())
+
     def _log_admission(
         self,
         request: ForwardRequest | MalformedRequest,
