Send only what changes among entry hosts with the feed, and find returning control hosts sooner

Cause 1: each page named all entry hosts again when any of them changed. At 195 hosts, of which four restart between two polls, an entry host got 23.9 KB a page, 150 KB/s from five control hosts, where 10 KB/s are meant (test in virtual time). Pages now carry the hosts that were added or removed since the revision that the asker knows; an asker that is too far behind gets the whole list, and one that doesn't understand the changes asks for it. The list of live hosts, needed for each job, is only built again when it changes. The connection is given 0.25 s now.

--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -232,11 +232,10 @@
         known = query.position if query.incarnation == self._incarnation else 0
         deployment = self._node.deployment
         version = deployment.version if deployment is not None else 0
+        is_same_process = query.incarnation == self._incarnation
+        known_revision = query.entries_revision if is_same_process else 0
         entries = self._live_hosts.list_live(now)
-        is_list_new = (
-            query.incarnation != self._incarnation
-            or query.entries_revision != self._live_hosts.revision
-        )
+        host_changes = self._live_hosts.list_changes(known_revision)
         page = FeedPage(
             incarnation=self._incarnation,
             position=self.registry.position,
@@ -245,7 +244,10 @@
             version=version,
             confirmed=self._node.is_deployment_confirmed(now),
             control=self._node.list_control_addresses(),
-            entries=entries if is_list_new else None,
+            entries=entries if host_changes is None else None,
+            added_entries=host_changes.added if host_changes is not None else (),
+            removed_entries=host_changes.removed if host_changes is not None else (),
+            known_revision=known_revision,
             entries_revision=self._live_hosts.revision,
         )
         pending.reply.send_json(page)
--- a/packages/daemon/bramleyspread_daemon/forward/_feed_link.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_feed_link.py
@@ -19,6 +19,9 @@
 POLL_TIMEOUT_S = 1.2
 #: Delay after a failed poll, in seconds.
 RETRY_DELAY_S = 0.25
+#: Timeout for connecting to a control host, in seconds. A host without power does not
+#: answer; it must be found soon after it is back.
+CONNECT_TIMEOUT_S = 0.25
 
 
 class FeedLink:
@@ -65,7 +68,9 @@
         requested_at = read_monotonic()
         body = encode_json(self._make_query(host))
         try:
-            response = await self._pool.request(host, FEED_PATH, body, POLL_TIMEOUT_S)
+            response = await self._pool.request(
+                host, FEED_PATH, body, POLL_TIMEOUT_S, connect_timeout=CONNECT_TIMEOUT_S
+            )
             if response.status != 200:
                 return False
             page: FeedPage = decode_json(response.body, FeedPage)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_feed.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_feed.py
@@ -24,6 +24,8 @@
 CONTROL = Address("10.1.0.200", 8628)
 #: Number of entry hosts and of control hosts of the site.
 ENTRY_HOSTS, CONTROL_HOSTS = 83, 5
+#: Number of entry hosts of a larger site, and how many restart between two polls.
+LARGE_ENTRY_HOSTS, RESTARTS_PER_POLL = 195, 4
 #: Bytes per second that a daemon may spend for control.
 MAX_CONTROL_BYTES_PER_S = 10_000
 
@@ -112,6 +114,30 @@
     assert size * CONTROL_HOSTS / FEED_HOLD_S <= MAX_CONTROL_BYTES_PER_S
 
 
+# Guards against pages that name all entry hosts again whenever one of them restarts:
+# 195 hosts that restart in turn, or all at once.
+def test_feed_stays_within_the_bytes_for_control_while_hosts_restart_in_turn(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> list[int]:
+        control = make_control()
+        entries = [make_entry(number) for number in range(LARGE_ENTRY_HOSTS)]
+        await poll_at_once(control, entries)
+        await poll_at_once(control, entries)
+        sizes = []
+        for number in range(1, 40, 4):
+            for at in range(number, number + RESTARTS_PER_POLL):
+                entries[at] = make_entry(at, entries[at].own.started + 1)
+            await poll_at_once(control, entries[1:])
+            sizes.append(await poll(control, entries[0]))
+            assert entries[number].own in entries[0].list_hosts()
+        return sizes
+
+    sizes = run_in_virtual_time(monkeypatch, main)
+    mean = sum(sizes) / len(sizes)
+    assert mean * CONTROL_HOSTS / (2 * FEED_HOLD_S) <= MAX_CONTROL_BYTES_PER_S
+
+
 async def poll_at_once(
     control: ForwardControl, entries: Sequence[ForwardContext]
 ) -> None:
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -12,7 +12,7 @@
 )
 from bramleyspread_forwarding._held_results import HeldResults
 from bramleyspread_forwarding._keys import KeyRing, KeysUnconfirmed, KeyUnknown
-from bramleyspread_forwarding._live_hosts import LiveHosts
+from bramleyspread_forwarding._live_hosts import HostChanges, LiveHosts
 from bramleyspread_forwarding._outcomes import (
     AttemptEnd,
     Delivered,
@@ -85,6 +85,7 @@
     "HeldResult",
     "HeldResults",
     "JobDone",
+    "HostChanges",
     "KeyRing",
     "KnownEntries",
     "KeyUnknown",
--- a/packages/forwarding/bramleyspread_forwarding/_feed.py
+++ b/packages/forwarding/bramleyspread_forwarding/_feed.py
@@ -42,7 +42,7 @@
     entries_revision: int = 0
 
 
-class FeedPage(msgspec.Struct, frozen=True, kw_only=True):
+class FeedPage(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """The answer to :class:`FeedQuery`."""
 
     #: Id of the control host's process.
@@ -61,9 +61,15 @@
     #: Addresses of the control hosts.
     control: tuple[Address, ...] = ()
     #: The entry hosts that polled the feed lately; None if they are those of the
-    #: revision that the query names.
+    #: revision that the query names, but for the changes.
     entries: tuple[EntryHost, ...] | None = None
-    #: Revision of that list, in this process of the control host.
+    #: Entry hosts that were added or restarted since that revision.
+    added_entries: tuple[EntryHost, ...] = ()
+    #: Names of the entry hosts that were removed since that revision.
+    removed_entries: tuple[str, ...] = ()
+    #: That revision, in this process of the control host.
+    known_revision: int = 0
+    #: Revision of the list after this page.
     entries_revision: int = 0
 
 
@@ -80,24 +86,37 @@
         """Return the entry hosts after a page of the same control host.
 
         :param page: the page.
+        :returns: the entry hosts; none if the page's changes are those of another list.
 
         >>> from bramleyspread_core import Address
-        >>> host = EntryHost("e", "z", Address("10.0.0.1", 1))
+        >>> first = EntryHost("e", "z", Address("10.0.0.1", 1))
+        >>> second = EntryHost("f", "z", Address("10.0.0.2", 1))
         >>> named = FeedPage(
-        ...     incarnation="a", position=0, entries=(host,), entries_revision=1
+        ...     incarnation="a", position=0, entries=(first,), entries_revision=1
+        ... )
+        >>> changed = FeedPage(
+        ...     incarnation="a",
+        ...     position=0,
+        ...     added_entries=(second,),
+        ...     removed_entries=("e",),
+        ...     known_revision=1,
+        ...     entries_revision=3,
         ... )
-        >>> unchanged = FeedPage(incarnation="a", position=0, entries_revision=1)
         >>> known = KnownEntries().apply(named)
-        >>> known.apply(unchanged).entries == (host,)
+        >>> known.apply(changed).entries == (second,)
         True
-        >>> restarted = FeedPage(incarnation="b", position=0, entries_revision=1)
+        >>> restarted = FeedPage(incarnation="b", position=0, known_revision=1)
         >>> known.apply(restarted).entries
         ()
         """
         if page.entries is not None:
             return KnownEntries(page.incarnation, page.entries_revision, page.entries)
-        is_known = (page.incarnation, page.entries_revision) == (
-            self.incarnation,
-            self.revision,
-        )
-        return self if is_known else KnownEntries()
+        if (page.incarnation, page.known_revision) != (self.incarnation, self.revision):
+            return KnownEntries()
+        if page.entries_revision == self.revision:
+            return self
+        replaced = {each.host for each in page.added_entries}
+        replaced.update(page.removed_entries)
+        kept = [each for each in self.entries if each.host not in replaced]
+        entries = (*kept, *page.added_entries)
+        return KnownEntries(page.incarnation, page.entries_revision, entries)
--- a/packages/forwarding/bramleyspread_forwarding/_live_hosts.py
+++ b/packages/forwarding/bramleyspread_forwarding/_live_hosts.py
@@ -2,8 +2,34 @@
 
 from __future__ import annotations
 
+import math
+
+import msgspec
+
 from bramleyspread_forwarding._feed import EntryHost
 
+#: Number of removed hosts that are remembered for lists of changes.
+MAX_REMOVED = 1_000
+
+
+class HostChanges(msgspec.Struct, frozen=True):
+    """How a list of hosts differs from an earlier revision of it."""
+
+    #: Hosts that were added, or whose process was replaced by a newer one.
+    added: tuple[EntryHost, ...] = ()
+    #: Names of the hosts that were removed.
+    removed: tuple[str, ...] = ()
+
+
+class _LiveHost(msgspec.Struct):
+    """A host that was reported lately."""
+
+    host: EntryHost
+    #: When it was last reported, in seconds.
+    recorded_at: float
+    #: Revision of the list at which this process of the host was added.
+    added_revision: int
+
 
 class LiveHosts:
     """Entry hosts that were reported lately, each with its newest process only.
@@ -16,33 +42,75 @@
     ...     live_hosts.record(host, 0.0)
     >>> live_hosts.list_live(1.0) == (restarted,)
     True
+    >>> live_hosts.list_changes(1).added == (restarted,)
+    True
     >>> live_hosts.list_live(2.0)
     ()
+    >>> live_hosts.list_changes(2).removed
+    ('e',)
     """
 
-    __slots__ = ("_hosts", "_ttl_s", "revision")
+    __slots__ = ("_check_at", "_hosts", "_live", "_removed", "_ttl_s", "revision")
 
     def __init__(self, ttl_s: float) -> None:
         self._ttl_s = ttl_s
-        self._hosts: dict[str, tuple[EntryHost, float]] = {}
+        self._hosts: dict[str, _LiveHost] = {}
+        # By name, the revision at which a host was removed; oldest first.
+        self._removed: dict[str, int] = {}
+        # The live hosts sorted by name; None if they have changed.
+        self._live: tuple[EntryHost, ...] | None = None
+        # No host expires before this time.
+        self._check_at = -math.inf
         #: Number of changes of the list so far.
         self.revision = 0
 
     def record(self, host: EntryHost, now: float) -> None:
         """Record that a host is live; an older process of a known host is ignored."""
         known = self._hosts.get(host.host)
-        if known is not None and known[0] == host:
+        if known is not None and known.host == host:
             # The same object each time makes lists of hosts cheap to compare.
-            self._hosts[host.host] = (known[0], now)
-        elif known is None or known[0].started <= host.started:
-            self._hosts[host.host] = (host, now)
+            known.recorded_at = now
+        elif known is None or known.host.started <= host.started:
             self.revision += 1
+            self._hosts[host.host] = _LiveHost(host, now, self.revision)
+            self._removed.pop(host.host, None)
+            self._live = None
 
     def list_live(self, now: float) -> tuple[EntryHost, ...]:
         """List the live hosts, sorted by name, and remove the expired ones."""
+        if self._live is None or now >= self._check_at:
+            self._remove_expired(now)
+        if self._live is None:
+            self._live = tuple(self._hosts[name].host for name in sorted(self._hosts))
+        return self._live
+
+    def _remove_expired(self, now: float) -> None:
         expired_before = now - self._ttl_s
-        for name, (_, recorded_at) in tuple(self._hosts.items()):
-            if recorded_at < expired_before:
-                del self._hosts[name]
-                self.revision += 1
-        return tuple(self._hosts[name][0] for name in sorted(self._hosts))
+        oldest = now
+        for name, each in tuple(self._hosts.items()):
+            if each.recorded_at >= expired_before:
+                oldest = min(oldest, each.recorded_at)
+                continue
+            self.revision += 1
+            del self._hosts[name]
+            self._removed[name] = self.revision
+            self._live = None
+        while len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
+        self._check_at = oldest + self._ttl_s
+
+    def list_changes(self, revision: int) -> HostChanges | None:
+        """List how the list has changed since an earlier revision.
+
+        :param revision: the revision.
+        :returns: the changes; None if they are not known, or are more than the hosts.
+        """
+        if len(self._removed) >= MAX_REMOVED or not 0 < revision <= self.revision:
+            return None
+        added = tuple(
+            each.host for each in self._hosts.values() if each.added_revision > revision
+        )
+        removed = tuple(x for x, at in self._removed.items() if at > revision)
+        if len(added) + len(removed) > max(len(self._hosts), 1):
+            return None
+        return HostChanges(added, removed)
