--- a/packages/tool/bramleyspread_tool/_arguments.py
+++ b/packages/tool/bramleyspread_tool/_arguments.py
@@ -46,6 +46,10 @@
     explain = _add_command(commands, "explain", "explain one request from log files")
     explain.add_argument("request", help="the caller's id of the request")
     explain.add_argument("files", nargs="+", type=Path, metavar="LOG")
+    causes = _add_command(
+        commands, "causes", "count why requests were not served, from log files"
+    )
+    causes.add_argument("files", nargs="+", type=Path, metavar="LOG")
     cost = _add_command(
         commands, "cost", "show cost by service, organisation, brand and stage"
     )
--- a/packages/tool/bramleyspread_tool/_log_files.py
+++ b/packages/tool/bramleyspread_tool/_log_files.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 import msgspec
@@ -56,22 +56,31 @@
     """
     by_host: dict[str, list[LogLine]] = {}
     unreadable_line_count = 0
+    for line in iterate_lines(paths):
+        if line is None:
+            unreadable_line_count += 1
+        else:
+            by_host.setdefault(line.host, []).append(line)
+    return LogFiles(
+        {host: tuple(x) for host, x in by_host.items()}, unreadable_line_count
+    )
+
+
+def iterate_lines(paths: Sequence[Path]) -> Iterator[LogLine | None]:
+    """Read log files line by line, as :func:`read_logs` does.
+
+    :param paths: the files.
+    :returns: the lines; None for each line that can't be read.
+    :raises InvalidFileError: if a file can't be read.
+    """
     for path in paths:
         try:
-            data = path.read_bytes()
+            with path.open("rb") as file:
+                for raw in file:
+                    if b"{" in raw:
+                        yield _parse_line(raw[raw.index(b"{") :])
         except OSError as error:
             raise InvalidFileError(str(path), (f"{error.strerror}",)) from None
-        for raw in data.split(b"\n"):
-            if b"{" not in raw:
-                continue
-            line = _parse_line(raw[raw.index(b"{") :])
-            if line is None:
-                unreadable_line_count += 1
-            else:
-                by_host.setdefault(line.host, []).append(line)
-    return LogFiles(
-        {host: tuple(x) for host, x in by_host.items()}, unreadable_line_count
-    )
 
 
 def _parse_line(raw: bytes) -> LogLine | None:
--- a/packages/tool/bramleyspread_tool/_main.py
+++ b/packages/tool/bramleyspread_tool/_main.py
@@ -13,12 +13,13 @@
     encode_json,
 )
 from bramleyspread_tool._arguments import build_parser
+from bramleyspread_tool._causes import count_causes, format_causes
 from bramleyspread_tool._check import check_files
 from bramleyspread_tool._control import ControlClient
 from bramleyspread_tool._cost import fetch_costs, format_cost_table, merge_reports
 from bramleyspread_tool._exit import ExitCode
 from bramleyspread_tool._explain import UnknownRequest, explain, format_explanation
-from bramleyspread_tool._log_files import read_logs
+from bramleyspread_tool._log_files import iterate_lines, read_logs
 from bramleyspread_tool._report import format_documents, format_statuses
 from bramleyspread_tool._settings import ToolSettings, read_file
 from bramleyspread_tool._submit import submit_document, wait_in_force
@@ -124,6 +125,15 @@
     return ExitCode.DONE
 
 
+def _run_causes(arguments: Namespace) -> int:
+    report = count_causes(iterate_lines(arguments.files))
+    if arguments.json:
+        _print_json(report)
+    else:
+        _print_lines(format_causes(report))
+    return ExitCode.DONE
+
+
 def _run_cost(arguments: Namespace) -> int:
     settings = ToolSettings.from_arguments(arguments)
     reports, faults = fetch_costs(settings.parse_entry_hosts())
@@ -159,5 +169,6 @@
     "status": _run_status,
     "timeline": _run_timeline,
     "explain": _run_explain,
+    "causes": _run_causes,
     "cost": _run_cost,
 }
