Hand leadership over when the leader's disk is slow beside a quorum of others

Each replica measures its syncs and tells the leader with its answers; a leader that takes five times as long as a quorum of others (10 ms at least) hands over to one that doesn't, once, and not in its first five seconds. A disk that hangs still holds its process up: open.

--- a/packages/control/bramleyspread_control/_consensus_state.py
+++ b/packages/control/bramleyspread_control/_consensus_state.py
@@ -65,6 +65,8 @@
         #: The last time at which a leader confirmed that this log is complete, or at
         #: which this replica as leader was in contact with a quorum.
         self.last_confirmed_at = -math.inf
+        #: Smoothed duration of this host's syncs, in seconds; 0 before the first.
+        self.sync_s = 0.0
         #: Start time of this process, in monotonic seconds.
         self.started_at = now
         #: Hosts of voters that are known to have lost their data folders.
--- a/packages/control/bramleyspread_control/_disk.py
+++ b/packages/control/bramleyspread_control/_disk.py
@@ -4,6 +4,7 @@
 
 import fcntl
 import os
+import time
 from collections.abc import Sequence
 from pathlib import Path
 from typing import IO, Protocol
@@ -59,6 +60,10 @@
     file only after ``sync_folder``. All operations raise :class:`DiskError`.
     """
 
+    @property
+    def last_sync_s(self) -> float:
+        """Duration of the last sync of a file, in seconds."""
+
     def list_names(self) -> list[str]:
         """List the names of all files, sorted."""
 
@@ -99,12 +104,13 @@
 class FileDisk:
     """A data folder in the file system, locked by this process."""
 
-    __slots__ = ("_boot_id", "_files", "_folder", "_lock")
+    __slots__ = ("_boot_id", "_files", "_folder", "_last_sync_s", "_lock")
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._files: dict[str, IO[bytes]] = {}
         self._lock: IO[bytes] | None = None
+        self._last_sync_s = 0.0
         self._boot_id = (
             BOOT_ID_FILE.read_text().strip() if BOOT_ID_FILE.exists() else ""
         )
@@ -140,6 +146,11 @@
             self._lock.close()
             self._lock = None
 
+    @property
+    def last_sync_s(self) -> float:
+        """Duration of the last sync of a file, in seconds."""
+        return self._last_sync_s
+
     def list_names(self) -> list[str]:
         """List the names of all files, sorted."""
         try:
@@ -170,15 +181,17 @@
 
     def sync(self, name: str) -> None:
         """Make the content of a file durable."""
+        started_at = time.monotonic()
         try:
             file = self._files.get(name)
             if file is not None:
                 os.fsync(file.fileno())
-                return
-            with (self._folder / name).open("rb") as other:
-                os.fsync(other.fileno())
+            else:
+                with (self._folder / name).open("rb") as other:
+                    os.fsync(other.fileno())
         except OSError as error:
             raise DiskError("sync", name, str(error)) from None
+        self._last_sync_s = time.monotonic() - started_at
 
     def sync_folder(self) -> None:
         """Make created, renamed and removed file names durable."""
--- a/packages/control/bramleyspread_control/_following.py
+++ b/packages/control/bramleyspread_control/_following.py
@@ -203,7 +203,14 @@
         consensus = self._consensus
         consensus.send(
             leader,
-            AppendResponse(consensus.group, consensus.term, matched, index, sent_at),
+            AppendResponse(
+                consensus.group,
+                consensus.term,
+                matched,
+                index,
+                sent_at,
+                consensus.sync_s,
+            ),
         )
 
 
--- a/packages/control/bramleyspread_control/_leading.py
+++ b/packages/control/bramleyspread_control/_leading.py
@@ -19,6 +19,15 @@
 from bramleyspread_control._progress import OutgoingSnapshot, ReplicaProgress
 from bramleyspread_core import HostName
 
+#: A leader hands over when its syncs take at least this many times as long as those of
+#: a quorum of others.
+SLOW_SYNC_FACTOR = 5.0
+#: Duration of a sync below which no disk counts as slow, in seconds.
+MIN_SLOW_SYNC_S = 0.01
+#: Time after its election in which a leader does not hand over for a slow disk, in
+#: seconds.
+MIN_LEADERSHIP_S = 5.0
+
 
 class LeaderState:
     """State and actions of a replica during one term as leader."""
@@ -119,9 +128,37 @@
             self._heartbeat_due_at = now + self._consensus.timings.heartbeat_interval_s
         for member in self._list_other_members():
             self._replicate(member, now, send_heartbeat)
-        if self._transfer_deadline is not None:
+        if self._transfer_deadline is None and self._is_disk_slow(now):
+            self._consensus.report_event(
+                "slow-disk", detail=f"syncs take {self._consensus.sync_s:.3f} s"
+            )
+            self.transfer_leadership(now)
+        elif self._transfer_deadline is not None:
             self._continue_transfer(now)
 
+    def _is_disk_slow(self, now: float) -> bool:
+        """Whether most other voters in contact sync many times as fast as this host.
+
+        A new leader stays for a while, so that leadership doesn't move back and forth.
+        """
+        own_s = self._consensus.sync_s
+        if own_s < MIN_SLOW_SYNC_S or now < self.elected_at + MIN_LEADERSHIP_S:
+            return False
+        if not self.term_committed:
+            return False
+        contact_since = now - self._consensus.timings.election_timeout_min_s
+        others = [
+            self._get_progress(member)
+            for member in self._list_other_members()
+            if member.voter
+        ]
+        is_faster = [
+            0.0 < each.sync_s * SLOW_SYNC_FACTOR <= own_s
+            and each.last_contact_at >= contact_since
+            for each in others
+        ]
+        return sum(is_faster) >= self._consensus.log.members.quorum
+
     def handle_append_response(
         self, sender: HostName, response: AppendResponse, now: float
     ) -> None:
@@ -130,6 +167,7 @@
         if progress is None:
             return
         progress.last_contact_at = max(progress.last_contact_at, response.sent_at)
+        progress.sync_s = response.sync_s
         if response.matched:
             progress.match_index = max(progress.match_index, response.index)
             if response.index + 1 > progress.next_index:
@@ -271,16 +309,18 @@
             and self._get_progress(member).match_index == consensus.log.last_index
         ]
         if candidates and self.term_committed:
-            successor = max(
-                candidates,
-                key=lambda member: self._get_progress(member).last_contact_at,
-            )
+            successor = max(candidates, key=self._rate_successor)
             self.transfer_requested = True
             consensus.report_event("leadership-handed-over", successor.host)
             consensus.send(
                 successor.host, StartElection(consensus.group, consensus.term)
             )
 
+    def _rate_successor(self, member: Member) -> tuple[bool, float]:
+        """Prefer successors that sync quickly, then those heard from most lately."""
+        progress = self._get_progress(member)
+        return progress.sync_s < MIN_SLOW_SYNC_S, progress.last_contact_at
+
     def _is_caught_up(self, member: Member, now: float) -> bool:
         """Whether a learner is reachable and has synced all committed entries."""
         progress = self._get_progress(member)
--- a/packages/control/bramleyspread_control/_memory_disk.py
+++ b/packages/control/bramleyspread_control/_memory_disk.py
@@ -53,6 +53,8 @@
         self.kill_at_step: int | None = None
         #: Number of bytes that can still be written; None for no limit.
         self.free_bytes: int | None = None
+        #: Duration that is reported of each sync, in seconds.
+        self.sync_s = 0.001
 
     def lose_power(self, rng: random.Random) -> MemoryDisk:
         """Return the folder as it may be found after a power cut.
@@ -61,7 +63,8 @@
         :returns: a new folder.
         """
         folder = MemoryDisk()
-        folder._boot_id, folder.free_bytes = rng.getrandbits(64), self.free_bytes
+        folder._boot_id = rng.getrandbits(64)
+        folder.free_bytes, folder.sync_s = self.free_bytes, self.sync_s
         files = self._files if rng.random() < 0.5 else self._synced_files
         for name, file in files.items():
             kept = _File()
@@ -75,7 +78,7 @@
         """Copy the folder as it is after the process was killed, without any loss."""
         folder = MemoryDisk()
         folder._boot_id, folder.steps = self._boot_id, self.steps
-        folder.free_bytes = self.free_bytes
+        folder.free_bytes, folder.sync_s = self.free_bytes, self.sync_s
         for name, file in self._files.items():
             kept = _File(file.changed_at_step)
             kept.content = bytearray(file.content)
@@ -107,6 +110,11 @@
         file.content[offset] ^= mask
         file.synced = bytes(file.content)
 
+    @property
+    def last_sync_s(self) -> float:
+        """Duration of the last sync of a file, in seconds."""
+        return self.sync_s if self.syncs else 0.0
+
     def list_names(self) -> list[str]:
         """List the names of all files, sorted."""
         return sorted(self._files)
--- a/packages/control/bramleyspread_control/_messages.py
+++ b/packages/control/bramleyspread_control/_messages.py
@@ -97,6 +97,8 @@
     index: int
     #: The leader's clock, copied from the request.
     sent_at: float
+    #: Smoothed duration of the replica's syncs, in seconds; 0 if unknown.
+    sync_s: float = 0.0
 
 
 class SnapshotChunk(_Message, frozen=True, tag="snapshot-piece"):
--- a/packages/control/bramleyspread_control/_progress.py
+++ b/packages/control/bramleyspread_control/_progress.py
@@ -76,6 +76,7 @@
         "retransmit_due_at",
         "session",
         "snapshot",
+        "sync_s",
     )
 
     def __init__(self, next_index: int) -> None:
@@ -86,6 +87,8 @@
         #: Sending time of the newest message that the replica has answered, in
         #: monotonic seconds.
         self.last_contact_at = -math.inf
+        #: Smoothed duration of the replica's syncs, in seconds; 0 if unknown.
+        self.sync_s = 0.0
         #: Time at which unanswered entries are sent again; 0 when none are in flight.
         self.retransmit_due_at = 0.0
         #: The snapshot that is being sent, if any.
--- a/packages/control/bramleyspread_control/_store.py
+++ b/packages/control/bramleyspread_control/_store.py
@@ -28,6 +28,8 @@
 
 #: Id of the group that replicates documents, orders and the deployment document.
 DOCUMENTS_GROUP = 0
+#: Weight of the latest sync in the smoothed duration of syncs.
+SYNC_SMOOTHING = 0.3
 
 
 class SettingsError(ValueError):
@@ -45,6 +47,8 @@
         now: float,
     ) -> None:
         self._config = config
+        self._disk = disk
+        self._sync_s = 0.0
         self._journal = Journal(disk)
         loaded = self._journal.load()
         if loaded is None:
@@ -119,6 +123,14 @@
         if records:
             self._journal.write(records, sync=True)
             self._folder_changed = True
+            self._record_sync_time()
+
+    def _record_sync_time(self) -> None:
+        """Tell all replicas how long syncs take, smoothed."""
+        latest_s = self._disk.last_sync_s
+        self._sync_s += SYNC_SMOOTHING * (latest_s - self._sync_s)
+        for replica in self.replicas.values():
+            replica.consensus.sync_s = self._sync_s
 
     def write_commits(self) -> None:
         """Write changed commit indexes without a sync, since their loss is harmless."""
