Let routes' priorities decide among organisations of the same priority

Cause of 'worth put behind what is less urgent', on every site: an organisation's priority took the place of the route's. The organisation's priority goes first now, and the route's decides among equals; engines are told the same rank. Before: test_routes_decide_among_organisations_of_the_same_priority fails (1, 1, 1).

--- a/packages/core/bramleyspread_core/_deployment.py
+++ b/packages/core/bramleyspread_core/_deployment.py
@@ -152,7 +152,7 @@
     #: The organisation's name, which is also sent to targets.
     name: str
     keys: tuple[str, ...]
-    #: Priority that overrides the route's; None to use the route's.
+    #: Priority that goes before the route's; 0 is the most urgent, None for none.
     priority: int | None = None
 
 
--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -181,6 +181,12 @@
         """Choose the service for a request; empty if no document is in force."""
         return self.routes.choose_service(route, request) if self.routes else ""
 
+    def rank_urgency(self, route: ForwardRoute, holder_priority: int | None) -> int:
+        """Rank a request by the document in force; 0 is the most urgent."""
+        if self.routes is None:
+            return 0
+        return self.routes.rank_urgency(route, holder_priority)
+
     def find_route(self, host: str, path: str) -> ForwardRoute | None:
         """Return the route that matches a host and path."""
         return self.routes.find_route(host, path) if self.routes is not None else None
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -73,7 +73,7 @@
             self._started_at + min(timeout_ms, float(route.timeout_ms)) / 1000
         )
         holder_priority = holder.priority if holder is not None else None
-        self._priority = route.priority if holder_priority is None else holder_priority
+        self._priority = context.rank_urgency(route, holder_priority)
         self._stages = StageWork(
             context, request, route, self._priority, self._started_at, self._deadline
         )
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
@@ -178,6 +178,7 @@
         version=1,
         own=EntryHost("e", "z", Address("127.0.0.1", 2)),
         choose_service=lambda *_: "s",
+        rank_urgency=lambda *_: 0,
         get_retry_budget=lambda _: budget,
         list_hosts=tuple,
         placement=FakePlacement(),
@@ -204,7 +205,11 @@
         raise KeyError("internal error")
 
     context = SimpleNamespace(
-        in_flight=0, end_counts=Counter(), version=1, choose_service=fail
+        in_flight=0,
+        end_counts=Counter(),
+        version=1,
+        choose_service=fail,
+        rank_urgency=lambda *_: 0,
     )
     reply = RecordingReply()
     forwarder = make_forwarder(ROUTE, context, FakeWire(), reply)
--- a/packages/forwarding/bramleyspread_forwarding/_routing.py
+++ b/packages/forwarding/bramleyspread_forwarding/_routing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
+
 import xxhash
 
 from bramleyspread_core import Deployment, ForwardRoute, ForwardService
@@ -10,12 +12,21 @@
 class RouteTable:
     """The routes of one deployment document, by host and longest path prefix."""
 
-    __slots__ = ("_routes_by_host", "_services", "version")
+    __slots__ = (
+        "_holder_priorities",
+        "_route_priorities",
+        "_routes_by_host",
+        "_services",
+        "version",
+    )
 
     def __init__(self, deployment: Deployment) -> None:
         #: Version of the document.
         self.version = deployment.version
         self._services = {each.name: each for each in deployment.services}
+        priorities = {each.priority for each in deployment.holders or ()}
+        self._holder_priorities = sorted(x for x in priorities if x is not None)
+        self._route_priorities = sorted({each.priority for each in deployment.routes})
         self._routes_by_host: dict[str, list[ForwardRoute]] = {}
         for route in deployment.routes:
             self._routes_by_host.setdefault(route.host.lower(), []).append(route)
@@ -39,6 +50,23 @@
         """Find a service by name."""
         return self._services.get(name)
 
+    def rank_urgency(self, route: ForwardRoute, holder_priority: int | None) -> int:
+        """Rank a request among all that the document allows; 0 is the most urgent.
+
+        The priority of the caller's organisation goes before the route's, which decides
+        among organisations of the same priority. Callers without an organisation, or
+        whose organisation has no priority, rank with the least urgent ones.
+
+        :param route: the route.
+        :param holder_priority: priority of the caller's organisation; None for none.
+        :returns: the rank, which is the same on all hosts with this document.
+        """
+        holder_rank = max(len(self._holder_priorities) - 1, 0)
+        if holder_priority is not None:
+            holder_rank = bisect_left(self._holder_priorities, holder_priority)
+        route_rank = bisect_left(self._route_priorities, route.priority)
+        return holder_rank * len(self._route_priorities) + route_rank
+
     def choose_service(self, route: ForwardRoute, request: str) -> str:
         """Choose one of a route's services according to their weights.
 
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_requests.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_requests.py
@@ -63,6 +63,37 @@
     assert (found.prefix if found else None) == prefix
 
 
+def rank_all(*holder_priorities: int | None) -> list[tuple[int, str]]:
+    """Rank three kinds of request of some organisations."""
+    routes = tuple(make_route(f"/{x}/", priority=x) for x in (0, 1, 2))
+    holders = tuple(
+        OrganisationKeys(name=f"org-{each}", keys=(f"key-{each}",), priority=each)
+        for each in holder_priorities
+    )
+    table = RouteTable(Deployment(version=1, routes=routes, holders=holders))
+    return sorted(
+        (table.rank_urgency(route, holder), f"{holder}:{route.priority}")
+        for route in routes
+        for holder in holder_priorities
+    )
+
+
+# Guards against urgent kinds of request served after others: the priority of their
+# organisations, the same for all, took the place of the routes'.
+def test_routes_decide_among_organisations_of_the_same_priority() -> None:
+    assert rank_all(1) == [(0, "1:0"), (1, "1:1"), (2, "1:2")]
+
+
+def test_organisations_go_before_routes() -> None:
+    names = [name for _, name in rank_all(4, 0)]
+    assert names == ["0:0", "0:1", "0:2", "4:0", "4:1", "4:2"]
+
+
+def test_organisations_without_priority_rank_with_the_least_urgent() -> None:
+    assert [rank for rank, _ in rank_all(1, None)] == [0, 0, 1, 1, 2, 2]
+    assert [rank for rank, _ in rank_all(None)] == [0, 1, 2]
+
+
 def test_service_choice_is_stable_per_request_and_follows_weights() -> None:
     shares = (ServiceShare("a", 90.0), ServiceShare("b", 10.0), ServiceShare("c", 0.0))
     route = make_route(shares=shares)
