--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import curio
+from loguru import logger
 
 from bramleyspread_daemon._client import ConnectionClosedError, RequestNotSentError
 from bramleyspread_daemon._clock import read_monotonic
@@ -24,6 +25,7 @@
     TargetFailed,
     TargetLoad,
     WasNotRun,
+    list_shared_parts,
 )
 
 #: Timeout for connecting to a target, in seconds.
@@ -36,6 +38,8 @@
 REQUESTS = "requests"
 #: Maximum number of stream bytes buffered for a slow caller.
 MAX_UNSENT_BYTES = 131_072
+#: Maximum number of a prompt's parts in one log line.
+MAX_LOGGED_PARTS = 8
 #: Interval at which a slow caller's buffer is checked, in seconds.
 CALLER_POLL_INTERVAL_S = 0.01
 
@@ -59,8 +63,8 @@
         self._times = times
         self._placed = placed
         self._connection: UpstreamConnection | None = None
-        self._is_first_byte_reported = False
         self._is_end_reported = False
+        self._first_byte_at: float | None = None
         #: Whether any byte of the request was sent.
         self.was_sent = False
         #: Whether the target may be processing the request now.
@@ -138,9 +142,27 @@
         except (ConnectionClosedError, EventError) as error:
             await self._close_connection()
             end = MayHaveRun(str(error))
+            self._log_lost_answer(end, sent_at)
         self.is_in_flight = False
         return end
 
+    def _log_lost_answer(self, end: MayHaveRun, sent_at: float) -> None:
+        """Log what the target was at work on when its answer broke off."""
+        now, first_byte_at = read_monotonic(), self._first_byte_at
+        parts = list_shared_parts(self._request.prompt)
+        logger.bind(
+            step="lost",
+            peer=self._placed.target.target,
+            request=self._request.request_id,
+            sent_ms=round((now - sent_at) * 1000),
+            begun_ms=(
+                round((now - first_byte_at) * 1000)
+                if first_byte_at is not None
+                else None
+            ),
+            parts=",".join(parts[:MAX_LOGGED_PARTS]),
+        ).info(end.why)
+
     async def _handle_answer(
         self, connection: UpstreamConnection, head: TargetHead, sent_at: float
     ) -> AttemptEnd:
@@ -207,8 +229,8 @@
             await curio.sleep(CALLER_POLL_INTERVAL_S)
 
     def _report_first_byte(self) -> None:
-        if not self._is_first_byte_reported:
-            self._is_first_byte_reported = True
+        if self._first_byte_at is None:
+            self._first_byte_at = read_monotonic()
             self._report(self._build_step(began=True))
 
     def _build_step(
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -57,6 +57,7 @@
 from bramleyspread_forwarding._prompt_affinity import (
     estimate_reading_ms,
     find_preferred_engine,
+    list_shared_parts,
 )
 from bramleyspread_forwarding._rate_shares import RateShares
 from bramleyspread_forwarding._registry import TargetRegistry
@@ -170,6 +171,7 @@
     "find_preferred_engine",
     "estimate_reading_ms",
     "estimate_call_ms",
+    "list_shared_parts",
     "find_call_lead_s",
     "find_shard_of",
     "rank_owners",
