--- a/packages/daemon/bramleyspread_daemon/forward/tests/forwarding_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/forwarding_site.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from random import Random
 from types import SimpleNamespace
-from typing import Any, cast
+from typing import Any, Protocol, cast
 
 import curio
 import msgspec
@@ -86,7 +86,7 @@
 )
 
 
-class _Wire:
+class Wire:
     """Wire format whose headers are the values themselves."""
 
     def write_refusal(self, refusal: Refusal) -> WireReply:
@@ -174,10 +174,23 @@
         pass
 
 
-class _Peers:
+class ConnectedHosts(Protocol):
+    """The entry hosts of a site, and which of them reach each other."""
+
+    #: Hosts that neither answer nor get an answer from other hosts.
+    silent: set[Address]
+    #: Pairs of hosts that can't reach each other.
+    cut_pairs: set[frozenset[Address]]
+    #: The hosts by address.
+    contexts: dict[Address, ForwardContext]
+    #: Bytes of messages between hosts, by path.
+    message_bytes: Counter[str]
+
+
+class HostPeers:
     """Connections of one host to the others."""
 
-    def __init__(self, site: ForwardingSite, own: Address) -> None:
+    def __init__(self, site: ConnectedHosts, own: Address) -> None:
         self._site, self._own = site, own
         self.traffic = Traffic()
 
@@ -297,8 +310,8 @@
         )
         context = ForwardContext(
             settings,
-            cast("Any", _Wire()),
-            cast("Any", _Peers(self, address)),
+            cast("Any", Wire()),
+            cast("Any", HostPeers(self, address)),
             Random(self.rng.getrandbits(32)),
             started,
             lambda _: None,
@@ -384,6 +397,6 @@
             prompt=Prompt(tokens_in=tokens_in, tokens_out=100),
         )
         reply = cast("Any", _CallerReply(self))
-        wire = cast("Any", _Wire())
+        wire = cast("Any", Wire())
         forwarder = RequestForwarder(context, wire, request, ROUTE, None, reply)
         await forwarder.run()
