Keep requests with a part under which targets crash from further targets

Cause: an attempt whose connection ends early told only which target had failed. Nobody kept what it had been asked, so each request with the part was a first attempt for everyone, at the next target. Ruled out: our own second attempts (the requests cut off had reached no engine before), load (0 to 5 requests were ahead at the engines that ended). Now: a host whose answer breaks off asks whether the target refuses connections. If so, it is evidence against each part of that prompt; a whole answer is evidence for them. After three crashes one after the other (up to six if other crashes went on beside it, or the part had been answered before), requests with the part and whatever else was always there are refused at arrival, before stages, before attempts and resumptions. Entry hosts tell control hosts, which tell all others, with the messages of the feed.

--- /dev/null
+++ b/packages/containment/bramleyspread_containment/_crash_table.py
@@ -0,0 +1,291 @@
+"""What is known on one host about the requests under which targets crash."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from bramleyspread_containment._crash_news import (
+    CrashNews,
+    SharedCrash,
+    SharedSuccess,
+)
+from bramleyspread_containment._crashes import Crash, CrashId
+from bramleyspread_containment._quarantine import (
+    MAX_HOLD_S,
+    NEEDED_CRASHES,
+    Quarantine,
+    judge,
+)
+
+#: Maximum number of crashes kept; of those without a quarantine the oldest go first.
+MAX_CRASHES = 1_000
+#: Maximum number of features of one request that are kept; those that targets have
+#: answered before are left out first.
+MAX_FEATURES = 32
+#: Number of features of which it is kept that targets have answered them; those
+#: answered least recently are dropped.
+MAX_SUCCESSES = 4_096
+#: Maximum number of crashes, and of successes, that one message tells about.
+MAX_NEWS = 50
+#: Time that a message between hosts may take, in seconds. A success that another host
+#: saw counts as that much older, so that it never seems to come after a later crash.
+MAX_TRANSIT_S = 0.25
+#: Time after which a crash that led to no quarantine is forgotten, in seconds.
+RETENTION_S = 600.0
+
+#: A crash under a request with these features.
+_CrashKey = tuple[CrashId, frozenset[str]]
+
+
+class CrashTable:
+    """Crashes of targets by the features of the requests under which they happened.
+
+    Tables of several hosts that tell each other everything come to agree, in whichever
+    order they hear of it.
+    """
+
+    def __init__(self) -> None:
+        # Both with the revision of their last change.
+        self._crashes: dict[_CrashKey, tuple[int, Crash]] = {}
+        self._success_revisions: dict[str, int] = {}
+        self._succeeded_at: dict[str, float] = {}
+        self._by_feature: dict[str, dict[_CrashKey, Crash]] = {}
+        self._quarantines: dict[str, Quarantine] = {}
+        #: Number of changes so far.
+        self.revision = 0
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no crash is known."""
+        return not self._crashes
+
+    def record_crash(self, crash: Crash) -> list[Quarantine]:
+        """Record that a target crashed while it was at work on a request.
+
+        :param crash: the crash.
+        :returns: the quarantines that it began.
+        """
+        features = self._select_features(crash.features)
+        key = (crash.crash_id, features)
+        if not features or key in self._crashes:
+            return []
+        self.revision += 1
+        if features != crash.features:
+            crash = Crash(
+                target=crash.target,
+                born=crash.born,
+                holder=crash.holder,
+                features=features,
+                sent_at=crash.sent_at,
+                ended_at=crash.ended_at,
+            )
+        self._crashes[key] = (self.revision, crash)
+        for feature in features:
+            self._by_feature.setdefault(feature, {})[key] = crash
+            if feature in self._succeeded_at:
+                self._success_revisions.setdefault(feature, self.revision)
+        begun = self._judge()
+        self._drop_oldest()
+        return begun
+
+    def _select_features(self, features: frozenset[str]) -> frozenset[str]:
+        if len(features) <= MAX_FEATURES:
+            return features
+        ranked = sorted(features, key=lambda each: (each in self._succeeded_at, each))
+        return frozenset(ranked[:MAX_FEATURES])
+
+    def record_success(self, features: Iterable[str], now: float) -> None:
+        """Record that a target answered a request as a whole.
+
+        :param features: identities of the request's features.
+        :param now: the current time, in seconds.
+        """
+        for feature in features:
+            self._record_success(feature, now)
+
+    def _record_success(self, feature: str, succeeded_at: float) -> None:
+        known_at = self._succeeded_at.pop(feature, None)
+        if known_at is not None and known_at >= succeeded_at:
+            self._succeeded_at[feature] = known_at
+            return
+        self._succeeded_at[feature] = succeeded_at
+        if len(self._succeeded_at) > MAX_SUCCESSES:
+            oldest = next(iter(self._succeeded_at))
+            del self._succeeded_at[oldest]
+            self._success_revisions.pop(oldest, None)
+        crashes = self._by_feature.get(feature)
+        if not crashes:
+            return
+        if known_at is not None and not any(
+            known_at < each.ended_at <= succeeded_at for each in crashes.values()
+        ):
+            return
+        self.revision += 1
+        self._success_revisions[feature] = self.revision
+        self._judge()
+
+    def _judge(self) -> list[Quarantine]:
+        """Decide anew about all features, and return the quarantines that began.
+
+        Crashes that a quarantine explains no longer speak for other features, so
+        features are looked at again until nothing changes.
+        """
+        before, self._quarantines = self._quarantines, {}
+        suspects = sorted(
+            feature
+            for feature, crashes in self._by_feature.items()
+            if len(crashes) >= NEEDED_CRASHES
+        )
+        while found := [
+            each
+            for feature in suspects
+            if feature not in self._quarantines
+            and (each := self._judge_feature(feature)) is not None
+        ]:
+            self._quarantines.update((each.feature, each) for each in found)
+        return [x for name, x in self._quarantines.items() if name not in before]
+
+    def _judge_feature(self, feature: str) -> Quarantine | None:
+        explained = set[CrashId]().union(
+            *(each.crashes for each in self._quarantines.values())
+        )
+
+        def count_crashes(since: float, until: float) -> int:
+            ends = {
+                crash.crash_id
+                for _, crash in self._crashes.values()
+                if since <= crash.ended_at <= until
+            }
+            return len(ends - explained)
+
+        return judge(
+            feature,
+            self._by_feature[feature].values(),
+            self._succeeded_at.get(feature),
+            self._succeeded_at.__contains__,
+            count_crashes,
+        )
+
+    def find_quarantine(
+        self, features: frozenset[str], holder: str, now: float
+    ) -> Quarantine | None:
+        """Find why a request must not reach a target; None if it may.
+
+        :param features: identities of the request's features.
+        :param holder: the organisation that sent it; empty for none.
+        :param now: the current time, in seconds.
+        """
+        if not self._quarantines:
+            return None
+        for feature in features:
+            found = self._quarantines.get(feature)
+            if found is not None and found.covers(features, holder, now):
+                return found
+        return None
+
+    def list_quarantines(self) -> tuple[Quarantine, ...]:
+        """List all quarantines, also those that are over until a request comes."""
+        return tuple(self._quarantines.values())
+
+    def apply(self, news: CrashNews, now: float) -> list[Quarantine]:
+        """Record what another host tells.
+
+        :param news: what it tells.
+        :param now: the current time, in seconds.
+        :returns: the quarantines that it began.
+        """
+        begun = []
+        for success in news.successes:
+            succeeded_at = now - success.age_ms / 1000 - MAX_TRANSIT_S
+            self._record_success(success.feature, succeeded_at)
+        for shared in news.crashes:
+            if shared.ended_age_ms / 1000 < MAX_HOLD_S:
+                begun += self.record_crash(_read_shared(shared, now))
+        return begun
+
+    def list_news(self, since: int, now: float) -> CrashNews:
+        """List what another host may not know yet.
+
+        :param since: the revision up to which it knows everything.
+        :param now: the current time, in seconds.
+        :returns: at most ``MAX_NEWS`` crashes and successes, oldest changes first.
+        """
+        if since >= self.revision:
+            return CrashNews(revision=self.revision)
+        changes: list[tuple[int, Crash | str]] = [
+            each for each in self._crashes.values() if each[0] > since
+        ]
+        changes += [
+            (revision, feature)
+            for feature, revision in self._success_revisions.items()
+            if revision > since
+        ]
+        changes.sort(key=lambda each: each[0])
+        told = changes[:MAX_NEWS]
+        is_all = len(told) == len(changes)
+        return CrashNews(
+            revision=self.revision if is_all else told[-1][0],
+            crashes=tuple(_share(x, now) for _, x in told if isinstance(x, Crash)),
+            successes=tuple(
+                SharedSuccess(
+                    feature=x, age_ms=round((now - self._succeeded_at[x]) * 1000, 1)
+                )
+                for _, x in told
+                if isinstance(x, str)
+            ),
+        )
+
+    def expire(self, now: float) -> None:
+        """Forget old crashes that led to no quarantine."""
+        has_dropped = False
+        for key, (_, crash) in tuple(self._crashes.items()):
+            age_s = now - crash.ended_at
+            limit_s = MAX_HOLD_S if self._supports_quarantine(crash) else RETENTION_S
+            if age_s > limit_s:
+                self._drop(key)
+                has_dropped = True
+        if has_dropped:
+            self._judge()
+
+    def _supports_quarantine(self, crash: Crash) -> bool:
+        return any(each in self._quarantines for each in crash.features)
+
+    def _drop_oldest(self) -> None:
+        while len(self._crashes) > MAX_CRASHES:
+            unsupporting = (
+                key
+                for key, (_, crash) in self._crashes.items()
+                if not self._supports_quarantine(crash)
+            )
+            self._drop(next(unsupporting, next(iter(self._crashes))))
+
+    def _drop(self, key: _CrashKey) -> None:
+        _, crash = self._crashes.pop(key)
+        for feature in crash.features:
+            crashes = self._by_feature[feature]
+            del crashes[key]
+            if not crashes:
+                del self._by_feature[feature]
+                self._success_revisions.pop(feature, None)
+
+
+def _share(crash: Crash, now: float) -> SharedCrash:
+    return SharedCrash(
+        target=crash.target,
+        born=crash.born,
+        holder=crash.holder,
+        features=tuple(sorted(crash.features)),
+        sent_age_ms=round((now - crash.sent_at) * 1000, 1),
+        ended_age_ms=round((now - crash.ended_at) * 1000, 1),
+    )
+
+
+def _read_shared(shared: SharedCrash, now: float) -> Crash:
+    return Crash(
+        target=shared.target,
+        born=shared.born,
+        holder=shared.holder,
+        features=frozenset(shared.features),
+        sent_at=now - shared.sent_age_ms / 1000,
+        ended_at=now - shared.ended_age_ms / 1000,
+    )
--- /dev/null
+++ b/packages/containment/bramleyspread_containment/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of this package."""
--- a/packages/daemon/bramleyspread_daemon/_client.py
+++ b/packages/daemon/bramleyspread_daemon/_client.py
@@ -31,6 +31,10 @@
     """No byte of the request was sent."""
 
 
+class TargetRefusedError(RequestNotSentError):
+    """Nothing accepts connections at the address, although its machine runs."""
+
+
 class Response(msgspec.Struct, frozen=True):
     """A complete HTTP response."""
 
--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -55,7 +55,11 @@
         stages: StageWork,
         times: StreamTimes,
         placed: Placed,
+        features: frozenset[str],
+        holder: str,
     ) -> None:
+        self._features = features
+        self._holder = holder
         self._context = context
         self._request = request
         self._reply = reply
@@ -143,6 +147,15 @@
             await self._close_connection()
             end = MayHaveRun(str(error))
             self._log_lost_answer(end, sent_at)
+            await context.crashes.record_lost_answer(
+                self._placed.target,
+                self._features,
+                self._holder,
+                sent_at,
+                self._first_byte_at,
+            )
+        if isinstance(end, Delivered):
+            context.crashes.record_success(self._features)
         self.is_in_flight = False
         return end
 
--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -23,6 +23,7 @@
 from bramleyspread_daemon.forward._placement_service import PlacementService
 from bramleyspread_daemon.forward._service_directory import ServiceDirectory
 from bramleyspread_daemon.forward._settings import ForwardEntrySettings
+from bramleyspread_daemon.forward._target_crashes import TargetCrashes
 from bramleyspread_daemon.forward._target_signals import TargetSignals
 from bramleyspread_daemon.forward._upstream import UpstreamPool
 from bramleyspread_daemon.forward._wire import TargetWire
@@ -96,6 +97,8 @@
         self.stage_times = StageTimes()
         #: Connections to targets.
         self.upstream = UpstreamPool(peers.traffic)
+        #: Under which requests targets crash.
+        self.crashes = TargetCrashes(lambda address: self.upstream.is_refused(address))
         #: Computes the pieces of stages.
         self.piece_service = PieceService(
             settings.host,
@@ -137,6 +140,8 @@
             position=position,
             entries_revision=known.revision if known.incarnation == incarnation else 0,
             departures=self.targets.list_unknown_departures(control),
+            crash_revision=self.crashes.find_known_revision(control, incarnation),
+            crash_news=self.crashes.list_news(control, incarnation),
         )
 
     async def handle_page(
@@ -149,6 +154,7 @@
         if page.confirmed and page.version <= self.version:
             self.keys.confirm(requested_at)
         self.targets.apply(control, page, now)
+        self.crashes.handle_page(control, page)
         known = self._known_entries.get(control, KnownEntries()).apply(page)
         self._known_entries[control] = known
         for host in known.entries:
--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -8,6 +8,7 @@
 import curio
 from loguru import logger
 
+from bramleyspread_containment import CrashTable
 from bramleyspread_core import (
     Address,
     Command,
@@ -106,6 +107,8 @@
         self._logged_position = 0
         #: Registry of the targets that report to this host.
         self.registry = TargetRegistry(heartbeat_s)
+        #: Under which requests targets crash.
+        self.crashes = CrashTable()
 
     def attach(self, propose: Propose) -> None:
         """Set the function that proposes commands to the replicas."""
@@ -187,6 +190,8 @@
         now = read_monotonic()
         self._live_hosts.record(query.asker, now)
         self._record_departures(query.departures, now)
+        if query.crash_news is not None:
+            self.crashes.apply(query.crash_news, now)
         pending = _PendingQuery(query, reply, now + FEED_HOLD_S)
         if self._has_changes(query):
             self._answer(pending, now)
@@ -200,6 +205,7 @@
         """
         now = read_monotonic()
         self.registry.tick(now)
+        self.crashes.expire(now)
         self._publish_changes(now)
 
     def _publish_changes(self, now: float) -> None:
@@ -233,6 +239,7 @@
         if (
             query.incarnation != self._incarnation
             or query.position < self.registry.position
+            or query.crash_revision < self.crashes.revision
         ):
             return True
         deployment = self._node.deployment
@@ -245,6 +252,8 @@
         version = deployment.version if deployment is not None else 0
         is_same_process = query.incarnation == self._incarnation
         known_revision = query.entries_revision if is_same_process else 0
+        known_crashes = query.crash_revision if is_same_process else 0
+        told = query.crash_news
         entries = self._live_hosts.list_live(now)
         host_changes = self._live_hosts.list_changes(known_revision)
         page = FeedPage(
@@ -260,6 +269,12 @@
             removed_entries=host_changes.removed if host_changes is not None else (),
             known_revision=known_revision,
             entries_revision=self._live_hosts.revision,
+            crash_news=(
+                self.crashes.list_news(known_crashes, now)
+                if known_crashes < self.crashes.revision
+                else None
+            ),
+            heard_crash_revision=told.revision if told is not None else 0,
         )
         pending.reply.send_json(page)
 
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -54,6 +54,8 @@
 #: Interval at which it is checked whether the views received from control hosts are
 #: stale, in seconds.
 STALENESS_CHECK_INTERVAL_S = 0.25
+#: Interval at which it is checked which crashes of targets are forgotten, in seconds.
+CRASH_EXPIRY_INTERVAL_S = 10.0
 #: Interval at which idle connections to targets are checked for expiry, in seconds.
 IDLE_CHECK_INTERVAL_S = 1.0
 
@@ -214,6 +216,12 @@
         for outcome, number in signals.held_back_counts.items():
             text = "Requests held back by what targets said."
             metrics.set_counter("held_back_total", text, number, outcome=outcome)
+        crashes = self.context.crashes
+        text = "Requests refused because targets crash under such."
+        metrics.set_counter("quarantined_requests_total", text, crashes.refused)
+        text = "Features of requests under which targets crash."
+        number = len(crashes.table.list_quarantines())
+        metrics.set_gauge("quarantined_features", text, number)
         metrics.set_counter("feed_failures_total", "Unanswered.", self._link.failures)
 
     async def start(self) -> Address:
@@ -231,6 +239,7 @@
             (self.context.placement.tick, "place", PLACEMENT_TICK_INTERVAL_S),
             (self.context.upstream.close_expired, "idle", IDLE_CHECK_INTERVAL_S),
             (self.context.tick, "targets", STALENESS_CHECK_INTERVAL_S),
+            (self.context.crashes.tick, "crashes", CRASH_EXPIRY_INTERVAL_S),
             (self._watch_settings, "settings", SETTINGS_CHECK_INTERVAL_S),
         ):
             await curio.spawn(
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -15,6 +15,7 @@
 from bramleyspread_daemon.forward._context import ForwardContext
 from bramleyspread_daemon.forward._stage_work import StageWork
 from bramleyspread_daemon.forward._stream_times import StreamTimes
+from bramleyspread_daemon.forward._target_crashes import identify_features
 from bramleyspread_daemon.forward._wire import (
     CallerWire,
     CallMetadata,
@@ -43,6 +44,8 @@
 RETRY_AFTER_S = 0.5
 #: Share of the estimated stage time after which a refused caller may retry.
 RETRY_AFTER_SHARE = 0.25
+#: Why requests are refused under which targets crash.
+QUARANTINED = "targets crash under requests like this one"
 #: Timeout of a request whose caller gives no deadline, in ms.
 DEFAULT_TIMEOUT_MS = 30_000.0
 
@@ -74,6 +77,8 @@
         self._deadline = (
             self._started_at + min(timeout_ms, float(route.timeout_ms)) / 1000
         )
+        self._holder_name = holder.name if holder is not None else ""
+        self._features = identify_features(request)
         holder_priority = holder.priority if holder is not None else None
         self._priority = context.rank_urgency(route, holder_priority)
         self._stages = StageWork(
@@ -132,9 +137,13 @@
         service = self._context.choose_service(self._route, self._request.request_id)
         if not service:
             return self._refuse(503, "no document", RETRY_AFTER_S)
+        if self._is_quarantined():
+            return self._refuse(503, QUARANTINED, None)
         refused = await self._run_stages(service)
         if refused:
             return refused
+        if self._is_quarantined():
+            return self._refuse(503, QUARANTINED, None)
         budget = self._context.get_retry_budget(service)
         budget.record_first_attempt(read_monotonic())
         while True:
@@ -144,7 +153,11 @@
             if isinstance(end, TargetFailed):
                 self._target_failure = end
             is_retryable = may_retry(self._route, end, self._attempts)
-            if not is_retryable or not self._take_retry_budget(budget, end):
+            if (
+                not is_retryable
+                or self._is_quarantined()
+                or not self._take_retry_budget(budget, end)
+            ):
                 return self._conclude(end)
             logger.bind(
                 step="retry",
@@ -154,6 +167,20 @@
             if not await self._ensure_inputs(end):
                 return self._conclude(end)
 
+    def _is_quarantined(self) -> bool:
+        """Whether requests like this one crash targets, so that none may get it."""
+        found = self._context.crashes.find_quarantine(self._features, self._holder_name)
+        if found is None:
+            return False
+        self._context.crashes.refused += 1
+        logger.bind(
+            step="quarantine",
+            peer=",".join(found.targets),
+            request=self._request.request_id,
+            feature=found.feature,
+        ).info("covers the request")
+        return True
+
     async def _run_stages(self, service: str) -> str:
         """Run the stages; return how the request ended, or empty if they succeeded."""
         if not self._route.stages:
@@ -206,6 +233,8 @@
             self._stages,
             self._times,
             placed,
+            self._features,
+            self._holder_name,
         )
         if not await attempt.wait_for_turn():
             await attempt.close()
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_crashes.py
@@ -0,0 +1,168 @@
+"""Records under which requests targets crash, and refuses such requests."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Iterable
+
+import curio
+from loguru import logger
+
+from bramleyspread_containment import (
+    Crash,
+    CrashNews,
+    CrashTable,
+    Quarantine,
+    identify_part,
+)
+from bramleyspread_core import Address
+from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_forwarding import (
+    FeedPage,
+    ForwardRequest,
+    ForwardTarget,
+    list_shared_parts,
+)
+
+#: Time after the first event of an answer after which its request is no longer thought
+#: to crash the target, in seconds.
+SUSPECT_AFTER_FIRST_EVENT_S = 2.0
+#: Time in which the answers break off that one crash ends, in seconds.
+COLLECTION_S = 0.02
+
+
+class LostAnswer:
+    """An answer that broke off, of which it isn't known yet whether a crash did it."""
+
+    __slots__ = ("ended_at", "features", "holder", "sent_at")
+
+    def __init__(
+        self, features: frozenset[str], holder: str, sent_at: float, ended_at: float
+    ) -> None:
+        self.features = features
+        self.holder = holder
+        self.sent_at = sent_at
+        self.ended_at = ended_at
+
+
+class TargetCrashes:
+    """Crashes of targets, as this host sees them or hears of them.
+
+    :param is_refused: finds whether nothing accepts connections at an address.
+    """
+
+    def __init__(self, is_refused: Callable[[Address], Awaitable[bool]]) -> None:
+        self._is_refused = is_refused
+        #: The crashes.
+        self.table = CrashTable()
+        #: Number of requests that were refused.
+        self.refused = 0
+        self._lost_answers: dict[ForwardTarget, list[LostAnswer]] = {}
+        # By control host: its process, and the revisions of both tables up to which
+        # this host and that process know them.
+        self._known: dict[Address, tuple[str, int]] = {}
+        self._told: dict[Address, tuple[str, int]] = {}
+
+    def find_quarantine(
+        self, features: frozenset[str], holder: str
+    ) -> Quarantine | None:
+        """Find why a request must not reach a target; None if it may."""
+        return self.table.find_quarantine(features, holder, read_monotonic())
+
+    def record_success(self, features: Iterable[str]) -> None:
+        """Record that a target answered a request as a whole."""
+        self.table.record_success(features, read_monotonic())
+
+    async def record_lost_answer(
+        self,
+        target: ForwardTarget,
+        features: frozenset[str],
+        holder: str,
+        sent_at: float,
+        first_event_at: float | None,
+    ) -> None:
+        """Record that an answer broke off, and find out whether the target crashed.
+
+        :param target: the target.
+        :param features: identities of the request's features.
+        :param holder: the organisation that sent it; empty for none.
+        :param sent_at: when the request was sent, in seconds.
+        :param first_event_at: when the first event of the answer was read, in seconds;
+            None if there was none.
+        """
+        now = read_monotonic()
+        if not features or (
+            first_event_at is not None
+            and now - first_event_at > SUSPECT_AFTER_FIRST_EVENT_S
+        ):
+            return
+        lost = LostAnswer(features, holder, sent_at, now)
+        if target in self._lost_answers:
+            self._lost_answers[target].append(lost)
+            return
+        self._lost_answers[target] = [lost]
+        await curio.spawn(self._check, target, daemon=True)
+
+    async def _check(self, target: ForwardTarget) -> None:
+        """Find out whether a target crashed whose answers broke off.
+
+        An answer may also be lost between the target and this host. Only a target that
+        has crashed refuses connections.
+        """
+        await curio.sleep(COLLECTION_S)
+        has_crashed = await self._is_refused(target.address)
+        lost_answers = self._lost_answers.pop(target)
+        if not has_crashed:
+            return
+        for lost in lost_answers:
+            crash = Crash(
+                target=target.target,
+                born=target.born,
+                holder=lost.holder,
+                features=lost.features,
+                sent_at=lost.sent_at,
+                ended_at=lost.ended_at,
+            )
+            _log_begun(self.table.record_crash(crash), target.target)
+
+    def find_known_revision(self, control: Address, incarnation: str) -> int:
+        """Find up to which revision this host knows a control host's table."""
+        known_incarnation, revision = self._known.get(control, ("", 0))
+        return revision if known_incarnation == incarnation else 0
+
+    def list_news(self, control: Address, incarnation: str) -> CrashNews | None:
+        """List crashes that a control host may not know yet; None if there are none."""
+        told_incarnation, told = self._told.get(control, ("", 0))
+        if told_incarnation != incarnation:
+            told = 0
+        if told >= self.table.revision:
+            return None
+        return self.table.list_news(told, read_monotonic())
+
+    def handle_page(self, control: Address, page: FeedPage) -> None:
+        """Apply what a control host's page tells about crashes."""
+        if page.heard_crash_revision:
+            self._told[control] = (page.incarnation, page.heard_crash_revision)
+        if page.crash_news is not None:
+            self._known[control] = (page.incarnation, page.crash_news.revision)
+            begun = self.table.apply(page.crash_news, read_monotonic())
+            _log_begun(begun, str(control))
+
+    async def tick(self) -> None:
+        """Forget what no longer counts."""
+        self.table.expire(read_monotonic())
+
+
+def identify_features(request: ForwardRequest) -> frozenset[str]:
+    """Identify what in a request may crash a target."""
+    return frozenset(map(identify_part, list_shared_parts(request.prompt)))
+
+
+def _log_begun(quarantines: Iterable[Quarantine], source: str) -> None:
+    for each in quarantines:
+        logger.bind(
+            step="quarantine",
+            peer=",".join(each.targets),
+            feature=each.feature,
+            holder=each.holder,
+            source=source,
+        ).warning("begun")
--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -11,7 +11,11 @@
 import h11
 
 from bramleyspread_core import Address
-from bramleyspread_daemon._client import ConnectionClosedError, RequestNotSentError
+from bramleyspread_daemon._client import (
+    ConnectionClosedError,
+    RequestNotSentError,
+    TargetRefusedError,
+)
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._connection import Connection
 from bramleyspread_daemon._traffic import Traffic
@@ -37,6 +41,8 @@
 DEFAULT_KEEP_ALIVE_S = 3.0
 #: Share of a target's own keep-alive time for which an idle connection is reused.
 KEEP_ALIVE_SHARE = 0.6
+#: Timeout for finding out whether connections are refused, in seconds.
+CHECK_TIMEOUT_S = 0.25
 #: Maximum number of idle connections kept per target.
 MAX_IDLE_PER_TARGET = 16
 
@@ -107,6 +113,10 @@
             connection = await curio.timeout_after(timeout, Connection.open, address)
         except curio.TaskTimeout:
             raise RequestNotSentError(f"not connected within {timeout:.3f} s") from None
+        except ConnectionRefusedError as error:
+            raise TargetRefusedError(
+                f"not connected: {error.strerror or error}"
+            ) from None
         except OSError as error:
             raise RequestNotSentError(
                 f"not connected: {error.strerror or error}"
@@ -289,6 +299,20 @@
         self.opened += 1
         return await UpstreamConnection.open(address, timeout, self._buffered)
 
+    async def is_refused(self, address: Address) -> bool:
+        """Find whether nothing accepts connections at an address.
+
+        :returns: False as well if the machine doesn't answer in time.
+        """
+        try:
+            connection = await self.acquire(address, CHECK_TIMEOUT_S, max_idle_s=0.0)
+        except TargetRefusedError:
+            return True
+        except RequestNotSentError:
+            return False
+        await connection.close()
+        return False
+
     async def release_connection(
         self, connection: UpstreamConnection, keep_alive_s: float | None
     ) -> None:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
@@ -22,7 +22,7 @@
     decode_json,
     encode_json,
 )
-from bramleyspread_daemon._client import RequestNotSentError
+from bramleyspread_daemon._client import TargetRefusedError
 from bramleyspread_daemon._clock import ProcessClock, read_monotonic
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._pool import ConnectionPool
@@ -133,9 +133,13 @@
     ) -> _Connection:
         target = self._site.targets[address]
         if not target.is_running:
-            raise RequestNotSentError("not connected: Connection refused")
+            raise TargetRefusedError("not connected: Connection refused")
         return _Connection(self._site, self._host, target)
 
+    async def is_refused(self, address: Address) -> bool:
+        await curio.sleep(DELAY_S)
+        return not self._site.targets[address].is_running
+
     async def release_connection(self, *_: object) -> None:
         pass
 
--- a/packages/daemon/bramleyspread_daemon/forward/tests/crashing_target.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/crashing_target.py
@@ -69,6 +69,11 @@
         """Return the process that accepts a connection; None if there is none."""
         return self._life if self.is_running else None
 
+    async def break_connections(self) -> None:
+        """Break off all answers, and go on running."""
+        life, self._life = self._life, _Life(self._life.number)
+        await life.ended.set()
+
     async def end(self, cause: ForwardRequest | None, down_s: float = DOWN_S) -> None:
         """End the process; all its connections close."""
         now = read_monotonic()
--- a/packages/daemon/bramleyspread_daemon/forward/tests/forwarding_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/forwarding_site.py
@@ -167,6 +167,9 @@
     ) -> _Connection:
         return _Connection(self._site, self._host, self._site.targets[address])
 
+    async def is_refused(self, address: Address) -> bool:
+        return False
+
     async def release_connection(self, *_: object) -> None:
         pass
 
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_crashing_parts.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_crashing_parts.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 import curio
 import msgspec
 import pytest
 
+from bramleyspread_containment import identify_part
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon.forward.tests.crashing_site import CrashingSite
 from bramleyspread_daemon.forward.tests.crashing_target import Fatal, find_crash
@@ -30,6 +33,8 @@
 MIN_BEGUN = 0.97
 PART = "fatal-part"
 
+Disturbance = Callable[[CrashingSite], Awaitable[None]]
+
 
 def add_part(request: ForwardRequest, part: str = PART) -> ForwardRequest:
     """Put a part between the parts that a prompt shares and its own."""
@@ -82,3 +87,114 @@
     assert count_later_arrivals(site) <= MAX_LATER
     assert site.count_crashes() <= MAX_CRASHES
     assert after >= MIN_BEGUN * before
+
+
+async def restart_entry_hosts(site: CrashingSite) -> None:
+    """Restart all entry hosts at once, and then each one by itself."""
+    await curio.sleep(10.0)
+    site.restart_hosts(list(site.contexts), started=2)
+    for at, address in enumerate(tuple(site.contexts)):
+        await curio.sleep(1.5)
+        site.restart_hosts([address], started=3 + at)
+
+
+async def restart_control_hosts(site: CrashingSite) -> None:
+    """Restart the control hosts one after the other."""
+    await curio.sleep(8.0)
+    for at, address in enumerate(tuple(site.controls)):
+        site.start_control(address, started=2 + at)
+        await curio.sleep(2.0)
+
+
+async def freeze_entry_hosts(site: CrashingSite) -> None:
+    """Freeze half of the entry hosts before the part is known, for a while."""
+    await curio.sleep(0.5)
+    frozen = list(site.contexts)[::2]
+    site.silent.update(frozen)
+    await curio.sleep(8.0)
+    site.silent.difference_update(frozen)
+
+
+# Guards against a proof that is paid for again by hosts that forgot or missed it.
+@pytest.mark.parametrize(
+    "disturb", [restart_entry_hosts, restart_control_hosts, freeze_entry_hosts]
+)
+def test_part_stays_known_over_restarts(
+    monkeypatch: pytest.MonkeyPatch, disturb: Disturbance
+) -> None:
+    site = make_site(HOSTS)
+
+    async def main() -> None:
+        await site.run()
+        await site.send_traffic(PER_S, BEFORE_S)
+        await curio.spawn(disturb, site, daemon=True)
+        await site.send_traffic(PER_S, FATAL_S, FATAL_SHARE, add_part)
+
+    run_in_virtual_time(monkeypatch, main)
+    assert site.count_crashes() <= MAX_CRASHES
+    assert count_later_arrivals(site) <= MAX_LATER
+
+
+async def crash_targets(site: CrashingSite) -> None:
+    """Crash random targets, some of them at the same moment."""
+    targets = list(site.targets.values())
+    while True:
+        await curio.sleep(site.rng.expovariate(1.0))
+        for target in site.rng.sample(targets, site.rng.choice((1, 1, 1, 4))):
+            if target.is_running:
+                await target.end(None)
+
+
+async def reset_connections(site: CrashingSite) -> None:
+    """Break off all answers of random targets, which go on running."""
+    targets = list(site.targets.values())
+    while True:
+        await curio.sleep(site.rng.expovariate(2.0))
+        await site.rng.choice(targets).break_connections()
+
+
+# Guards against parts that are refused because targets crash for another reason.
+@pytest.mark.parametrize("disturb", [crash_targets, reset_connections])
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_innocent_parts_are_never_refused(
+    monkeypatch: pytest.MonkeyPatch, disturb: Disturbance, seed: int
+) -> None:
+    site = make_site(3, seed=seed)
+
+    async def main() -> None:
+        await site.run()
+        await curio.spawn(disturb, site, daemon=True)
+        await site.send_traffic(PER_S, 25.0)
+
+    run_in_virtual_time(monkeypatch, main)
+    for context in site.contexts.values():
+        assert context.crashes.table.list_quarantines() == ()
+        assert context.crashes.refused == 0
+
+
+# Guards against parts that share their requests with one that ends targets.
+@pytest.mark.parametrize("number", [1, 4])
+def test_only_the_parts_that_end_targets_are_refused(
+    monkeypatch: pytest.MonkeyPatch, number: int
+) -> None:
+    site = make_site(HOSTS)
+    fatal = [f"{PART}-{at}" for at in range(number)]
+    for target in site.targets.values():
+        target.find_fatal = lambda x: (
+            Fatal.TO_WRITE if any(has_part(x, each) for each in fatal) else Fatal.NOT
+        )
+
+    def add_one(request: ForwardRequest) -> ForwardRequest:
+        return add_part(request, site.rng.choice(fatal))
+
+    async def main() -> None:
+        await site.run()
+        await site.send_traffic(PER_S, BEFORE_S)
+        await site.send_traffic(PER_S, FATAL_S, 2 * FATAL_SHARE, add_one)
+        await curio.sleep(1.0)
+
+    run_in_virtual_time(monkeypatch, main)
+    for context in site.contexts.values():
+        quarantined = {x.feature for x in context.crashes.table.list_quarantines()}
+        assert quarantined == set(map(identify_part, fatal))
+    assert site.count_crashes() <= MAX_CRASHES * number
--- a/packages/forwarding/bramleyspread_forwarding/_feed.py
+++ b/packages/forwarding/bramleyspread_forwarding/_feed.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bramleyspread_containment import CrashNews
 from bramleyspread_core import Address, Deployment
 from bramleyspread_forwarding._heartbeats import TargetChange
 
@@ -51,6 +52,10 @@
     entries_revision: int = 0
     #: Targets that leave although the control host reports them as ready.
     departures: tuple[Departure, ...] = ()
+    #: Revision of that process's table of crashes up to which the entry host knows it.
+    crash_revision: int = 0
+    #: Crashes that the control host may not know yet; None for none.
+    crash_news: CrashNews | None = None
 
 
 class FeedPage(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -82,6 +87,11 @@
     known_revision: int = 0
     #: Revision of the list after this page.
     entries_revision: int = 0
+    #: Crashes that the entry host may not know yet; None for none.
+    crash_news: CrashNews | None = None
+    #: Revision of the entry host's own table up to which the control host knows it; 0
+    #: if the query told nothing.
+    heard_crash_revision: int = 0
 
 
 class KnownEntries(msgspec.Struct, frozen=True):
