--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
@@ -20,6 +20,7 @@
 from bramleyspread_daemon._client import ConnectionClosedError
 from bramleyspread_daemon.forward._attempt import MAX_UNSENT_BYTES
 from bramleyspread_daemon.forward._request_forwarder import RequestForwarder
+from bramleyspread_daemon.forward._target_crashes import TargetCrashes
 from bramleyspread_daemon.forward._target_signals import TargetSignals
 from bramleyspread_daemon.forward._wire import (
     CallMetadata,
@@ -182,6 +183,11 @@
         pass
 
 
+async def answer_connections(_: Address) -> bool:
+    """Accept the connections of those who ask whether a target has crashed."""
+    return False
+
+
 def make_context(wire: FakeWire, *targets: FakeConnection) -> SimpleNamespace:
     budget = RetryBudget(1.0, 10.0, 10.0)
     return SimpleNamespace(
@@ -194,6 +200,7 @@
         get_retry_budget=lambda _: budget,
         list_hosts=tuple,
         signals=TargetSignals(TargetTable(), Random(1)),
+        crashes=TargetCrashes(answer_connections),
         count_limited=lambda _: 0,
         placement=FakePlacement(),
         upstream=FakePool(*targets),
