Cut off a stream without length that ends before its first event

Callers would have got a whole, empty stream: an answer that has neither a length nor chunks ends with its connection, and one that a crashing target closes right after its head has no event that could be broken off.

--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -232,6 +232,8 @@
             await self._wait_for_caller()
         if not splitter.is_between_events:
             raise ConnectionClosedError("ended in the middle of an event")
+        if connection.ends_by_closing and self._first_byte_at is None:
+            raise ConnectionClosedError("ended before the first event")
         await self._release_connection(connection, head)
         self._reply.end()
         return Delivered()
--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -72,6 +72,7 @@
         "_reads",
         "_send_task",
         "address",
+        "ends_by_closing",
         "idle_since",
         "latest_results",
         "max_idle_s",
@@ -94,6 +95,9 @@
         self.idle_since = connection.opened_at
         #: Handles of the stage results that the latest response with any has named.
         self.latest_results: frozenset[str] = frozenset()
+        #: Whether the response has neither a length nor chunks, so that it ends with
+        #: the connection.
+        self.ends_by_closing = False
         #: How long it may be idle and still be reused, in seconds.
         self.max_idle_s = DEFAULT_KEEP_ALIVE_S
 
@@ -179,6 +183,7 @@
         for _ in range(MAX_PROVISIONAL_RESPONSES + 1):
             event = await self._read_event()
             if isinstance(event, h11.Response):
+                self.ends_by_closing = not _has_end(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionClosedError("closed before the answer")
@@ -259,6 +264,12 @@
         await self._connection.reset()
 
 
+def _has_end(response: h11.Response) -> bool:
+    """Whether a response says itself where its body ends."""
+    names = {name for name, _ in response.headers}
+    return b"content-length" in names or b"transfer-encoding" in names
+
+
 class UpstreamPool:
     """Pool of idle connections to targets."""
 
--- a/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
@@ -84,6 +84,8 @@
 class _Connection:
     """Connection of one host to a target."""
 
+    ends_by_closing = False
+
     def __init__(self, site: CrashingSite, host: str, target: CrashingTarget) -> None:
         self._site, self._host, self._target = site, host, target
         self._life: Any = target.connect()
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
@@ -128,6 +128,8 @@
 class FakeConnection:
     """Connection to a target that yields chunks, then ends normally or is reset."""
 
+    ends_by_closing = False
+
     def __init__(self, *chunks: bytes, breaks: bool = False) -> None:
         self.chunks = list(chunks)
         self.breaks = breaks
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
@@ -0,0 +1,153 @@
+"""Answers with neither a length nor chunks, which end with their connection."""
+
+from __future__ import annotations
+
+import struct
+from typing import Any
+
+import curio
+import msgspec
+import pytest
+
+from bramleyspread_core import Address, ForwardRoute
+from bramleyspread_daemon.forward._upstream import UpstreamPool
+from bramleyspread_daemon.forward._wire import TargetHead
+from bramleyspread_daemon.forward.tests.test_request_forwarder import (
+    REQUEST,
+    ROUTE,
+    STREAM,
+    FakePlacement,
+    FakeWire,
+    StreamReply,
+    make_context,
+    make_forwarder,
+)
+from bramleyspread_daemon.tests.loopback import (
+    read_request,
+    run,
+    start_scripted_server,
+)
+from bramleyspread_forwarding import ForwardRequest, ForwardTarget, Placed, PlaceQuery
+
+#: Heads that give neither a length nor chunks.
+HEADS = (
+    b"HTTP/1.1 200 OK\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n",
+    b"HTTP/1.0 200 OK\r\n\r\n",
+    b"HTTP/1.0 200 OK\r\nconnection: keep-alive\r\n\r\n",
+)
+EVENT = b"id: 1\ndata: a\n\n"
+PLAIN_ROUTE = ROUTE
+STREAM_ROUTE = msgspec.structs.replace(STREAM, resumable=False, attempts=1)
+#: ``SO_LINGER`` value with which closing resets a connection.
+NO_LINGER = struct.pack("ii", 1, 0)
+
+
+class _Wire(FakeWire):
+    """Wire format that says whether responses are streams."""
+
+    def __init__(self, *, is_stream: bool) -> None:
+        super().__init__()
+        self._is_stream = is_stream
+
+    def write_head(self, request: ForwardRequest, metadata: Any) -> Any:
+        self.metadata.append(metadata)
+        return ((b"host", b"h"),)
+
+    def read_head(self, status: int, headers: object) -> TargetHead:
+        head = super().read_head(status, headers)
+        return msgspec.structs.replace(head, is_stream=self._is_stream)
+
+
+class _Reply(StreamReply):
+    """Reply that records complete answers as well."""
+
+    def send(self, status: int, body: bytes, headers: object = ()) -> None:
+        super().send(status, body, headers)
+        self.chunks.append(body)
+
+
+class _Placement(FakePlacement):
+    """Placement that knows one target."""
+
+    def __init__(self, address: Address) -> None:
+        super().__init__()
+        self._address = address
+
+    async def choose(self, query: PlaceQuery) -> Placed:
+        return Placed(target=ForwardTarget("t", self._address, "z", 1), ticket=1)
+
+
+class _Outcome(msgspec.Struct):
+    """What a caller got, and what became of the connection."""
+
+    reply: StreamReply
+    idle: int
+    successes: list[frozenset[str]]
+
+
+def forward(
+    route: ForwardRoute, head: bytes, body: bytes, *, resets: bool = False
+) -> _Outcome:
+    """Forward a request to a target that answers without a length."""
+
+    async def answer(connected: Any) -> None:
+        await read_request(connected)
+        await connected.sendall(head + body)
+        if resets:
+            await curio.sleep(0.05)
+            linger = (13, NO_LINGER)
+            connected._socket.setsockopt(1, *linger)
+        await connected.close()
+
+    async def main() -> _Outcome:
+        _, address = await start_scripted_server(answer)
+        wire, reply = _Wire(is_stream=route is STREAM_ROUTE), _Reply()
+        context = make_context(wire)
+        context.placement = _Placement(address)
+        context.upstream = UpstreamPool()
+        successes: list[frozenset[str]] = []
+        context.crashes.record_success = successes.append
+        await make_forwarder(route, context, wire, reply).run()
+        idle = sum(map(len, context.upstream._idle.values()))
+        return _Outcome(reply, idle, successes)
+
+    assert REQUEST.body == b""
+    return run(main)
+
+
+@pytest.mark.parametrize("head", HEADS)
+def test_answer_that_ends_with_its_connection_is_whole(head: bytes) -> None:
+    outcome = forward(PLAIN_ROUTE, head, b"all of it")
+    assert (outcome.reply.statuses, outcome.reply.chunks) == ([200], [b"all of it"])
+    assert outcome.idle == 0
+
+
+@pytest.mark.parametrize("head", HEADS)
+def test_answer_whose_connection_is_reset_is_not_passed_on(head: bytes) -> None:
+    outcome = forward(PLAIN_ROUTE, head, b"some of it", resets=True)
+    assert outcome.reply.statuses == [502]
+    assert outcome.idle == 0
+
+
+@pytest.mark.parametrize("head", HEADS)
+def test_stream_that_ends_between_events_is_whole(head: bytes) -> None:
+    outcome = forward(STREAM_ROUTE, head, EVENT * 3)
+    assert (outcome.reply.chunks, outcome.reply.ended) == ([EVENT] * 3, "whole")
+    assert outcome.idle == 0
+
+
+# Guards against a stream that broke off and is passed on as if it were whole.
+@pytest.mark.parametrize("head", HEADS)
+@pytest.mark.parametrize("body", [EVENT + b"id: 2\nda", b"id: 1", b""])
+def test_stream_that_ends_inside_an_event_or_before_the_first_is_cut_off(
+    head: bytes, body: bytes
+) -> None:
+    outcome = forward(STREAM_ROUTE, head, body)
+    assert outcome.reply.ended == "cut"
+    assert (outcome.idle, outcome.successes) == (0, [])
+
+
+def test_stream_with_an_end_of_its_own_may_have_no_event() -> None:
+    head = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+    assert forward(STREAM_ROUTE, head, b"").reply.ended == "whole"
