Compare a feature's crashes with all of the last half minute

Three crashes in a row were compared only with what happened between the first and the last of them, so in a storm of crashes a feature that stood beside three quick ones looked like their cause.

--- a/packages/containment/bramleyspread_containment/_quarantine.py
+++ b/packages/containment/bramleyspread_containment/_quarantine.py
@@ -13,6 +13,9 @@
 #: that no target has ever answered, before it is quarantined; more if it can't be the
 #: cause of other crashes in the same time, which may as well be that of these.
 NEEDED_CRASHES = 3
+#: Time before the last crash in which other crashes speak against a feature at least,
+#: in seconds.
+COMPARED_S = 30.0
 #: Largest such number, and that for a feature with which a target has answered a
 #: request before.
 MAX_NEEDED_CRASHES = 6
@@ -87,7 +90,9 @@
     needed = MAX_NEEDED_CRASHES
     if succeeded_at is None:
         own = len({each.crash_id for each in held})
-        all_crashes = count_crashes(held[0].ended_at, held[-1].ended_at)
+        last_at = held[-1].ended_at
+        since = min(held[0].ended_at, last_at - COMPARED_S)
+        all_crashes = count_crashes(since, last_at)
         needed = min(NEEDED_CRASHES + math.ceil(all_crashes / own) - 1, needed)
     if number < needed:
         return None
