--- a/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
@@ -74,11 +74,14 @@
 
 
 class _Wire(Wire):
-    """Wire format of targets that answer with streams."""
+    """Wire format of targets that answer with streams, or as a whole."""
+
+    def __init__(self, *, is_stream: bool) -> None:
+        self._is_stream = is_stream
 
     def read_head(self, status: int, headers: Any) -> TargetHead:
         head = make_head(status, headers, ResponseSignals())
-        return msgspec.structs.replace(head, is_stream=status == 200)
+        return msgspec.structs.replace(head, is_stream=self._is_stream)
 
 
 class _Connection:
@@ -120,6 +123,11 @@
         self._events += 1
         return b"id: 1\ndata: a\n\n" if self._events <= EVENTS else b""
 
+    async def read_body(self, max_bytes: int = 0) -> bytes:
+        while chunk := await self.read_chunk():
+            assert chunk
+        return b"whole"
+
     async def close(self) -> None:
         pass
 
@@ -161,7 +169,7 @@
     def send(
         self, status: int, body: bytes, headers: tuple[tuple[str, str], ...] = ()
     ) -> None:
-        self._ends[str(status)] += 1
+        self._ends["whole" if status == 200 else str(status)] += 1
 
     def begin_stream(self, status: int, headers: object) -> None:
         self.begun = True
@@ -214,6 +222,7 @@
     ) -> None:
         self.rng = Random(seed)
         self.route = route
+        self._is_streaming = engine is not None
         self._number = 0
         #: Hosts that neither answer nor get an answer from other hosts.
         self.silent: set[Address] = set()
@@ -276,7 +285,7 @@
         )
         context = ForwardContext(
             settings,
-            cast("Any", _Wire()),
+            cast("Any", _Wire(is_stream=self._is_streaming)),
             cast("Any", HostPeers(self, address)),
             Random(self.rng.getrandbits(32)),
             started,
