Keep a request under which targets crash from further targets

Cause: the same as for parts of prompts: who sent a request again was new to every host. The table of crashes knew parts only, so requests without a prompt left no evidence at all. Ruled out: second attempts as the cause (eight of eleven ends come under other attempts; other requests that were lost with it are answered elsewhere), something that targets share (each ended by itself, 40 to 115 ms after the request came). Now: the request itself, by caller, host, path and body, is one more feature in the same table. Its digest is made only while a crash is known, or when an answer breaks off.

--- a/packages/containment/bramleyspread_containment/__init__.py
+++ b/packages/containment/bramleyspread_containment/__init__.py
@@ -7,7 +7,7 @@
 )
 from bramleyspread_containment._crash_table import CrashTable
 from bramleyspread_containment._crashes import Crash
-from bramleyspread_containment._features import identify_part
+from bramleyspread_containment._features import identify_part, identify_request
 from bramleyspread_containment._quarantine import Quarantine
 
 __all__ = [
@@ -18,4 +18,5 @@
     "SharedCrash",
     "SharedSuccess",
     "identify_part",
+    "identify_request",
 ]
--- a/packages/containment/bramleyspread_containment/_crash_table.py
+++ b/packages/containment/bramleyspread_containment/_crash_table.py
@@ -59,6 +59,10 @@
         """Whether no crash is known."""
         return not self._crashes
 
+    def has_crashed(self, feature: str) -> bool:
+        """Whether a crash is known under a request with a feature."""
+        return feature in self._by_feature
+
     def record_crash(self, crash: Crash) -> list[Quarantine]:
         """Record that a target crashed while it was at work on a request.
 
--- a/packages/containment/bramleyspread_containment/_features.py
+++ b/packages/containment/bramleyspread_containment/_features.py
@@ -28,5 +28,22 @@
     return _digest(b"part", part.encode("utf-8", "replace"))
 
 
+def identify_request(caller: str, path: str, body: bytes) -> str:
+    """Return the identity of a request, the same each time that a caller repeats it.
+
+    :param caller: the organisation that sent it; empty for none.
+    :param path: host, path and query.
+    :param body: the body.
+
+    >>> first = identify_request("booths", "h/pay?id=7", b"{}")
+    >>> first == identify_request("booths", "h/pay?id=7", b"{}")
+    True
+    >>> first == identify_request("booths", "h/pay?id=8", b"{}")
+    False
+    """
+    lengths = f"{len(caller)},{len(path)},"
+    return _digest(b"request", f"{lengths}{caller}{path}".encode() + body)
+
+
 def _digest(kind: bytes, content: bytes) -> str:
     return blake2b(content, digest_size=IDENTITY_BYTES, person=kind).hexdigest()
--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -11,6 +11,7 @@
 from bramleyspread_daemon.forward._context import ForwardContext
 from bramleyspread_daemon.forward._stage_work import StageWork
 from bramleyspread_daemon.forward._stream_times import StreamTimes
+from bramleyspread_daemon.forward._target_crashes import RequestFeatures
 from bramleyspread_daemon.forward._upstream import UpstreamConnection
 from bramleyspread_daemon.forward._wire import CallMetadata, TargetHead
 from bramleyspread_forwarding import (
@@ -55,11 +56,9 @@
         stages: StageWork,
         times: StreamTimes,
         placed: Placed,
-        features: frozenset[str],
-        holder: str,
+        features: RequestFeatures,
     ) -> None:
         self._features = features
-        self._holder = holder
         self._context = context
         self._request = request
         self._reply = reply
@@ -150,7 +149,6 @@
             await context.crashes.record_lost_answer(
                 self._placed.target,
                 self._features,
-                self._holder,
                 sent_at,
                 self._first_byte_at,
             )
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -15,7 +15,7 @@
 from bramleyspread_daemon.forward._context import ForwardContext
 from bramleyspread_daemon.forward._stage_work import StageWork
 from bramleyspread_daemon.forward._stream_times import StreamTimes
-from bramleyspread_daemon.forward._target_crashes import identify_features
+from bramleyspread_daemon.forward._target_crashes import RequestFeatures
 from bramleyspread_daemon.forward._wire import (
     CallerWire,
     CallMetadata,
@@ -77,8 +77,8 @@
         self._deadline = (
             self._started_at + min(timeout_ms, float(route.timeout_ms)) / 1000
         )
-        self._holder_name = holder.name if holder is not None else ""
-        self._features = identify_features(request)
+        holder_name = holder.name if holder is not None else ""
+        self._features = RequestFeatures(request, holder_name)
         holder_priority = holder.priority if holder is not None else None
         self._priority = context.rank_urgency(route, holder_priority)
         self._stages = StageWork(
@@ -169,7 +169,7 @@
 
     def _is_quarantined(self) -> bool:
         """Whether requests like this one crash targets, so that none may get it."""
-        found = self._context.crashes.find_quarantine(self._features, self._holder_name)
+        found = self._context.crashes.find_quarantine(self._features)
         if found is None:
             return False
         self._context.crashes.refused += 1
@@ -234,7 +234,6 @@
             self._times,
             placed,
             self._features,
-            self._holder_name,
         )
         if not await attempt.wait_for_turn():
             await attempt.close()
--- a/packages/daemon/bramleyspread_daemon/forward/_target_crashes.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_crashes.py
@@ -13,6 +13,7 @@
     CrashTable,
     Quarantine,
     identify_part,
+    identify_request,
 )
 from bramleyspread_core import Address
 from bramleyspread_daemon._clock import read_monotonic
@@ -33,13 +34,12 @@
 class LostAnswer:
     """An answer that broke off, of which it isn't known yet whether a crash did it."""
 
-    __slots__ = ("ended_at", "features", "holder", "sent_at")
+    __slots__ = ("ended_at", "features", "sent_at")
 
     def __init__(
-        self, features: frozenset[str], holder: str, sent_at: float, ended_at: float
+        self, features: RequestFeatures, sent_at: float, ended_at: float
     ) -> None:
         self.features = features
-        self.holder = holder
         self.sent_at = sent_at
         self.ended_at = ended_at
 
@@ -62,40 +62,46 @@
         self._known: dict[Address, tuple[str, int]] = {}
         self._told: dict[Address, tuple[str, int]] = {}
 
-    def find_quarantine(
-        self, features: frozenset[str], holder: str
-    ) -> Quarantine | None:
+    def find_quarantine(self, features: RequestFeatures) -> Quarantine | None:
         """Find why a request must not reach a target; None if it may."""
-        return self.table.find_quarantine(features, holder, read_monotonic())
+        if self.table.is_empty:
+            return None
+        now = read_monotonic()
+        return self.table.find_quarantine(features.all, features.holder, now)
 
-    def record_success(self, features: Iterable[str]) -> None:
-        """Record that a target answered a request as a whole."""
-        self.table.record_success(features, read_monotonic())
+    def record_success(self, features: RequestFeatures) -> None:
+        """Record that a target answered a request as a whole.
+
+        Most requests come only once, so a success of the request itself says something
+        only after a crash.
+        """
+        now = read_monotonic()
+        self.table.record_success(features.parts, now)
+        if not self.table.is_empty and self.table.has_crashed(features.identity):
+            self.table.record_success((features.identity,), now)
 
     async def record_lost_answer(
         self,
         target: ForwardTarget,
-        features: frozenset[str],
-        holder: str,
+        features: RequestFeatures,
         sent_at: float,
         first_event_at: float | None,
     ) -> None:
         """Record that an answer broke off, and find out whether the target crashed.
 
         :param target: the target.
-        :param features: identities of the request's features.
-        :param holder: the organisation that sent it; empty for none.
+        :param features: what in the request may have crashed it.
         :param sent_at: when the request was sent, in seconds.
         :param first_event_at: when the first event of the answer was read, in seconds;
             None if there was none.
         """
         now = read_monotonic()
-        if not features or (
+        if (
             first_event_at is not None
             and now - first_event_at > SUSPECT_AFTER_FIRST_EVENT_S
         ):
             return
-        lost = LostAnswer(features, holder, sent_at, now)
+        lost = LostAnswer(features, sent_at, now)
         if target in self._lost_answers:
             self._lost_answers[target].append(lost)
             return
@@ -117,8 +123,8 @@
             crash = Crash(
                 target=target.target,
                 born=target.born,
-                holder=lost.holder,
-                features=lost.features,
+                holder=lost.features.holder,
+                features=lost.features.all,
                 sent_at=lost.sent_at,
                 ended_at=lost.ended_at,
             )
@@ -152,9 +158,38 @@
         self.table.expire(read_monotonic())
 
 
-def identify_features(request: ForwardRequest) -> frozenset[str]:
-    """Identify what in a request may crash a target."""
-    return frozenset(map(identify_part, list_shared_parts(request.prompt)))
+class RequestFeatures:
+    """What in a request may crash a target: the request itself, and its prompt's parts.
+
+    :param request: the request.
+    :param holder: the organisation that sent it; empty for none.
+    """
+
+    __slots__ = ("_identity", "_request", "holder", "parts")
+
+    def __init__(self, request: ForwardRequest, holder: str) -> None:
+        self._request = request
+        self._identity: str | None = None
+        self.holder = holder
+        #: Identities of the parts that other prompts share.
+        self.parts = frozenset(map(identify_part, list_shared_parts(request.prompt)))
+
+    @property
+    def identity(self) -> str:
+        """Identity of the request itself.
+
+        Large bodies take time to read, so it is found only when it is needed.
+        """
+        if self._identity is None:
+            path = f"{self._request.host}{self._request.path_and_query}"
+            body = self._request.body
+            self._identity = identify_request(self.holder, path, body)
+        return self._identity
+
+    @property
+    def all(self) -> frozenset[str]:
+        """Identities of all features."""
+        return self.parts | {self.identity}
 
 
 def _log_begun(quarantines: Iterable[Quarantine], source: str) -> None:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
@@ -83,7 +83,7 @@
 
     reply: StreamReply
     idle: int
-    successes: list[frozenset[str]]
+    successes: list[object]
 
 
 def forward(
@@ -106,7 +106,7 @@
         context = make_context(wire)
         context.placement = _Placement(address)
         context.upstream = UpstreamPool()
-        successes: list[frozenset[str]] = []
+        successes: list[object] = []
         context.crashes.record_success = successes.append
         await make_forwarder(route, context, wire, reply).run()
         idle = sum(map(len, context.upstream._idle.values()))
