Let crashes count that overlap, if they are not of the same moment

Cause: a crash counted only if its request had been sent after the one before; two repeats at once ended all three targets and counted as one or two, and the next ones came seconds later. Now crashes count that are 0.05 s apart; under a repeated request each target counts.

--- a/packages/containment/bramleyspread_containment/_crash_news.py
+++ b/packages/containment/bramleyspread_containment/_crash_news.py
@@ -16,8 +16,6 @@
     holder: str = ""
     #: Identities of the request's features.
     features: tuple[str, ...]
-    #: How long ago the request was sent to the target, in milliseconds.
-    sent_age_ms: float
     #: How long ago the target crashed, in milliseconds.
     ended_age_ms: float
 
--- a/packages/containment/bramleyspread_containment/_crash_table.py
+++ b/packages/containment/bramleyspread_containment/_crash_table.py
@@ -80,7 +80,6 @@
                 born=crash.born,
                 holder=crash.holder,
                 features=features,
-                sent_at=crash.sent_at,
                 ended_at=crash.ended_at,
             )
         self._crashes[key] = (self.revision, crash)
@@ -279,7 +278,6 @@
         born=crash.born,
         holder=crash.holder,
         features=tuple(sorted(crash.features)),
-        sent_age_ms=round((now - crash.sent_at) * 1000, 1),
         ended_age_ms=round((now - crash.ended_at) * 1000, 1),
     )
 
@@ -290,6 +288,5 @@
         born=shared.born,
         holder=shared.holder,
         features=frozenset(shared.features),
-        sent_at=now - shared.sent_age_ms / 1000,
         ended_at=now - shared.ended_age_ms / 1000,
     )
--- a/packages/containment/bramleyspread_containment/_crashes.py
+++ b/packages/containment/bramleyspread_containment/_crashes.py
@@ -25,8 +25,6 @@
     holder: str
     #: Identities of the request's features.
     features: frozenset[str]
-    #: When the request was sent to the target, in seconds.
-    sent_at: float
     #: When the target crashed, in seconds.
     ended_at: float
 
--- a/packages/containment/bramleyspread_containment/_features.py
+++ b/packages/containment/bramleyspread_containment/_features.py
@@ -8,6 +8,8 @@
 #: Size of a feature's identity, in bytes. Two features of a fleet hardly ever share
 #: one, and nobody can make a part that shares the identity of another one.
 IDENTITY_BYTES = 8
+#: First letter of the identities of parts, and of requests.
+PART, REQUEST = "p", "r"
 #: Number of parts whose identities are kept; those used least recently are dropped.
 MAX_KEPT_PARTS = 2_048
 
@@ -23,9 +25,9 @@
     >>> identify_part("5c1e07a2") == identify_part("5c1e07a2")
     True
     >>> len(identify_part("x" * 10_000))
-    16
+    17
     """
-    return _digest(b"part", part.encode("utf-8", "replace"))
+    return PART + _digest(b"part", part.encode("utf-8", "replace"))
 
 
 def identify_request(caller: str, path: str, body: bytes) -> str:
@@ -42,7 +44,12 @@
     False
     """
     lengths = f"{len(caller)},{len(path)},"
-    return _digest(b"request", f"{lengths}{caller}{path}".encode() + body)
+    return REQUEST + _digest(b"request", f"{lengths}{caller}{path}".encode() + body)
+
+
+def is_request(feature: str) -> bool:
+    """Whether a feature is a request itself."""
+    return feature.startswith(REQUEST)
 
 
 def _digest(kind: bytes, content: bytes) -> str:
--- a/packages/containment/bramleyspread_containment/_quarantine.py
+++ b/packages/containment/bramleyspread_containment/_quarantine.py
@@ -8,11 +8,14 @@
 import msgspec
 
 from bramleyspread_containment._crashes import Crash, CrashId
+from bramleyspread_containment._features import is_request
 
 #: Number of targets that must crash, one after another, under requests with a feature
 #: that no target has ever answered, before it is quarantined; more if it can't be the
 #: cause of other crashes in the same time, which may as well be that of these.
 NEEDED_CRASHES = 3
+#: Time within which crashes of several targets have one reason, in seconds.
+SAME_MOMENT_S = 0.05
 #: Time before the last crash in which other crashes speak against a feature at least,
 #: in seconds.
 COMPARED_S = 30.0
@@ -84,7 +87,7 @@
         (x for x in crashes if succeeded_at is None or x.ended_at > succeeded_at),
         key=lambda each: each.ended_at,
     )
-    number = count_trials(held)
+    number = count_trials(held, 0.0 if is_request(feature) else SAME_MOMENT_S)
     if number < NEEDED_CRASHES:
         return None
     needed = MAX_NEEDED_CRASHES
@@ -108,33 +111,37 @@
     )
 
 
-def count_trials(crashes: Sequence[Crash]) -> int:
+def count_trials(crashes: Sequence[Crash], same_moment_s: float = SAME_MOMENT_S) -> int:
     """Count the crashes that say something independently of each other.
 
-    Targets that crash at the same time, as in a zone that loses power, do so for one
-    reason. A crash counts if its request was sent after the one counted before.
+    Targets that crash at the same moment, as in a zone that loses power, do so for one
+    reason. That one request is at several of them then is no chance, though.
 
     :param crashes: the crashes, sorted by when they happened.
+    :param same_moment_s: within what time crashes have one reason, in seconds; 0 if
+        each target counts.
 
-    >>> def make_crash(number, sent_at, ended_at):
+    >>> def make_crash(number, ended_at):
     ...     return Crash(
     ...         target=f"t{number}",
     ...         born=0,
     ...         holder="",
     ...         features=frozenset(),
-    ...         sent_at=sent_at,
     ...         ended_at=ended_at,
     ...     )
-    >>> together = [make_crash(at, 1.0, 2.0) for at in range(9)]
+    >>> together = [make_crash(at, 2.0 + at / 1000) for at in range(9)]
     >>> count_trials(together)
     1
-    >>> count_trials([*together, make_crash(10, 2.1, 2.4)])
+    >>> count_trials([*together, make_crash(10, 2.4)])
     2
     """
-    number, counted_at = 0, float("-inf")
+    first_by_crash: dict[CrashId, float] = {}
     for crash in crashes:
-        if crash.sent_at >= counted_at:
-            number, counted_at = number + 1, crash.ended_at
+        first_by_crash.setdefault(crash.crash_id, crash.ended_at)
+    number, counted_at = 0, float("-inf")
+    for ended_at in first_by_crash.values():
+        if ended_at >= counted_at + same_moment_s:
+            number, counted_at = number + 1, ended_at
     return number
 
 
--- a/packages/containment/bramleyspread_containment/tests/test_crash_table.py
+++ b/packages/containment/bramleyspread_containment/tests/test_crash_table.py
@@ -34,16 +34,14 @@
     at: float,
     *features: str,
     holder: str = "booths",
-    sent_at: float | None = None,
     target: str | None = None,
 ) -> Crash:
-    """Make a crash whose request was sent shortly before."""
+    """Make a crash of a target of its own."""
     return Crash(
         target=target or f"t-{at}",
         born=0,
         holder=holder,
         features=frozenset(features),
-        sent_at=at - 0.1 if sent_at is None else sent_at,
         ended_at=at,
     )
 
@@ -76,7 +74,7 @@
     table = CrashTable()
     for number in range(20):
         table.record_crash(
-            make_crash(5.0, FATAL, sent_at=4.0 + number / 100, target=f"t-{number}")
+            make_crash(5.0 + number / 1_000, FATAL, target=f"t-{number}")
         )
     assert not is_refused(table, 5.0, FATAL)
 
--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -149,7 +149,6 @@
             await context.crashes.record_lost_answer(
                 self._placed.target,
                 self._features,
-                sent_at,
                 self._first_byte_at,
             )
         if isinstance(end, Delivered):
--- a/packages/daemon/bramleyspread_daemon/forward/_target_crashes.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_crashes.py
@@ -34,13 +34,10 @@
 class LostAnswer:
     """An answer that broke off, of which it isn't known yet whether a crash did it."""
 
-    __slots__ = ("ended_at", "features", "sent_at")
+    __slots__ = ("ended_at", "features")
 
-    def __init__(
-        self, features: RequestFeatures, sent_at: float, ended_at: float
-    ) -> None:
+    def __init__(self, features: RequestFeatures, ended_at: float) -> None:
         self.features = features
-        self.sent_at = sent_at
         self.ended_at = ended_at
 
 
@@ -84,14 +81,12 @@
         self,
         target: ForwardTarget,
         features: RequestFeatures,
-        sent_at: float,
         first_event_at: float | None,
     ) -> None:
         """Record that an answer broke off, and find out whether the target crashed.
 
         :param target: the target.
         :param features: what in the request may have crashed it.
-        :param sent_at: when the request was sent, in seconds.
         :param first_event_at: when the first event of the answer was read, in seconds;
             None if there was none.
         """
@@ -101,7 +96,7 @@
             and now - first_event_at > SUSPECT_AFTER_FIRST_EVENT_S
         ):
             return
-        lost = LostAnswer(features, sent_at, now)
+        lost = LostAnswer(features, now)
         if target in self._lost_answers:
             self._lost_answers[target].append(lost)
             return
@@ -125,7 +120,6 @@
                 born=target.born,
                 holder=lost.features.holder,
                 features=lost.features.all,
-                sent_at=lost.sent_at,
                 ended_at=lost.ended_at,
             )
             _log_begun(self.table.record_crash(crash), target.target)
