Don't take an answer for whole that a crash may have ended, when judging requests

An answer without a length ends with its connection, as it does when the target crashes. It was passed on as whole, which the platform allows, but also counted as proof that its request does no harm. Now the target is asked whether it still accepts connections, unless all parts of the prompt are known to do no harm (test_answer_that_a_crash_may_have_ended_is_no_success, failing before). Requests that were sent on a connection which a crash had closed already are no longer evidence. Crashes are counted by a sorted list, not by looking at each for each feature.

--- a/packages/containment/bramleyspread_containment/_crash_table.py
+++ b/packages/containment/bramleyspread_containment/_crash_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, bisect_right
 from collections.abc import Iterable
 
 from bramleyspread_containment._crash_news import (
@@ -50,6 +51,7 @@
         self._success_revisions: dict[str, int] = {}
         self._succeeded_at: dict[str, float] = {}
         self._by_feature: dict[str, dict[_CrashKey, Crash]] = {}
+        self._by_crash: dict[CrashId, dict[_CrashKey, Crash]] = {}
         self._quarantines: dict[str, Quarantine] = {}
         #: Number of changes so far.
         self.revision = 0
@@ -63,6 +65,17 @@
         """Whether a crash is known under a request with a feature."""
         return feature in self._by_feature
 
+    def find_crash_time(self, crash_id: CrashId) -> float | None:
+        """Find when a target crashed, in seconds; None if that isn't known."""
+        crashes = self._by_crash.get(crash_id)
+        if crashes is None:
+            return None
+        return min(each.ended_at for each in crashes.values())
+
+    def have_succeeded(self, features: Iterable[str]) -> bool:
+        """Whether targets have answered requests with each of some features."""
+        return all(each in self._succeeded_at for each in features)
+
     def record_crash(self, crash: Crash) -> list[Quarantine]:
         """Record that a target crashed while it was at work on a request.
 
@@ -83,6 +96,7 @@
                 ended_at=crash.ended_at,
             )
         self._crashes[key] = (self.revision, crash)
+        self._by_crash.setdefault(crash.crash_id, {})[key] = crash
         for feature in features:
             self._by_feature.setdefault(feature, {})[key] = crash
             if feature in self._succeeded_at:
@@ -139,35 +153,38 @@
             for feature, crashes in self._by_feature.items()
             if len(crashes) >= NEEDED_CRASHES
         )
-        while found := [
-            each
-            for feature in suspects
-            if feature not in self._quarantines
-            and (each := self._judge_feature(feature)) is not None
-        ]:
-            self._quarantines.update((each.feature, each) for each in found)
+        while found := self._find_quarantines(suspects):
+            self._quarantines.update(found)
         return [x for name, x in self._quarantines.items() if name not in before]
 
-    def _judge_feature(self, feature: str) -> Quarantine | None:
+    def _find_quarantines(self, suspects: Iterable[str]) -> dict[str, Quarantine]:
+        """Find the quarantines that begin beside those that there are."""
         explained = set[CrashId]().union(
             *(each.crashes for each in self._quarantines.values())
         )
+        ends = sorted(
+            min(each.ended_at for each in crashes.values())
+            for crash_id, crashes in self._by_crash.items()
+            if crash_id not in explained
+        )
 
         def count_crashes(since: float, until: float) -> int:
-            ends = {
-                crash.crash_id
-                for _, crash in self._crashes.values()
-                if since <= crash.ended_at <= until
-            }
-            return len(ends - explained)
-
-        return judge(
-            feature,
-            self._by_feature[feature].values(),
-            self._succeeded_at.get(feature),
-            self._succeeded_at.__contains__,
-            count_crashes,
-        )
+            return bisect_right(ends, until) - bisect_left(ends, since)
+
+        found = {}
+        for feature in suspects:
+            if feature in self._quarantines:
+                continue
+            quarantine = judge(
+                feature,
+                self._by_feature[feature].values(),
+                self._succeeded_at.get(feature),
+                self._succeeded_at.__contains__,
+                count_crashes,
+            )
+            if quarantine is not None:
+                found[feature] = quarantine
+        return found
 
     def find_quarantine(
         self, features: frozenset[str], holder: str, now: float
@@ -264,6 +281,10 @@
 
     def _drop(self, key: _CrashKey) -> None:
         _, crash = self._crashes.pop(key)
+        of_crash = self._by_crash[crash.crash_id]
+        del of_crash[key]
+        if not of_crash:
+            del self._by_crash[crash.crash_id]
         for feature in crash.features:
             crashes = self._by_feature[feature]
             del crashes[key]
--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -149,13 +149,25 @@
             await context.crashes.record_lost_answer(
                 self._placed.target,
                 self._features,
+                sent_at,
                 self._first_byte_at,
             )
         if isinstance(end, Delivered):
-            context.crashes.record_success(self._features)
+            await self._record_success(connection, sent_at)
         self.is_in_flight = False
         return end
 
+    async def _record_success(
+        self, connection: UpstreamConnection, sent_at: float
+    ) -> None:
+        crashes = self._context.crashes
+        if connection.ends_by_closing:
+            await crashes.record_unframed_answer(
+                self._placed.target, self._features, sent_at
+            )
+        else:
+            crashes.record_success(self._features)
+
     def _log_lost_answer(self, end: MayHaveRun, sent_at: float) -> None:
         """Log what the target was at work on when its answer broke off."""
         now, first_byte_at = read_monotonic(), self._first_byte_at
--- a/packages/daemon/bramleyspread_daemon/forward/_target_crashes.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_crashes.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 
 import curio
+import msgspec
 from loguru import logger
 
 from bramleyspread_containment import (
@@ -31,14 +32,51 @@
 COLLECTION_S = 0.02
 
 
-class LostAnswer:
-    """An answer that broke off, of which it isn't known yet whether a crash did it."""
+class RequestFeatures:
+    """What in a request may crash a target: the request itself, and its prompt's parts.
+
+    :param request: the request.
+    :param holder: the organisation that sent it; empty for none.
+    """
 
-    __slots__ = ("ended_at", "features")
+    __slots__ = ("_identity", "_request", "holder", "parts")
 
-    def __init__(self, features: RequestFeatures, ended_at: float) -> None:
-        self.features = features
-        self.ended_at = ended_at
+    def __init__(self, request: ForwardRequest, holder: str) -> None:
+        self._request = request
+        self._identity: str | None = None
+        self.holder = holder
+        #: Identities of the parts that other prompts share.
+        self.parts = frozenset(map(identify_part, list_shared_parts(request.prompt)))
+
+    @property
+    def identity(self) -> str:
+        """Identity of the request itself.
+
+        Large bodies take time to read, so it is found only when it is needed.
+        """
+        if self._identity is None:
+            path = f"{self._request.host}{self._request.path_and_query}"
+            body = self._request.body
+            self._identity = identify_request(self.holder, path, body)
+        return self._identity
+
+    @property
+    def all(self) -> frozenset[str]:
+        """Identities of all features."""
+        return self.parts | {self.identity}
+
+
+class EndedAnswer(msgspec.Struct, frozen=True):
+    """An answer that ended, of which it isn't known yet whether a crash ended it."""
+
+    #: What in its request may have crashed the target.
+    features: RequestFeatures
+    #: When the request was sent, in seconds.
+    sent_at: float
+    #: When the answer ended, in seconds.
+    ended_at: float
+    #: Whether it seems to be whole.
+    is_whole: bool = False
 
 
 class TargetCrashes:
@@ -53,7 +91,7 @@
         self.table = CrashTable()
         #: Number of requests that were refused.
         self.refused = 0
-        self._lost_answers: dict[ForwardTarget, list[LostAnswer]] = {}
+        self._ended_answers: dict[ForwardTarget, list[EndedAnswer]] = {}
         # By control host: its process, and the revisions of both tables up to which
         # this host and that process know them.
         self._known: dict[Address, tuple[str, int]] = {}
@@ -81,12 +119,14 @@
         self,
         target: ForwardTarget,
         features: RequestFeatures,
+        sent_at: float,
         first_event_at: float | None,
     ) -> None:
         """Record that an answer broke off, and find out whether the target crashed.
 
         :param target: the target.
         :param features: what in the request may have crashed it.
+        :param sent_at: when the request was sent, in seconds.
         :param first_event_at: when the first event of the answer was read, in seconds;
             None if there was none.
         """
@@ -96,33 +136,59 @@
             and now - first_event_at > SUSPECT_AFTER_FIRST_EVENT_S
         ):
             return
-        lost = LostAnswer(features, now)
-        if target in self._lost_answers:
-            self._lost_answers[target].append(lost)
+        await self._check_answer(target, EndedAnswer(features, sent_at, now))
+
+    async def record_unframed_answer(
+        self, target: ForwardTarget, features: RequestFeatures, sent_at: float
+    ) -> None:
+        """Record an answer that seems to be whole, but ended with its connection.
+
+        The crash of a target ends it in the same way, so it says that the request does
+        no harm only if the target goes on running.
+
+        :param target: the target.
+        :param features: what in the request may have crashed it.
+        :param sent_at: when the request was sent, in seconds.
+        """
+        if features.parts and self.table.have_succeeded(features.parts):
+            self.record_success(features)
+            return
+        answer = EndedAnswer(features, sent_at, read_monotonic(), is_whole=True)
+        await self._check_answer(target, answer)
+
+    async def _check_answer(self, target: ForwardTarget, answer: EndedAnswer) -> None:
+        if target in self._ended_answers:
+            self._ended_answers[target].append(answer)
             return
-        self._lost_answers[target] = [lost]
+        self._ended_answers[target] = [answer]
         await curio.spawn(self._check, target, daemon=True)
 
     async def _check(self, target: ForwardTarget) -> None:
-        """Find out whether a target crashed whose answers broke off.
+        """Find out whether a target crashed whose answers ended.
 
         An answer may also be lost between the target and this host. Only a target that
         has crashed refuses connections.
         """
         await curio.sleep(COLLECTION_S)
         has_crashed = await self._is_refused(target.address)
-        lost_answers = self._lost_answers.pop(target)
-        if not has_crashed:
-            return
-        for lost in lost_answers:
-            crash = Crash(
-                target=target.target,
-                born=target.born,
-                holder=lost.features.holder,
-                features=lost.features.all,
-                ended_at=lost.ended_at,
-            )
-            _log_begun(self.table.record_crash(crash), target.target)
+        for answer in self._ended_answers.pop(target):
+            if has_crashed:
+                self._record_crash(target, answer)
+            elif answer.is_whole:
+                self.record_success(answer.features)
+
+    def _record_crash(self, target: ForwardTarget, answer: EndedAnswer) -> None:
+        crash = Crash(
+            target=target.target,
+            born=target.born,
+            holder=answer.features.holder,
+            features=answer.features.all,
+            ended_at=answer.ended_at,
+        )
+        crashed_at = self.table.find_crash_time(crash.crash_id)
+        if crashed_at is not None and answer.sent_at >= crashed_at:
+            return  # sent on a connection that the crash had closed already
+        _log_begun(self.table.record_crash(crash), target.target)
 
     def find_known_revision(self, control: Address, incarnation: str) -> int:
         """Find up to which revision this host knows a control host's table."""
@@ -152,40 +218,6 @@
         self.table.expire(read_monotonic())
 
 
-class RequestFeatures:
-    """What in a request may crash a target: the request itself, and its prompt's parts.
-
-    :param request: the request.
-    :param holder: the organisation that sent it; empty for none.
-    """
-
-    __slots__ = ("_identity", "_request", "holder", "parts")
-
-    def __init__(self, request: ForwardRequest, holder: str) -> None:
-        self._request = request
-        self._identity: str | None = None
-        self.holder = holder
-        #: Identities of the parts that other prompts share.
-        self.parts = frozenset(map(identify_part, list_shared_parts(request.prompt)))
-
-    @property
-    def identity(self) -> str:
-        """Identity of the request itself.
-
-        Large bodies take time to read, so it is found only when it is needed.
-        """
-        if self._identity is None:
-            path = f"{self._request.host}{self._request.path_and_query}"
-            body = self._request.body
-            self._identity = identify_request(self.holder, path, body)
-        return self._identity
-
-    @property
-    def all(self) -> frozenset[str]:
-        """Identities of all features."""
-        return self.parts | {self.identity}
-
-
 def _log_begun(quarantines: Iterable[Quarantine], source: str) -> None:
     for each in quarantines:
         logger.bind(
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
@@ -10,6 +10,7 @@
 import pytest
 
 from bramleyspread_core import Address, ForwardRoute
+from bramleyspread_daemon.forward._target_crashes import COLLECTION_S, TargetCrashes
 from bramleyspread_daemon.forward._upstream import UpstreamPool
 from bramleyspread_daemon.forward._wire import TargetHead
 from bramleyspread_daemon.forward.tests.test_request_forwarder import (
@@ -84,10 +85,20 @@
     reply: StreamReply
     idle: int
     successes: list[object]
+    crashes: TargetCrashes
+
+
+async def refuse_connections(_: Address) -> bool:
+    return True
 
 
 def forward(
-    route: ForwardRoute, head: bytes, body: bytes, *, resets: bool = False
+    route: ForwardRoute,
+    head: bytes,
+    body: bytes,
+    *,
+    resets: bool = False,
+    crashes: bool = False,
 ) -> _Outcome:
     """Forward a request to a target that answers without a length."""
 
@@ -107,10 +118,13 @@
         context.placement = _Placement(address)
         context.upstream = UpstreamPool()
         successes: list[object] = []
+        if crashes:
+            context.crashes = TargetCrashes(refuse_connections)
         context.crashes.record_success = successes.append
         await make_forwarder(route, context, wire, reply).run()
         idle = sum(map(len, context.upstream._idle.values()))
-        return _Outcome(reply, idle, successes)
+        await curio.sleep(2 * COLLECTION_S)
+        return _Outcome(reply, idle, successes, context.crashes)
 
     assert REQUEST.body == b""
     return run(main)
@@ -148,6 +162,18 @@
     assert (outcome.idle, outcome.successes) == (0, [])
 
 
+# Guards against a crash that looks like a whole answer, and so clears its request.
+@pytest.mark.parametrize("route", [PLAIN_ROUTE, STREAM_ROUTE])
+@pytest.mark.parametrize("crashes", [False, True])
+def test_answer_that_a_crash_may_have_ended_is_no_success(
+    route: ForwardRoute, crashes: bool
+) -> None:
+    outcome = forward(route, HEADS[0], EVENT, crashes=crashes)
+    assert outcome.reply.statuses == [200]
+    assert len(outcome.successes) == (0 if crashes else 1)
+    assert outcome.crashes.table.is_empty is not crashes
+
+
 def test_stream_with_an_end_of_its_own_may_have_no_event() -> None:
     head = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
     assert forward(STREAM_ROUTE, head, b"").reply.ended == "whole"
