--- a/packages/daemon/bramleyspread_daemon/forward/_target_crashes.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_crashes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 import curio
 import msgspec
@@ -30,6 +30,8 @@
 SUSPECT_AFTER_FIRST_EVENT_S = 2.0
 #: Time in which the answers break off that one crash ends, in seconds.
 COLLECTION_S = 0.02
+#: Maximum number of requests in one log line.
+MAX_LOGGED_REQUESTS = 8
 
 
 class RequestFeatures:
@@ -48,6 +50,11 @@
         #: Identities of the parts that other prompts share.
         self.parts = frozenset(map(identify_part, list_shared_parts(request.prompt)))
 
+    @property
+    def request_id(self) -> str:
+        """The caller's id for the request, for the log."""
+        return self._request.request_id
+
     @property
     def identity(self) -> str:
         """Identity of the request itself.
@@ -171,7 +178,10 @@
         """
         await curio.sleep(COLLECTION_S)
         has_crashed = await self._is_refused(target.address)
-        for answer in self._ended_answers.pop(target):
+        answers = self._ended_answers.pop(target)
+        if has_crashed:
+            _log_crash(target, answers)
+        for answer in answers:
             if has_crashed:
                 self._record_crash(target, answer)
             elif answer.is_whole:
@@ -218,6 +228,16 @@
         self.table.expire(read_monotonic())
 
 
+def _log_crash(target: ForwardTarget, answers: Sequence[EndedAnswer]) -> None:
+    requests = [each.features.request_id for each in answers]
+    logger.bind(
+        step="crash",
+        peer=target.target,
+        born=target.born,
+        requests=",".join(requests[:MAX_LOGGED_REQUESTS]),
+    ).warning("refuses connections")
+
+
 def _log_begun(quarantines: Iterable[Quarantine], source: str) -> None:
     for each in quarantines:
         logger.bind(
--- a/packages/tool/bramleyspread_tool/_explain.py
+++ b/packages/tool/bramleyspread_tool/_explain.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bramleyspread_tool._explain_crashes import find_crashes
 from bramleyspread_tool._explain_signals import find_signals
 from bramleyspread_tool._log_files import LogFiles, LogLine
 
@@ -197,6 +198,7 @@
         _find_process_end,
         _find_refusal,
         find_signals,
+        find_crashes,
         _find_lost_answer,
         _find_overload,
     ):
--- a/packages/tool/bramleyspread_tool/tests/test_explain.py
+++ b/packages/tool/bramleyspread_tool/tests/test_explain.py
@@ -196,3 +196,36 @@
         "i-1, 2.5 s before, named 1.5 requests a second; "
         "i-4, 1.5 s before, asked for a pause of 3.0 s"
     )
+
+
+def test_refusal_for_crashes_names_them_and_who_saw_them(tmp_path: Path) -> None:
+    entry_log = write_log(
+        tmp_path / "a",
+        "a",
+        make_line(10.0, "crash", "refuses connections", peer="i-2", requests="s"),
+        make_line(12.0, "admit", "taken", request="r", version=3),
+        make_line(
+            12.0,
+            "quarantine",
+            "covers the request",
+            request="r",
+            feature="p5c1e",
+            peer="i-1,i-2",
+        ),
+        make_line(
+            12.0,
+            "end",
+            "refused with 503: targets crash under requests like this one",
+            request="r",
+            ms=0,
+        ),
+    )
+    other_log = write_log(
+        tmp_path / "b",
+        "b",
+        make_line(8.5, "crash", "refuses connections", peer="i-1", requests="q"),
+    )
+    assert explain_request("r", entry_log, other_log).cause == (
+        "2 target(s) had crashed under requests with the same part in their prompts "
+        "(p5c1e): i-1, 3.5 s before, seen by b (q); i-2, 2.0 s before, seen by a (s)"
+    )
