--- a/packages/containment/bramleyspread_containment/_crash_table.py
+++ b/packages/containment/bramleyspread_containment/_crash_table.py
@@ -33,6 +33,8 @@
 MAX_TRANSIT_S = 0.25
 #: Time after which a crash that led to no quarantine is forgotten, in seconds.
 RETENTION_S = 600.0
+#: Interval at which a table is to be searched for such crashes, in seconds.
+EXPIRY_INTERVAL_S = 10.0
 
 #: A crash under a request with these features.
 _CrashKey = tuple[CrashId, frozenset[str]]
--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -8,7 +8,7 @@
 import curio
 from loguru import logger
 
-from bramleyspread_containment import CrashTable
+from bramleyspread_containment import EXPIRY_INTERVAL_S, CrashTable
 from bramleyspread_core import (
     Address,
     Command,
@@ -109,6 +109,7 @@
         self.registry = TargetRegistry(heartbeat_s)
         #: Under which requests targets crash.
         self.crashes = CrashTable()
+        self._crashes_expire_at = 0.0
 
     def attach(self, propose: Propose) -> None:
         """Set the function that proposes commands to the replicas."""
@@ -205,7 +206,9 @@
         """
         now = read_monotonic()
         self.registry.tick(now)
-        self.crashes.expire(now)
+        if now >= self._crashes_expire_at:
+            self._crashes_expire_at = now + EXPIRY_INTERVAL_S
+            self.crashes.expire(now)
         self._publish_changes(now)
 
     def _publish_changes(self, now: float) -> None:
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -8,6 +8,7 @@
 import curio
 from loguru import logger
 
+from bramleyspread_containment import EXPIRY_INTERVAL_S
 from bramleyspread_core import Address, Deployment
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import HttpRequest, Reply
@@ -54,8 +55,6 @@
 #: Interval at which it is checked whether the views received from control hosts are
 #: stale, in seconds.
 STALENESS_CHECK_INTERVAL_S = 0.25
-#: Interval at which it is checked which crashes of targets are forgotten, in seconds.
-CRASH_EXPIRY_INTERVAL_S = 10.0
 #: Interval at which idle connections to targets are checked for expiry, in seconds.
 IDLE_CHECK_INTERVAL_S = 1.0
 
@@ -239,7 +238,7 @@
             (self.context.placement.tick, "place", PLACEMENT_TICK_INTERVAL_S),
             (self.context.upstream.close_expired, "idle", IDLE_CHECK_INTERVAL_S),
             (self.context.tick, "targets", STALENESS_CHECK_INTERVAL_S),
-            (self.context.crashes.tick, "crashes", CRASH_EXPIRY_INTERVAL_S),
+            (self.context.crashes.tick, "crashes", EXPIRY_INTERVAL_S),
             (self._watch_settings, "settings", SETTINGS_CHECK_INTERVAL_S),
         ):
             await curio.spawn(
