--- a/packages/daemon/bramleyspread_daemon/forward/tests/forwarding_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/forwarding_site.py
@@ -121,6 +121,8 @@
 class _Connection:
     """Connection of one host to a target."""
 
+    ends_by_closing = False
+
     def __init__(self, site: ForwardingSite, host: str, at: SignallingTarget) -> None:
         self._site, self._host, self._target = site, host, at
         self._request = ""
