--- a/packages/core/bramleyspread_core/_reasons.py
+++ b/packages/core/bramleyspread_core/_reasons.py
@@ -48,6 +48,8 @@
     STILL_RUNNING = "still-running"
     #: The retry budget is used up.
     RETRY_BUDGET = "retry-budget"
+    #: Targets crash under requests like this one.
+    QUARANTINED = "quarantined"
     #: The idempotency key was used for a different request.
     KEY_REUSED = "key-reused"
 
--- a/packages/daemon/bramleyspread_daemon/_callers.py
+++ b/packages/daemon/bramleyspread_daemon/_callers.py
@@ -41,6 +41,7 @@
 
 _REFUSAL_STATUS = {
     Reason.BAD_INPUT: 400,
+    Reason.QUARANTINED: 422,
     Reason.KEY_REUSED: 409,
     Reason.STILL_RUNNING: 409,
 }
--- a/packages/entry/bramleyspread_entry/_attempts.py
+++ b/packages/entry/bramleyspread_entry/_attempts.py
@@ -31,6 +31,8 @@
     stage: str
     kind: AttemptKind
     target: TargetName
+    #: Which start of the target it was sent to.
+    incarnation: int
     #: Address at which the target receives cancellations.
     address: Address
     #: When the attempt was dispatched, in monotonic seconds.
--- a/packages/entry/bramleyspread_entry/_dispatch.py
+++ b/packages/entry/bramleyspread_entry/_dispatch.py
@@ -84,6 +84,7 @@
             stage=stage.name,
             kind=kind,
             target=target,
+            incarnation=announcement.incarnation,
             address=announcement.address,
             sent_at=now,
             fresh_connection=fresh_connection,
--- a/packages/entry/bramleyspread_entry/_stages.py
+++ b/packages/entry/bramleyspread_entry/_stages.py
@@ -55,6 +55,12 @@
                 run, self._make_fault(run, Reason.DEADLINE, detail), now
             )
             return
+        if self._is_quarantined(run, now):
+            detail = "targets crash under requests like this one"
+            self._completion.give_up(
+                run, self._make_fault(run, Reason.QUARANTINED, detail), now
+            )
+            return
         view = self._dispatcher.choose_target(run, now)
         if view is None:
             self._schedule_target_retry(run, now)
@@ -138,6 +144,7 @@
             run.answered
             or not is_only_attempt
             or run.stage_attempts >= self._state.config.max_stage_attempts
+            or self._is_quarantined(run, now)
         ):
             return
         view = self._dispatcher.choose_target(run, now)
@@ -225,6 +232,13 @@
         views = self._state.directory.list_usable(run.pool, now)
         return len(run.tried_targets) >= len(views)
 
+    def _is_quarantined(self, run: PipelineRun, now: float) -> bool:
+        """Whether targets crash under requests like this one."""
+        views = self._state.directory.list_usable(run.pool, now)
+        prefix = self._dispatcher.make_prefix_key(run)
+        found = self._state.crashes.find_quarantine(run, prefix, views, now)
+        return found is not None
+
     def _can_finish(self, run: PipelineRun, now: float) -> bool:
         expected = self._dispatcher.estimate_time(run, run.position, now)
         return now + MIN_TIME_FRACTION * expected < run.deadline
@@ -268,6 +282,7 @@
         policies.peer_times.record(run.latency_key, attempt.target, latency, now)
         prefix = self._dispatcher.make_prefix_key(run)
         policies.target_selector.record_answer(attempt.target, prefix, now)
+        self._state.crashes.record_success(run, prefix, now)
         self._state.stale_connections.clear(attempt)
 
     def _record_failure(
@@ -279,6 +294,11 @@
         may be tried again over a new connection.
         """
         state = self._state
+        if fault.reason is Reason.CLOSED:
+            prefix = self._dispatcher.make_prefix_key(run)
+            state.crashes.record_lost(
+                run, attempt.target, attempt.incarnation, prefix, now
+            )
         if fault.reason in (Reason.SILENT, Reason.DEADLINE):
             self._dispatcher.replace_connections(attempt)
         if fault.reason is Reason.SILENT and not attempt.fresh_connection:
--- a/packages/entry/bramleyspread_entry/_state.py
+++ b/packages/entry/bramleyspread_entry/_state.py
@@ -18,6 +18,7 @@
 from bramleyspread_entry._attempts import AttemptTable
 from bramleyspread_entry._config import EntryConfig
 from bramleyspread_entry._costs import CostLedger
+from bramleyspread_entry._crash_watch import CrashWatch
 from bramleyspread_entry._pipeline import ClaimState, PipelineRun
 from bramleyspread_entry._policies import Policies
 from bramleyspread_entry._stale_connections import StaleConnections
@@ -52,6 +53,7 @@
         "_effects",
         "attempts",
         "config",
+        "crashes",
         "costs",
         "directory",
         "event_counts",
@@ -81,6 +83,8 @@
         #: Attempts in flight.
         self.attempts = AttemptTable()
         self.timers: Timers[TimerKey] = Timers()
+        #: Under which requests targets crash.
+        self.crashes = CrashWatch()
         #: Costs of attempts.
         self.costs = CostLedger()
         #: Targets whose pooled connections went silent.
