Tell changes of one revision together; let no failed check keep a target from being checked again

A message that ended between a crash and a success of the same revision left the success untold for good (test_changes_of_one_revision_are_told_together, failing before). An unexpected error while a target was asked whether it accepts connections would have left its later crashes unseen.

--- a/packages/containment/bramleyspread_containment/_crash_table.py
+++ b/packages/containment/bramleyspread_containment/_crash_table.py
@@ -26,7 +26,8 @@
 #: Number of features of which it is kept that targets have answered them; those
 #: answered least recently are dropped.
 MAX_SUCCESSES = 4_096
-#: Maximum number of crashes, and of successes, that one message tells about.
+#: Number of crashes and successes that one message tells about, but for those that
+#: changed together with the last one.
 MAX_NEWS = 50
 #: Time that a message between hosts may take, in seconds. A success that another host
 #: saw counts as that much older, so that it never seems to come after a later crash.
@@ -230,7 +231,7 @@
 
         :param since: the revision up to which it knows everything.
         :param now: the current time, in seconds.
-        :returns: at most ``MAX_NEWS`` crashes and successes, oldest changes first.
+        :returns: about ``MAX_NEWS`` crashes and successes, oldest changes first.
         """
         if since >= self.revision:
             return CrashNews(revision=self.revision)
@@ -244,6 +245,8 @@
         ]
         changes.sort(key=lambda each: each[0])
         told = changes[:MAX_NEWS]
+        # Changes of one revision are told together, since the next news begins after.
+        told += [x for x in changes[MAX_NEWS:] if x[0] == told[-1][0]]
         is_all = len(told) == len(changes)
         return CrashNews(
             revision=self.revision if is_all else told[-1][0],
--- a/packages/containment/bramleyspread_containment/tests/test_crash_table.py
+++ b/packages/containment/bramleyspread_containment/tests/test_crash_table.py
@@ -183,6 +183,22 @@
     assert is_refused(table, now, FATAL)
 
 
+# Guards against a success that is never told, since it changed with the last crash that
+# a message had room for.
+def test_changes_of_one_revision_are_told_together() -> None:
+    source, table = CrashTable(), CrashTable()
+    crash(source, MAX_NEWS - 1, OTHER)
+    source.record_success([SHARED], 0.5)
+    now = MAX_NEWS + 1.0
+    source.record_crash(make_crash(now, SHARED, FATAL))
+    revision = 0
+    while revision < source.revision:
+        news = source.list_news(revision, now)
+        table.apply(news, now)
+        revision = news.revision
+    assert table.have_succeeded([SHARED])
+
+
 # Guards against a table that grows with the ids that an attacker invents.
 def test_table_is_bounded_and_keeps_what_is_quarantined() -> None:
     table, rng = CrashTable(), Random(1)
--- a/packages/daemon/bramleyspread_daemon/forward/_target_crashes.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_crashes.py
@@ -176,9 +176,12 @@
         An answer may also be lost between the target and this host. Only a target that
         has crashed refuses connections.
         """
-        await curio.sleep(COLLECTION_S)
-        has_crashed = await self._is_refused(target.address)
-        answers = self._ended_answers.pop(target)
+        has_crashed = False
+        try:
+            await curio.sleep(COLLECTION_S)
+            has_crashed = await self._is_refused(target.address)
+        finally:
+            answers = self._ended_answers.pop(target)
         if has_crashed:
             _log_crash(target, answers)
         for answer in answers:
