Tell control hosts only of crashes that this host saw itself

A control host hears from all entry hosts, so what others told is told again only to one that started or hasn't been heard for 3 s. Successes that only this host saw are its own also if the crash was told (test_own_success_of_a_feature_of_which_others_told_is_no_hearsay).

--- a/packages/containment/bramleyspread_containment/_crash_table.py
+++ b/packages/containment/bramleyspread_containment/_crash_table.py
@@ -56,6 +56,8 @@
         self._by_feature: dict[str, dict[_CrashKey, Crash]] = {}
         self._by_crash: dict[CrashId, dict[_CrashKey, Crash]] = {}
         self._quarantines: dict[str, Quarantine] = {}
+        # Revisions of the changes that another host told of.
+        self._heard_revisions: set[int] = set()
         #: Number of changes so far.
         self.revision = 0
 
@@ -85,6 +87,9 @@
         :param crash: the crash.
         :returns: the quarantines that it began.
         """
+        return self._record_crash(crash, is_heard=False)
+
+    def _record_crash(self, crash: Crash, *, is_heard: bool) -> list[Quarantine]:
         features = self._select_features(crash.features)
         key = (crash.crash_id, features)
         if not features or key in self._crashes:
@@ -98,16 +103,24 @@
                 features=features,
                 ended_at=crash.ended_at,
             )
+        if is_heard:
+            self._heard_revisions.add(self.revision)
         self._crashes[key] = (self.revision, crash)
         self._by_crash.setdefault(crash.crash_id, {})[key] = crash
         for feature in features:
             self._by_feature.setdefault(feature, {})[key] = crash
-            if feature in self._succeeded_at:
-                self._success_revisions.setdefault(feature, self.revision)
+        self._share_successes(features)
         begun = self._judge()
         self._drop_oldest()
         return begun
 
+    def _share_successes(self, features: Iterable[str]) -> None:
+        """Let other hosts know of successes of features under which targets crash."""
+        for feature in features:
+            if feature in self._succeeded_at and feature not in self._success_revisions:
+                self.revision += 1
+                self._success_revisions[feature] = self.revision
+
     def _select_features(self, features: frozenset[str]) -> frozenset[str]:
         if len(features) <= MAX_FEATURES:
             return features
@@ -123,11 +136,12 @@
         for feature in features:
             self._record_success(feature, now)
 
-    def _record_success(self, feature: str, succeeded_at: float) -> None:
+    def _record_success(self, feature: str, succeeded_at: float) -> bool:
+        """Record a success, and return whether that changes what others should know."""
         known_at = self._succeeded_at.pop(feature, None)
         if known_at is not None and known_at >= succeeded_at:
             self._succeeded_at[feature] = known_at
-            return
+            return False
         self._succeeded_at[feature] = succeeded_at
         if len(self._succeeded_at) > MAX_SUCCESSES:
             oldest = next(iter(self._succeeded_at))
@@ -135,14 +149,15 @@
             self._success_revisions.pop(oldest, None)
         crashes = self._by_feature.get(feature)
         if not crashes:
-            return
+            return False
         if known_at is not None and not any(
             known_at < each.ended_at <= succeeded_at for each in crashes.values()
         ):
-            return
+            return False
         self.revision += 1
         self._success_revisions[feature] = self.revision
         self._judge()
+        return True
 
     def _judge(self) -> list[Quarantine]:
         """Decide anew about all features, and return the quarantines that began.
@@ -220,17 +235,22 @@
         begun = []
         for success in news.successes:
             succeeded_at = now - success.age_ms / 1000 - MAX_TRANSIT_S
-            self._record_success(success.feature, succeeded_at)
+            if self._record_success(success.feature, succeeded_at):
+                self._heard_revisions.add(self.revision)
         for shared in news.crashes:
             if shared.ended_age_ms / 1000 < MAX_HOLD_S:
-                begun += self.record_crash(_read_shared(shared, now))
+                crash = _read_shared(shared, now)
+                begun += self._record_crash(crash, is_heard=True)
         return begun
 
-    def list_news(self, since: int, now: float) -> CrashNews:
+    def list_news(
+        self, since: int, now: float, *, with_heard: bool = True
+    ) -> CrashNews:
         """List what another host may not know yet.
 
         :param since: the revision up to which it knows everything.
         :param now: the current time, in seconds.
+        :param with_heard: whether to list what other hosts told as well.
         :returns: about ``MAX_NEWS`` crashes and successes, oldest changes first.
         """
         if since >= self.revision:
@@ -243,6 +263,8 @@
             for feature, revision in self._success_revisions.items()
             if revision > since
         ]
+        if not with_heard:
+            changes = [x for x in changes if x[0] not in self._heard_revisions]
         changes.sort(key=lambda each: each[0])
         told = changes[:MAX_NEWS]
         # Changes of one revision are told together, since the next news begins after.
@@ -271,6 +293,8 @@
                 has_dropped = True
         if has_dropped:
             self._judge()
+            kept = {revision for revision, _ in self._crashes.values()}
+            self._heard_revisions &= kept.union(self._success_revisions.values())
 
     def _supports_quarantine(self, crash: Crash) -> bool:
         return any(each in self._quarantines for each in crash.features)
--- a/packages/containment/bramleyspread_containment/tests/test_crash_table.py
+++ b/packages/containment/bramleyspread_containment/tests/test_crash_table.py
@@ -183,6 +183,30 @@
     assert is_refused(table, now, FATAL)
 
 
+# Guards against hosts that each tell everybody what they heard from others.
+def test_what_other_hosts_told_can_be_left_out() -> None:
+    source, table = CrashTable(), CrashTable()
+    crash(source, 2, OTHER)
+    table.apply(source.list_news(0, 3.0), 3.0)
+    assert table.list_news(0, 3.0, with_heard=False) == CrashNews(
+        revision=table.revision
+    )
+    table.record_crash(make_crash(3.0, FATAL))
+    own = table.list_news(0, 3.0, with_heard=False)
+    assert [each.target for each in own.crashes] == ["t-3.0"]
+    assert len(table.list_news(0, 3.0).crashes) == 3
+
+
+# Guards against a success that only one host saw and that the others never hear of.
+def test_own_success_of_a_feature_of_which_others_told_is_no_hearsay() -> None:
+    source, table = CrashTable(), CrashTable()
+    table.record_success([SHARED], 0.5)
+    crash(source, 1, SHARED, FATAL)
+    table.apply(source.list_news(0, 2.0), 2.0)
+    own = table.list_news(0, 2.0, with_heard=False)
+    assert [each.feature for each in own.successes] == [SHARED]
+
+
 # Guards against a success that is never told, since it changed with the last crash that
 # a message had room for.
 def test_changes_of_one_revision_are_told_together() -> None:
--- a/packages/daemon/bramleyspread_daemon/forward/_target_crashes.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_crashes.py
@@ -30,6 +30,9 @@
 SUSPECT_AFTER_FIRST_EVENT_S = 2.0
 #: Time in which the answers break off that one crash ends, in seconds.
 COLLECTION_S = 0.02
+#: Time without a page after which a control host may have missed what others would have
+#: told it, in seconds.
+MISSED_AFTER_S = 3.0
 #: Maximum number of requests in one log line.
 MAX_LOGGED_REQUESTS = 8
 
@@ -86,6 +89,33 @@
     is_whole: bool = False
 
 
+class CrashLink:
+    """What one process of a control host and this host have told each other.
+
+    :param incarnation: id of the control host's process.
+    :param synced_revision: revision of this host's table up to which it must be told
+        everything, whoever saw it.
+    """
+
+    __slots__ = (
+        "heard_at",
+        "incarnation",
+        "known_revision",
+        "synced_revision",
+        "told_revision",
+    )
+
+    def __init__(self, incarnation: str, synced_revision: int) -> None:
+        self.incarnation = incarnation
+        self.synced_revision = synced_revision
+        #: Revision of this host's table up to which it was told.
+        self.told_revision = 0
+        #: Revision of its table up to which this host knows it.
+        self.known_revision = 0
+        #: When its latest page came, in seconds.
+        self.heard_at = 0.0
+
+
 class TargetCrashes:
     """Crashes of targets, as this host sees them or hears of them.
 
@@ -99,10 +129,7 @@
         #: Number of requests that were refused.
         self.refused = 0
         self._ended_answers: dict[ForwardTarget, list[EndedAnswer]] = {}
-        # By control host: its process, and the revisions of both tables up to which
-        # this host and that process know them.
-        self._known: dict[Address, tuple[str, int]] = {}
-        self._told: dict[Address, tuple[str, int]] = {}
+        self._links: dict[Address, CrashLink] = {}
 
     def find_quarantine(self, features: RequestFeatures) -> Quarantine | None:
         """Find why a request must not reach a target; None if it may."""
@@ -205,25 +232,43 @@
 
     def find_known_revision(self, control: Address, incarnation: str) -> int:
         """Find up to which revision this host knows a control host's table."""
-        known_incarnation, revision = self._known.get(control, ("", 0))
-        return revision if known_incarnation == incarnation else 0
+        link = self._links.get(control)
+        if link is None or link.incarnation != incarnation:
+            return 0
+        return link.known_revision
 
     def list_news(self, control: Address, incarnation: str) -> CrashNews | None:
-        """List crashes that a control host may not know yet; None if there are none."""
-        told_incarnation, told = self._told.get(control, ("", 0))
-        if told_incarnation != incarnation:
-            told = 0
+        """List crashes that a control host may not know yet; None if there are none.
+
+        It hears from all entry hosts, so it is told only what this one saw itself; but
+        everything if it may have missed something.
+        """
+        link = self._links.get(control)
+        told, synced = 0, self.table.revision
+        if link is not None and link.incarnation == incarnation:
+            told, synced = link.told_revision, link.synced_revision
         if told >= self.table.revision:
             return None
-        return self.table.list_news(told, read_monotonic())
+        now = read_monotonic()
+        return self.table.list_news(told, now, with_heard=told < synced)
 
     def handle_page(self, control: Address, page: FeedPage) -> None:
         """Apply what a control host's page tells about crashes."""
-        if page.heard_crash_revision:
-            self._told[control] = (page.incarnation, page.heard_crash_revision)
+        now = read_monotonic()
+        link = self._links.get(control)
+        if (
+            link is None
+            or link.incarnation != page.incarnation
+            or now - link.heard_at > MISSED_AFTER_S
+        ):
+            link = self._links[control] = CrashLink(
+                page.incarnation, self.table.revision
+            )
+        link.heard_at = now
+        link.told_revision = max(link.told_revision, page.heard_crash_revision)
         if page.crash_news is not None:
-            self._known[control] = (page.incarnation, page.crash_news.revision)
-            begun = self.table.apply(page.crash_news, read_monotonic())
+            link.known_revision = page.crash_news.revision
+            begun = self.table.apply(page.crash_news, now)
             _log_begun(begun, str(control))
 
     async def tick(self) -> None:
