--- a/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
@@ -30,7 +30,6 @@
 from bramleyspread_daemon.forward._control import ForwardControl
 from bramleyspread_daemon.forward._feed_link import FEED_PATH
 from bramleyspread_daemon.forward._request_forwarder import RequestForwarder
-from bramleyspread_daemon.forward._settings import ForwardEntrySettings
 from bramleyspread_daemon.forward._wire import TargetHead
 from bramleyspread_daemon.forward.tests.crashing_target import (
     CrashingTarget,
@@ -42,9 +41,10 @@
     ENGINE,
     REQUEST,
     ROUTE,
-    HostPeers,
+    HostUpstream,
     Wire,
     make_head,
+    make_host,
 )
 from bramleyspread_daemon.forward.tests.simulated_site import KeptReply
 from bramleyspread_forwarding import (
@@ -132,8 +132,8 @@
         pass
 
 
-class _Upstream:
-    """Connections of one host to all targets."""
+class _Upstream(HostUpstream):
+    """Connections of one host to targets that may have ended."""
 
     def __init__(self, site: CrashingSite, host: str) -> None:
         self._site, self._host = site, host
@@ -150,12 +150,6 @@
         await curio.sleep(DELAY_S)
         return not self._site.targets[address].is_running
 
-    async def release_connection(self, *_: object) -> None:
-        pass
-
-    def record_traffic(self, *_: object) -> None:
-        pass
-
 
 class _CallerReply:
     """Reply that counts how requests end."""
@@ -274,23 +268,8 @@
 
     def start_host(self, name: str, address: Address, started: int = 1) -> None:
         """Start an entry host, or start it anew with nothing that it knew."""
-        settings = ForwardEntrySettings(
-            host=name,
-            zone="z",
-            listen_at=str(address),
-            seeds=("10.9.0.1:1",),
-            callers_at=str(address),
-            ready_at=str(address),
-            fail_closed=False,
-        )
-        context = ForwardContext(
-            settings,
-            cast("Any", _Wire(is_stream=self._is_streaming)),
-            cast("Any", HostPeers(self, address)),
-            Random(self.rng.getrandbits(32)),
-            started,
-            lambda _: None,
-        )
+        wire = _Wire(is_stream=self._is_streaming)
+        context = make_host(self, name, address, wire, started)
         context.upstream = cast("Any", _Upstream(self, name))
         self.contexts[address] = context
 
--- a/packages/daemon/bramleyspread_daemon/forward/tests/forwarding_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/forwarding_site.py
@@ -158,16 +158,8 @@
         pass
 
 
-class _Upstream:
-    """Connections of one host to all targets."""
-
-    def __init__(self, site: ForwardingSite, host: str) -> None:
-        self._site, self._host = site, host
-
-    async def acquire(
-        self, address: Address, timeout: float, *, max_idle_s: float = math.inf
-    ) -> _Connection:
-        return _Connection(self._site, self._host, self._site.targets[address])
+class HostUpstream:
+    """Connections of one host to all targets of a site."""
 
     async def is_refused(self, address: Address) -> bool:
         return False
@@ -179,9 +171,23 @@
         pass
 
 
+class _Upstream(HostUpstream):
+    """Connections of one host to targets that always run."""
+
+    def __init__(self, site: ForwardingSite, host: str) -> None:
+        self._site, self._host = site, host
+
+    async def acquire(
+        self, address: Address, timeout: float, *, max_idle_s: float = math.inf
+    ) -> _Connection:
+        return _Connection(self._site, self._host, self._site.targets[address])
+
+
 class ConnectedHosts(Protocol):
     """The entry hosts of a site, and which of them reach each other."""
 
+    #: Draws the hosts' seeds.
+    rng: Random
     #: Hosts that neither answer nor get an answer from other hosts.
     silent: set[Address]
     #: Pairs of hosts that can't reach each other.
@@ -231,6 +237,29 @@
         return connection.response
 
 
+def make_host(
+    site: ConnectedHosts, name: str, address: Address, wire: Wire, started: int
+) -> ForwardContext:
+    """Make an entry host of a site that knows nothing yet."""
+    settings = ForwardEntrySettings(
+        host=name,
+        zone="z",
+        listen_at=str(address),
+        seeds=("10.9.0.1:1",),
+        callers_at=str(address),
+        ready_at=str(address),
+        fail_closed=False,
+    )
+    return ForwardContext(
+        settings,
+        cast("Any", wire),
+        cast("Any", HostPeers(site, address)),
+        Random(site.rng.getrandbits(32)),
+        started,
+        lambda _: None,
+    )
+
+
 class _CallerReply:
     """Reply that counts how requests end."""
 
@@ -304,23 +333,7 @@
 
     def start_host(self, name: str, address: Address, started: int = 1) -> None:
         """Start a host, or start it anew with nothing that it knew."""
-        settings = ForwardEntrySettings(
-            host=name,
-            zone="z",
-            listen_at=str(address),
-            seeds=("10.9.0.1:1",),
-            callers_at=str(address),
-            ready_at=str(address),
-            fail_closed=False,
-        )
-        context = ForwardContext(
-            settings,
-            cast("Any", Wire()),
-            cast("Any", HostPeers(self, address)),
-            Random(self.rng.getrandbits(32)),
-            started,
-            lambda _: None,
-        )
+        context = make_host(self, name, address, Wire(), started)
         context.upstream = cast("Any", _Upstream(self, name))
         self.contexts[address] = context
 
