--- a/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
@@ -69,7 +69,7 @@
 FATAL_AFTER_S = 0.3
 #: Number of parts among which the prompts' second parts are.
 SUBJECTS = 40
-#: Holder of all keys.
+#: Holder of all keys, unless a test names others.
 HOLDER = OrganisationKeys(name="booths", keys=("k",))
 
 
@@ -217,6 +217,8 @@
         self.rng = Random(seed)
         self.route = route
         self._is_streaming = engine is not None
+        #: The organisations that send requests, in turn.
+        self.holders: tuple[OrganisationKeys, ...] = (HOLDER,)
         self._number = 0
         #: Hosts that neither answer nor get an answer from other hosts.
         self.silent: set[Address] = set()
@@ -399,7 +401,8 @@
         reply = cast("Any", _CallerReply(self.ends[is_fatal]))
         wire = cast("Any", Wire())
         context = self.contexts[address]
-        forwarder = RequestForwarder(context, wire, request, self.route, HOLDER, reply)
+        holder = self.holders[int(request.request_id) % len(self.holders)]
+        forwarder = RequestForwarder(context, wire, request, self.route, holder, reply)
         await forwarder.run()
 
     def count_crashes(self) -> int:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_crashing_parts.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_crashing_parts.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bramleyspread_containment import identify_part
+from bramleyspread_core import OrganisationKeys
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon.forward.tests.crashing_site import CrashingSite
 from bramleyspread_daemon.forward.tests.crashing_target import Fatal, find_crash
@@ -89,6 +90,23 @@
     assert after >= MIN_BEGUN * before
 
 
+# Guards against a proof that each organisation's requests have to pay for again.
+def test_part_is_refused_whoever_sends_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    site = make_site(HOSTS)
+    site.holders = tuple(
+        OrganisationKeys(name=f"organisation-{at}", keys=()) for at in range(5)
+    )
+
+    async def main() -> None:
+        await site.run()
+        await site.send_traffic(PER_S, BEFORE_S)
+        await site.send_traffic(PER_S, FATAL_S, FATAL_SHARE, add_part)
+
+    run_in_virtual_time(monkeypatch, main)
+    assert site.count_crashes() <= MAX_CRASHES
+    assert count_later_arrivals(site) <= MAX_LATER
+
+
 async def restart_entry_hosts(site: CrashingSite) -> None:
     """Restart all entry hosts at once, and then each one by itself."""
     await curio.sleep(10.0)
