Tell a control host everything that was not heard for a while, as meant

Its first page after 3 s counted as heard what the question before it had told, which was only what the entry host had seen itself; what others had told in the meantime was skipped (test_crash_news.py, failing before).

--- a/packages/daemon/bramleyspread_daemon/forward/_target_crashes.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_crashes.py
@@ -261,11 +261,13 @@
             or link.incarnation != page.incarnation
             or now - link.heard_at > MISSED_AFTER_S
         ):
+            # What the question told was what this host saw itself at most.
             link = self._links[control] = CrashLink(
                 page.incarnation, self.table.revision
             )
+        else:
+            link.told_revision = max(link.told_revision, page.heard_crash_revision)
         link.heard_at = now
-        link.told_revision = max(link.told_revision, page.heard_crash_revision)
         if page.crash_news is not None:
             link.known_revision = page.crash_news.revision
             begun = self.table.apply(page.crash_news, now)
