--- a/packages/containment/bramleyspread_containment/_quarantine.py
+++ b/packages/containment/bramleyspread_containment/_quarantine.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Callable, Iterable, Sequence
+from itertools import pairwise
 
 import msgspec
 
@@ -25,8 +26,10 @@
 #: Time after the last crash in which no request with a quarantined feature is sent, in
 #: seconds. After it one that comes is sent; if its target crashes, the time doubles.
 HOLD_S = 600.0
+#: Number of times that it doubles at most.
+MAX_RENEWALS = 8
 #: The same for a feature with which a target has answered a request before: rather
-#: something else changed that will be mended.
+#: something else changed that will be mended. It never doubles.
 HOLD_AFTER_SUCCESS_S = 30.0
 #: Longest such time, in seconds.
 MAX_HOLD_S = 86_400.0
@@ -99,7 +102,7 @@
         needed = min(NEEDED_CRASHES + math.ceil(all_crashes / own) - 1, needed)
     if number < needed:
         return None
-    hold_s = HOLD_S if succeeded_at is None else HOLD_AFTER_SUCCESS_S
+    hold_s = _find_hold_s(held) if succeeded_at is None else HOLD_AFTER_SUCCESS_S
     holders = {each.holder for each in held}
     return Quarantine(
         feature=feature,
@@ -107,10 +110,24 @@
         holder=holders.pop() if len(holders) == 1 else None,
         crashes=frozenset(each.crash_id for each in held),
         targets=tuple(dict.fromkeys(each.target for each in held)),
-        until=held[-1].ended_at + min(hold_s * 2 ** (number - needed), MAX_HOLD_S),
+        until=held[-1].ended_at + hold_s,
     )
 
 
+def _find_hold_s(crashes: Sequence[Crash]) -> float:
+    """Find how long requests with a feature are refused after its last crash.
+
+    Only crashes that came after an earlier quarantine was over prolong it, not the
+    number of targets that crashed before it was known.
+
+    :param crashes: the crashes under requests with the feature, sorted by time.
+    :returns: the time, in seconds.
+    """
+    ends = [each.ended_at for each in crashes]
+    renewals = sum(later - at >= HOLD_S for at, later in pairwise(ends))
+    return min(HOLD_S * 2.0 ** min(renewals, MAX_RENEWALS), MAX_HOLD_S)
+
+
 def count_trials(crashes: Sequence[Crash], same_moment_s: float = SAME_MOMENT_S) -> int:
     """Count the crashes that say something independently of each other.
 
--- a/packages/containment/bramleyspread_containment/tests/test_crash_table.py
+++ b/packages/containment/bramleyspread_containment/tests/test_crash_table.py
@@ -126,6 +126,21 @@
     assert is_refused(table, later + 2 * HOLD_S - 1, FATAL)
 
 
+# Guards against requests that are refused for hours because many targets crashed at
+# once, whatever they were asked, and are sound again.
+@pytest.mark.parametrize("has_succeeded", [False, True])
+def test_number_of_targets_that_crashed_at_first_does_not_prolong_a_quarantine(
+    *, has_succeeded: bool
+) -> None:
+    table = CrashTable()
+    if has_succeeded:
+        table.record_success([FATAL], 0.5)
+    now = crash(table, 50, FATAL)
+    assert is_refused(table, now, FATAL)
+    hold_s = HOLD_AFTER_SUCCESS_S if has_succeeded else HOLD_S
+    assert not is_refused(table, now + hold_s, FATAL)
+
+
 # Guards against an organisation that has a part of another one refused.
 def test_requests_of_one_organisation_cant_have_those_of_another_refused() -> None:
     table = CrashTable()
