--- a/packages/containment/bramleyspread_containment/_crash_table.py
+++ b/packages/containment/bramleyspread_containment/_crash_table.py
@@ -110,7 +110,7 @@
         for feature in features:
             self._by_feature.setdefault(feature, {})[key] = crash
         self._share_successes(features)
-        begun = self._judge()
+        begun = self._judge(features)
         self._drop_oldest()
         return begun
 
@@ -156,37 +156,43 @@
             return False
         self.revision += 1
         self._success_revisions[feature] = self.revision
-        self._judge()
+        if any(feature in each.features for each in self._quarantines.values()):
+            self._judge(())
         return True
 
-    def _judge(self) -> list[Quarantine]:
-        """Decide anew about all features, and return the quarantines that began.
+    def _judge(self, features: Iterable[str]) -> list[Quarantine]:
+        """Decide anew about some features and the quarantines that there are.
 
         Crashes that a quarantine explains no longer speak for other features, so
         features are looked at again until nothing changes.
+
+        :param features: identities of features whose crashes have changed.
+        :returns: the quarantines that began.
         """
         before, self._quarantines = self._quarantines, {}
-        suspects = sorted(
-            feature
-            for feature, crashes in self._by_feature.items()
-            if len(crashes) >= NEEDED_CRASHES
-        )
+        suspects = self._list_suspects({*features, *before})
         while found := self._find_quarantines(suspects):
             self._quarantines.update(found)
+            if not found.keys() <= before.keys():
+                suspects = self._list_suspects(self._by_feature)
         return [x for name, x in self._quarantines.items() if name not in before]
 
+    def _list_suspects(self, features: Iterable[str]) -> list[str]:
+        """List those of some features under which enough targets crashed."""
+        return sorted(
+            feature
+            for feature in features
+            if len(self._by_feature.get(feature, ())) >= NEEDED_CRASHES
+        )
+
     def _find_quarantines(self, suspects: Iterable[str]) -> dict[str, Quarantine]:
         """Find the quarantines that begin beside those that there are."""
-        explained = set[CrashId]().union(
-            *(each.crashes for each in self._quarantines.values())
-        )
-        ends = sorted(
-            min(each.ended_at for each in crashes.values())
-            for crash_id, crashes in self._by_crash.items()
-            if crash_id not in explained
-        )
+        ends: list[float] | None = None
 
         def count_crashes(since: float, until: float) -> int:
+            nonlocal ends
+            if ends is None:
+                ends = self._list_unexplained_ends()
             return bisect_right(ends, until) - bisect_left(ends, since)
 
         found = {}
@@ -204,6 +210,17 @@
                 found[feature] = quarantine
         return found
 
+    def _list_unexplained_ends(self) -> list[float]:
+        """List when targets crashed, but for crashes that a quarantine explains."""
+        explained = set[CrashId]().union(
+            *(each.crashes for each in self._quarantines.values())
+        )
+        return sorted(
+            min(each.ended_at for each in crashes.values())
+            for crash_id, crashes in self._by_crash.items()
+            if crash_id not in explained
+        )
+
     def find_quarantine(
         self, features: frozenset[str], holder: str, now: float
     ) -> Quarantine | None:
@@ -292,7 +309,7 @@
                 self._drop(key)
                 has_dropped = True
         if has_dropped:
-            self._judge()
+            self._judge(())
             kept = {revision for revision, _ in self._crashes.values()}
             self._heard_revisions &= kept.union(self._success_revisions.values())
 
