--- a/packages/containment/bramleyspread_containment/_crash_table.py
+++ b/packages/containment/bramleyspread_containment/_crash_table.py
@@ -44,8 +44,9 @@
 class CrashTable:
     """Crashes of targets by the features of the requests under which they happened.
 
-    Tables of several hosts that tell each other everything come to agree, in whichever
-    order they hear of it.
+    Tables of several hosts that tell each other everything come to hold the same
+    crashes, in whichever order they hear of them. When a quarantine begins may differ
+    by one crash, since only features whose crashes change are judged anew.
     """
 
     def __init__(self) -> None:
