--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -175,6 +175,8 @@
             peer="-",
             request=known.request_id if known is not None else "",
             path=known.path if known is not None else "",
+            resumes=known.resumes if known is not None else "",
+            after_event=known.last_event if known is not None else "",
             version=self.context.version,
             keys_age_ms=round(age_s * 1000) if age_s < math.inf else None,
         )
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -163,6 +163,7 @@
                 step="retry",
                 peer=self._tried_targets[-1],
                 request=self._request.request_id,
+                after_event=self._last_event_id,
             ).info(_describe_end(end))
             if not await self._ensure_inputs(end):
                 return self._conclude(end)
@@ -274,6 +275,7 @@
         crossing_mb = sum(mb for at, mb in query.input_mb.items() if at != zone)
         bound.bind(
             zone=zone,
+            software=placed.target.software,
             wait_ms=round(placed.wait_s * 1000),
             reading=round(placed.unread_tokens),
             ahead=placed.requests_ahead,
--- a/packages/forwarding/bramleyspread_forwarding/_heartbeats.py
+++ b/packages/forwarding/bramleyspread_forwarding/_heartbeats.py
@@ -42,6 +42,8 @@
     #: Number of calls that it processes at once.
     slots: int
     readiness: Readiness
+    #: Version of its software; empty if it names none.
+    software: str = ""
 
     @property
     def sort_key(self) -> tuple[int, int]:
--- a/packages/forwarding/bramleyspread_forwarding/_requests.py
+++ b/packages/forwarding/bramleyspread_forwarding/_requests.py
@@ -63,6 +63,9 @@
     piece_key: str = ""
     #: Id of the last event of this stream that the caller received; empty for none.
     last_event: str = ""
+    #: The caller's id for the request that brought the first event of the stream that
+    #: it takes up; empty if it takes up none, or doesn't say which one.
+    resumes: str = ""
 
 
 class MalformedRequest(msgspec.Struct, frozen=True):
--- a/packages/forwarding/bramleyspread_forwarding/_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/_targets.py
@@ -38,6 +38,8 @@
     slots: int
     #: When its process started, in milliseconds since 1970; 0 when unknown.
     born: int = 0
+    #: Version of its software; empty if it names none.
+    software: str = ""
 
 
 class _ControlView:
@@ -210,7 +212,12 @@
             lists = usable if target in fresh_targets else stale
             lists.setdefault(notice.service, []).append(
                 ForwardTarget(
-                    target, notice.address, notice.zone, notice.slots, notice.born
+                    target,
+                    notice.address,
+                    notice.zone,
+                    notice.slots,
+                    notice.born,
+                    notice.software,
                 )
             )
         self._usable = {
