--- a/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
@@ -298,19 +298,23 @@
             for at, target in enumerate(self.targets.values()):
                 if not target.is_running:
                     continue
-                heartbeat = TargetHeartbeat(
-                    target=target.target,
-                    sequence=sequence,
-                    service=self.service,
-                    address=target.address,
-                    zone="z",
-                    slots=64,
-                    readiness=Readiness.READY,
-                )
+                heartbeat = self.make_heartbeat(target, sequence)
                 control = self.controls[controls[(at + sequence) % len(controls)]]
                 control.registry.handle_heartbeat(heartbeat, read_monotonic())
             await curio.sleep(HEARTBEAT_S / len(controls))
 
+    def make_heartbeat(self, target: CrashingTarget, sequence: int) -> TargetHeartbeat:
+        """Make a heartbeat of a target that runs."""
+        return TargetHeartbeat(
+            target=target.target,
+            sequence=sequence,
+            service=self.service,
+            address=target.address,
+            zone="z",
+            slots=64,
+            readiness=Readiness.READY,
+        )
+
     async def _tick_controls(self) -> None:
         while True:
             for control in tuple(self.controls.values()):
