Continue a stream only at the software version that began it

Cause: no process read the version that targets name in their heartbeats, so any target of the service went on with a stream; and the host at which a caller takes a stream up knew nothing of it.

Now a target's version is part of what hosts know of it. The host that relays the first event records which version wrote it, under the id of the caller's attempt; the record goes with the progress report to the host that placed the request, and from there to the seven keepers of the service, as long as more than one version serves. A host at which the stream is taken up asks the keepers, then others; the stream goes on at that version (and service) or is refused as not run. If nobody knows, it goes on only where all targets had one version for a minute. Versions that no control host confirms count as unknown.

--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -10,6 +10,7 @@
 from bramleyspread_daemon._exchange import Reply
 from bramleyspread_daemon.forward._context import ForwardContext
 from bramleyspread_daemon.forward._stage_work import StageWork
+from bramleyspread_daemon.forward._stream_binding import StreamBinding
 from bramleyspread_daemon.forward._stream_times import StreamTimes
 from bramleyspread_daemon.forward._target_crashes import RequestFeatures
 from bramleyspread_daemon.forward._upstream import UpstreamConnection
@@ -23,6 +24,7 @@
     MayHaveRun,
     Placed,
     PlaceStep,
+    StreamOrigin,
     TargetFailed,
     TargetLoad,
     WasNotRun,
@@ -57,8 +59,10 @@
         times: StreamTimes,
         placed: Placed,
         features: RequestFeatures,
+        binding: StreamBinding,
     ) -> None:
         self._features = features
+        self._binding = binding
         self._context = context
         self._request = request
         self._reply = reply
@@ -235,7 +239,7 @@
             for event in splitter.feed(chunk):
                 self._reply.send_chunk(event.data)
                 self.last_event = event.event_id or self.last_event
-                self._report_first_byte()
+                self._report_first_event()
                 self._times.record_event()
             await self._stages.release()
             await self._wait_for_caller()
@@ -257,6 +261,12 @@
             self._first_byte_at = read_monotonic()
             self._report(self._build_step(began=True))
 
+    def _report_first_event(self) -> None:
+        if self._first_byte_at is None:
+            self._first_byte_at = read_monotonic()
+            origin = self._binding.record_event(self._placed.target)
+            self._report(self._build_step(began=True, origin=origin))
+
     def _build_step(
         self,
         *,
@@ -264,6 +274,7 @@
         began: bool = False,
         ended: bool = False,
         succeeded: bool | None = None,
+        origin: StreamOrigin | None = None,
     ) -> PlaceStep:
         return PlaceStep(
             ticket=self._placed.ticket,
@@ -272,6 +283,7 @@
             began=began,
             ended=ended,
             good=succeeded,
+            origin=origin,
         )
 
     def _report(self, step: PlaceStep) -> None:
--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -23,6 +23,7 @@
 from bramleyspread_daemon.forward._placement_service import PlacementService
 from bramleyspread_daemon.forward._service_directory import ServiceDirectory
 from bramleyspread_daemon.forward._settings import ForwardEntrySettings
+from bramleyspread_daemon.forward._stream_keepers import StreamKeepers
 from bramleyspread_daemon.forward._target_crashes import TargetCrashes
 from bramleyspread_daemon.forward._target_signals import TargetSignals
 from bramleyspread_daemon.forward._upstream import UpstreamPool
@@ -83,6 +84,10 @@
         self.targets = TargetTable()
         #: What targets have said about themselves.
         self.signals = TargetSignals(self.targets, rng)
+        #: Which software versions began streams.
+        self.stream_keepers = StreamKeepers(
+            self.own, self.targets.software, self.list_hosts, peers
+        )
         #: Chooses the targets of requests.
         self.placement = PlacementService(
             self.own,
@@ -92,6 +97,7 @@
             self.find_service,
             self.list_hosts,
             peers,
+            self.stream_keepers.record,
         )
         #: Recent durations of stages.
         self.stage_times = StageTimes()
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -34,6 +34,10 @@
 )
 from bramleyspread_daemon.forward._settings import ForwardEntrySettings
 from bramleyspread_daemon.forward._settings_source import SettingsSource
+from bramleyspread_daemon.forward._stream_keepers import ORIGIN_PATH, ORIGINS_PATH
+from bramleyspread_daemon.forward._stream_keepers import (
+    TICK_INTERVAL_S as ORIGIN_TICK_INTERVAL_S,
+)
 from bramleyspread_daemon.forward._wire import (
     CallerWire,
     Refusal,
@@ -96,6 +100,8 @@
         routes[("POST", RELEASE_PATH)] = self.context.piece_service.releases.serve
         routes[("POST", PLACE_PATH)] = self.context.placement.serve
         routes[("POST", PLACED_PATH)] = self.context.placement.serve_report
+        routes[("POST", ORIGIN_PATH)] = self.context.stream_keepers.serve_query
+        routes[("POST", ORIGINS_PATH)] = self.context.stream_keepers.serve_copies
         limits, clock = settings.limits, process.clock
         #: Serves the other processes of the system.
         self.server = HttpServer(Routes(routes), limits, clock)
@@ -238,6 +244,7 @@
         for action, name, interval_s in (
             (self.context.piece_service.tick, "batch", TICK_INTERVAL_S),
             (self.context.placement.tick, "place", PLACEMENT_TICK_INTERVAL_S),
+            (self.context.stream_keepers.tick, "origin", ORIGIN_TICK_INTERVAL_S),
             (self.context.upstream.close_expired, "idle", IDLE_CHECK_INTERVAL_S),
             (self.context.tick, "targets", STALENESS_CHECK_INTERVAL_S),
             (self.context.crashes.tick, "crashes", EXPIRY_INTERVAL_S),
--- a/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 from loguru import logger
@@ -38,6 +38,7 @@
     RateShares,
     ServiceOwners,
     SharedSignal,
+    StreamOrigin,
 )
 
 #: Path on which entry hosts ask each other to choose a target.
@@ -69,7 +70,9 @@
         find_service: Callable[[str], ForwardService | None],
         list_hosts: Callable[[], Sequence[EntryHost]],
         peers: ConnectionPool,
+        record_origin: Callable[[StreamOrigin], None],
     ) -> None:
+        self._record_origin = record_origin
         self._placement = placement
         self._signals = signals
         self._list_targets = list_targets
@@ -135,11 +138,18 @@
         self._placement.record_step(step, read_monotonic())
         placement_host = self._placement_hosts.get(step.ticket)
         if placement_host is None:
+            self._record_origins((step,))
             return
         self._unreported.setdefault(placement_host, []).append(step)
         if step.ended:
             del self._placement_hosts[step.ticket]
 
+    def _record_origins(self, steps: Iterable[PlaceStep]) -> None:
+        """Record where streams began, of which this host has to tell others."""
+        for step in steps:
+            if step.origin is not None:
+                self._record_origin(step.origin)
+
     def _find_placement_host(
         self, service: str, targets: Sequence[ForwardTarget]
     ) -> EntryHost | None:
@@ -219,6 +229,7 @@
         reply.send(204, b"")
         self._signals.apply(report.news, "another host")
         now = read_monotonic()
+        self._record_origins(report.steps)
         for step in report.steps:
             self._placement.record_step(step, now)
 
@@ -239,6 +250,7 @@
                 )
                 self._told_revisions[placement_host] = revision
             except (RequestNotSentError, ConnectionClosedError) as error:
+                self._record_origins(steps)
                 logger.bind(step="place", peer=placement_host.host).debug(
                     f"report not delivered: {error}"
                 )
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -6,6 +6,7 @@
 import sys
 
 import curio
+import msgspec
 from loguru import logger
 
 from bramleyspread_core import ForwardRoute, OrganisationKeys
@@ -14,6 +15,12 @@
 from bramleyspread_daemon.forward._attempt import Attempt
 from bramleyspread_daemon.forward._context import ForwardContext
 from bramleyspread_daemon.forward._stage_work import StageWork
+from bramleyspread_daemon.forward._stream_binding import (
+    Bound,
+    StreamBinding,
+    Unbound,
+    Unresumable,
+)
 from bramleyspread_daemon.forward._stream_times import StreamTimes
 from bramleyspread_daemon.forward._target_crashes import RequestFeatures
 from bramleyspread_daemon.forward._wire import (
@@ -22,6 +29,7 @@
     Refusal,
 )
 from bramleyspread_forwarding import (
+    NO_SUCH_SOFTWARE,
     PAUSED,
     RATE_LIMITED,
     AttemptEnd,
@@ -31,6 +39,7 @@
     NoTarget,
     Placed,
     PlaceQuery,
+    PlaceStep,
     RetryBudget,
     TargetFailed,
     WasNotRun,
@@ -85,6 +94,9 @@
             context, request, route, self._priority, self._started_at, self._deadline
         )
         self._times = StreamTimes(self._started_at)
+        self._binding = StreamBinding(
+            request, route, context.targets, context.stream_keepers
+        )
         self._attempts = 0
         self._is_admitted = False
         self._tried_targets: list[str] = []
@@ -139,11 +151,15 @@
             return self._refuse(503, "no document", RETRY_AFTER_S)
         if self._is_quarantined():
             return self._refuse(503, QUARANTINED, None)
-        refused = await self._run_stages(service)
+        service = await self._binding.find_service(service)
+        refused = self._refuse_unresumable() or await self._run_stages(service)
         if refused:
             return refused
         if self._is_quarantined():
             return self._refuse(503, QUARANTINED, None)
+        return await self._run_attempts(service)
+
+    async def _run_attempts(self, service: str) -> str:
         budget = self._context.get_retry_budget(service)
         budget.record_first_attempt(read_monotonic())
         while True:
@@ -182,6 +198,13 @@
         ).info("covers the request")
         return True
 
+    def _refuse_unresumable(self) -> str:
+        """Refuse a stream that can't go on; return how it ended, or empty."""
+        unresumable = self._binding.find_refusal()
+        if unresumable is None:
+            return ""
+        return self._conclude(self._describe_unresumable(unresumable))
+
     async def _run_stages(self, service: str) -> str:
         """Run the stages; return how the request ended, or empty if they succeeded."""
         if not self._route.stages:
@@ -218,8 +241,12 @@
         return budget.try_acquire(read_monotonic(), len(self._context.list_hosts()))
 
     async def _run_attempt(self, service: str) -> AttemptEnd:
+        binding = self._binding.find()
+        if isinstance(binding, Unresumable):
+            self._attempts = self._route.attempts
+            return self._describe_unresumable(binding)
         query = self._build_query(service)
-        placed = await self._context.placement.choose(query)
+        placed = await self._choose(query, binding)
         self._log_placement(query, placed)
         if isinstance(placed, NoTarget):
             # Without a target left, no further attempt may follow.
@@ -235,6 +262,7 @@
             self._times,
             placed,
             self._features,
+            self._binding,
         )
         if not await attempt.wait_for_turn():
             await attempt.close()
@@ -248,6 +276,28 @@
         self._earlier_attempt_may_have_run = self._earlier_attempt_may_have_run or ran
         return end
 
+    async def _choose(
+        self, query: PlaceQuery, binding: Unbound | Bound
+    ) -> Placed | NoTarget:
+        """Choose a target that may continue the stream."""
+        if isinstance(binding, Unbound):
+            return await self._context.placement.choose(query)
+        query = msgspec.structs.replace(query, software=binding.software)
+        placed = await self._context.placement.choose(query)
+        if isinstance(placed, Placed) and placed.target.software != binding.software:
+            # The placement host knows targets that this host doesn't know, or is older
+            # than this rule.
+            step = PlaceStep(
+                ticket=placed.ticket, target=placed.target.target, ended=True
+            )
+            self._context.placement.report(step)
+            return NoTarget(NO_SUCH_SOFTWARE)
+        return placed
+
+    @staticmethod
+    def _describe_unresumable(unresumable: Unresumable) -> WasNotRun:
+        return WasNotRun(unresumable.why, may_have_reached_target=False)
+
     def _find_max_idle_s(self) -> float:
         """Return how long a reused connection may have been idle, in seconds.
 
--- a/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
@@ -326,6 +326,7 @@
             for address, context in tuple(self.contexts.items()):
                 if address not in self.silent:
                     await curio.spawn(context.placement.tick, daemon=True)
+                    await context.stream_keepers.tick()
                     await context.tick()
             await curio.sleep(TICK_S)
 
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -44,7 +44,12 @@
     ReadyStage,
     StageRun,
 )
-from bramleyspread_forwarding._placement import PAUSED, RATE_LIMITED, Placement
+from bramleyspread_forwarding._placement import (
+    NO_SUCH_SOFTWARE,
+    PAUSED,
+    RATE_LIMITED,
+    Placement,
+)
 from bramleyspread_forwarding._placement_messages import (
     Admitted,
     NoTarget,
@@ -90,7 +95,13 @@
     SignalChange,
     SignalTable,
 )
+from bramleyspread_forwarding._software_history import SoftwareHistory
 from bramleyspread_forwarding._stage_times import StageTimes
+from bramleyspread_forwarding._stream_origins import (
+    StreamOrigin,
+    StreamOrigins,
+    list_keepers,
+)
 from bramleyspread_forwarding._target_access import TargetAccess
 from bramleyspread_forwarding._targets import ForwardTarget, TargetTable
 
@@ -165,6 +176,11 @@
     "TargetTable",
     "WasNotRun",
     "choose_shard",
+    "SoftwareHistory",
+    "StreamOrigin",
+    "StreamOrigins",
+    "NO_SUCH_SOFTWARE",
+    "list_keepers",
     "count_shards",
     "divide_targets",
     "find_owner",
--- a/packages/forwarding/bramleyspread_forwarding/_placement.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement.py
@@ -51,6 +51,8 @@
 USABLE_MEMORY_SHARE = 0.9
 #: Reasons for which requests are refused because of what targets said.
 RATE_LIMITED, PAUSED = "every target limits its rate", "every target wants a pause"
+#: Reason for which a stream isn't continued.
+NO_SUCH_SOFTWARE = "no target has the software version that began the stream"
 #: Cost of a target that limits the rate of its requests, in ms; others that are as good
 #: go first.
 LIMITED_MS = 20.0
@@ -109,6 +111,10 @@
         """
         if not targets:
             return NoTarget("no target takes work")
+        if query.software is not None:
+            targets = [each for each in targets if each.software == query.software]
+            if not targets:
+                return NoTarget(NO_SUCH_SOFTWARE)
         untried = [each for each in targets if each.target not in query.tried]
         if not untried:
             return NoTarget("every target was tried")
--- a/packages/forwarding/bramleyspread_forwarding/_placement_messages.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement_messages.py
@@ -6,6 +6,7 @@
 
 from bramleyspread_forwarding._requests import Prompt
 from bramleyspread_forwarding._signal_table import SharedSignal
+from bramleyspread_forwarding._stream_origins import StreamOrigin
 from bramleyspread_forwarding._targets import ForwardTarget
 
 
@@ -47,6 +48,9 @@
     #: Targets that want no requests from the sender for a while, with the time left, in
     #: seconds.
     paused: dict[str, float] = {}
+    #: Version that the target's software must have, since it began the stream; None for
+    #: any.
+    software: str | None = None
     #: What targets have said that the receiver may not know yet.
     news: tuple[SharedSignal, ...] = ()
 
@@ -82,7 +86,7 @@
     retry_after_s: float | None = None
 
 
-class PlaceStep(msgspec.Struct, frozen=True, kw_only=True):
+class PlaceStep(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Progress of a placed request at its target."""
 
     #: Id of the reservation.
@@ -97,6 +101,9 @@
     good: bool | None = None
     #: Load that the target reported; None without a report.
     load: TargetLoad | None = None
+    #: Which software version has begun the stream; None if it hasn't begun with this
+    #: step, or can't be taken up again.
+    origin: StreamOrigin | None = None
 
 
 class PlaceReport(msgspec.Struct, frozen=True, omit_defaults=True):
--- /dev/null
+++ b/packages/forwarding/bramleyspread_forwarding/_software_history.py
@@ -0,0 +1,68 @@
+"""Which software versions the targets of each service had lately."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from bramleyspread_forwarding._heartbeats import Readiness, TargetHeartbeat
+from bramleyspread_forwarding._stream_origins import ORIGIN_RETENTION_S
+
+
+class SoftwareHistory:
+    """Software versions by service, for as long as streams may go on that they began.
+
+    Used when it isn't known which version began a stream: the only one did.
+
+    >>> from bramleyspread_core import Address
+    >>> first = TargetHeartbeat(
+    ...     target="i-1",
+    ...     sequence=1,
+    ...     service="llm",
+    ...     address=Address("10.0.0.1", 1),
+    ...     zone="z",
+    ...     slots=1,
+    ...     readiness=Readiness.READY,
+    ...     software="v1",
+    ... )
+    >>> history = SoftwareHistory()
+    >>> history.update([first], 0.0)
+    >>> history.find_sole_version("llm", 1.0)
+    'v1'
+    """
+
+    __slots__ = ("_current", "_seen_at")
+
+    def __init__(self) -> None:
+        self._current: dict[str, set[str]] = {}
+        # By service and version, until when a target was known that had it, in seconds.
+        self._seen_at: dict[str, dict[str, float]] = {}
+
+    def update(self, notices: Iterable[TargetHeartbeat], now: float) -> None:
+        """Follow a change of the known targets.
+
+        :param notices: what is known of all targets, including those that are gone.
+        :param now: the current time, in seconds.
+        """
+        for service, versions in self._current.items():
+            self._seen_at.setdefault(service, {}).update(dict.fromkeys(versions, now))
+        self._current = {}
+        for notice in notices:
+            if notice.readiness is Readiness.GONE:
+                seen_at = self._seen_at.setdefault(notice.service, {})
+                seen_at.setdefault(notice.software, now)
+            else:
+                versions = self._current.setdefault(notice.service, set())
+                versions.add(notice.software)
+
+    def find_sole_version(self, service: str, now: float) -> str | None:
+        """Find the only version that the targets of a service had lately.
+
+        :param service: the service.
+        :param now: the current time, in seconds.
+        :returns: the version; None if there were several, or none is known.
+        """
+        versions = set(self._current.get(service, ()))
+        for version, seen_at in self._seen_at.get(service, {}).items():
+            if now - seen_at <= ORIGIN_RETENTION_S:
+                versions.add(version)
+        return versions.pop() if len(versions) == 1 else None
--- a/packages/forwarding/bramleyspread_forwarding/_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/_targets.py
@@ -14,6 +14,7 @@
     TargetChange,
     TargetHeartbeat,
 )
+from bramleyspread_forwarding._software_history import SoftwareHistory
 
 #: How long the target states that a control host reported stay valid after its last
 #: feed page, in seconds. Pages are requested twice a second.
@@ -38,8 +39,9 @@
     slots: int
     #: When its process started, in milliseconds since 1970; 0 when unknown.
     born: int = 0
-    #: Version of its software; empty if it names none.
-    software: str = ""
+    #: Version of its software; empty if it names none, None while no control host
+    #: confirms it.
+    software: str | None = ""
 
 
 class _ControlView:
@@ -69,6 +71,8 @@
         self._usable: dict[str, tuple[ForwardTarget, ...]] = {}
         self._by_address: dict[Address, ForwardTarget] = {}
         self._fresh_controls: frozenset[Address] = frozenset()
+        #: Software versions that the targets had lately.
+        self.software = SoftwareHistory()
 
     def find_position(self, control: Address) -> tuple[str, int]:
         """Find how far this table follows a control host's feed.
@@ -192,6 +196,10 @@
         For each target, the newest heartbeat that says it is ready counts.
         """
         self._forget_departures(now)
+        self.software.update(
+            (x.notice for view in self._views.values() for x in view.targets.values()),
+            now,
+        )
         newest: dict[str, TargetHeartbeat] = {}
         fresh_targets: set[str] = set()
         for control, view in self._views.items():
@@ -209,7 +217,8 @@
             departure = self._departures.get(target)
             if departure is not None and departure[0] >= notice.born:
                 continue
-            lists = usable if target in fresh_targets else stale
+            is_fresh = target in fresh_targets
+            lists = usable if is_fresh else stale
             lists.setdefault(notice.service, []).append(
                 ForwardTarget(
                     target,
@@ -217,7 +226,7 @@
                     notice.zone,
                     notice.slots,
                     notice.born,
-                    notice.software,
+                    notice.software if is_fresh else None,
                 )
             )
         self._usable = {
