Entry role: continue a stream only at the model version that began it

The first token now binds the stream to the version that the target had announced; other targets aren't eligible. The test fails on the code before (2 versions in one answer).

--- a/packages/entry/bramleyspread_entry/_attempts.py
+++ b/packages/entry/bramleyspread_entry/_attempts.py
@@ -39,6 +39,8 @@
     sent_at: float
     #: Whether the attempt had to open a new connection.
     fresh_connection: bool
+    #: Version of the model at the target; empty for stages without a model.
+    model_version: str = ""
 
 
 class AttemptTable:
--- a/packages/entry/bramleyspread_entry/_baselines.py
+++ b/packages/entry/bramleyspread_entry/_baselines.py
@@ -49,7 +49,7 @@
             turn = int(self._rng.random() * 1_000)
         for step in range(1, len(views) + 1):
             view = views[(turn + step) % len(views)]
-            if has_model(view, requirements.stage):
+            if has_model(view, requirements):
                 self._turns[requirements.pool] = turn + step
                 return view
         return None
@@ -73,7 +73,7 @@
         :param now: monotonic seconds.
         :returns: the target, or None when none has the model and adapter.
         """
-        eligible = [view for view in views if has_model(view, requirements.stage)]
+        eligible = [view for view in views if has_model(view, requirements)]
         return self._rng.choice(eligible) if eligible else None
 
 
@@ -96,7 +96,7 @@
         :param now: monotonic seconds.
         :returns: the target, or None when none has the model and adapter.
         """
-        eligible = [view for view in views if has_model(view, requirements.stage)]
+        eligible = [view for view in views if has_model(view, requirements)]
         if not eligible:
             return None
         loads = [self._in_flight[view.announcement.target] for view in eligible]
--- a/packages/entry/bramleyspread_entry/_choice.py
+++ b/packages/entry/bramleyspread_entry/_choice.py
@@ -55,6 +55,8 @@
     prefix: str
     #: Targets to use only when no other target is eligible.
     avoid: AbstractSet[TargetName]
+    #: Version that the model must have, since it began the stream; empty for any.
+    model_version: str = ""
 
 
 class TargetSelector(Protocol):
@@ -75,21 +77,34 @@
         """Record that a target answered and may now have the prefix in its cache."""
 
 
-def has_model(view: TargetView, stage: Stage) -> bool:
-    """Whether a target has loaded the model and adapter that a stage requires.
+def has_model(view: TargetView, requirements: TargetRequirements) -> bool:
+    """Whether a target has loaded the model and adapter that an attempt requires.
 
     :param view: the target.
-    :param stage: the stage.
+    :param requirements: the attempt's requirements.
     :returns: True also for a stage that requires no model.
     """
+    stage = requirements.stage
     if stage.model is None:
         return True
+    version = requirements.model_version
     for model in view.announcement.models:
-        if model.name == stage.model:
+        if model.name == stage.model and version in ("", model.version):
             return stage.adapter is None or stage.adapter in model.adapters
     return False
 
 
+def find_model_version(view: TargetView, stage: Stage) -> str:
+    """Find the version of the model that a target runs a stage with.
+
+    :param view: the target.
+    :param stage: the stage.
+    :returns: the version; empty if the stage requires no model.
+    """
+    models = (x for x in view.announcement.models if x.name == stage.model)
+    return next((each.version for each in models), "")
+
+
 def count_zone_targets(views: Sequence[TargetView], zone: str) -> int:
     """Count a zone's targets in a list that begins with them, by binary search.
 
@@ -159,7 +174,7 @@
                 requirements, views, other_zones, best, load, OTHER_ZONE_PENALTY, now
             )
         if best is None:
-            return self._search(views, lambda view: has_model(view, requirements.stage))
+            return self._search(views, lambda view: has_model(view, requirements))
         if requirements.prefix:
             return self._prefer_prefix_target(
                 requirements, views, own_slice, best, load, now
@@ -173,7 +188,7 @@
         all_zones = Slice(0, len(views), len(views))
         best, _ = self._draw(requirements, views, all_zones, now)
         if best is None:
-            return self._search(views, lambda view: has_model(view, requirements.stage))
+            return self._search(views, lambda view: has_model(view, requirements))
         return best
 
     def record_sent(self, target: TargetName, now: float) -> None:
@@ -249,7 +264,7 @@
         target = view.announcement.target
         return (
             target not in requirements.avoid
-            and has_model(view, requirements.stage)
+            and has_model(view, requirements)
             and self._outliers.allows(target, now)
         )
 
--- a/packages/entry/bramleyspread_entry/_delivery.py
+++ b/packages/entry/bramleyspread_entry/_delivery.py
@@ -66,6 +66,7 @@
         if token.index > len(run.tokens):
             return False
         run.streaming_attempt = attempt.id
+        run.stream_version = attempt.model_version
         run.tokens.append(token.token)
         self._state.emit(SendToken(run.request.request, token))
         return True
--- a/packages/entry/bramleyspread_entry/_dispatch.py
+++ b/packages/entry/bramleyspread_entry/_dispatch.py
@@ -17,7 +17,7 @@
     TargetView,
 )
 from bramleyspread_entry._attempts import Attempt, AttemptKind
-from bramleyspread_entry._choice import TargetRequirements
+from bramleyspread_entry._choice import TargetRequirements, find_model_version
 from bramleyspread_entry._ids import make_attempt_id
 from bramleyspread_entry._pipeline import PipelineRun
 from bramleyspread_entry._state import EntryState, TimerKind
@@ -50,7 +50,7 @@
         views = self._state.directory.list_usable(run.pool, now)
         prefix = "" if run.tried_targets else self.make_prefix_key(run)
         requirements = TargetRequirements(
-            run.pool, run.stage, prefix, run.tried_targets
+            run.pool, run.stage, prefix, run.tried_targets, run.stream_version
         )
         return self._state.policies.target_selector.select(requirements, views, now)
 
@@ -88,6 +88,7 @@
             address=announcement.address,
             sent_at=now,
             fresh_connection=fresh_connection,
+            model_version=find_model_version(view, stage),
         )
         timeout = self.find_timeout(run, now)
         run.live_attempts[attempt.id] = attempt
--- a/packages/entry/bramleyspread_entry/_pipeline.py
+++ b/packages/entry/bramleyspread_entry/_pipeline.py
@@ -63,6 +63,7 @@
         "side_effect_unknown",
         "silent_targets",
         "stage_attempts",
+        "stream_version",
         "streaming_attempt",
         "tokens",
         "total_attempts",
@@ -133,6 +134,8 @@
         self.settle_deadline = 0.0
         #: Tokens passed on to the caller.
         self.tokens: list[str] = []
+        #: Version of the model that generated the first of them; empty if none did.
+        self.stream_version = ""
         #: The attempt in flight whose tokens are passed on to the caller.
         self.streaming_attempt: AttemptId | None = None
 
--- a/packages/entry/bramleyspread_entry/tests/test_decisions.py
+++ b/packages/entry/bramleyspread_entry/tests/test_decisions.py
@@ -22,6 +22,7 @@
     CommandResult,
     Dispatch,
     DropConnections,
+    LoadedModel,
     NotLeader,
     Payload,
     Reason,
@@ -295,6 +296,32 @@
     assert harness.host.in_flight == 0
 
 
+# Guards against an answer whose tokens come from two versions of a model.
+def test_stream_continues_only_at_the_model_version_that_began_it() -> None:
+    harness = Harness()
+    engines = harness.directory.pools["engines"]
+    for at in (1, 2):
+        announcement = msgspec.structs.replace(
+            engines[at].announcement, models=(LoadedModel("m", "2"),)
+        )
+        engines[at] = msgspec.structs.replace(engines[at], announcement=announcement)
+    for _ in range(20):
+        harness.submit("check", stream=True)
+        harness.complete(harness.last_dispatch)
+        first = harness.last_dispatch
+        harness.send_token(first, 0)
+        harness.end_attempt(first, make_unknown())
+        harness.pass_time(0.5)
+        second = harness.last_dispatch
+        versions = {
+            each.announcement.models[0].version
+            for each in engines
+            if each.announcement.target in (first.target, second.target)
+        }
+        assert len(versions) == 1
+        harness.pass_time(60.0)
+
+
 def test_stream_continues_in_a_retry_without_repeated_tokens() -> None:
     harness = Harness()
     request = harness.submit("check", stream=True)
