--- a/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
@@ -398,12 +398,22 @@
         )
 
     async def forward(
-        self, address: Address, request: ForwardRequest, is_fatal: bool = False
+        self,
+        address: Address,
+        request: ForwardRequest,
+        is_fatal: bool = False,
+        ends: Counter[str] | None = None,
     ) -> None:
-        """Forward a request at a host."""
+        """Forward a request at a host.
+
+        :param address: the host.
+        :param request: the request.
+        :param is_fatal: whether it ends targets.
+        :param ends: counts how it ends; None for those of all requests of its kind.
+        """
         self.requests[request.request_id] = request
         self.sent.append((read_monotonic(), request.request_id, is_fatal))
-        reply = cast("Any", _CallerReply(self.ends[is_fatal]))
+        reply = cast("Any", _CallerReply(self.ends[is_fatal] if ends is None else ends))
         wire = cast("Any", Wire())
         context = self.contexts[address]
         holder = self.holders[int(request.request_id) % len(self.holders)]
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/partitioned_site.py
@@ -0,0 +1,209 @@
+"""Entry hosts of which some are partitioned from all targets, in virtual time."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from enum import Enum
+from types import SimpleNamespace
+from typing import Any, cast
+
+import curio
+
+from bramleyspread_core import Address, EngineLimits
+from bramleyspread_daemon._client import (
+    ConnectionClosedError,
+    RequestNotSentError,
+    TargetRefusedError,
+)
+from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon.forward.tests.crashing_site import CrashingSite
+from bramleyspread_daemon.forward.tests.crashing_target import CrashingTarget, work
+from bramleyspread_daemon.forward.tests.forwarding_site import (
+    DELAY_S,
+    ENGINE,
+    HostUpstream,
+)
+from bramleyspread_forwarding import ForwardRequest
+
+#: Time in which unacknowledged bytes close a connection, in seconds.
+HANG_S = 1.0
+#: How long a kept connection may be idle, in seconds.
+KEPT_S = 2.0
+#: Time after the beginning of a partition from which requests count, in seconds.
+CONTACT_S = 3.0
+#: Time until a target begins to answer, and for which it goes on, in seconds.
+BEGIN_S, EVENTS, EVENT_S = (0.05, 0.2), 4, 0.05
+
+
+class Manner(Enum):
+    """What happens to the connections of a host that is partitioned."""
+
+    #: All hang.
+    HANG = "hang"
+    #: Open ones are reset, new ones are refused.
+    RESET = "reset"
+    #: Open ones are reset, new ones hang.
+    RESET_THEN_HANG = "reset-then-hang"
+    #: Open ones go on, new ones are refused.
+    REFUSE_NEW = "refuse-new"
+
+
+class _Connection:
+    """Connection of one host to a target, by which path ever."""
+
+    ends_by_closing = False
+
+    def __init__(self, site: PartitionedSite, via: Address, at: CrashingTarget) -> None:
+        self._site, self._via, self._target = site, via, at
+        self._life: Any = at.connect()
+        self._request = ""
+        self._events = 0
+        #: When its last answer ended, in seconds.
+        self.idle_since = read_monotonic()
+        #: Address of the target.
+        self.address = at.address
+
+    async def send(
+        self, method: str, path: str, headers: tuple[Any, ...], body: bytes
+    ) -> None:
+        self._request, self._events = headers[0][1].decode(), 0
+        await self._pass_path()
+        arrival = (read_monotonic(), self._site.names[self._via], self._request)
+        self._target.arrivals.append(cast("Any", arrival))
+
+    async def _pass_path(self) -> None:
+        manner = self._site.partitioned.get(self._via)
+        if manner is Manner.HANG:
+            await curio.sleep(HANG_S)
+        if manner not in (None, Manner.REFUSE_NEW):
+            raise ConnectionClosedError("reset")
+        await curio.sleep(DELAY_S)
+
+    async def read_head(self) -> SimpleNamespace:
+        await work(self._life, self._site.rng.uniform(*BEGIN_S))
+        await self._pass_path()
+        return SimpleNamespace(status_code=200, headers=self._request)
+
+    async def read_chunk(self) -> bytes:
+        await work(self._life, EVENT_S)
+        await self._pass_path()
+        self._events += 1
+        return b"id: %d\ndata: a\n\n" % self._events if self._events <= EVENTS else b""
+
+    async def read_body(self, max_bytes: int = 0) -> bytes:
+        while chunk := await self.read_chunk():
+            assert chunk
+        return b"whole"
+
+    async def close(self) -> None:
+        pass
+
+
+class _Upstream(HostUpstream):
+    """Connections of one host to targets, some of which it keeps."""
+
+    def __init__(self, site: PartitionedSite, own: Address) -> None:
+        self._site, self._own = site, own
+        self._idle: dict[Address, list[_Connection]] = {}
+
+    async def acquire(
+        self, address: Address, timeout: float, *, max_idle_s: float = math.inf
+    ) -> _Connection:
+        idle = self._idle.get(address, [])
+        while idle and max_idle_s > 0:
+            connection = idle.pop()
+            if read_monotonic() - connection.idle_since < min(KEPT_S, max_idle_s):
+                return connection
+        return await self._site.open_direct(self._own, address, timeout)
+
+    async def is_refused(self, address: Address) -> bool:
+        try:
+            await self._site.open_direct(self._own, address, 0.25)
+        except TargetRefusedError:
+            return True
+        except RequestNotSentError:
+            return False
+        return False
+
+    async def release_connection(self, *released: Any) -> None:
+        connection = released[0]
+        connection.idle_since = read_monotonic()
+        self._idle.setdefault(connection.address, []).append(connection)
+
+
+class PartitionedSite(CrashingSite):
+    """Entry and control hosts before targets that some of the hosts don't reach."""
+
+    def __init__(
+        self,
+        hosts: int,
+        targets: int,
+        *,
+        engine: EngineLimits | None = ENGINE,
+        seed: int = 1,
+    ) -> None:
+        #: Entry hosts that reach no target, and what happens to their connections.
+        self.partitioned: dict[Address, Manner] = {}
+        #: Names of the entry hosts by address.
+        self.names: dict[Address, str] = {}
+        #: Number of first attempts, and of those that were served, by whether the host
+        #: was partitioned for some time then.
+        self.counts: Counter[tuple[bool, bool]] = Counter()
+        #: How long requests were held that were refused, in seconds.
+        self.refused_after_s: list[float] = []
+        self._partitioned_at = math.inf
+        super().__init__(hosts, targets, engine=engine, seed=seed)
+
+    def start_host(self, name: str, address: Address, started: int = 1) -> None:
+        """Start an entry host, or start it anew with nothing that it knew."""
+        super().start_host(name, address, started)
+        self.names[address] = name
+        self.contexts[address].upstream = cast("Any", _Upstream(self, address))
+
+    async def open_direct(
+        self, host: Address, address: Address, timeout: float
+    ) -> _Connection:
+        """Open a connection of a host to a target."""
+        manner = self.partitioned.get(host)
+        if manner in (Manner.HANG, Manner.RESET_THEN_HANG):
+            await curio.sleep(timeout)
+            raise RequestNotSentError("not connected in time")
+        await curio.sleep(DELAY_S)
+        if manner is not None or not self.targets[address].is_running:
+            raise TargetRefusedError("not connected: Connection refused")
+        return _Connection(self, host, self.targets[address])
+
+    def partition(self, hosts: list[Address], manner: Manner) -> None:
+        """Partition entry hosts from all targets."""
+        self._partitioned_at = read_monotonic()
+        self.partitioned = dict.fromkeys(hosts, manner)
+
+    def heal(self) -> None:
+        """Let all hosts reach the targets again."""
+        self.partitioned = {}
+        self._partitioned_at = math.inf
+
+    async def forward(
+        self,
+        address: Address,
+        request: ForwardRequest,
+        is_fatal: bool = False,
+        ends: Counter[str] | None = None,
+    ) -> None:
+        """Forward a request at a host, and count how its first attempt ends."""
+        sent_at = read_monotonic()
+        is_counted = sent_at >= self._partitioned_at + CONTACT_S
+        is_partitioned = address in self.partitioned
+        own_ends: Counter[str] = Counter()
+        await super().forward(address, request, is_fatal, own_ends)
+        self.ends[is_fatal] += own_ends
+        if own_ends["503"]:
+            self.refused_after_s.append(read_monotonic() - sent_at)
+        if is_counted:
+            self.counts[is_partitioned, own_ends["whole"] > 0] += 1
+
+    def find_served_share(self, *, is_partitioned: bool) -> float:
+        """Find the share of first attempts that were served at some hosts."""
+        served = self.counts[is_partitioned, True]
+        return served / max(served + self.counts[is_partitioned, False], 1)
