Relay connections to targets that a host has lost its own path to

Cause: only the host that takes a request, or batches a call, ever connected to its target; a lost path left it nothing, and its failures told everybody that targets fail, or, where connections are refused, that they crash.

Now a connection to a target goes by the path that works. A host that reaches none of two targets in a row doubts its own path and asks others to relay: GET /v1/relay with an upgrade, after which bytes pass both ways unchanged, so that all above (streams, their breaking off, at most once, limits, calls for pieces, releases) stays as it is. If another host reaches the target, the path is lost: next connections are relayed at once, lost paths are tried again once a second, idle connections that may hang are dropped. A relay asks no other one; it answers that a target refuses only if it reaches another target itself, and the same proof is asked before a refusal counts as a crash. Hosts of the own zone are asked first, in random order.

--- a/packages/daemon/bramleyspread_daemon/_exchange.py
+++ b/packages/daemon/bramleyspread_daemon/_exchange.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bramleyspread_core import encode_json
+from bramleyspread_daemon._connection import Connection
 
 #: Names and values of response headers.
 Headers = Sequence[tuple[str, str]]
@@ -58,6 +59,19 @@
         """Close the connection at once."""
 
 
+#: Uses a connection for another protocol, given the bytes that the peer has sent
+#: already; returns whether it must be reset afterwards.
+UseConnection = Callable[[Connection, bytes], Awaitable[bool]]
+
+
+class Switch(msgspec.Struct, frozen=True):
+    """A change of a connection to another protocol."""
+
+    #: Name of the protocol.
+    protocol: str
+    use: UseConnection
+
+
 class Reply:
     """The reply to one HTTP request, sent at once or streamed.
 
@@ -70,6 +84,7 @@
         "caller_disconnected",
         "ended",
         "on_disconnect",
+        "switched",
     )
 
     def __init__(self, connection: ReplyConnection) -> None:
@@ -82,6 +97,8 @@
         self.caller_disconnected = False
         #: Awaited once when the caller disconnects before the end.
         self.on_disconnect: Callable[[], Awaitable[None]] | None = None
+        #: The protocol to which the connection changes in place of a reply.
+        self.switched: Switch | None = None
 
     def send(self, status: int, body: bytes, headers: Headers = (JSON_TYPE,)) -> None:
         """Send a complete reply.
@@ -141,6 +158,15 @@
         if not (self.ended or self.caller_disconnected):
             self._connection.send_chunk(piece)
 
+    def switch(self, protocol: str, use: UseConnection) -> None:
+        """Change the connection to another protocol in place of a reply.
+
+        :param protocol: name of the protocol that the peer asked for.
+        :param use: uses the connection until it closes.
+        """
+        self.begun = True
+        self.switched = Switch(protocol, use)
+
     def end(self) -> None:
         """End a streamed reply."""
         if self.ended or self.caller_disconnected:
--- a/packages/daemon/bramleyspread_daemon/_server_connection.py
+++ b/packages/daemon/bramleyspread_daemon/_server_connection.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import curio
 import h11
 
 from bramleyspread_daemon._clock import STAMP_HEADER, read_monotonic
 from bramleyspread_daemon._connection import Connection
-from bramleyspread_daemon._exchange import Headers, HttpRequest, Reply
+from bramleyspread_daemon._exchange import Headers, HttpRequest, Reply, Switch
 from bramleyspread_daemon._refusal import encode_refusal, make_retry_headers
 from bramleyspread_daemon._server_context import ServerContext
 
@@ -105,10 +107,25 @@
         self._reply = reply = Reply(self)
         try:
             await self._server.answer(request, reply)
+            if reply.switched is not None:
+                await self._switch(reply, reply.switched)
+                return False
             return reply.ended or await self._wait_for_reply_end(reply)
         finally:
             self._server.record_traffic(request.path, self._connection)
 
+    async def _switch(self, reply: Reply, switch: Switch) -> None:
+        """Change the connection to another protocol, until it closes."""
+        headers = [("upgrade", switch.protocol), ("connection", "upgrade")]
+        head = h11.InformationalResponse(status_code=101, headers=headers)
+        with contextlib.suppress(OSError):
+            await self._connection.send_all(self._http.send(head) or b"")
+        early, _ = self._http.trailing_data
+        must_reset = await switch.use(self._connection, early)
+        reply.ended = True
+        if must_reset:
+            await self._connection.reset()
+
     async def _wait_for_reply_end(self, reply: Reply) -> bool:
         """Wait until an asynchronous reply ends, and detect a caller disconnect.
 
--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -12,6 +12,7 @@
 from bramleyspread_daemon.forward._stage_work import StageWork
 from bramleyspread_daemon.forward._stream_binding import StreamBinding
 from bramleyspread_daemon.forward._stream_times import StreamTimes
+from bramleyspread_daemon.forward._target_connector import NoPathError
 from bramleyspread_daemon.forward._target_crashes import RequestFeatures
 from bramleyspread_daemon.forward._upstream import UpstreamConnection
 from bramleyspread_daemon.forward._wire import CallMetadata, TargetHead
@@ -117,10 +118,7 @@
         if isinstance(end, Delivered):
             succeeded = True
         elif end is not None:
-            # If the inputs are gone, the target is not at fault.
-            succeeded = (
-                None if isinstance(end, WasNotRun) and end.inputs_gone else False
-            )
+            succeeded = None if _is_target_innocent(end) else False
         self._report(self._build_step(ended=True, succeeded=succeeded))
 
     async def _send(self, metadata: CallMetadata, max_idle_s: float) -> AttemptEnd:
@@ -130,7 +128,11 @@
                 self._placed.target.address, CONNECT_TIMEOUT_S, max_idle_s=max_idle_s
             )
         except RequestNotSentError as error:
-            return WasNotRun(str(error), may_have_reached_target=False)
+            return WasNotRun(
+                str(error),
+                may_have_reached_target=False,
+                is_target_suspect=not isinstance(error, NoPathError),
+            )
         self._connection = connection
         headers = context.wire.write_head(request, metadata)
         try:
@@ -301,3 +303,10 @@
         if connection is not None:
             self._context.upstream.record_traffic(REQUESTS, connection)
             await connection.close()
+
+
+def _is_target_innocent(end: AttemptEnd) -> bool:
+    """Whether an attempt failed by no fault of the target."""
+    if not isinstance(end, WasNotRun):
+        return False
+    return end.inputs_gone or not end.is_target_suspect
--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -21,12 +21,14 @@
 from bramleyspread_daemon.forward._piece_calls import PieceCalls
 from bramleyspread_daemon.forward._piece_service import PieceService
 from bramleyspread_daemon.forward._placement_service import PlacementService
+from bramleyspread_daemon.forward._relay import open_relayed
 from bramleyspread_daemon.forward._service_directory import ServiceDirectory
 from bramleyspread_daemon.forward._settings import ForwardEntrySettings
 from bramleyspread_daemon.forward._stream_keepers import StreamKeepers
+from bramleyspread_daemon.forward._target_connector import TargetConnector
 from bramleyspread_daemon.forward._target_crashes import TargetCrashes
 from bramleyspread_daemon.forward._target_signals import TargetSignals
-from bramleyspread_daemon.forward._upstream import UpstreamPool
+from bramleyspread_daemon.forward._upstream import UpstreamConnection, UpstreamPool
 from bramleyspread_daemon.forward._wire import TargetWire
 from bramleyspread_forwarding import (
     EntryHost,
@@ -36,6 +38,7 @@
     KnownEntries,
     LiveHosts,
     Placement,
+    RelayChoice,
     RetryBudget,
     RouteTable,
     StageTimes,
@@ -102,7 +105,7 @@
         #: Recent durations of stages.
         self.stage_times = StageTimes()
         #: Connections to targets.
-        self.upstream = UpstreamPool(peers.traffic)
+        self.upstream = UpstreamPool(peers.traffic, self._make_connector)
         #: Under which requests targets crash.
         self.crashes = TargetCrashes(lambda address: self.upstream.is_refused(address))
         #: Computes the pieces of stages.
@@ -122,6 +125,22 @@
         #: Number of requests in flight.
         self.in_flight = 0
 
+    def _make_connector(
+        self, pool: UpstreamPool
+    ) -> TargetConnector[UpstreamConnection]:
+        async def open_through(host: EntryHost, address: Address) -> UpstreamConnection:
+            connection = await open_relayed(host.address, address)
+            return pool.wrap_relayed(connection, address)
+
+        return TargetConnector(
+            pool.open_directly,
+            open_through,
+            RelayChoice(self.own, self._rng),
+            self.list_hosts,
+            self.targets.list_addresses,
+            pool.close_idle_to,
+        )
+
     @property
     def version(self) -> int:
         """Version of the deployment document in force; 0 if there is none."""
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -28,6 +28,7 @@
 from bramleyspread_daemon.forward._placement_service import (
     TICK_INTERVAL_S as PLACEMENT_TICK_INTERVAL_S,
 )
+from bramleyspread_daemon.forward._relay import RELAY_PATH, RelayService
 from bramleyspread_daemon.forward._request_forwarder import (
     RETRY_AFTER_S,
     RequestForwarder,
@@ -38,6 +39,9 @@
 from bramleyspread_daemon.forward._stream_keepers import (
     TICK_INTERVAL_S as ORIGIN_TICK_INTERVAL_S,
 )
+from bramleyspread_daemon.forward._target_connector import (
+    TICK_INTERVAL_S as PATH_TICK_INTERVAL_S,
+)
 from bramleyspread_daemon.forward._wire import (
     CallerWire,
     Refusal,
@@ -102,6 +106,13 @@
         routes[("POST", PLACED_PATH)] = self.context.placement.serve_report
         routes[("POST", ORIGIN_PATH)] = self.context.stream_keepers.serve_query
         routes[("POST", ORIGINS_PATH)] = self.context.stream_keepers.serve_copies
+        connector = self.context.upstream.connector
+        assert connector is not None
+        self._connector = connector
+        addresses = self.context.targets.list_addresses
+        #: Relays connections of other hosts to targets.
+        self.relays = RelayService(connector, lambda x: x in addresses())
+        routes[("GET", RELAY_PATH)] = self.relays.serve
         limits, clock = settings.limits, process.clock
         #: Serves the other processes of the system.
         self.server = HttpServer(Routes(routes), limits, clock)
@@ -213,6 +224,12 @@
         upstream = self.context.upstream
         metrics.set_counter("target_connections_total", "Opened.", upstream.opened)
         metrics.set_counter("target_reuses_total", "Used again.", upstream.reused)
+        metrics.set_counter(
+            "relayed_connections_total", "By other hosts.", self._connector.relayed
+        )
+        metrics.set_gauge("relays_open", "For other hosts.", self.relays.open)
+        number = self._connector.paths.count_lost()
+        metrics.set_gauge("lost_paths", "Targets that only others reach.", number)
         signals = self.context.signals
         for name, number in signals.table.counts.items():
             text = "Responses in which a target said so of itself."
@@ -245,6 +262,7 @@
             (self.context.piece_service.tick, "batch", TICK_INTERVAL_S),
             (self.context.placement.tick, "place", PLACEMENT_TICK_INTERVAL_S),
             (self.context.stream_keepers.tick, "origin", ORIGIN_TICK_INTERVAL_S),
+            (self._connector.tick, "path", PATH_TICK_INTERVAL_S),
             (self.context.upstream.close_expired, "idle", IDLE_CHECK_INTERVAL_S),
             (self.context.tick, "targets", STALENESS_CHECK_INTERVAL_S),
             (self.context.crashes.tick, "crashes", EXPIRY_INTERVAL_S),
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_connector.py
@@ -0,0 +1,225 @@
+"""Opens connections to targets, directly or relayed by another entry host."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Collection, Sequence
+from typing import Generic, Protocol, TypeVar
+
+from loguru import logger
+
+from bramleyspread_core import Address
+from bramleyspread_daemon._client import RequestNotSentError, TargetRefusedError
+from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_forwarding import EntryHost, RelayChoice, TargetPaths
+
+#: Timeout for a connection that is only to show whether a path is back, in seconds.
+PROBE_TIMEOUT_S = 0.25
+#: Maximum number of hosts that are asked to relay one connection.
+MAX_RELAYS_ASKED = 4
+#: Time for which a failure to reach a target answers those who ask for a relay, in
+#: seconds.
+RECENT_FAILURE_S = 0.5
+#: Time for which a connection that was opened shows that the path works, in seconds.
+VOUCH_S = 0.5
+#: Maximum number of other targets that are tried to find out whether the path works.
+MAX_OTHERS_TRIED = 2
+#: Interval at which lost paths are checked, in seconds.
+TICK_INTERVAL_S = 0.25
+
+
+class RelayUnavailableError(RequestNotSentError):
+    """The host that was asked to relay has no path to the target either."""
+
+
+class NoPathError(RequestNotSentError):
+    """No host could tell whether the target or this host's path to it is at fault."""
+
+
+class Closable(Protocol):
+    """A connection that can be closed."""
+
+    async def close(self) -> None:
+        """Close the connection."""
+
+
+C = TypeVar("C", bound=Closable)
+
+
+class TargetConnector(Generic[C]):
+    """Opens connections to targets by the path that is known to work.
+
+    Only the host that was asked to relay connects to the target; it asks no other one.
+
+    :param open_direct: connects to a target within a timeout, in seconds.
+    :param open_relayed: connects to a target through another host; raises
+        :exc:`RelayUnavailableError` if that host has no path to it.
+    :param choice: the order in which hosts are asked to relay.
+    :param list_hosts: lists the live entry hosts.
+    :param list_addresses: lists the addresses of the known targets.
+    :param drop_idle: closes idle connections to a target, which may hang.
+    """
+
+    def __init__(
+        self,
+        open_direct: Callable[[Address, float], Awaitable[C]],
+        open_relayed: Callable[[EntryHost, Address], Awaitable[C]],
+        choice: RelayChoice,
+        list_hosts: Callable[[], Sequence[EntryHost]],
+        list_addresses: Callable[[], Collection[Address]],
+        drop_idle: Callable[[Address], Awaitable[None]],
+    ) -> None:
+        self._open_direct = open_direct
+        self._open_relayed = open_relayed
+        self._choice = choice
+        self._list_hosts = list_hosts
+        self._list_addresses = list_addresses
+        self._drop_idle = drop_idle
+        #: What is known of this host's paths.
+        self.paths = TargetPaths()
+        #: Number of connections that other hosts relayed for this one.
+        self.relayed = 0
+
+    async def open(self, address: Address, timeout: float) -> C:
+        """Connect to a target.
+
+        :param address: the target's address.
+        :param timeout: connect timeout for the direct path, in seconds.
+        :raises TargetRefusedError: if the target refuses connections.
+        :raises NoPathError: if this host may have lost its path, and no host relays.
+        :raises RequestNotSentError: if the target can't be reached.
+        """
+        if self.paths.is_lost(address):
+            relayed = await self._relay(address)
+            if relayed is not None:
+                return relayed
+        try:
+            return await self.open_directly(address, timeout)
+        except RequestNotSentError as error:
+            known = len(self._list_addresses())
+            if not self.paths.doubts_itself(known, read_monotonic()):
+                raise
+            relayed = await self._relay(address)
+            if relayed is not None:
+                return relayed
+            if self._has_other_hosts():
+                raise NoPathError(str(error)) from None
+            raise
+
+    async def open_directly(self, address: Address, timeout: float) -> C:
+        """Connect to a target without a relay, and record whether that works."""
+        try:
+            connection = await self._open_direct(address, timeout)
+        except RequestNotSentError as error:
+            is_silent = not isinstance(error, TargetRefusedError)
+            self.paths.record_failure(address, read_monotonic(), is_silent=is_silent)
+            raise
+        was_cut = self.paths.is_cut
+        self.paths.record_success(address, read_monotonic())
+        if was_cut:
+            logger.bind(step="path", peer=str(address)).info("targets are reached")
+        return connection
+
+    async def open_for_other_host(self, address: Address, timeout: float) -> C:
+        """Connect to a target for another host.
+
+        :raises RelayUnavailableError: if the path to the target is lost here too.
+        :raises TargetRefusedError: if the target refuses connections.
+        :raises RequestNotSentError: if the target can't be reached.
+        """
+        now = read_monotonic()
+        is_unreached = self.paths.has_failed(address, now, RECENT_FAILURE_S)
+        if self.paths.is_lost(address) or is_unreached:
+            raise RelayUnavailableError("the path is lost here too")
+        try:
+            return await self.open_directly(address, timeout)
+        except RequestNotSentError:
+            if await self._reaches_another(address, timeout):
+                raise
+        raise RelayUnavailableError("no other target is reached either")
+
+    async def _reaches_another(self, address: Address, timeout: float) -> bool:
+        """Whether this host reaches a target other than one that it didn't reach.
+
+        Then its own path is not at fault. Without other targets nothing can be told.
+        """
+        others = [each for each in self._list_addresses() if each != address]
+        now = read_monotonic()
+        if not others or self.paths.has_reached_another(address, now, VOUCH_S):
+            return True
+        for other in others[:MAX_OTHERS_TRIED]:
+            try:
+                connection = await self.open_directly(other, timeout)
+            except RequestNotSentError:
+                continue
+            await connection.close()
+            return True
+        return False
+
+    async def is_refused(self, address: Address, timeout: float) -> bool:
+        """Find whether a target accepts no connections, by whichever path.
+
+        A refusal counts only if another host meets it too, as far as there is any.
+        """
+        try:
+            connection = await self.open_directly(address, timeout)
+        except TargetRefusedError:
+            pass
+        except RequestNotSentError:
+            return False
+        else:
+            await connection.close()
+            return False
+        try:
+            relayed = await self._relay(address)
+        except TargetRefusedError:
+            return True
+        except RequestNotSentError:
+            return False
+        if relayed is None:
+            return not self._has_other_hosts()
+        await relayed.close()
+        return False
+
+    def _has_other_hosts(self) -> bool:
+        return len(self._list_hosts()) > 1
+
+    async def _relay(self, address: Address) -> C | None:
+        """Connect to a target through another host.
+
+        :returns: the connection; None if no host that was asked has a path.
+        :raises TargetRefusedError: if the target refuses connections there too.
+        :raises RequestNotSentError: if the target can't be reached there either.
+        """
+        ranked = self._choice.rank(self._list_hosts(), read_monotonic())
+        for host in ranked[:MAX_RELAYS_ASKED]:
+            try:
+                connection = await self._open_relayed(host, address)
+            except RelayUnavailableError:
+                self._choice.record(host, read_monotonic(), succeeded=False)
+                continue
+            self._choice.record(host, read_monotonic(), succeeded=True)
+            self.relayed += 1
+            await self._record_relayed(host, address)
+            return connection
+        return None
+
+    async def _record_relayed(self, host: EntryHost, address: Address) -> None:
+        was_cut = self.paths.is_cut
+        if not self.paths.record_relayed(address, read_monotonic()):
+            return
+        log = logger.bind(step="path", peer=str(address), relayed_by=host.host)
+        log.warning("lost; another host reaches the target")
+        if self.paths.is_cut and not was_cut:
+            log.warning("no target is reached any more")
+        if self.paths.is_silent(address):
+            await self._drop_idle(address)
+
+    async def tick(self) -> None:
+        """Try lost paths again."""
+        due = self.paths.list_due_probes(self._list_addresses(), read_monotonic())
+        for address in due:
+            try:
+                connection = await self.open_directly(address, PROBE_TIMEOUT_S)
+            except RequestNotSentError:
+                continue
+            await connection.close()
--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import curio
@@ -19,6 +19,7 @@
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._connection import Connection
 from bramleyspread_daemon._traffic import Traffic
+from bramleyspread_daemon.forward._target_connector import TargetConnector
 
 #: Maximum size of a response head.
 MAX_HEAD_BYTES = 65_536
@@ -41,6 +42,9 @@
 DEFAULT_KEEP_ALIVE_S = 3.0
 #: Share of a target's own keep-alive time for which an idle connection is reused.
 KEEP_ALIVE_SHARE = 0.6
+#: How long an idle connection that another host relays is reused, in seconds; it keeps
+#: that host from stopping.
+RELAYED_IDLE_S = 0.8
 #: Timeout for finding out whether connections are refused, in seconds.
 CHECK_TIMEOUT_S = 0.25
 #: Maximum number of idle connections kept per target.
@@ -74,6 +78,7 @@
         "address",
         "ends_by_closing",
         "idle_since",
+        "is_relayed",
         "latest_results",
         "max_idle_s",
     )
@@ -91,6 +96,8 @@
         self._is_eof = False
         #: Address of the target.
         self.address = address
+        #: Whether another host relays it.
+        self.is_relayed = False
         #: When the last response on it ended, in monotonic seconds.
         self.idle_since = connection.opened_at
         #: Handles of the stage results that the latest response with any has named.
@@ -128,6 +135,10 @@
         connection.enable_peer_timeout(UNACKNOWLEDGED_TIMEOUT_MS)
         return cls(connection, address, buffered)
 
+    def detach(self) -> Connection:
+        """Return the connection itself, on which nothing has been sent yet."""
+        return self._connection
+
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent on this connection."""
@@ -270,15 +281,25 @@
     return b"content-length" in names or b"transfer-encoding" in names
 
 
+#: Makes what opens a pool's connections.
+MakeConnector = Callable[["UpstreamPool"], "TargetConnector[UpstreamConnection]"]
+
+
 class UpstreamPool:
     """Pool of idle connections to targets."""
 
-    __slots__ = ("_buffered", "_idle", "_traffic", "opened", "reused")
+    __slots__ = ("_buffered", "_idle", "_traffic", "connector", "opened", "reused")
 
-    def __init__(self, traffic: Traffic | None = None) -> None:
+    def __init__(
+        self,
+        traffic: Traffic | None = None,
+        make_connector: MakeConnector | None = None,
+    ) -> None:
         self._traffic = traffic if traffic is not None else Traffic()
         self._buffered = BufferedBytes()
         self._idle: dict[Address, list[UpstreamConnection]] = {}
+        #: Opens connections by the path that works; None to open all directly.
+        self.connector = make_connector(self) if make_connector is not None else None
         #: Number of connections opened.
         self.opened = 0
         #: Number of times a connection was reused.
@@ -303,18 +324,45 @@
             is_fresh = now - connection.idle_since < min(
                 connection.max_idle_s, max_idle_s
             )
-            if is_fresh and connection.is_reusable:
+            if is_fresh and connection.is_reusable and not self._may_hang(connection):
                 self.reused += 1
                 return connection
             await connection.close()
         self.opened += 1
+        if self.connector is not None:
+            return await self.connector.open(address, timeout)
+        return await self.open_directly(address, timeout)
+
+    def _may_hang(self, connection: UpstreamConnection) -> bool:
+        """Whether a kept connection may hang, since new ones do."""
+        if self.connector is None or connection.is_relayed:
+            return False
+        return self.connector.paths.is_silent(connection.address)
+
+    async def open_directly(
+        self, address: Address, timeout: float
+    ) -> UpstreamConnection:
+        """Open a connection to a target without a relay.
+
+        :raises RequestNotSentError: if the target can't be reached in time.
+        """
         return await UpstreamConnection.open(address, timeout, self._buffered)
 
+    def wrap_relayed(
+        self, connection: Connection, address: Address
+    ) -> UpstreamConnection:
+        """Use a connection to a target that another host relays."""
+        wrapped = UpstreamConnection(connection, address, self._buffered)
+        wrapped.is_relayed = True
+        return wrapped
+
     async def is_refused(self, address: Address) -> bool:
         """Find whether nothing accepts connections at an address.
 
         :returns: False as well if the machine doesn't answer in time.
         """
+        if self.connector is not None:
+            return await self.connector.is_refused(address, CHECK_TIMEOUT_S)
         try:
             connection = await self.acquire(address, CHECK_TIMEOUT_S, max_idle_s=0.0)
         except TargetRefusedError:
@@ -335,6 +383,8 @@
         """
         if keep_alive_s is not None:
             connection.max_idle_s = keep_alive_s * KEEP_ALIVE_SHARE
+        if connection.is_relayed:
+            connection.max_idle_s = min(connection.max_idle_s, RELAYED_IDLE_S)
         idle = self._idle.setdefault(connection.address, [])
         if connection.is_reusable and len(idle) < MAX_IDLE_PER_TARGET:
             idle.append(connection)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/partitioned_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/partitioned_site.py
@@ -17,6 +17,12 @@
     TargetRefusedError,
 )
 from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon.forward._relay import ASK_TIMEOUT_S, CONNECT_TIMEOUT_S
+from bramleyspread_daemon.forward._target_connector import (
+    TICK_INTERVAL_S,
+    RelayUnavailableError,
+    TargetConnector,
+)
 from bramleyspread_daemon.forward.tests.crashing_site import CrashingSite
 from bramleyspread_daemon.forward.tests.crashing_target import CrashingTarget, work
 from bramleyspread_daemon.forward.tests.forwarding_site import (
@@ -24,7 +30,7 @@
     ENGINE,
     HostUpstream,
 )
-from bramleyspread_forwarding import ForwardRequest
+from bramleyspread_forwarding import EntryHost, ForwardRequest, RelayChoice
 
 #: Time in which unacknowledged bytes close a connection, in seconds.
 HANG_S = 1.0
@@ -55,7 +61,7 @@
     ends_by_closing = False
 
     def __init__(self, site: PartitionedSite, via: Address, at: CrashingTarget) -> None:
-        self._site, self._via, self._target = site, via, at
+        self._site, self.via, self._target = site, via, at
         self._life: Any = at.connect()
         self._request = ""
         self._events = 0
@@ -69,11 +75,11 @@
     ) -> None:
         self._request, self._events = headers[0][1].decode(), 0
         await self._pass_path()
-        arrival = (read_monotonic(), self._site.names[self._via], self._request)
+        arrival = (read_monotonic(), self._site.names[self.via], self._request)
         self._target.arrivals.append(cast("Any", arrival))
 
     async def _pass_path(self) -> None:
-        manner = self._site.partitioned.get(self._via)
+        manner = self._site.partitioned.get(self.via)
         if manner is Manner.HANG:
             await curio.sleep(HANG_S)
         if manner not in (None, Manner.REFUSE_NEW):
@@ -106,6 +112,18 @@
     def __init__(self, site: PartitionedSite, own: Address) -> None:
         self._site, self._own = site, own
         self._idle: dict[Address, list[_Connection]] = {}
+        context = site.contexts[own]
+        self.connector: TargetConnector[_Connection] = TargetConnector(
+            lambda address, timeout: site.open_direct(own, address, timeout),
+            site.open_relayed,
+            RelayChoice(context.own, site.rng),
+            context.list_hosts,
+            context.targets.list_addresses,
+            self._close_idle_to,
+        )
+
+    async def _close_idle_to(self, address: Address) -> None:
+        self._idle.pop(address, None)
 
     async def acquire(
         self, address: Address, timeout: float, *, max_idle_s: float = math.inf
@@ -113,18 +131,16 @@
         idle = self._idle.get(address, [])
         while idle and max_idle_s > 0:
             connection = idle.pop()
-            if read_monotonic() - connection.idle_since < min(KEPT_S, max_idle_s):
+            may_hang = connection.via == self._own and self.connector.paths.is_silent(
+                address
+            )
+            idle_s = read_monotonic() - connection.idle_since
+            if idle_s < min(KEPT_S, max_idle_s) and not may_hang:
                 return connection
-        return await self._site.open_direct(self._own, address, timeout)
+        return await self.connector.open(address, timeout)
 
     async def is_refused(self, address: Address) -> bool:
-        try:
-            await self._site.open_direct(self._own, address, 0.25)
-        except TargetRefusedError:
-            return True
-        except RequestNotSentError:
-            return False
-        return False
+        return await self.connector.is_refused(address, CONNECT_TIMEOUT_S)
 
     async def release_connection(self, *released: Any) -> None:
         connection = released[0]
@@ -174,6 +190,30 @@
             raise TargetRefusedError("not connected: Connection refused")
         return _Connection(self, host, self.targets[address])
 
+    async def open_relayed(self, relay: EntryHost, address: Address) -> _Connection:
+        """Open a connection to a target through another host."""
+        await curio.sleep(2 * DELAY_S)
+        if relay.address in self.silent:
+            await curio.sleep(ASK_TIMEOUT_S)
+            raise RelayUnavailableError("no answer from the relay")
+        upstream = cast("Any", self.contexts[relay.address].upstream)
+        connection: _Connection = await upstream.connector.open_for_other_host(
+            address, CONNECT_TIMEOUT_S
+        )
+        return connection
+
+    async def _tick_paths(self) -> None:
+        while True:
+            for context in tuple(self.contexts.values()):
+                connector = cast("Any", context.upstream).connector
+                await curio.spawn(connector.tick, daemon=True)
+            await curio.sleep(TICK_INTERVAL_S)
+
+    async def run(self) -> None:
+        """Start all that runs besides the traffic, and wait until hosts are ready."""
+        await curio.spawn(self._tick_paths, daemon=True)
+        await super().run()
+
     def partition(self, hosts: list[Address], manner: Manner) -> None:
         """Partition entry hosts from all targets."""
         self._partitioned_at = read_monotonic()
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_relay.py
@@ -0,0 +1,234 @@
+"""Connections to targets that another host relays, over real sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any
+
+import curio
+import pytest
+
+from bramleyspread_core import Address
+from bramleyspread_daemon._client import (
+    ConnectionClosedError,
+    RequestNotSentError,
+    TargetRefusedError,
+)
+from bramleyspread_daemon._server import HttpServer
+from bramleyspread_daemon.forward._relay import (
+    RELAY_PATH,
+    RelayService,
+    open_relayed,
+)
+from bramleyspread_daemon.forward._target_connector import (
+    RelayUnavailableError,
+    TargetConnector,
+)
+from bramleyspread_daemon.forward._upstream import UpstreamConnection, UpstreamPool
+from bramleyspread_daemon.tests.loopback import (
+    read_all,
+    read_request,
+    run,
+    start_scripted_server,
+    start_server,
+    write_answer,
+)
+from bramleyspread_forwarding import EntryHost, RelayChoice, TargetPaths
+
+OWN = EntryHost("own", "z", Address("127.0.0.1", 1))
+#: Bytes of an answer, and of those that its target sends at once.
+ANSWER = b"x" * 300_000
+
+
+class Site:
+    """A host that relays, and one that has lost its paths to the targets."""
+
+    def __init__(self) -> None:
+        self.known: set[Address] = set()
+        self.server: HttpServer | None = None
+        self.relay = UpstreamPool(None, lambda pool: self._connect(pool, ()))
+        assert self.relay.connector is not None
+        self.service = RelayService(self.relay.connector, lambda x: x in self.known)
+
+    async def start(self) -> UpstreamPool:
+        """Start the host that relays, and return the pool of the other one."""
+        routes = ("GET", RELAY_PATH, self.service.serve)
+        self.server, address = await start_server(routes)
+        relay = EntryHost("relay", "z", address)
+        return UpstreamPool(None, lambda pool: self._connect(pool, (relay,), lost=True))
+
+    def _connect(
+        self, pool: UpstreamPool, others: tuple[EntryHost, ...], lost: bool = False
+    ) -> TargetConnector[UpstreamConnection]:
+        async def open_directly(address: Address, timeout: float) -> UpstreamConnection:
+            if lost:
+                raise TargetRefusedError("not connected: partitioned")
+            return await pool.open_directly(address, timeout)
+
+        async def open_through(host: EntryHost, address: Address) -> UpstreamConnection:
+            connection = await open_relayed(host.address, address)
+            return pool.wrap_relayed(connection, address)
+
+        return TargetConnector(
+            open_directly,
+            open_through,
+            RelayChoice(OWN, Random(1)),
+            lambda: (OWN, *others),
+            lambda: self.known,
+            pool.close_idle_to,
+        )
+
+
+def run_relayed(
+    script: Callable[[Any], Awaitable[None]],
+    action: Callable[[Site, UpstreamPool, Address], Awaitable[None]],
+) -> None:
+    """Run an action at a host that reaches a scripted target only through another."""
+
+    async def main() -> None:
+        site = Site()
+        _, target = await start_scripted_server(script)
+        site.known.add(target)
+        await action(site, await site.start(), target)
+
+    run(main)
+
+
+async def fetch(pool: UpstreamPool, target: Address, path: str = "/") -> bytes:
+    connection = await pool.acquire(target, 1.0)
+    headers = [(b"Host", b"h"), (b"Content-Length", b"4")]
+    await connection.send("POST", path, headers, b"body")
+    await connection.read_head()
+    body = await connection.read_body()
+    await pool.release_connection(connection, 5.0)
+    return body
+
+
+def test_answers_are_relayed_whole_on_one_connection() -> None:
+    requests: list[bytes] = []
+
+    async def serve(connected: Any) -> None:  # noqa: ANN401
+        for _ in range(3):
+            requests.append(await read_request(connected))
+            await connected.sendall(write_answer(ANSWER))
+
+    async def action(site: Site, pool: UpstreamPool, target: Address) -> None:
+        for _ in range(3):
+            assert await fetch(pool, target) == ANSWER
+        assert (pool.opened, pool.reused, site.service.open) == (1, 2, 1)
+
+    run_relayed(serve, action)
+    assert all(each.endswith(b"\r\n\r\nbody") for each in requests)
+
+
+def test_events_are_relayed_as_they_come() -> None:
+    go_on = curio.Event()
+
+    async def serve(connected: Any) -> None:  # noqa: ANN401
+        await read_request(connected)
+        await connected.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\none\n")
+        await go_on.wait()
+        await connected.sendall(b"two\n")
+
+    async def action(site: Site, pool: UpstreamPool, target: Address) -> None:
+        connection = await pool.acquire(target, 1.0)
+        await connection.send("GET", "/", [(b"Host", b"h")], b"")
+        await connection.read_head()
+        assert await connection.read_chunk() == b"one\n"
+        await go_on.set()
+        assert await connection.read_chunk() == b"two\n"
+
+    run_relayed(serve, action)
+
+
+# Guards against an answer without a length that was reset and is taken for whole.
+@pytest.mark.parametrize("resets", [False, True])
+def test_ends_and_resets_of_answers_are_told_apart(resets: bool) -> None:
+    async def serve(connected: Any) -> None:  # noqa: ANN401
+        await read_request(connected)
+        await connected.sendall(b"HTTP/1.1 200 OK\r\n\r\npart")
+        await curio.sleep(0.05)
+        if resets:
+            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            connected.setsockopt(curio.socket.SOL_SOCKET, 13, linger)
+        await connected.close()
+
+    async def action(site: Site, pool: UpstreamPool, target: Address) -> None:
+        if resets:
+            with pytest.raises(ConnectionClosedError):
+                await fetch(pool, target)
+        else:
+            assert await fetch(pool, target) == b"part"
+
+    run_relayed(serve, action)
+
+
+def test_target_notices_that_the_caller_left() -> None:
+    left = curio.Event()
+
+    async def serve(connected: Any) -> None:  # noqa: ANN401
+        await read_request(connected)
+        assert await read_all(connected) == b""
+        await left.set()
+
+    async def action(site: Site, pool: UpstreamPool, target: Address) -> None:
+        connection = await pool.acquire(target, 1.0)
+        headers = [(b"Host", b"h"), (b"Content-Length", b"0")]
+        await connection.send("POST", "/", headers, b"")
+        await connection.close()
+        await curio.timeout_after(1.0, left.wait)
+        assert site.service.open == 0
+
+    run_relayed(serve, action)
+
+
+async def ignore(connected: Any) -> None:  # noqa: ANN401
+    await read_all(connected)
+
+
+def test_host_that_stops_lets_relayed_requests_finish() -> None:
+    async def serve(connected: Any) -> None:  # noqa: ANN401
+        await read_request(connected)
+        await curio.sleep(0.2)
+        await connected.sendall(write_answer(b"late"))
+
+    async def action(site: Site, pool: UpstreamPool, target: Address) -> None:
+        task = await curio.spawn(fetch, pool, target)
+        await curio.sleep(0.05)
+        assert site.server is not None
+        await site.server.stop_accepting()
+        assert site.server.open_replies == 1
+        assert await task.join() == b"late"
+
+    run_relayed(serve, action)
+
+
+def test_only_known_targets_are_relayed_to() -> None:
+    async def action(site: Site, pool: UpstreamPool, target: Address) -> None:
+        site.known.clear()
+        relay = pool.connector
+        assert relay is not None
+        with pytest.raises(RequestNotSentError):
+            await pool.acquire(target, 1.0)
+        assert site.service.open == 0
+
+    run_relayed(ignore, action)
+
+
+# Guards against a relay that has lost its paths too, and takes targets for ended.
+def test_relay_vouches_for_a_refusal_only_if_it_reaches_others() -> None:
+    async def action(site: Site, pool: UpstreamPool, target: Address) -> None:
+        ended = Address("127.0.0.1", 1)
+        other_ended = Address("127.0.0.1", 2)
+        connector = site.relay.connector
+        assert connector is not None
+        site.known |= {ended, other_ended}
+        with pytest.raises(TargetRefusedError):
+            await connector.open_for_other_host(ended, 0.2)
+        site.known.discard(target)
+        connector.paths = TargetPaths()
+        with pytest.raises(RelayUnavailableError):
+            await connector.open_for_other_host(ended, 0.2)
+
+    run_relayed(ignore, action)
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -66,6 +66,7 @@
 )
 from bramleyspread_forwarding._rate_shares import RateShares
 from bramleyspread_forwarding._registry import TargetRegistry
+from bramleyspread_forwarding._relay_choice import RelayChoice
 from bramleyspread_forwarding._requests import (
     ForwardRequest,
     MalformedRequest,
@@ -103,6 +104,7 @@
     list_keepers,
 )
 from bramleyspread_forwarding._target_access import TargetAccess
+from bramleyspread_forwarding._target_paths import TargetPaths
 from bramleyspread_forwarding._targets import ForwardTarget, TargetTable
 
 __all__ = [
@@ -110,6 +112,8 @@
     "RATE_LIMITED",
     "Admitted",
     "RateShares",
+    "RelayChoice",
+    "TargetPaths",
     "SharedSignal",
     "TargetAccess",
     "LEAVING",
--- a/packages/forwarding/bramleyspread_forwarding/_outcomes.py
+++ b/packages/forwarding/bramleyspread_forwarding/_outcomes.py
@@ -22,6 +22,8 @@
     may_have_reached_target: bool = True
     #: When a target may accept the request, in seconds from now; None if unknown.
     retry_after_s: float | None = None
+    #: Whether the target, not this host's path to it, may be at fault.
+    is_target_suspect: bool = True
 
 
 class MayHaveRun(msgspec.Struct, frozen=True):
--- a/packages/forwarding/bramleyspread_forwarding/_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/_targets.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from itertools import islice
 
 import msgspec
@@ -133,6 +133,10 @@
         )
         return tuple(islice(unknown, MAX_DEPARTURES))
 
+    def list_addresses(self) -> Collection[Address]:
+        """List the addresses of the targets that accept work."""
+        return self._by_address.keys()
+
     def list_usable(self, service: str) -> Sequence[ForwardTarget]:
         """List the targets of a service that accept work.
 
