Keep brittle targets from having to reject requests

The host that places requests (for plain targets too, while any is brittle) gives a brittle target no more than it runs at once, within its memory, and none while it fails; what has no room is refused at once, before its stages, with a time to come back. A rejection pauses the target for the host that got it; calls for pieces don't come before a target is free.

--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -229,6 +229,9 @@
         batcher = self._batchers[shard]
         targets = self._directory.list_shard_targets(shard)
         lead_s = find_call_lead_s(limits, self._directory.link_mbps)
+        if self._access.are_any_brittle(targets):
+            # A call that comes before the one before it has ended has to wait.
+            lead_s = 0.0
         share = self._hosts.find_rate_share(shard)
         now = read_monotonic()
         for call in batcher.dispatch(targets, limits, now, lead_s, share):
--- a/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
@@ -155,13 +155,14 @@
     ) -> EntryHost | None:
         """Find the other host that places requests for a service, if there is one.
 
-        One host places for model engines, and for any targets that limit their rate.
+        One host places for model engines, and for any targets that limit their rate or
+        are brittle.
         """
         found = self._find_service(service)
         if found is None:
             return None
         if found.engine is None and not any(
-            map(self._signals.table.is_limited, targets)
+            map(self._signals.table.is_restricted, targets)
         ):
             return None
         return self._owners.find_remote_owner(
@@ -172,9 +173,11 @@
         self, query: PlaceQuery, share: float = 0.0
     ) -> Placed | NoTarget | Admitted:
         targets = self._list_targets(query.service)
-        if query.is_admission:
-            return self._placement.admit(query, targets, read_monotonic(), share)
         limits = self._find_limits(query.service)
+        if query.is_admission:
+            return self._placement.admit(
+                query, targets, limits, read_monotonic(), share
+            )
         return self._placement.choose(query, targets, limits, read_monotonic(), share)
 
     def _find_limits(self, service: str) -> EngineLimits | None:
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -29,6 +29,7 @@
     Refusal,
 )
 from bramleyspread_forwarding import (
+    NO_ROOM,
     NO_SUCH_SOFTWARE,
     PAUSED,
     RATE_LIMITED,
@@ -370,7 +371,7 @@
         return self._refuse(502, f"outcome unknown: {_describe_end(end)}", None)
 
     def _describe_refusal(self, refusal: NoTarget) -> WasNotRun:
-        if refusal.reason in (RATE_LIMITED, PAUSED):
+        if refusal.reason in (NO_ROOM, RATE_LIMITED, PAUSED):
             self._context.signals.held_back_counts["refused"] += 1
         return WasNotRun(refusal.reason, retry_after_s=refusal.retry_after_s)
 
--- a/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
@@ -84,12 +84,12 @@
         return {target: pause_s for target, pause_s in pauses.items() if pause_s}
 
     def are_restricted(self, targets: Sequence[ForwardTarget]) -> bool:
-        """Whether each target limits its rate, or wants no requests from this host."""
+        """Whether each target restricts its requests, or wants none from this host."""
         if self.table.is_empty or not targets:
             return False
         now = read_monotonic()
         return all(
-            self.table.is_limited(each) or self.table.find_pause_s(each, now)
+            self.table.is_restricted(each) or self.table.find_pause_s(each, now)
             for each in targets
         )
 
--- a/packages/daemon/bramleyspread_daemon/forward/tests/forwarding_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/forwarding_site.py
@@ -24,6 +24,7 @@
     ConnectionClosedError,
     RequestNotSentError,
     Response,
+    TargetRefusedError,
 )
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import HttpRequest, Reply
@@ -137,9 +138,16 @@
 
     async def read_head(self) -> SimpleNamespace:
         target = self._target
-        status = target.status(read_monotonic())
-        await curio.sleep(target.run_s if status == 200 else 0.0)
+        status = target.begin(read_monotonic())
+        try:
+            await curio.sleep(target.run_s if status == 200 else 0.0)
+        finally:
+            target.end(status)
+        if not target.is_running(read_monotonic()):
+            raise ConnectionClosedError("reset")
         signals = target.respond(read_monotonic())
+        if status == 503:
+            signals = msgspec.structs.replace(signals, is_rejection=True)
         if status != 503:
             signals = msgspec.structs.replace(signals, pause_s=None)
         if signals.pause_s is not None:
@@ -181,7 +189,10 @@
     async def acquire(
         self, address: Address, timeout: float, *, max_idle_s: float = math.inf
     ) -> _Connection:
-        return _Connection(self._site, self._host, self._site.targets[address])
+        target = self._site.targets[address]
+        if not target.is_running(read_monotonic()):
+            raise TargetRefusedError("not connected: Connection refused")
+        return _Connection(self._site, self._host, target)
 
 
 class ConnectedHosts(Protocol):
@@ -293,6 +304,7 @@
     :param targets: number of targets.
     :param engine: limits of the targets if they are model engines; None for others.
     :param run_s: how long a target takes for a request, in seconds.
+    :param slots: number of requests that a target runs at once.
     :param seed: seed of the traffic and of the hosts' choices.
     """
 
@@ -305,9 +317,11 @@
         *,
         engine: EngineLimits | None = ENGINE,
         run_s: float = 0.3,
+        slots: int = 64,
         seed: int = 1,
     ) -> None:
         self.rng = Random(seed)
+        self._slots = slots
         self._engine = engine
         self._number = 0
         #: Hosts that neither answer nor get an answer from other hosts.
@@ -355,7 +369,7 @@
                 service=self.service,
                 address=each.address,
                 zone="z",
-                slots=64,
+                slots=self._slots,
                 readiness=Readiness.READY,
             )
             for each in self.targets.values()
--- a/packages/daemon/bramleyspread_daemon/forward/tests/signalling_target.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/signalling_target.py
@@ -46,6 +46,17 @@
         #: When it first named a limit.
         self.named_at = math.inf
 
+    def begin(self, now: float) -> int:
+        """Begin a request, and return the status of its response."""
+        return self.status(now)
+
+    def end(self, status: int) -> None:
+        """End a request that was answered with a status."""
+
+    def is_running(self, now: float) -> bool:
+        """Whether the target runs."""
+        return True
+
     def respond(self, now: float) -> ResponseSignals:
         """Return what a response says that is sent now."""
         signals = self.signal(now)
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -45,6 +45,7 @@
     StageRun,
 )
 from bramleyspread_forwarding._placement import (
+    NO_ROOM,
     NO_SUCH_SOFTWARE,
     PAUSED,
     RATE_LIMITED,
@@ -75,6 +76,7 @@
     RawHeaders,
 )
 from bramleyspread_forwarding._response_signals import (
+    BRITTLENESS,
     LEAVING,
     PAUSE,
     RATE_LIMIT,
@@ -183,6 +185,8 @@
     "SoftwareHistory",
     "StreamOrigin",
     "StreamOrigins",
+    "BRITTLENESS",
+    "NO_ROOM",
     "NO_SUCH_SOFTWARE",
     "list_keepers",
     "count_shards",
--- a/packages/forwarding/bramleyspread_forwarding/_placement.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement.py
@@ -24,6 +24,7 @@
     list_shared_parts,
 )
 from bramleyspread_forwarding._rate_admission import RateAdmission
+from bramleyspread_forwarding._rate_shares import OWNER_SHARE
 from bramleyspread_forwarding._signal_table import SignalTable
 from bramleyspread_forwarding._target_access import TargetAccess
 from bramleyspread_forwarding._targets import ForwardTarget
@@ -53,6 +54,10 @@
 RATE_LIMITED, PAUSED = "every target limits its rate", "every target wants a pause"
 #: Reason for which a stream isn't continued.
 NO_SUCH_SOFTWARE = "no target has the software version that began the stream"
+#: Reason for which requests are refused because brittle targets have no room.
+NO_ROOM = "every target is brittle and has no room"
+#: Time after which a request may come back that found no room, in seconds.
+NO_ROOM_RETRY_S = 0.5
 #: Cost of a target that limits the rate of its requests, in ms; others that are as good
 #: go first.
 LIMITED_MS = 20.0
@@ -122,7 +127,7 @@
         if limits is not None and memory_tokens > limits.memory_tokens:
             return NoTarget("larger than an engine's memory")
         waits_s = self._find_waits_s(query, untried, share, now)
-        accepting = untried
+        accepting: Sequence[ForwardTarget] = untried
         if waits_s:
             accepting = [
                 x for x in untried if waits_s.get(x.target, 0.0) <= MAX_RATE_WAIT_S
@@ -132,6 +137,9 @@
             refusal = self._refuse_for_rates(query, targets, share, now)
             if refusal is not None:
                 return refusal
+        accepting = self._list_with_room(accepting, memory_tokens, limits, share, now)
+        if not accepting:
+            return NoTarget(NO_ROOM, NO_ROOM_RETRY_S)
         best = self._find_best(query, targets, accepting, limits, now, waits_s)
         tracker = self._find_tracker(best)
         placed = Placed(
@@ -141,11 +149,42 @@
             memory_tokens,
             round(tracker.count_requests(now)),
             self._access.acquire(best, share, now) if waits_s else 0.0,
-            self._access.signals.share_limit(best, now) if waits_s else None,
+            self._access.signals.share_limit(best, now),
         )
         self._reserve(placed, list_shared_parts(query.prompt), now)
         return placed
 
+    def _list_with_room(
+        self,
+        targets: Sequence[ForwardTarget],
+        memory_tokens: int,
+        limits: EngineLimits | None,
+        share: float,
+        now: float,
+    ) -> Sequence[ForwardTarget]:
+        """List the targets that need not reject a request, as far as they are brittle.
+
+        A brittle target gets no more than it runs at once, and none while it fails.
+        """
+        if self._access.signals.is_empty:
+            return targets
+        usable_share = min(share / OWNER_SHARE, 1.0)
+
+        def has_room(target: ForwardTarget) -> bool:
+            if not self._access.signals.is_brittle(target):
+                return True
+            tracker = self._find_tracker(target)
+            if tracker.backoff_until > now:
+                return False
+            if tracker.count_requests(now) + 1 > target.slots * usable_share:
+                return False
+            usable_tokens = math.inf
+            if limits is not None:
+                usable_tokens = limits.memory_tokens * USABLE_MEMORY_SHARE
+            return tracker.memory_tokens + memory_tokens <= usable_tokens * usable_share
+
+        return [each for each in targets if has_room(each)]
+
     def _find_best(
         self,
         query: PlaceQuery,
@@ -172,6 +211,7 @@
         self,
         query: PlaceQuery,
         targets: Sequence[ForwardTarget],
+        limits: EngineLimits | None,
         now: float,
         share: float = 1.0,
     ) -> Admitted | NoTarget:
@@ -179,12 +219,21 @@
 
         :param query: the request.
         :param targets: the targets that accept work.
+        :param limits: an engine's capacity; None for targets other than engines.
         :param now: the current time, in seconds.
         :param share: the share of targets' rate limits that this host may hand out.
         """
         if targets and all(each.target in query.paused for each in targets):
             return _refuse_for_signals(query, {})
-        return self._refuse_for_rates(query, targets, share, now) or Admitted()
+        refusal = self._refuse_for_rates(query, targets, share, now)
+        if refusal is not None:
+            return refusal
+        memory_tokens = query.prompt.memory_tokens if query.prompt is not None else 0
+        if targets and not self._list_with_room(
+            targets, memory_tokens, limits, share, now
+        ):
+            return NoTarget(NO_ROOM, NO_ROOM_RETRY_S)
+        return Admitted()
 
     def _find_waits_s(
         self,
--- a/packages/forwarding/bramleyspread_forwarding/_response_signals.py
+++ b/packages/forwarding/bramleyspread_forwarding/_response_signals.py
@@ -16,6 +16,11 @@
     #: Requests a second that the target accepts from all hosts together; None if the
     #: response names no limit.
     rate_limit: float | None = None
+    #: Rejections a second beyond which the target ends; None if the response names no
+    #: such number.
+    brittleness: float | None = None
+    #: Whether the target rejects the request because it has no room.
+    is_rejection: bool = False
     #: Names of the signals whose values could not be read; such a signal changes
     #: nothing.
     unreadable: tuple[str, ...] = ()
@@ -25,6 +30,16 @@
         """Whether the response says which rate limit holds, or that none does."""
         return RATE_LIMIT not in self.unreadable
 
+    @property
+    def says_nothing(self) -> bool:
+        """Whether the response says nothing about the target."""
+        return self == ResponseSignals(is_rejection=self.is_rejection)
+
+    @property
+    def says_brittleness(self) -> bool:
+        """Whether the response says whether the target is brittle."""
+        return BRITTLENESS not in self.unreadable
+
 
 #: Name of the signal that a target is leaving, in logs and metrics.
 LEAVING = "leaving"
@@ -32,3 +47,5 @@
 PAUSE = "pause"
 #: Name of the signal that a target accepts requests only at a certain rate.
 RATE_LIMIT = "rate-limit"
+#: Name of the signal that a target ends if it has to reject too many requests.
+BRITTLENESS = "brittleness"
--- a/packages/forwarding/bramleyspread_forwarding/_signal_table.py
+++ b/packages/forwarding/bramleyspread_forwarding/_signal_table.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bramleyspread_forwarding._response_signals import (
+    BRITTLENESS,
     LEAVING,
     PAUSE,
     RATE_LIMIT,
@@ -22,6 +23,9 @@
 MIN_RATE = 0.01
 #: Share by which a pause is prolonged at most.
 PAUSE_JITTER = 0.1
+#: Time for which a brittle target that rejected a request gets none from this host, in
+#: seconds; it counts its rejections of a second.
+REJECTED_PAUSE_S = 1.0
 #: Longest pause that a target can ask for, in seconds.
 MAX_PAUSE_S = 600.0
 #: Time that a message between hosts may take, in seconds. What another host was told
@@ -34,9 +38,10 @@
 
 
 class RateLimit(msgspec.Struct, frozen=True):
-    """The rate limit of a target, with the times between which it said so."""
+    """A rate that a target named, with the times between which it said so."""
 
-    #: Requests a second from all hosts together; infinite if the limit has ended.
+    #: Requests a second from all hosts together, or rejections; infinite if the target
+    #: names no such rate any more.
     rate: float
     #: When the request was sent whose response says so, in seconds.
     sent_at: float
@@ -74,7 +79,14 @@
 class _Record:
     """What one target has said."""
 
-    __slots__ = ("born", "is_leaving", "paused_until", "rate_limit", "revision")
+    __slots__ = (
+        "born",
+        "brittleness",
+        "is_leaving",
+        "paused_until",
+        "rate_limit",
+        "revision",
+    )
 
     def __init__(self, born: int) -> None:
         self.born = born
@@ -82,6 +94,7 @@
         self.is_leaving = False
         self.paused_until = 0.0
         self.rate_limit: RateLimit | None = None
+        self.brittleness: RateLimit | None = None
 
 
 class SignalChange(msgspec.Struct, frozen=True):
@@ -109,6 +122,11 @@
     sent_age_ms: float | None = None
     #: How long ago the head of that response was read, in milliseconds.
     read_age_ms: float = 0.0
+    #: Rejections a second beyond which it ends; None if it isn't brittle any more.
+    brittleness: float | None = None
+    #: The same ages of the response that said so; None if nothing was said about it.
+    brittle_sent_age_ms: float | None = None
+    brittle_read_age_ms: float = 0.0
 
 
 class SignalTable:
@@ -144,7 +162,7 @@
         :returns: the changes, for the log.
         """
         record = self._records.get(target.target)
-        if record is None and signals == ResponseSignals():
+        if record is None and signals.says_nothing:
             return []
         if record is not None and record.born > target.born:
             return []
@@ -155,16 +173,30 @@
             if not record.is_leaving:
                 record.is_leaving = True
                 changes.append(SignalChange(LEAVING, True))
-        if signals.says_rate_limit:
-            self.counts[RATE_LIMIT] += signals.rate_limit is not None
-            rate = _find_rate(signals.rate_limit)
-            changes += _merge_rate(record, RateLimit(rate, sent_at, now))
+        changes += self._record_rates(record, signals, sent_at, now)
         if changes:
             self._mark_changed(record)
-        if signals.pause_s is not None:
+        pause_s = signals.pause_s
+        if pause_s is not None:
             self.counts[PAUSE] += 1
+        elif signals.is_rejection and _is_brittle(record):
+            pause_s = REJECTED_PAUSE_S
+        if pause_s is not None:
             # A pause concerns this host only, so others aren't told.
-            changes += self._record_pause(record, signals.pause_s, now)
+            changes += self._record_pause(record, pause_s, now)
+        return changes
+
+    def _record_rates(
+        self, record: _Record, signals: ResponseSignals, sent_at: float, now: float
+    ) -> list[SignalChange]:
+        changes = []
+        if signals.says_rate_limit:
+            self.counts[RATE_LIMIT] += signals.rate_limit is not None
+            rate = _find_rate(signals.rate_limit)
+            changes += _merge_rate(record, RateLimit(rate, sent_at, now))
+        if signals.says_brittleness:
+            self.counts[BRITTLENESS] += signals.brittleness is not None
+            changes += _merge_brittleness(record, signals.brittleness, sent_at, now)
         return changes
 
     def _mark_changed(self, record: _Record) -> None:
@@ -207,6 +239,10 @@
             sent_at = now - shared.sent_age_ms / 1000 - MAX_TRANSIT_S
             read_at = now - shared.read_age_ms / 1000
             changes += _merge_rate(record, RateLimit(rate, sent_at, read_at))
+        if shared.brittle_sent_age_ms is not None:
+            sent_at = now - shared.brittle_sent_age_ms / 1000 - MAX_TRANSIT_S
+            read_at = now - shared.brittle_read_age_ms / 1000
+            changes += _merge_brittleness(record, shared.brittleness, sent_at, read_at)
         if changes:
             self._mark_changed(record)
         return changes
@@ -234,21 +270,38 @@
 
     def _share(self, target: str, now: float) -> SharedSignal:
         record = self._records[target]
-        limit = record.rate_limit
-        if limit is None:
-            return SharedSignal(target, record.born, record.is_leaving)
-        return SharedSignal(
-            target,
-            record.born,
-            record.is_leaving,
-            limit.rate if limit.rate < math.inf else None,
-            round((now - limit.sent_at) * 1000, 1),
-            round((now - limit.read_at) * 1000, 1),
-        )
+        shared = SharedSignal(target, record.born, record.is_leaving)
+        limit, brittleness = record.rate_limit, record.brittleness
+        if limit is not None:
+            shared = msgspec.structs.replace(
+                shared,
+                rate=_find_said(limit),
+                sent_age_ms=round((now - limit.sent_at) * 1000, 1),
+                read_age_ms=round((now - limit.read_at) * 1000, 1),
+            )
+        if brittleness is not None:
+            shared = msgspec.structs.replace(
+                shared,
+                brittleness=_find_said(brittleness),
+                brittle_sent_age_ms=round((now - brittleness.sent_at) * 1000, 1),
+                brittle_read_age_ms=round((now - brittleness.read_at) * 1000, 1),
+            )
+        return shared
 
     def share_limit(self, target: ForwardTarget, now: float) -> SharedSignal | None:
-        """Return what a target said if it is limited, for another host."""
-        return self._share(target.target, now) if self.is_limited(target) else None
+        """Return what a target said if others must heed it too, for another host."""
+        return self._share(target.target, now) if self.is_restricted(target) else None
+
+    def is_brittle(self, target: ForwardTarget) -> bool:
+        """Whether a target ends if it has to reject too many requests."""
+        record = self._find_current(target)
+        return record is not None and _is_brittle(record)
+
+    def is_restricted(self, target: ForwardTarget) -> bool:
+        """Whether one host must count the requests of all hosts to a target."""
+        return bool(self._records) and (
+            self.is_limited(target) or self.is_brittle(target)
+        )
 
     def find_rate_limit(self, target: ForwardTarget) -> float:
         """Return a target's rate limit in requests a second; infinite if none."""
@@ -286,6 +339,29 @@
     return math.inf if said is None else max(said, MIN_RATE)
 
 
+def _find_said(rate: RateLimit) -> float | None:
+    """Return what a target said; None if it says so no more."""
+    return rate.rate if rate.rate < math.inf else None
+
+
+def _is_brittle(record: _Record) -> bool:
+    return record.brittleness is not None and record.brittleness.rate < math.inf
+
+
+def _merge_brittleness(
+    record: _Record, said: float | None, sent_at: float, read_at: float
+) -> list[SignalChange]:
+    """Update whether a target is brittle, and return the change."""
+    known = record.brittleness
+    if known is None and said is None:
+        return []
+    heard = RateLimit(said if said is not None else math.inf, sent_at, read_at)
+    record.brittleness = heard if known is None else known.merge(heard)
+    if known is not None and known.rate == record.brittleness.rate:
+        return []
+    return [SignalChange(BRITTLENESS, record.brittleness.rate)]
+
+
 def _merge_rate(record: _Record, said: RateLimit) -> list[SignalChange]:
     """Update the rate limit of a target, and return the change."""
     known = record.rate_limit
--- a/packages/forwarding/bramleyspread_forwarding/_target_access.py
+++ b/packages/forwarding/bramleyspread_forwarding/_target_access.py
@@ -85,6 +85,12 @@
             return False
         return self.find_wait_s(target, share, now) <= 0
 
+    def are_any_brittle(self, targets: Sequence[ForwardTarget]) -> bool:
+        """Whether any target ends if it has to reject too many requests."""
+        if self.signals.is_empty:
+            return False
+        return any(map(self.signals.is_brittle, targets))
+
     def count_capacity(
         self, targets: Sequence[ForwardTarget], share: float, call_s: float, now: float
     ) -> float:
