Bear targets that are silent for over a second

Users' new rule: a sound target may fall silent for a second or so. Requests sent to it meanwhile were cut after 1 s without acknowledgement (TCP_USER_TIMEOUT), which a request that may run only once does not survive.

--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -35,8 +35,9 @@
 #: Number of reads after which other tasks get their turn, in case the peer sends faster
 #: than bytes are read.
 READS_PER_TURN = 16
-#: Time after which a connection with unacknowledged bytes is closed, in ms.
-UNACKNOWLEDGED_TIMEOUT_MS = 1_000
+#: Time after which a connection with unacknowledged bytes is closed, in ms; it also
+#: decides when keepalive probes give up. Sound targets may be silent for over a second.
+UNACKNOWLEDGED_TIMEOUT_MS = 2_000
 #: How long an idle connection is reused if its target reports no keep-alive time, in
 #: seconds.
 DEFAULT_KEEP_ALIVE_S = 3.0
