Explain streams that may not go on, and requests of hosts that lost their paths

explain names the version that began a stream, which versions served then, and which host reached the targets that this one had lost, since when.

--- a/packages/tool/bramleyspread_tool/_explain.py
+++ b/packages/tool/bramleyspread_tool/_explain.py
@@ -8,7 +8,9 @@
 import msgspec
 
 from bramleyspread_tool._explain_crashes import find_crashes
+from bramleyspread_tool._explain_paths import find_lost_paths
 from bramleyspread_tool._explain_signals import find_signals
+from bramleyspread_tool._explain_streams import find_bound_stream
 from bramleyspread_tool._log_files import LogFiles, LogLine
 
 #: How long before and after a request lines about its hosts' state are included,
@@ -16,7 +18,7 @@
 CONTEXT_S = 3.0
 #: Steps whose lines report a change of a host's state rather than a request.
 HOST_STATE_STEPS = frozenset(
-    {"start", "stop", "document", "feed", "target", "reload", "watch"}
+    {"start", "stop", "document", "feed", "path", "target", "reload", "watch"}
 )
 
 
@@ -197,6 +199,8 @@
     for find in (
         _find_process_end,
         _find_refusal,
+        find_bound_stream,
+        find_lost_paths,
         find_signals,
         find_crashes,
         _find_lost_answer,
--- a/packages/tool/bramleyspread_tool/_explain_signals.py
+++ b/packages/tool/bramleyspread_tool/_explain_signals.py
@@ -54,6 +54,8 @@
         return f"{since}, named {value} requests a second"
     if signal == "pause" and isinstance(value, int | float) and age_s < value:
         return f"{since}, asked for a pause of {value} s"
+    if signal == "brittleness" and value is not None:
+        return f"{since}, said that it bears {value} rejections a second"
     if signal == "leaving":
         return f"{since}, said that it was leaving"
     return ""
--- a/packages/tool/bramleyspread_tool/tests/test_explain.py
+++ b/packages/tool/bramleyspread_tool/tests/test_explain.py
@@ -12,6 +12,8 @@
 from bramleyspread_tool._explain import Explanation, UnknownRequest, explain
 from bramleyspread_tool._log_files import read_logs
 
+NO_TARGET = "no target has the software version that began the stream"
+
 
 def write_log(path: Path, host: str, *lines: dict[str, object]) -> Path:
     """Write the log file of one host."""
@@ -229,3 +231,40 @@
         "2 target(s) had crashed under requests with the same part in their prompts "
         "(p5c1e): i-1, 3.5 s before, seen by b (q); i-2, 2.0 s before, seen by a (s)"
     )
+
+
+def test_stream_that_may_not_go_on_is_explained(tmp_path: Path) -> None:
+    log = write_log(
+        tmp_path / "a",
+        "a",
+        make_line(9.0, "place", "placed", request="q", software="v1.2"),
+        make_line(10.0, "admit", "taken", request="r", resumes="p"),
+        make_line(
+            10.0, "resume", "origin known", request="r", resumes="p", software="v1"
+        ),
+        make_line(
+            10.0,
+            "end",
+            f"refused with 503: {NO_TARGET}",
+            request="r",
+            ms=4,
+        ),
+    )
+    assert explain_request("r", log).cause == (
+        "stream p was begun by software version v1; requests went to v1.2 then"
+    )
+
+
+def test_lost_paths_are_explained(tmp_path: Path) -> None:
+    log = write_log(
+        tmp_path / "a",
+        "a",
+        make_line(8.0, "path", "lost; another host reaches it", relayed_by="b"),
+        make_line(10.0, "admit", "taken", request="r"),
+        make_line(
+            10.5, "end", "refused with 503: every target was tried", request="r", ms=500
+        ),
+    )
+    cause = explain_request("r", log).cause
+    assert cause.startswith("a had lost its paths to 1 target(s), the first 2.5 s")
+    assert "which b reached" in cause
