Leave hosts that stop: relay nothing new, and reuse relayed connections briefly

Found by reading: a host that is cut off went on reusing connections that another host relayed, so that host could not stop before its time ran out, and then cut requests.

--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -111,7 +111,9 @@
         self._connector = connector
         addresses = self.context.targets.list_addresses
         #: Relays connections of other hosts to targets.
-        self.relays = RelayService(connector, lambda x: x in addresses())
+        self.relays = RelayService(
+            connector, lambda x: x in addresses(), lambda: process.is_stopping
+        )
         routes[("GET", RELAY_PATH)] = self.relays.serve
         limits, clock = settings.limits, process.clock
         #: Serves the other processes of the system.
--- a/packages/daemon/bramleyspread_daemon/forward/_relay.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_relay.py
@@ -51,15 +51,19 @@
     :param connector: opens the connections to targets.
     :param is_known: whether a target is known at an address; no other address is
         connected to.
+    :param is_stopping: whether this host is about to stop, so that it relays no new
+        connections.
     """
 
     def __init__(
         self,
         connector: TargetConnector[UpstreamConnection],
         is_known: Callable[[Address], bool],
+        is_stopping: Callable[[], bool],
     ) -> None:
         self._connector = connector
         self._is_known = is_known
+        self._is_stopping = is_stopping
         #: Number of connections that are relayed now.
         self.open = 0
 
@@ -70,7 +74,8 @@
         except ValueError as error:
             reply.send(400, encode_refusal(400, str(error)))
             return
-        if not self._is_known(address) or self.open >= MAX_RELAYED:
+        is_full = self.open >= MAX_RELAYED
+        if is_full or self._is_stopping() or not self._is_known(address):
             reply.send(503, encode_refusal(503, "not relayed"))
             return
         try:
--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -43,9 +43,9 @@
 DEFAULT_KEEP_ALIVE_S = 3.0
 #: Share of a target's own keep-alive time for which an idle connection is reused.
 KEEP_ALIVE_SHARE = 0.6
-#: How long an idle connection that another host relays is reused, in seconds; it keeps
-#: that host from stopping.
-RELAYED_IDLE_S = 0.8
+#: How long an idle connection that another host relays is reused, and for how long any
+#: is, in seconds; it keeps that host from stopping.
+RELAYED_IDLE_S, RELAYED_MAX_AGE_S = 0.8, 2.0
 #: Timeout for finding out whether connections are refused, in seconds.
 CHECK_TIMEOUT_S = 0.25
 #: Maximum number of idle connections kept per target.
@@ -136,6 +136,11 @@
         connection.enable_peer_timeout(UNACKNOWLEDGED_TIMEOUT_MS)
         return cls(connection, address, buffered)
 
+    @property
+    def opened_at(self) -> float:
+        """When it was opened, in monotonic seconds."""
+        return self._connection.opened_at
+
     def detach(self) -> Connection:
         """Return the connection itself, on which nothing has been sent yet."""
         return self._connection
@@ -385,7 +390,8 @@
         if keep_alive_s is not None:
             connection.max_idle_s = keep_alive_s * KEEP_ALIVE_SHARE
         if connection.is_relayed:
-            connection.max_idle_s = min(connection.max_idle_s, RELAYED_IDLE_S)
+            left_s = connection.opened_at + RELAYED_MAX_AGE_S - read_monotonic()
+            connection.max_idle_s = min(connection.max_idle_s, RELAYED_IDLE_S, left_s)
         idle = self._idle.setdefault(connection.address, [])
         if connection.is_reusable and len(idle) < MAX_IDLE_PER_TARGET:
             idle.append(connection)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_relay.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_relay.py
@@ -16,6 +16,7 @@
     TargetRefusedError,
 )
 from bramleyspread_daemon._server import HttpServer
+from bramleyspread_daemon.forward import _upstream as upstream
 from bramleyspread_daemon.forward._relay import (
     RELAY_PATH,
     RelayService,
@@ -49,7 +50,10 @@
         self.server: HttpServer | None = None
         self.relay = UpstreamPool(None, lambda pool: self._connect(pool, ()))
         assert self.relay.connector is not None
-        self.service = RelayService(self.relay.connector, lambda x: x in self.known)
+        self.is_stopping = False
+        self.service = RelayService(
+            self.relay.connector, lambda x: x in self.known, lambda: self.is_stopping
+        )
 
     async def start(self) -> UpstreamPool:
         """Start the host that relays, and return the pool of the other one."""
@@ -204,6 +208,30 @@
     run_relayed(serve, action)
 
 
+# Guards against hosts that can't stop because others go on using their connections.
+def test_host_that_stops_is_left_soon(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream, "RELAYED_MAX_AGE_S", 0.3)
+
+    async def serve(connected: Any) -> None:  # noqa: ANN401
+        for _ in range(20):
+            await read_request(connected)
+            await connected.sendall(write_answer(b"done"))
+
+    async def action(site: Site, pool: UpstreamPool, target: Address) -> None:
+        assert await fetch(pool, target) == b"done"
+        site.is_stopping = True
+        served = 0
+        with pytest.raises(RequestNotSentError):
+            for _ in range(20):
+                assert await fetch(pool, target) == b"done"
+                served += 1
+                await curio.sleep(0.05)
+        assert served > 0
+        assert site.service.open == 0
+
+    run_relayed(serve, action)
+
+
 def test_only_known_targets_are_relayed_to() -> None:
     async def action(site: Site, pool: UpstreamPool, target: Address) -> None:
         site.known.clear()
--- a/packages/forwarding/bramleyspread_forwarding/_stream_origins.py
+++ b/packages/forwarding/bramleyspread_forwarding/_stream_origins.py
@@ -11,7 +11,7 @@
 
 #: How long it is kept after a stream began, or was taken up again, at which version, in
 #: seconds; longer than callers wait for a stream.
-ORIGIN_RETENTION_S = 60.0
+ORIGIN_RETENTION_S = 40.0
 #: Maximum number of streams for which it is kept; the oldest ones are forgotten first.
 MAX_ORIGINS = 200_000
 #: Number of hosts that are told which version began a stream of a service; one of them
