--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -28,7 +28,8 @@
 from bramleyspread_daemon.forward._target_connector import TargetConnector
 from bramleyspread_daemon.forward._target_crashes import TargetCrashes
 from bramleyspread_daemon.forward._target_signals import TargetSignals
-from bramleyspread_daemon.forward._upstream import UpstreamConnection, UpstreamPool
+from bramleyspread_daemon.forward._upstream import UpstreamConnection
+from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward._wire import TargetWire
 from bramleyspread_forwarding import (
     EntryHost,
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_calls.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_calls.py
@@ -14,7 +14,8 @@
 from bramleyspread_daemon._client import ConnectionClosedError, RequestNotSentError
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon.forward._target_signals import TargetSignals
-from bramleyspread_daemon.forward._upstream import UpstreamConnection, UpstreamPool
+from bramleyspread_daemon.forward._upstream import UpstreamConnection
+from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward._wire import (
     PiecesRejected,
     TargetWire,
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -6,7 +6,6 @@
 import sys
 
 import curio
-import msgspec
 from loguru import logger
 
 from bramleyspread_core import ForwardRoute, OrganisationKeys
@@ -16,12 +15,11 @@
 from bramleyspread_daemon.forward._context import ForwardContext
 from bramleyspread_daemon.forward._stage_work import StageWork
 from bramleyspread_daemon.forward._stream_binding import (
-    Bound,
     StreamBinding,
-    Unbound,
     Unresumable,
 )
 from bramleyspread_daemon.forward._stream_times import StreamTimes
+from bramleyspread_daemon.forward._target_choice import choose_target, log_choice
 from bramleyspread_daemon.forward._target_crashes import RequestFeatures
 from bramleyspread_daemon.forward._wire import (
     CallerWire,
@@ -30,7 +28,6 @@
 )
 from bramleyspread_forwarding import (
     NO_ROOM,
-    NO_SUCH_SOFTWARE,
     PAUSED,
     RATE_LIMITED,
     AttemptEnd,
@@ -40,7 +37,6 @@
     NoTarget,
     Placed,
     PlaceQuery,
-    PlaceStep,
     RetryBudget,
     TargetFailed,
     WasNotRun,
@@ -247,8 +243,9 @@
             self._attempts = self._route.attempts
             return self._describe_unresumable(binding)
         query = self._build_query(service)
-        placed = await self._choose(query, binding)
-        self._log_placement(query, placed)
+        placed = await choose_target(self._context.placement, query, binding)
+        limited = self._context.count_limited(service)
+        log_choice(self._request.request_id, query, placed, limited)
         if isinstance(placed, NoTarget):
             # Without a target left, no further attempt may follow.
             self._attempts = self._route.attempts
@@ -277,24 +274,6 @@
         self._earlier_attempt_may_have_run = self._earlier_attempt_may_have_run or ran
         return end
 
-    async def _choose(
-        self, query: PlaceQuery, binding: Unbound | Bound
-    ) -> Placed | NoTarget:
-        """Choose a target that may continue the stream."""
-        if isinstance(binding, Unbound):
-            return await self._context.placement.choose(query)
-        query = msgspec.structs.replace(query, software=binding.software)
-        placed = await self._context.placement.choose(query)
-        if isinstance(placed, Placed) and placed.target.software != binding.software:
-            # The placement host knows targets that this host doesn't know, or is older
-            # than this rule.
-            step = PlaceStep(
-                ticket=placed.ticket, target=placed.target.target, ended=True
-            )
-            self._context.placement.report(step)
-            return NoTarget(NO_SUCH_SOFTWARE)
-        return placed
-
     @staticmethod
     def _describe_unresumable(unresumable: Unresumable) -> WasNotRun:
         return WasNotRun(unresumable.why, may_have_reached_target=False)
@@ -309,30 +288,6 @@
             return math.inf
         return 0.0 if self._attempts else FRESH_CONNECTION_S
 
-    def _log_placement(self, query: PlaceQuery, placed: Placed | NoTarget) -> None:
-        bound = logger.bind(
-            step="place",
-            peer=placed.target.target if isinstance(placed, Placed) else "-",
-            request=self._request.request_id,
-            service=query.service,
-            tried=len(query.tried),
-            limited=self._context.count_limited(query.service),
-            slack_ms=round(query.slack_ms),
-        )
-        if isinstance(placed, NoTarget):
-            bound.info(f"no target: {placed.reason}")
-            return
-        zone = placed.target.zone
-        crossing_mb = sum(mb for at, mb in query.input_mb.items() if at != zone)
-        bound.bind(
-            zone=zone,
-            software=placed.target.software,
-            wait_ms=round(placed.wait_s * 1000),
-            reading=round(placed.unread_tokens),
-            ahead=placed.requests_ahead,
-            crossing_mb=round(crossing_mb, 3),
-        ).info("placed")
-
     def _build_query(self, service: str) -> PlaceQuery:
         elapsed_ms = (read_monotonic() - self._started_at) * 1000
         return PlaceQuery(
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_crossed_answers.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_crossed_answers.py
@@ -11,7 +11,7 @@
 from bramleyspread_core import MessageError
 from bramleyspread_daemon.forward._piece_calls import OutcomeUnknown, PieceCalls
 from bramleyspread_daemon.forward._target_signals import TargetSignals
-from bramleyspread_daemon.forward._upstream import UpstreamPool
+from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward._wire import WireCall
 from bramleyspread_daemon.forward.tests.test_piece_service import CountingWire
 from bramleyspread_daemon.tests.loopback import (
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_endless_responses.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_endless_responses.py
@@ -17,8 +17,8 @@
     MAX_HEAD_BYTES,
     MAX_PROVISIONAL_RESPONSES,
     UpstreamConnection,
-    UpstreamPool,
 )
+from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward._wire import CallMetadata, TargetHead
 from bramleyspread_daemon.forward.tests.test_request_forwarder import (
     ROUTE,
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
@@ -20,7 +20,7 @@
 from bramleyspread_daemon.forward._piece_service import PieceService
 from bramleyspread_daemon.forward._service_directory import ServiceDirectory
 from bramleyspread_daemon.forward._target_signals import TargetSignals
-from bramleyspread_daemon.forward._upstream import UpstreamPool
+from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward._wire import PiecesRejected, TargetHead, WireCall
 from bramleyspread_daemon.tests.loopback import (
     read_request,
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_relay.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_relay.py
@@ -16,7 +16,7 @@
     TargetRefusedError,
 )
 from bramleyspread_daemon._server import HttpServer
-from bramleyspread_daemon.forward import _upstream as upstream
+from bramleyspread_daemon.forward import _upstream_pool as upstream_pool
 from bramleyspread_daemon.forward._relay import (
     RELAY_PATH,
     RelayService,
@@ -26,7 +26,8 @@
     RelayUnavailableError,
     TargetConnector,
 )
-from bramleyspread_daemon.forward._upstream import UpstreamConnection, UpstreamPool
+from bramleyspread_daemon.forward._upstream import UpstreamConnection
+from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.tests.loopback import (
     read_all,
     read_request,
@@ -210,7 +211,7 @@
 
 # Guards against hosts that can't stop because others go on using their connections.
 def test_host_that_stops_is_left_soon(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(upstream, "RELAYED_MAX_AGE_S", 0.3)
+    monkeypatch.setattr(upstream_pool, "RELAYED_MAX_AGE_S", 0.3)
 
     async def serve(connected: Any) -> None:  # noqa: ANN401
         for _ in range(20):
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_short_silences.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_short_silences.py
@@ -5,7 +5,7 @@
 import socket
 from typing import Any
 
-from bramleyspread_daemon.forward._upstream import UpstreamPool
+from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.tests.loopback import read_all, run, start_scripted_server
 
 #: For how long a sound target may be silent, in seconds.
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
@@ -11,7 +11,7 @@
 
 from bramleyspread_core import Address, ForwardRoute
 from bramleyspread_daemon.forward._target_crashes import COLLECTION_S, TargetCrashes
-from bramleyspread_daemon.forward._upstream import UpstreamPool
+from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward._wire import TargetHead
 from bramleyspread_daemon.forward.tests.test_request_forwarder import (
     REQUEST,
