--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -120,6 +120,7 @@
             ),
             PieceCalls(wire, self.upstream, self.signals, self.targets.find_by_address),
             peers,
+            self.signals.access,
         )
         #: Number of finished requests, by how they ended.
         self.end_counts: Counter[str] = Counter()
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -33,7 +33,6 @@
     PieceResult,
     PieceResults,
     ShardId,
-    SignalTable,
     TargetAccess,
     choose_shard,
     estimate_call_ms,
@@ -71,10 +70,10 @@
         directory: ServiceDirectory,
         targets: PieceCalls,
         peers: ConnectionPool,
-        access: TargetAccess | None = None,
+        access: TargetAccess,
     ) -> None:
         self._directory = directory
-        self._access = access if access is not None else TargetAccess(SignalTable())
+        self._access = access
         self._targets = targets
         self._batchers: dict[ShardId, Batcher] = {}
         self._jobs: dict[tuple[ShardId, int], _PendingJob] = {}
--- a/packages/daemon/bramleyspread_daemon/forward/tests/forwarding_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/forwarding_site.py
@@ -17,6 +17,7 @@
     EngineLimits,
     ForwardRoute,
     ForwardService,
+    PieceLimits,
     RequestKind,
     ServiceShare,
 )
@@ -305,6 +306,7 @@
     :param engine: limits of the targets if they are model engines; None for others.
     :param run_s: how long a target takes for a request, in seconds.
     :param slots: number of requests that a target runs at once.
+    :param pieces: limits of the targets if they compute pieces; None for others.
     :param seed: seed of the traffic and of the hosts' choices.
     """
 
@@ -318,9 +320,11 @@
         engine: EngineLimits | None = ENGINE,
         run_s: float = 0.3,
         slots: int = 64,
+        pieces: PieceLimits | None = None,
         seed: int = 1,
     ) -> None:
         self.rng = Random(seed)
+        self._pieces = pieces
         self._slots = slots
         self._engine = engine
         self._number = 0
@@ -375,7 +379,10 @@
             for each in self.targets.values()
         ]
         service = ForwardService(
-            name=self.service, max_connections=400, engine=self._engine
+            name=self.service,
+            max_connections=400,
+            engine=self._engine if self._pieces is None else None,
+            pieces=self._pieces,
         )
         return FeedPage(
             incarnation=str(self._control_starts),
--- a/packages/daemon/bramleyspread_daemon/forward/tests/simulated_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/simulated_site.py
@@ -26,6 +26,7 @@
     ServiceShards,
     Shards,
 )
+from bramleyspread_forwarding.tests.builders import make_access
 
 #: Approximate size of the head of an HTTP message, in bytes.
 HEAD_BYTES = 130
@@ -210,7 +211,7 @@
         )
         calls = cast("Any", _Calls(self, host.address))
         peers = cast("Any", SimulatedPeers(self, host.address))
-        return PieceService(host.host, directory, calls, peers)
+        return PieceService(host.host, directory, calls, peers, make_access())
 
     def list_shards(self) -> Shards:
         """Return the targets of each shard, as the hosts see them."""
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_limited_stages.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_limited_stages.py
@@ -20,9 +20,15 @@
 from bramleyspread_daemon.forward._target_signals import TargetSignals
 from bramleyspread_daemon.forward._wire import PiecesRejected, TargetHead, WireCall
 from bramleyspread_daemon.forward.tests.forwarding_site import (
+    ForwardingSite,
     make_head,
 )
-from bramleyspread_daemon.forward.tests.signalling_target import SignallingTarget
+from bramleyspread_daemon.forward.tests.signalling_target import (
+    LIMIT_FACTOR,
+    LIMIT_SLACK,
+    WINDOW_S,
+    SignallingTarget,
+)
 from bramleyspread_daemon.forward.tests.simulated_site import (
     SimulatedPeers,
     SimulatedSite,
@@ -36,7 +42,7 @@
     ResponseSignals,
     TargetTable,
 )
-from bramleyspread_forwarding.tests.builders import LIMITS
+from bramleyspread_forwarding.tests.builders import LIMITS, make_job
 
 HOSTS, TARGETS, LINK_MBPS = 8, 3, 1_000.0
 #: Jobs a second, each of two pieces of this size: half of what three targets can do in
@@ -227,3 +233,46 @@
             ]
             assert len(within) <= 2
     assert pauses
+
+
+# Guards against an entry host that reads the limits of stage targets, and whose calls
+# for pieces know nothing of them.
+def test_entry_host_keeps_the_limits_that_stage_targets_name(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    rate, seconds = 2.0, 12.0
+    sent: list[float] = []
+
+    async def send(_: PieceCalls, call: BatchedCall) -> tuple[PieceResult, ...]:
+        sent.append(read_monotonic())
+        await curio.sleep(0.02)
+        return tuple(
+            PieceResult(f"{call.target.address}/{next(_numbers)}", None, "z")
+            for _ in call.items
+        )
+
+    monkeypatch.setattr(PieceCalls, "send", send)
+    site = ForwardingSite(1, 1, pieces=LIMITS)
+
+    async def main() -> None:
+        await curio.spawn(site.run_hosts, daemon=True)
+        await curio.sleep(0.1)
+        (context,) = site.contexts.values()
+        await curio.spawn(tick_forever, context.piece_service, daemon=True)
+        (target,) = context.targets.list_usable(site.service)
+        now = read_monotonic()
+        context.signals.record(target, ResponseSignals(rate_limit=rate), now)
+        for number in range(int(seconds * 10)):
+            job = make_job(f"r{number}", 2, service=site.service)
+            await curio.spawn(context.piece_service.run_job, job, daemon=True)
+            await curio.sleep(0.1)
+
+    run_in_virtual_time(monkeypatch, main)
+    most = max(sum(at <= x < at + WINDOW_S for x in sent) for at in sent)
+    assert most <= LIMIT_FACTOR * WINDOW_S * rate + LIMIT_SLACK
+
+
+async def tick_forever(service: PieceService) -> None:
+    while True:
+        await service.tick()
+        await curio.sleep(0.05)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
@@ -37,6 +37,7 @@
     PieceResult,
     TargetTable,
 )
+from bramleyspread_forwarding.tests.builders import make_access
 
 #: The nominal times are long, but the test target answers at once.
 LIMITS = PieceLimits(
@@ -113,7 +114,7 @@
     directory = ServiceDirectory(lambda _: targets, lambda _: LIMITS, lambda: hosts)
     pool = ConnectionPool(ProcessClock())
     calls = make_calls()
-    return PieceService(own, directory, calls, pool)
+    return PieceService(own, directory, calls, pool, make_access())
 
 
 def test_pieces_are_computed_locally_on_the_batching_host() -> None:
@@ -231,7 +232,7 @@
         )
         pool = ConnectionPool(ProcessClock())
         calls = make_calls()
-        service = PieceService("own", directory, calls, pool)
+        service = PieceService("own", directory, calls, pool, make_access())
         assert len(directory.list_shards("photos")) == 2
         results: list[PieceResult] = []
         for number in range(8):
@@ -267,7 +268,7 @@
         )
         calls = make_calls()
         requester = PieceService(
-            "own", directory, calls, ConnectionPool(ProcessClock())
+            "own", directory, calls, ConnectionPool(ProcessClock()), make_access()
         )
         for number in range(6):
             job = msgspec.structs.replace(JOB, request=f"r{number}")
--- a/packages/forwarding/bramleyspread_forwarding/tests/builders.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/builders.py
@@ -10,6 +10,8 @@
     Prompt,
     PromptPart,
     Readiness,
+    SignalTable,
+    TargetAccess,
     TargetHeartbeat,
 )
 
@@ -35,6 +37,11 @@
     )
 
 
+def make_access() -> TargetAccess:
+    """Build what paces the requests to targets that have said nothing."""
+    return TargetAccess(SignalTable())
+
+
 def make_notice(target: str = "t", **changes: object) -> TargetHeartbeat:
     """Build a heartbeat.
 
