--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_mixed_versions.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_mixed_versions.py
@@ -19,8 +19,8 @@
 #: For how long streams are asked for, and until the last one has ended, in seconds.
 TRAFFIC_S, SETTLE_S = 24.0, 10.0
 #: Share of the streams taken up that must go on, compared with new ones that begin, and
-#: the number of them from which it counts.
-MIN_RESUMED, MIN_COUNTED = 0.5, 12
+#: the number of them that a run must have.
+MIN_RESUMED, MIN_COUNTED = 0.8, 12
 #: Share of all streams that must become whole.
 MIN_WHOLE = 0.9
 #: Number of streams that may hold events from two versions, where a target may begin to
@@ -154,7 +154,9 @@
     site = run_site(monkeypatch, VersionedSite(hosts, VERSIONS), disturb)
     check_order(site)
     resumed, went_on, begun = site.find_shares()
-    assert resumed < MIN_COUNTED or went_on >= MIN_RESUMED * begun
+    # Where only targets crash, nearly all streams go on within their answers.
+    assert resumed >= MIN_COUNTED or disturb is crash_targets
+    assert went_on >= MIN_RESUMED * begun
     assert sum(each.is_whole for each in site.streams) >= MIN_WHOLE * len(site.streams)
 
 
