--- a/packages/daemon/bramleyspread_daemon/forward/tests/versioned_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/versioned_site.py
@@ -208,7 +208,7 @@
     """
 
     def __init__(self, hosts: int, versions: Sequence[str], *, seed: int = 1) -> None:
-        self._calls: dict[Address, set[Any]] = {}
+        self._calls: dict[Address, list[Any]] = {}
         #: What each caller received.
         self.streams: list[Stream] = []
         super().__init__(hosts, 0, route=RESUMABLE_ROUTE, seed=seed)
@@ -265,13 +265,13 @@
         context = self.contexts[address]
         context.wire = cast("Any", _Wire())
         context.upstream = cast("Any", _Upstream(self))
-        self._calls[address] = set()
+        self._calls[address] = []
 
     async def kill_host(self, address: Address, down_s: float = 1.0) -> None:
         """Kill an entry host, whose callers lose their connections, and start it."""
-        calls, self._calls[address] = self._calls[address], set()
+        calls, self._calls[address] = self._calls[address], []
         self.silent.add(address)
-        for call in calls:
+        for call in tuple(calls):
             await call.cancel(blocking=False)
         await curio.sleep(down_s)
         own = self.contexts[address].own
@@ -317,13 +317,13 @@
         )
         task = await curio.spawn(forwarder.run)
         calls = self._calls[address]
-        calls.add(task)
+        calls.append(task)
         try:
             await task.join()
         except curio.TaskError:
             pass
         finally:
-            calls.discard(task)
+            calls.remove(task)
         stream.receive(request.request_id, reply)
 
     def count_mixed(self) -> int:
--- a/packages/daemon/bramleyspread_daemon/tests/virtual_time.py
+++ b/packages/daemon/bramleyspread_daemon/tests/virtual_time.py
@@ -10,6 +10,7 @@
 
 import curio
 import curio.kernel
+import curio.sched
 import pytest
 
 from bramleyspread_daemon import _clock
@@ -31,6 +32,20 @@
         return []
 
 
+class _OrderedTasks(dict[curio.Task, None]):
+    """Tasks that wait for one event, in the order in which they came."""
+
+    def add(self, task: curio.Task) -> None:
+        self[task] = None
+
+    def remove(self, task: curio.Task) -> None:
+        del self[task]
+
+
+def _make_tasks(barrier: Any) -> None:
+    barrier._tasks = _OrderedTasks()
+
+
 def run_in_virtual_time(
     monkeypatch: pytest.MonkeyPatch, action: Callable[[], Awaitable[T]]
 ) -> T:
@@ -41,6 +56,8 @@
     :returns: its result.
     """
     selector = _VirtualSelector()
+    # curio keeps them in a set, whose order depends on where the tasks lie in memory.
+    monkeypatch.setattr(curio.sched.SchedBarrier, "__init__", _make_tasks)
     monkeypatch.setattr(
         curio.kernel, "time", SimpleNamespace(monotonic=lambda: selector.now)
     )
