Identify the version that began a stream once control hosts are heard again

Traced: of four streams that were refused thrice each, two began at a host that had thawed a moment before. It had heard no control host for three seconds, so it knew the targets but confirmed no version, and a stream that begins then was never recorded, though the version was confirmed some milliseconds later and twelve events followed.

Now the version is looked up again with each event until it is known, and counts if the target is still the same process (id and start).

--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -241,7 +241,7 @@
             for event in splitter.feed(chunk):
                 self._reply.send_chunk(event.data)
                 self.last_event = event.event_id or self.last_event
-                self._report_first_event()
+                self._report_event()
                 self._times.record_event()
             await self._stages.release()
             await self._wait_for_caller()
@@ -263,11 +263,16 @@
             self._first_byte_at = read_monotonic()
             self._report(self._build_step(began=True))
 
-    def _report_first_event(self) -> None:
-        if self._first_byte_at is None:
+    def _report_event(self) -> None:
+        """Report the first event, and where the stream began as soon as it is known."""
+        is_first = self._first_byte_at is None
+        if is_first:
             self._first_byte_at = read_monotonic()
-            origin = self._binding.record_event(self._placed.target)
-            self._report(self._build_step(began=True, origin=origin))
+        elif self._binding.is_known:
+            return
+        origin = self._binding.record_event(self._placed.target)
+        if is_first or origin is not None:
+            self._report(self._build_step(began=is_first, origin=origin))
 
     def _build_step(
         self,
--- a/packages/daemon/bramleyspread_daemon/forward/_stream_binding.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stream_binding.py
@@ -65,10 +65,17 @@
         self._targets = targets
         self._keepers = keepers
         self._has_events = bool(request.last_event)
+        #: The target that wrote the first event of this answer; None before it.
+        self._first_target: ForwardTarget | None = None
         #: The version that wrote the first event; None while it isn't known.
         self._software: str | None = None
         self._service = ""
 
+    @property
+    def is_known(self) -> bool:
+        """Whether it is known which version wrote the first event."""
+        return self._software is not None
+
     async def find_service(self, service: str) -> str:
         """Find the service that must get the request, and where its stream began.
 
@@ -101,6 +108,7 @@
             return Unresumable(OTHER_SERVICE)
         history = self._targets.software
         sole = history.find_sole_version(self._service, read_monotonic())
+        self._identify_software()
         if self._software is None:
             return Unbound() if sole is not None else Unresumable(UNKNOWN_ORIGIN)
         return Unbound() if sole == self._software else Bound(self._software)
@@ -120,11 +128,12 @@
 
         :param target: the target, as it was when the request was sent.
         :returns: where the stream began, if a caller may take it up and the version is
-            known; None also after the first event.
+            known.
         """
+        if self._first_target is None:
+            self._first_target = target
         self._has_events = True
-        if self._software is None:
-            self._software = target.software
+        self._identify_software()
         request = self._request
         stream = request.resumes if request.last_event else request.request_id
         if not stream or self._software is None or not self._route.repeatable:
@@ -132,3 +141,18 @@
         origin = StreamOrigin(stream, self._service, self._software)
         self._keepers.remember(origin)
         return origin
+
+    def _identify_software(self) -> None:
+        """Find the version of the target that wrote the first event, if it isn't known.
+
+        A host that has just heard no control host for a while doesn't know it when the
+        event comes. What it hears then counts if the target is still the same process.
+        """
+        first = self._first_target
+        if self._software is not None or first is None:
+            return
+        self._software = first.software
+        known = self._targets.find_by_address(first.address)
+        if self._software is None and known is not None:
+            is_same = (known.target, known.born) == (first.target, first.born)
+            self._software = known.software if is_same else None
