Let hosts in touch confirm which version began a stream at a host that was not

Now such a host records which process of which target wrote the first event, and whoever knows that process confirms its version when the stream is taken up. A process that has started anew since then, or has crashed, is another one, so nothing is guessed.

--- a/packages/daemon/bramleyspread_daemon/forward/_stream_binding.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stream_binding.py
@@ -65,10 +65,12 @@
         self._targets = targets
         self._keepers = keepers
         self._has_events = bool(request.last_event)
-        #: The target that wrote the first event of this answer; None before it.
-        self._first_target: ForwardTarget | None = None
         #: The version that wrote the first event; None while it isn't known.
         self._software: str | None = None
+        #: The target that wrote it, and when its process started; None if not known.
+        self._writer: tuple[str, int] | None = None
+        #: What keepers were told last.
+        self._told: StreamOrigin | None = None
         self._service = ""
 
     @property
@@ -89,6 +91,8 @@
         origin = await self._keepers.find(self._request.resumes, services)
         if origin is not None:
             self._service, self._software = origin.service, origin.software
+            self._writer = (origin.target, origin.born) if origin.target else None
+            self._identify_software()
         log = logger.bind(
             step="resume",
             peer="-",
@@ -97,7 +101,7 @@
             after_event=self._request.last_event,
             software=self._software,
         )
-        log.info("origin known" if origin is not None else UNKNOWN_ORIGIN)
+        log.info("origin known" if self.is_known else UNKNOWN_ORIGIN)
         return self._service
 
     def find(self) -> Binding:
@@ -127,32 +131,37 @@
         """Record that the caller has got an event from a target.
 
         :param target: the target, as it was when the request was sent.
-        :returns: where the stream began, if a caller may take it up and the version is
-            known.
+        :returns: where the stream began, if a caller may take it up, and keepers don't
+            know it yet.
         """
-        if self._first_target is None:
-            self._first_target = target
+        if self._software is None and self._writer is None:
+            self._software = target.software
+            self._writer = (target.target, target.born)
         self._has_events = True
         self._identify_software()
-        request = self._request
-        stream = request.resumes if request.last_event else request.request_id
-        if not stream or self._software is None or not self._route.repeatable:
+        origin = self._describe_origin()
+        if origin is None or origin == self._told:
             return None
-        origin = StreamOrigin(stream, self._service, self._software)
+        self._told = origin
         self._keepers.remember(origin)
         return origin
 
+    def _describe_origin(self) -> StreamOrigin | None:
+        """Describe where the stream began, if a caller may take it up."""
+        request = self._request
+        stream = request.resumes if request.last_event else request.request_id
+        if not stream or not self._route.repeatable:
+            return None
+        if self._software is not None or self._writer is None:
+            return StreamOrigin(stream, self._service, self._software)
+        return StreamOrigin(stream, self._service, None, *self._writer)
+
     def _identify_software(self) -> None:
         """Find the version of the target that wrote the first event, if it isn't known.
 
         A host that has just heard no control host for a while doesn't know it when the
-        event comes. What it hears then counts if the target is still the same process.
+        event comes. What it or another host hears then counts if the process is still
+        the same.
         """
-        first = self._first_target
-        if self._software is not None or first is None:
-            return
-        self._software = first.software
-        known = self._targets.find_by_address(first.address)
-        if self._software is None and known is not None:
-            is_same = (known.target, known.born) == (first.target, first.born)
-            self._software = known.software if is_same else None
+        if self._software is None and self._writer is not None:
+            self._software = self._targets.find_software(*self._writer)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_mixed_versions.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_mixed_versions.py
@@ -170,6 +170,10 @@
 ) -> None:
     site = run_site(monkeypatch, VersionedSite(hosts, VERSIONS), disturb)
     check_order(site, MOST_MIXED)
+    _, _, begun = site.find_shares()
+    owed = [went_on for each in site.streams for went_on in each.owed]
+    assert len(owed) >= MIN_COUNTED
+    assert sum(owed) >= MIN_RESUMED * begun * len(owed)
 
 
 # Guards against a stream that goes on at another service, whose route has several.
--- a/packages/daemon/bramleyspread_daemon/forward/tests/versioned_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/versioned_site.py
@@ -182,6 +182,9 @@
         self.began_with = ""
         #: When it was taken up, at which version, and whether it went on.
         self.resumptions: list[tuple[float, str, bool]] = []
+        #: Whether it went on, each time when it was taken up at a host in touch while
+        #: two targets of its version served.
+        self.owed: list[bool] = []
         #: Statuses of the calls.
         self.statuses: list[int] = []
         self.is_whole = False
@@ -191,7 +194,7 @@
         """Whether it holds events from several versions."""
         return len({software for _, software in self.events}) > 1
 
-    def receive(self, request: str, reply: _StreamReply) -> None:
+    def receive(self, request: str, reply: _StreamReply, *, is_owed: bool) -> None:
         """Add what one call has brought."""
         blocks = reply.received.split(b"\n\n")[:-1]
         received = [
@@ -202,6 +205,8 @@
             went_on = bool(received) or reply.is_whole
             resumption = (read_monotonic(), self.events[0][1], went_on)
             self.resumptions.append(resumption)
+            if is_owed:
+                self.owed.append(went_on)
         elif received:
             self.began_with = request
         self.events += received
@@ -319,6 +324,7 @@
             resumes=stream.began_with,
         )
         reply = _StreamReply()
+        is_owed = self._is_owed(address, stream)
         forwarder = RequestForwarder(
             self.contexts[address],
             cast("Any", Wire()),
@@ -336,7 +342,14 @@
             pass
         finally:
             calls.remove(task)
-        stream.receive(request.request_id, reply)
+        stream.receive(request.request_id, reply, is_owed=is_owed)
+
+    def _is_owed(self, address: Address, stream: Stream) -> bool:
+        """Whether a host is in touch, and two targets of a stream's version serve."""
+        if not stream.events or any(address in pair for pair in self.cut_pairs):
+            return False
+        same = self.list_targets(stream.events[0][1])
+        return sum(each.is_running for each in same) > 1
 
     def count_mixed(self) -> int:
         """Count the streams that hold events from several versions."""
--- a/packages/forwarding/bramleyspread_forwarding/_stream_origins.py
+++ b/packages/forwarding/bramleyspread_forwarding/_stream_origins.py
@@ -21,15 +21,20 @@
 MAX_ORIGINS_PER_MESSAGE = 500
 
 
-class StreamOrigin(msgspec.Struct, frozen=True):
+class StreamOrigin(msgspec.Struct, frozen=True, omit_defaults=True):
     """The software version that wrote the first event of a stream."""
 
     #: The caller's id for the request that brought the first event.
     stream: str
     #: Service of the target that wrote it.
     service: str
-    #: Version of that target's software; empty if it names none.
-    software: str
+    #: Version of that target's software; empty if it names none, None if the host at
+    #: which the stream began could not confirm it.
+    software: str | None
+    #: Id of the target, and when its process started, in milliseconds since 1970, if
+    #: the version is None: another host may know it.
+    target: str = ""
+    born: int = 0
 
 
 class _Record(msgspec.Struct):
@@ -46,8 +51,9 @@
 class StreamOrigins:
     """Origins of streams by the caller's id for the request that brought an event.
 
-    An origin never changes. The host at which a stream began, or the one that placed
-    it, tells the keepers of its service; so it stays known while hosts are lost.
+    An origin never changes, but for a version that is confirmed later. The host at
+    which a stream began, or the one that placed it, tells the keepers of its service;
+    so it stays known while hosts are lost.
 
     >>> origins = StreamOrigins()
     >>> origins.record(StreamOrigin("a", "llm", "v1"), 0.0)
@@ -76,7 +82,7 @@
         """Record origins of which another host tells the keepers."""
         for origin in copies:
             known = self._records.get(origin.stream)
-            if known is None:
+            if known is None or _is_confirmed_by(known.origin, origin):
                 self._add(origin, now, is_told_by_this_host=False)
 
     def _add(
@@ -128,6 +134,10 @@
             del self._records[stream]
 
 
+def _is_confirmed_by(known: StreamOrigin, newer: StreamOrigin) -> bool:
+    return known.software is None and newer.software is not None
+
+
 def list_keepers(service: str, hosts: Sequence[EntryHost]) -> tuple[EntryHost, ...]:
     """List the hosts that keep the origins of a service's streams.
 
--- a/packages/forwarding/bramleyspread_forwarding/_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/_targets.py
@@ -73,6 +73,7 @@
         self._crashes: dict[tuple[str, int], float] = {}
         self._usable: dict[str, tuple[ForwardTarget, ...]] = {}
         self._by_address: dict[Address, ForwardTarget] = {}
+        self._by_process: dict[tuple[str, int], ForwardTarget] = {}
         self._fresh_controls: frozenset[Address] = frozenset()
         #: Software versions that the targets had lately.
         self.software = SoftwareHistory()
@@ -155,6 +156,15 @@
         """Find the target that accepts work at an address, if there is one."""
         return self._by_address.get(address)
 
+    def find_software(self, target: str, born: int) -> str | None:
+        """Find the software version of a target's process; None if it isn't confirmed.
+
+        :param target: the target.
+        :param born: when the process started, in milliseconds since 1970; 0 if unknown.
+        """
+        found = self._by_process.get((target, born))
+        return found.software if found is not None else None
+
     def _apply_change(
         self, view: _ControlView, change: TargetChange, now: float
     ) -> None:
@@ -261,6 +271,6 @@
         self._usable = {
             name: tuple(targets) for name, targets in {**stale, **usable}.items()
         }
-        self._by_address = {
-            each.address: each for listed in self._usable.values() for each in listed
-        }
+        listed = [each for targets in self._usable.values() for each in targets]
+        self._by_address = {each.address: each for each in listed}
+        self._by_process = {(each.target, each.born): each for each in listed}
