Send entry hosts what changed in the deployment document, from one control host

Pages of the feed tell only the newest version now. An entry host fetches it from one control host: it sends the digests of its document's buckets, and gets the parts in those that differ; the result is checked with a digest of the whole, and a mismatch gets the whole. So any control host can answer for any version, also after a restart, and keeps no history. One fetch runs at a time: what is overtaken is never sent. A fetched document confirms the keys as the page did. Older entry hosts still get the document in the page, and newer ones take it there from older control hosts.

Weighed: a log of changes (short, but only from the versions that a control host happens to have seen in turn; a history to keep); chunks by content (no typed parts, longer); compression (a tenth of the whole, still for each change).

--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -18,6 +18,7 @@
 )
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._pool import ConnectionPool
+from bramleyspread_daemon.forward._document_link import DocumentLink, FetchedDocument
 from bramleyspread_daemon.forward._piece_calls import PieceCalls
 from bramleyspread_daemon.forward._piece_service import PieceService
 from bramleyspread_daemon.forward._placement_service import PlacementService
@@ -32,6 +33,7 @@
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward._wire import TargetWire
 from bramleyspread_forwarding import (
+    DocumentParts,
     EntryHost,
     FeedPage,
     FeedQuery,
@@ -84,6 +86,8 @@
         self.routes: RouteTable | None = None
         #: Holders of the callers' keys.
         self.keys = KeyRing(settings.key_trust_s)
+        #: Fetches newer documents.
+        self.documents = DocumentLink(peers, self._apply_fetched)
         #: Known targets.
         self.targets = TargetTable()
         #: What targets have said about themselves.
@@ -172,6 +176,7 @@
             departures=self.targets.list_unknown_departures(control),
             crash_revision=self.crashes.find_known_revision(control, incarnation),
             crash_news=self.crashes.list_news(control, incarnation),
+            told_version=self.documents.find_told_version(control),
         )
 
     async def handle_page(
@@ -180,7 +185,9 @@
         """Apply a feed page received from a control host."""
         now = self._page_received_at = read_monotonic()
         if page.deployment is not None and page.deployment.version > self.version:
-            self._apply_deployment(page.deployment)
+            earlier = self.documents.parts
+            parts = DocumentParts.from_deployment(page.deployment, earlier)
+            self._apply_document(parts)
         if page.confirmed and page.version <= self.version:
             self.keys.confirm(requested_at)
         self.targets.apply(control, page, now)
@@ -189,12 +196,21 @@
         self._known_entries[control] = known
         for host in known.entries:
             self._live_hosts.record(host, now)
+        await self.documents.hear(control, page.version)
 
     async def tick(self) -> None:
         """Mark the views of control hosts that sent no page lately as stale."""
         self.targets.tick(read_monotonic())
 
-    def _apply_deployment(self, deployment: Deployment) -> None:
+    async def _apply_fetched(self, fetched: FetchedDocument) -> None:
+        """Put a newer document in force."""
+        self._apply_document(fetched.parts)
+        if fetched.confirmed:
+            self.keys.confirm(fetched.requested_at)
+
+    def _apply_document(self, parts: DocumentParts) -> None:
+        deployment = parts.deployment
+        self.documents.set_document(parts)
         self.routes = RouteTable(deployment)
         self.keys.apply(deployment)
         self._on_deployment(deployment)
--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -28,6 +28,8 @@
 from bramleyspread_daemon._pool import ConnectionPool
 from bramleyspread_daemon._refusal import encode_refusal
 from bramleyspread_daemon._routes import RouteHandler
+from bramleyspread_daemon.forward._document_link import DOCUMENT_PATH
+from bramleyspread_daemon.forward._document_service import DocumentService
 from bramleyspread_daemon.forward._feed_link import FEED_PATH
 from bramleyspread_daemon.forward._wire import (
     ControlWire,
@@ -103,6 +105,10 @@
         self._incarnation = incarnation
         self._pending_queries: list[_PendingQuery] = []
         self._live_hosts = LiveHosts(HOST_EXPIRY_S)
+        self._documents = DocumentService(
+            lambda: node.deployment,
+            lambda: node.is_deployment_confirmed(read_monotonic()),
+        )
         self._propose: Propose = _refuse_all
         self._logged_position = 0
         #: Registry of the targets that report to this host.
@@ -117,7 +123,10 @@
 
     def list_routes(self) -> dict[tuple[str, str], RouteHandler]:
         """Return the routes that this extension adds."""
-        return {("POST", FEED_PATH): self._handle_query}
+        return {
+            ("POST", FEED_PATH): self._handle_query,
+            ("POST", DOCUMENT_PATH): self._documents.serve,
+        }
 
     async def answer_unrouted(self, http: HttpRequest, reply: Reply) -> None:
         """Handle calls from operators and targets."""
@@ -246,13 +255,15 @@
         ):
             return True
         deployment = self._node.deployment
-        return deployment is not None and deployment.version > query.version
+        known = max(query.version, query.told_version or 0)
+        return deployment is not None and deployment.version > known
 
     def _answer(self, pending: _PendingQuery, now: float) -> None:
         query = pending.query
         known = query.position if query.incarnation == self._incarnation else 0
         deployment = self._node.deployment
         version = deployment.version if deployment is not None else 0
+        expects_document = query.told_version is None and version > query.version
         is_same_process = query.incarnation == self._incarnation
         known_revision = query.entries_revision if is_same_process else 0
         known_crashes = query.crash_revision if is_same_process else 0
@@ -263,7 +274,7 @@
             incarnation=self._incarnation,
             position=self.registry.position,
             changes=self.registry.list_changes(known),
-            deployment=deployment if version > query.version else None,
+            deployment=deployment if expects_document else None,
             version=version,
             confirmed=self._node.is_deployment_confirmed(now),
             control=self._node.list_control_addresses(),
--- a/packages/daemon/bramleyspread_daemon/forward/tests/forwarding_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/forwarding_site.py
@@ -29,8 +29,10 @@
 )
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import HttpRequest, Reply
+from bramleyspread_daemon._routes import RouteHandler
 from bramleyspread_daemon._traffic import Traffic
 from bramleyspread_daemon.forward._context import ForwardContext
+from bramleyspread_daemon.forward._control import ForwardControl
 from bramleyspread_daemon.forward._placement_service import PLACE_PATH, PLACED_PATH
 from bramleyspread_daemon.forward._request_forwarder import RequestForwarder
 from bramleyspread_daemon.forward._settings import ForwardEntrySettings
@@ -207,6 +209,8 @@
     cut_pairs: set[frozenset[Address]]
     #: The hosts by address.
     contexts: dict[Address, ForwardContext]
+    #: The control hosts by address, if they answer.
+    controls: dict[Address, ForwardControl]
     #: Bytes of messages between hosts, by path.
     message_bytes: Counter[str]
 
@@ -232,23 +236,30 @@
         if pair & site.silent or pair in site.cut_pairs:
             await curio.sleep(timeout)
             raise ConnectionClosedError("no answer in time")
-        if address not in site.contexts:
+        if address not in site.contexts and address not in site.controls:
             raise RequestNotSentError("no such host")
         site.message_bytes[path] += len(body)
         await curio.sleep(DELAY_S)
         connection = KeptReply()
         reply = Reply(cast("Any", connection))
-        context = site.contexts[address]
-        serve = {
+        handle = self._find_handler(address, method, path)
+        await handle(HttpRequest(method, path, "", {}, body), reply)
+        await curio.sleep(DELAY_S)
+        assert connection.response is not None
+        return connection.response
+
+    def _find_handler(self, address: Address, method: str, path: str) -> RouteHandler:
+        """Find what handles a message at another host."""
+        if address in self._site.controls:
+            return self._site.controls[address].list_routes()[method, path]
+        context = self._site.contexts[address]
+        handlers: dict[str, RouteHandler] = {
             PLACE_PATH: context.placement.serve,
             PLACED_PATH: context.placement.serve_report,
             ORIGIN_PATH: context.stream_keepers.serve_query,
             ORIGINS_PATH: context.stream_keepers.serve_copies,
         }
-        await serve[path](HttpRequest(method, path, "", {}, body), reply)
-        await curio.sleep(DELAY_S)
-        assert connection.response is not None
-        return connection.response
+        return handlers[path]
 
 
 def make_host(
@@ -343,6 +354,8 @@
         #: When callers were told to come back that were refused.
         self.retries_at: list[float] = []
         self._control_starts = 1
+        #: None: the site gives its hosts pages of its own.
+        self.controls: dict[Address, ForwardControl] = {}
         self.targets: dict[Address, SignallingTarget] = {}
         for at in range(targets):
             address = Address(f"10.1.64.{at}", 8200)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_feed.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_feed.py
@@ -60,7 +60,9 @@
     return ForwardControl(node, cast("Any", None), pool, CONTROL, 1.2, incarnation)
 
 
-def make_entry(number: int, started: int = 1_786_723_681_658) -> ForwardContext:
+def make_entry(
+    number: int, started: int = 1_786_723_681_658, pool: Any = None
+) -> ForwardContext:
     settings = ForwardEntrySettings(
         host=f"front-binhthanh-n-{number}",
         zone="binhthanh-n",
@@ -69,7 +71,7 @@
         ready_at=f"10.5.0.{number}:8621",
         seeds=(str(CONTROL),),
     )
-    pool = ConnectionPool(ProcessClock())
+    pool = pool or ConnectionPool(ProcessClock())
     return ForwardContext(
         settings, cast("Any", None), pool, Random(1), started, lambda _: None
     )
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_large_documents.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_large_documents.py
@@ -4,6 +4,7 @@
 
 from typing import Any, cast
 
+import curio
 import pytest
 
 from bramleyspread_core import (
@@ -17,11 +18,15 @@
     decode_json,
     encode_json,
 )
-from bramleyspread_daemon._clock import ProcessClock, read_monotonic
+from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import HttpRequest, Reply
-from bramleyspread_daemon._pool import ConnectionPool
 from bramleyspread_daemon.forward._control import ForwardControl
 from bramleyspread_daemon.forward._feed_link import FEED_PATH
+from bramleyspread_daemon.forward.tests.document_site import (
+    ControlPool,
+    DocumentNode,
+    make_control,
+)
 from bramleyspread_daemon.forward.tests.test_feed import (
     CONTROL_HOSTS,
     KeptReply,
@@ -34,6 +39,8 @@
 IN_FORCE_WITHIN_S = 2.0
 #: Number of changes in quick succession.
 CHANGES = 3
+#: Time until what changed has been fetched, in seconds.
+SETTLE_S = 0.1
 #: Rate of an entry host's link, in Mbit/s.
 LINK_MBPS = 5.0
 #: Number of routes after a document has grown twice, by 300 and by 200.
@@ -69,37 +76,20 @@
     return Deployment(version=version, routes=routes, services=services)
 
 
-class _Node:
-    """Replicated state of all control hosts, with the newest document."""
-
-    def __init__(self) -> None:
-        self.deployment = make_document(1)
-
-    def list_control_addresses(self) -> tuple[Address, ...]:
-        return CONTROLS
-
-    def is_deployment_confirmed(self, _: float) -> bool:
-        return True
-
-
 # Guards against changes of one route that pass an entry host's link as a whole document
 # from each control host: they are in force too late, and calls wait behind them.
 def test_changes_of_a_large_document_are_in_force_in_time(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def main() -> int:
-        node = _Node()
-        pool = ConnectionPool(ProcessClock())
-        controls = {
-            each: ForwardControl(
-                cast("Any", node), cast("Any", None), pool, each, 1.2, "life-1"
-            )
-            for each in CONTROLS
-        }
-        entry = make_entry(1)
+        node = DocumentNode(make_document(1), CONTROLS)
+        controls = {each: make_control(node, each) for each in CONTROLS}
+        pool = ControlPool(controls)
+        entry = make_entry(1, pool=pool)
         kept = await ask_all(controls, entry)
         await handle_pages(entry, kept)
-        size = 0
+        assert entry.version == 1
+        size, pool.bytes = 0, 0
         for version in range(2, 2 + CHANGES):
             # All questions are open when the change is accepted.
             kept = await ask_all(controls, entry)
@@ -109,7 +99,7 @@
             await handle_pages(entry, kept)
             assert entry.version == version
             size += sum(len(each.body) for each in kept.values())
-        return size
+        return size + pool.bytes
 
     size = run_in_virtual_time(monkeypatch, main)
     assert size * 8 / (LINK_MBPS * 1e6) <= IN_FORCE_WITHIN_S
@@ -135,3 +125,4 @@
         if reply.body:
             page: FeedPage = decode_json(reply.body, FeedPage)
             await entry.handle_page(address, page, read_monotonic())
+    await curio.sleep(SETTLE_S)
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -7,6 +7,12 @@
 )
 from bramleyspread_forwarding._batching import Batcher
 from bramleyspread_forwarding._budget import RetryBudget
+from bramleyspread_forwarding._document_messages import DocumentAnswer, DocumentQuery
+from bramleyspread_forwarding._document_parts import (
+    DigestMismatch,
+    DocumentParts,
+    build_document,
+)
 from bramleyspread_forwarding._events import EventError, EventSplitter, StreamEvent
 from bramleyspread_forwarding._feed import (
     Departure,
@@ -130,6 +136,10 @@
     "Batcher",
     "Delivered",
     "Departure",
+    "DigestMismatch",
+    "DocumentAnswer",
+    "DocumentParts",
+    "DocumentQuery",
     "EntryHost",
     "EventError",
     "EventSplitter",
@@ -181,6 +191,7 @@
     "TargetRegistry",
     "TargetTable",
     "WasNotRun",
+    "build_document",
     "choose_shard",
     "SoftwareHistory",
     "StreamOrigin",
--- a/packages/forwarding/bramleyspread_forwarding/_feed.py
+++ b/packages/forwarding/bramleyspread_forwarding/_feed.py
@@ -56,6 +56,9 @@
     crash_revision: int = 0
     #: Crashes that the control host may not know yet; None for none.
     crash_news: CrashNews | None = None
+    #: Version that the control host has told already; it answers once it knows a newer
+    #: one. None if the entry host expects the document itself in the page.
+    told_version: int | None = None
 
 
 class FeedPage(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -68,7 +71,7 @@
     position: int
     #: State of the targets that changed.
     changes: tuple[TargetChange, ...] = ()
-    #: A newer deployment document; None when there is none.
+    #: A newer deployment document, if the query expects it here; None if there is none.
     deployment: Deployment | None = None
     #: Version of the newest document that the control host knows; 0 for none.
     version: int = 0
