--- a/packages/daemon/bramleyspread_daemon/forward/_target_connector.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_connector.py
@@ -20,7 +20,7 @@
 #: seconds.
 RECENT_FAILURE_S = 0.5
 #: Time for which a connection that was opened shows that the path works, in seconds.
-VOUCH_S = 0.5
+RECENT_SUCCESS_S = 0.5
 #: Maximum number of other targets that are tried to find out whether the path works.
 MAX_OTHERS_TRIED = 2
 #: Interval at which lost paths are checked, in seconds.
@@ -96,7 +96,7 @@
             return await self.open_directly(address, timeout)
         except RequestNotSentError as error:
             known = len(self._list_addresses())
-            if not self.paths.doubts_itself(known, read_monotonic()):
+            if not self.paths.may_be_cut(known, read_monotonic()):
                 raise
             relayed = await self._relay(address)
             if relayed is not None:
@@ -144,7 +144,7 @@
         """
         others = [each for each in self._list_addresses() if each != address]
         now = read_monotonic()
-        if not others or self.paths.has_reached_another(address, now, VOUCH_S):
+        if not others or self.paths.has_reached_another(address, now, RECENT_SUCCESS_S):
             return True
         for other in others[:MAX_OTHERS_TRIED]:
             try:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_relay.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_relay.py
@@ -246,7 +246,7 @@
 
 
 # Guards against a relay that has lost its paths too, and takes targets for ended.
-def test_relay_vouches_for_a_refusal_only_if_it_reaches_others() -> None:
+def test_relay_reports_a_refusal_only_if_it_reaches_others() -> None:
     async def action(site: Site, pool: UpstreamPool, target: Address) -> None:
         ended = Address("127.0.0.1", 1)
         other_ended = Address("127.0.0.1", 2)
--- a/packages/forwarding/bramleyspread_forwarding/_target_paths.py
+++ b/packages/forwarding/bramleyspread_forwarding/_target_paths.py
@@ -10,7 +10,7 @@
 from bramleyspread_core import Address
 
 #: Number of targets that a host must fail to reach, without reaching any in between,
-#: before it doubts its own path rather than the targets.
+#: before its own path, rather than the targets, may be at fault.
 MIN_UNREACHED = 2
 #: Time after which a lost path to a target is tried again, in seconds.
 PROBE_INTERVAL_S = 1.0
@@ -42,17 +42,17 @@
     >>> first, second = Address("10.0.0.1", 1), Address("10.0.0.2", 1)
     >>> paths = TargetPaths()
     >>> paths.record_failure(first, 0.0, is_silent=True)
-    >>> paths.doubts_itself(9, 0.0)
+    >>> paths.may_be_cut(9, 0.0)
     False
     >>> paths.record_failure(second, 0.0, is_silent=True)
-    >>> paths.doubts_itself(9, 0.0)
+    >>> paths.may_be_cut(9, 0.0)
     True
     >>> paths.record_relayed(first, 0.1)
     True
     >>> paths.is_lost(first), paths.is_lost(second)
     (True, False)
     >>> paths.record_success(first, 0.2)
-    >>> paths.is_lost(first), paths.doubts_itself(9, 0.1)
+    >>> paths.is_lost(first), paths.may_be_cut(9, 0.1)
     (False, False)
     """
 
@@ -83,7 +83,7 @@
             return known.is_silent
         return self.is_cut and all(each.is_silent for each in self._lost.values())
 
-    def doubts_itself(self, targets: int, now: float) -> bool:
+    def may_be_cut(self, targets: int, now: float) -> bool:
         """Whether a failure may be due to this host's own path.
 
         :param targets: number of known targets.
