--- a/packages/daemon/bramleyspread_daemon/forward/tests/simulated_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/simulated_site.py
@@ -120,7 +120,7 @@
         return response
 
 
-class _Calls:
+class SimulatedCalls:
     """Calls of one host to targets, which take as long as the limits say."""
 
     def __init__(self, site: SimulatedSite, own: Address) -> None:
@@ -209,10 +209,14 @@
             lambda: self.hosts,
             self.stated_mbps,
         )
-        calls = cast("Any", _Calls(self, host.address))
+        calls = cast("Any", self.make_calls(host))
         peers = cast("Any", SimulatedPeers(self, host.address))
         return PieceService(host.host, directory, calls, peers, make_access())
 
+    def make_calls(self, host: EntryHost) -> SimulatedCalls:
+        """Make what sends a host's calls to targets."""
+        return SimulatedCalls(self, host.address)
+
     def list_shards(self) -> Shards:
         """Return the targets of each shard, as the hosts see them."""
         shards = ServiceShards(self.stated_mbps)
