Let the host that chooses targets decide on streams at hosts that have just thawed

Callers saw 503, "no target has the software version that began the stream", 2 ms after they came to a host that had been frozen: it had heard no control host since, so it confirmed no version and refused before it asked the host that chooses targets, which had. A caller came back thrice within 0.15 s and was refused each time.

Refused here is only what no target can serve as far as versions are known.

--- a/packages/daemon/bramleyspread_daemon/forward/_stream_binding.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stream_binding.py
@@ -118,12 +118,15 @@
         return Unbound() if sole == self._software else Bound(self._software)
 
     def find_refusal(self) -> Unresumable | None:
-        """Find why no target may get the request, before anything is done for it."""
+        """Find why no target may get the request, before anything is done for it.
+
+        While versions aren't confirmed here, the host that chooses targets decides.
+        """
         binding = self.find()
         if not isinstance(binding, Bound):
             return binding if isinstance(binding, Unresumable) else None
         usable = self._targets.list_usable(self._service)
-        if any(each.software == binding.software for each in usable):
+        if any(each.software in (binding.software, None) for each in usable):
             return None
         return Unresumable(NO_SUCH_SOFTWARE)
 
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_mixed_versions.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_mixed_versions.py
@@ -162,6 +162,20 @@
     assert sum(each.is_whole for each in site.streams) >= MIN_WHOLE * len(site.streams)
 
 
+# Guards against hosts that refuse streams because they have not heard yet, after a
+# freeze, which versions serve, although the host that chooses the target has.
+@pytest.mark.parametrize("seed", [2, 3, 4])
+def test_hosts_that_were_frozen_take_streams_up(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    site = VersionedSite(3, VERSIONS, seed=seed)
+    run_site(monkeypatch, site, freeze_hosts)
+    check_order(site)
+    resumed, went_on, begun = site.find_shares()
+    assert resumed >= MIN_COUNTED
+    assert went_on >= MIN_RESUMED * begun
+
+
 # Guards against a target that starts again under its id, taken for the one before.
 @pytest.mark.parametrize("disturb", [upgrade_in_place, upgrade_behind_a_cut])
 @pytest.mark.parametrize("hosts", [3, HOSTS])
