Add the command versions: outcomes by targets' software version, from logs

During a rollout an operator could not tell whether the newer version breaks off or fails more often (postmortem of ORDER, what remains). The command counts for each version of each service its targets, the requests sent, whole, lost and failed, the streams taken up again, those that had no target of their version left, and the median time to the first event.

--- a/packages/tool/bramleyspread_tool/_arguments.py
+++ b/packages/tool/bramleyspread_tool/_arguments.py
@@ -50,6 +50,10 @@
         commands, "causes", "count why requests were not served, from log files"
     )
     causes.add_argument("files", nargs="+", type=Path, metavar="LOG")
+    versions = _add_command(
+        commands, "versions", "show outcomes by targets' software version, from logs"
+    )
+    versions.add_argument("files", nargs="+", type=Path, metavar="LOG")
     cost = _add_command(
         commands, "cost", "show cost by service, organisation, brand and stage"
     )
--- a/packages/tool/bramleyspread_tool/_main.py
+++ b/packages/tool/bramleyspread_tool/_main.py
@@ -24,6 +24,7 @@
 from bramleyspread_tool._settings import ToolSettings, read_file
 from bramleyspread_tool._submit import submit_document, wait_in_force
 from bramleyspread_tool._timeline import format_event, merge_events, read_events
+from bramleyspread_tool._versions import count_versions, format_versions
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -134,6 +135,15 @@
     return ExitCode.DONE
 
 
+def _run_versions(arguments: Namespace) -> int:
+    rows = count_versions(iterate_lines(arguments.files))
+    if arguments.json:
+        _print_json(rows)
+    else:
+        _print_lines(format_versions(rows))
+    return ExitCode.DONE
+
+
 def _run_cost(arguments: Namespace) -> int:
     settings = ToolSettings.from_arguments(arguments)
     reports, faults = fetch_costs(settings.parse_entry_hosts())
@@ -170,5 +180,6 @@
     "timeline": _run_timeline,
     "explain": _run_explain,
     "causes": _run_causes,
+    "versions": _run_versions,
     "cost": _run_cost,
 }
