Ask a control host for the document again only once it has sent another page

Found by reading: while all control hosts that had told of a newer version were unreachable, an entry host asked them in turn without end, a warning each time: 18 questions in 10 s, more where connections are refused at once. Each is asked once now, until its next page. test_control_hosts_that_fall_silent_are_asked_once failed before.

--- a/packages/daemon/bramleyspread_daemon/forward/_document_link.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_document_link.py
@@ -59,6 +59,8 @@
         self._pool = pool
         self._on_document = on_document
         self._told_versions: dict[Address, int] = {}
+        # The same, of those that may be asked: not since they failed to answer.
+        self._sources: dict[Address, int] = {}
         self._is_fetching = False
         self._preferred: Address | None = None
         # Whether the next question asks for the whole document.
@@ -82,7 +84,7 @@
         :param control: the control host.
         :param version: the newest version that it knows.
         """
-        self._told_versions[control] = version
+        self._told_versions[control] = self._sources[control] = version
         if version > self.version and not self._is_fetching:
             self._is_fetching = True
             await curio.spawn(self._fetch_newest, daemon=True)
@@ -109,7 +111,7 @@
         """Choose a control host that knows a newer version; None if there is none."""
         newer = [
             control
-            for control, version in self._told_versions.items()
+            for control, version in self._sources.items()
             if version > self.version
         ]
         if self._preferred in newer:
@@ -125,7 +127,7 @@
             return False
         self._preferred = control
         if answer.version <= self.version:
-            self._told_versions[control] = answer.version
+            self._sources[control] = answer.version
             return True
         if answer.buckets is None:
             parts = build_document(answer)
@@ -171,6 +173,6 @@
         return answer
 
     def _avoid(self, control: Address) -> None:
-        """Ask other control hosts first."""
+        """Ask a control host again only once it has sent another page."""
         self._preferred = None
-        self._told_versions[control] = self._told_versions.pop(control, 0)
+        self._sources.pop(control, None)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_document_link.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_document_link.py
@@ -37,6 +37,8 @@
 IN_FORCE_WITHIN_S = 2.0
 #: Rate of an entry host's link, in bytes a second.
 LINK_BYTES_PER_S = 5e6 / 8
+#: Time in which no control host answers, in seconds.
+SILENCE_S = 10.0
 #: Changes in a burst, and the time between two, in seconds.
 CHANGES, CHANGE_INTERVAL_S = 50, 0.02
 
@@ -96,6 +98,13 @@
         """Let all control hosts know a newer document."""
         self.node.deployment = deployment
 
+    async def wait_until_told(self, version: int) -> None:
+        """Wait until control hosts have told of a version that isn't in force yet."""
+        documents = self.entry.documents
+        while max(documents.find_told_version(x) for x in CONTROLS) < version:
+            await curio.sleep(0.0002)
+        assert self.entry.version < version
+
     async def wait_for(self, version: int) -> None:
         """Wait until a version is in force; fails if it takes too long."""
         until = read_monotonic() + IN_FORCE_WITHIN_S
@@ -148,7 +157,7 @@
 
     async def change() -> None:
         site.submit(make_document(2))
-        await curio.sleep(0.021)  # they have told of it, and don't answer any more
+        await site.wait_until_told(2)
         site.pool.silent.update(lost)
         await site.wait_for(2)
         site.submit(make_document(3))
@@ -157,6 +166,25 @@
     run(monkeypatch, site, change)
 
 
+# Guards against hosts that ask without end while no control host answers.
+def test_control_hosts_that_fall_silent_are_asked_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = Site()
+
+    async def change() -> None:
+        site.submit(make_document(2))
+        await site.wait_until_told(2)
+        site.pool.silent.update(CONTROLS)
+        asked = len(site.pool.asked)
+        await curio.sleep(SILENCE_S)
+        assert len(site.pool.asked) - asked <= len(CONTROLS)
+        site.pool.silent.clear()
+        await site.wait_for(2)
+
+    run(monkeypatch, site, change)
+
+
 def test_change_is_fetched_from_control_hosts_that_started_anew(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
