Wait longer for changes of the document that are large

What changed was some half a megabyte, a second of a link of 5 Mbit/s, and the timeout for changes was 0.5 s however often it had passed: the answer was broken off and asked for again without end.

A control host that refuses connections doesn't prolong it. test_change_that_adds_many_routes_is_in_force_in_time_over_a_slow_link failed before: 400 KB over 5 Mbit/s were never in force.

--- a/packages/daemon/bramleyspread_daemon/forward/_document_link.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_document_link.py
@@ -22,10 +22,12 @@
 
 #: Path on which control hosts tell what changed in the document.
 DOCUMENT_PATH = "/v1/control/document"
-#: Timeout for what changed, in seconds.
+#: Timeout for what changed, in seconds: so short that a silent control host is left in
+#: time.
 CHANGES_TIMEOUT_S = 0.5
-#: Timeout for a whole document: at first, and at most after further ones, in seconds.
-WHOLE_TIMEOUT_S, MAX_WHOLE_TIMEOUT_S = 1.2, 6.0
+#: Timeout for a whole document, and for changes that took longer than that, in seconds:
+#: at first, and at most after further ones.
+LONG_TIMEOUT_S, MAX_TIMEOUT_S = 3.0, 12.0
 #: Timeout for connecting to a control host, in seconds.
 CONNECT_TIMEOUT_S = 0.25
 #: Delay after a control host didn't answer, in seconds.
@@ -65,7 +67,7 @@
         self._preferred: Address | None = None
         # Whether the next question asks for the whole document.
         self._needs_whole = False
-        self._whole_timeout_s = WHOLE_TIMEOUT_S
+        self._timeout_s = CHANGES_TIMEOUT_S
         #: The document in force; None before the first one.
         self.parts: DocumentParts | None = None
 
@@ -93,7 +95,7 @@
         """Set the document in force."""
         self.parts = parts
         self._needs_whole = False
-        self._whole_timeout_s = WHOLE_TIMEOUT_S
+        self._timeout_s = CHANGES_TIMEOUT_S
 
     async def _fetch_newest(self) -> None:
         """Fetch until no control host knows a newer version."""
@@ -157,7 +159,7 @@
                 control,
                 DOCUMENT_PATH,
                 encode_json(query),
-                self._whole_timeout_s if is_whole else CHANGES_TIMEOUT_S,
+                max(self._timeout_s, LONG_TIMEOUT_S) if is_whole else self._timeout_s,
                 connect_timeout=CONNECT_TIMEOUT_S,
             )
             if response.status != 200:
@@ -166,9 +168,9 @@
         except (RequestNotSentError, ConnectionClosedError, MessageError) as error:
             log = logger.bind(step="document", peer=str(control))
             log.warning(f"not fetched: {error}")
-            if is_whole:
-                longer_s = self._whole_timeout_s * 2
-                self._whole_timeout_s = min(longer_s, MAX_WHOLE_TIMEOUT_S)
+            if isinstance(error, ConnectionClosedError):
+                longer_s = max(self._timeout_s * 2, LONG_TIMEOUT_S)
+                self._timeout_s = min(longer_s, MAX_TIMEOUT_S)
             return None
         return answer
 
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_document_link.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_document_link.py
@@ -37,6 +37,8 @@
 IN_FORCE_WITHIN_S = 2.0
 #: Rate of an entry host's link, in bytes a second.
 LINK_BYTES_PER_S = 5e6 / 8
+#: Number of routes that one change adds.
+ADDED_ROUTES = 1_400
 #: Time in which no control host answers, in seconds.
 SILENCE_S = 10.0
 #: Changes in a burst, and the time between two, in seconds.
@@ -166,6 +168,27 @@
     run(monkeypatch, site, change)
 
 
+# Guards against changes that are too large for the first timeout, and never in force.
+def test_change_that_adds_many_routes_is_in_force_in_time_over_a_slow_link(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = Site(LINK_BYTES_PER_S)
+
+    async def change() -> None:
+        document = make_document(2)
+        added = tuple(
+            msgspec.structs.replace(
+                document.routes[0], name=f"added-{at}", prefix=f"/added-{at}/"
+            )
+            for at in range(ADDED_ROUTES)
+        )
+        routes = (*document.routes, *added)
+        site.submit(msgspec.structs.replace(document, routes=routes))
+        await site.wait_for(2)
+
+    run(monkeypatch, site, change)
+
+
 # Guards against hosts that ask without end while no control host answers.
 def test_control_hosts_that_fall_silent_are_asked_once(
     monkeypatch: pytest.MonkeyPatch,
