--- a/packages/forwarding/bramleyspread_forwarding/_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/_targets.py
@@ -198,10 +198,6 @@
             self._crashes[target, born] = now
             self._rebuild(now)
 
-    def _has_crashed(self, notice: TargetHeartbeat, now: float) -> bool:
-        crashed_at = self._crashes.get((notice.target, notice.born))
-        return crashed_at is not None and now - crashed_at <= ORIGIN_RETENTION_S
-
     def _add_departure(self, target: str, born: int, now: float) -> None:
         known = self._departures.get(target)
         if known is None or known[0] <= born:
@@ -256,7 +252,7 @@
             if departure is not None and departure[0] >= notice.born:
                 continue
             is_fresh = target in fresh_targets
-            is_confirmed = is_fresh and not self._has_crashed(notice, now)
+            is_confirmed = is_fresh and (target, notice.born) not in self._crashes
             lists = usable if is_fresh else stale
             lists.setdefault(notice.service, []).append(
                 ForwardTarget(
