--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,10 @@
 #!/bin/sh
-# Builds the stand-ins of the review's scripts: plain Python, so they are only checked.
-cd "$(dirname "$0")" && exec python3 - <<'CHECK'
+# Builds what the review's scripts start besides the deploy file's build: the stand-ins
+# (plain Python, so they are only checked) and an earlier build of this project, from
+# the history, for the case of an upgrade.
+set -e
+cd "$(dirname "$0")"
+python3 - <<'CHECK'
 import ast
 from pathlib import Path
 
@@ -8,3 +12,9 @@
     ast.parse(path.read_text(), str(path))
 print("the stand-ins can be read")
 CHECK
+cd ..
+earlier=bc1e00f
+rm -rf target/review-earlier
+mkdir -p target/review-earlier
+git archive "$earlier" deploy packages platform | tar -x -C target/review-earlier
+echo "the earlier build is in target/review-earlier"
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -106,11 +106,15 @@
 
 
 class Deployment:
-    """The processes of one small deployment."""
+    """The processes of one small deployment.
 
-    def __init__(self, fronts: int, cores: int = 3) -> None:
-        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        self._roles = {each["on"]: each for each in deploy["roles"].values()}
+    :param build: the tree from which they start, until ``builds`` names another one.
+    """
+
+    def __init__(self, fronts: int, cores: int = 3, build: Path = ROOT) -> None:
+        #: The tree from which each process starts next time.
+        self.builds: dict[str, Path] = {}
+        self._build = build
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.running: dict[str, subprocess.Popen] = {}
         self.started: set[str] = set()
@@ -140,7 +144,9 @@
 
     def start(self, name: str) -> None:
         place = self.places[name]
-        role = self._roles[place["kind"]]
+        build = self.builds.get(name, self._build)
+        deploy = tomllib.loads((build / "deploy/system.toml").read_text())
+        role = next(x for x in deploy["roles"].values() if x["on"] == place["kind"])
         first = name not in self.started
         data = self.folder / name if place["kind"] == "core" else None
         fields = {
@@ -157,15 +163,19 @@
             "tolerate": {"machines": 1, "zones": 1, "regions": 0},
             "bounds": BOUNDS,
         }
-        template = (ROOT / role["template"]).read_text()
+        template = (build / role["template"]).read_text()
         settings = self.folder / f"{name}.settings"
         settings.write_text(fill(template, fields))
         words = role["run"].replace("/etc/bramleyspread/node.json", str(settings)).split()
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
-        env["PYTHONPATH"] = str(ROOT / "target/deps")
+        paths = [ROOT / "target/deps"]
+        if build != ROOT:
+            # Only the packages of this project are of the other build.
+            paths = [*sorted(build.glob("packages/*")), build / "platform", *paths]
+        env["PYTHONPATH"] = ":".join(map(str, paths))
         with (self.folder / f"{name}.log").open("ab") as log:
             self.running[name] = subprocess.Popen(
-                words, cwd=ROOT, env=env, stdout=log, stderr=log,
+                words, cwd=build, env=env, stdout=log, stderr=log,
                 stdin=subprocess.DEVNULL,
             )
         self.started.add(name)
@@ -184,8 +194,17 @@
         process.kill()
         process.wait()
 
-    def pid(self, name: str) -> int:
-        return self.running[name].pid
+    async def replace(self, name: str, build: Path) -> None:
+        """Stop a process as planned, and start it again from a build."""
+        process = self.running.pop(name)
+        process.terminate()
+        try:
+            await asyncio.to_thread(process.wait, BOUNDS["grace_s"])
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+        self.builds[name] = build
+        self.start(name)
 
     def stop(self) -> None:
         for process in self.running.values():
