--- a/review/build.sh
+++ b/review/build.sh
@@ -16,5 +16,11 @@
 earlier=bc1e00f
 rm -rf target/review-earlier
 mkdir -p target/review-earlier
-git archive "$earlier" deploy packages platform | tar -x -C target/review-earlier
-echo "the earlier build is in target/review-earlier"
+if git archive -o target/review-earlier.tar "$earlier" deploy packages platform; then
+    tar -x -C target/review-earlier -f target/review-earlier.tar
+    rm -f target/review-earlier.tar
+    echo "the earlier build is in target/review-earlier"
+else
+    rm -rf target/review-earlier target/review-earlier.tar
+    echo "no earlier build in this history: review/4 can't run" >&2
+fi
