Frame what targets send over a relay, so that a relay's end isn't taken for an answer's

Now the target's bytes are framed between hosts, with an end of their own; without it the connection counts as reset. Hosts of earlier builds are asked and answered in their own protocol. A planned stop resets what it still relays.

--- a/packages/daemon/bramleyspread_daemon/_client.py
+++ b/packages/daemon/bramleyspread_daemon/_client.py
@@ -229,6 +229,8 @@
         data = await self._connection.read()
         if not data:
             self._peer_closed = True
+            if self._connection.was_reset:
+                raise ConnectionClosedError("reset")
             if self._http.their_state is not h11.SEND_BODY:
                 raise ConnectionClosedError("closed before the answer")
         self._needs_data = False
--- a/packages/daemon/bramleyspread_daemon/_connection.py
+++ b/packages/daemon/bramleyspread_daemon/_connection.py
@@ -63,7 +63,8 @@
         self.stalled_since = 0.0
         #: When it was opened, as monotonic time in seconds.
         self.opened_at = read_monotonic()
-        #: Whether a read failed, so that the peer did not close it cleanly.
+        #: Whether a read or a write failed, so that the peer did not close it cleanly.
+        #: The operating system reports a reset only once, to whichever comes first.
         self.was_reset = False
         #: Whether it was aborted or closed by this side, so that nothing more is sent.
         self.aborted = False
@@ -107,7 +108,11 @@
         :param data: the bytes.
         :raises OSError: when the connection is lost.
         """
-        await self._socket.sendall(data)
+        try:
+            await self._socket.sendall(data)
+        except OSError:
+            self.was_reset = True
+            raise
         self._sent_bytes += len(data)
 
     def send_nonblocking(self, data: bytes) -> int:
@@ -121,6 +126,9 @@
             sent = self._raw.send(data)
         except BlockingIOError:
             return 0
+        except OSError:
+            self.was_reset = True
+            raise
         self._sent_bytes += sent
         return sent
 
@@ -182,6 +190,10 @@
         self._sent_bytes = self._received_bytes = 0
         return counts
 
+    def detach_socket(self) -> Any:  # noqa: ANN401
+        """Return the socket of curio, for another kind of connection over it."""
+        return self._socket
+
     def finish_writing(self) -> None:
         """Shut down the sending side, so that the peer reads an end of file."""
         try:
--- a/packages/daemon/bramleyspread_daemon/_process.py
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -208,6 +208,7 @@
         servers: Sequence[HttpServer],
         begin: Callable[[], Awaitable[None]],
         is_idle: Callable[[], bool],
+        finish: Callable[[], Awaitable[None]] | None = None,
     ) -> bool:
         """Shut down gracefully.
 
@@ -218,6 +219,7 @@
         :param servers: the process's servers.
         :param begin: awaited when draining begins.
         :param is_idle: whether nothing except replies is in flight.
+        :param finish: awaited before the connections that are left are closed.
         :returns: whether everything in flight was finished in time.
         """
 
@@ -234,6 +236,8 @@
         for server in servers:
             await server.stop_accepting()
         finished = await wait_until(is_finished, limits.drain_s)
+        if finish is not None:
+            await finish()
         for server in servers:
             await server.close_connections()
         self.write_timeline_event("stopped", detail="" if finished else "cut off")
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -302,7 +302,10 @@
 
         servers = [self.public, self.health, self.server]
         return await self._process.drain(
-            servers, do_nothing, lambda: self.context.in_flight == 0
+            servers,
+            do_nothing,
+            lambda: self.context.in_flight == 0,
+            self.relays.stop,
         )
 
     async def run(self) -> int:
--- a/packages/daemon/bramleyspread_daemon/forward/_relay.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_relay.py
@@ -1,14 +1,16 @@
 """Relays connections to targets for hosts that have lost their own path to them.
 
 A host asks with ``GET /v1/relay?ADDRESS`` and an upgrade. Once the other host has
-connected to the target, each side gets the other one's bytes unchanged; an answer that
-is reset on the way is reset for the asker too.
+connected to the target, each side gets the other one's bytes; those of the target are
+framed, so that the asker knows its end from the end of the host that relays. Askers of
+earlier builds get them unframed. An answer that doesn't end in the ordinary way is
+reset for the asker.
 """
 
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import curio
 import h11
@@ -18,6 +20,11 @@
 from bramleyspread_daemon._connection import Connection
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._refusal import encode_refusal
+from bramleyspread_daemon.forward._relayed_connection import (
+    END,
+    RelayedConnection,
+    encode_part,
+)
 from bramleyspread_daemon.forward._target_connector import (
     RelayUnavailableError,
     TargetConnector,
@@ -30,7 +37,12 @@
 #: Path on which hosts ask each other to relay.
 RELAY_PATH = "/v1/relay"
 #: Name of the protocol to which the connection is switched.
-RELAY_PROTOCOL = "bramleyspread-relay"
+RELAY_PROTOCOL = "bramleyspread-relay/2"
+#: Its name in earlier builds, where the target's bytes are not framed.
+UNFRAMED_PROTOCOL = "bramleyspread-relay"
+#: Interval at which a host that stops checks whether all relayed connections are
+#: closed, in seconds.
+STOP_CHECK_INTERVAL_S = 0.005
 #: Timeout for the connection to a target, in seconds.
 CONNECT_TIMEOUT_S = 0.25
 #: Timeout for all of another host's answer, in seconds.
@@ -64,6 +76,7 @@
         self._connector = connector
         self._is_known = is_known
         self._is_stopping = is_stopping
+        self._groups: set[curio.TaskGroup] = set()
         #: Number of connections that are relayed now.
         self.open = 0
 
@@ -91,29 +104,77 @@
         else:
             self.open += 1
             target = connection.detach()
+            is_framed = RELAY_PROTOCOL in _list_protocols(http.headers)
             reply.switch(
-                RELAY_PROTOCOL, lambda asker, early: self._splice(asker, target, early)
+                RELAY_PROTOCOL if is_framed else UNFRAMED_PROTOCOL,
+                lambda asker, early: self._splice(asker, target, early, is_framed),
             )
 
+    async def stop(self) -> None:
+        """Reset all connections that are still relayed.
+
+        If they were only closed, askers of earlier builds would take answers for whole.
+        """
+        for group in tuple(self._groups):
+            await group.cancel_remaining()
+        while self.open:
+            await curio.sleep(STOP_CHECK_INTERVAL_S)
+
     async def _splice(
-        self, asker: Connection, target: Connection, early: bytes
+        self, asker: Connection, target: Connection, early: bytes, is_framed: bool
     ) -> bool:
         """Pass bytes both ways until either side closes.
 
         :param asker: the connection to the host that asked.
         :param target: the connection to the target.
         :param early: bytes that the asker has sent already.
-        :returns: whether the asker's connection must be reset, as the target's was.
+        :param is_framed: whether the target's bytes are framed.
+        :returns: whether the asker's connection was reset, since the target has not
+            closed its own in the ordinary way.
         """
         asker.enable_peer_timeout(UNACKNOWLEDGED_TIMEOUT_MS)
+        backward = _BackwardPump(target, asker, is_framed)
         try:
             async with curio.TaskGroup(wait=any) as group:
+                self._groups.add(group)
                 await group.spawn(_pump, asker, target, early)
-                await group.spawn(_pump, target, asker, b"")
+                await group.spawn(backward.run)
         finally:
+            self._groups.discard(group)
+            if not backward.has_ended:
+                await asker.reset()
             self.open -= 1
             await target.reset()
-        return target.was_reset
+        return not backward.has_ended
+
+
+class _BackwardPump:
+    """Passes on what a target sends to the host that asked.
+
+    :param target: the connection to the target.
+    :param asker: the connection to the host that asked.
+    :param is_framed: whether the bytes are framed.
+    """
+
+    def __init__(self, target: Connection, asker: Connection, is_framed: bool) -> None:
+        self._target = target
+        self._asker = asker
+        self._is_framed = is_framed
+        #: Whether the target has closed in the ordinary way, and all was passed on.
+        self.has_ended = False
+
+    async def run(self) -> None:
+        """Pass bytes on until either side closes."""
+        with contextlib.suppress(OSError):
+            while data := await self._target.read():
+                await self._asker.send_all(
+                    encode_part(data) if self._is_framed else data
+                )
+            if self._target.was_reset:
+                return
+            if self._is_framed:
+                await self._asker.send_all(END)
+            self.has_ended = True
 
 
 async def _pump(source: Connection, sink: Connection, early: bytes) -> None:
@@ -124,6 +185,11 @@
             await sink.send_all(data)
 
 
+def _list_protocols(headers: Mapping[str, str]) -> list[str]:
+    """List the protocols that a peer offers to switch to, the preferred one first."""
+    return [each.strip() for each in headers.get("upgrade", "").split(",")]
+
+
 async def open_relayed(relay: Address, target: Address) -> Connection:
     """Connect to a target through another host.
 
@@ -148,31 +214,37 @@
 
 async def _ask(relay: Address, target: Address) -> Connection:
     connection = await Connection.open(relay)
-    is_switched = False
+    switched: RelayedConnection | None = None
     try:
-        status = await _request_switch(connection, relay, target)
-        is_switched = status == 101
+        http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        answer = await _request_switch(connection, http, relay, target)
+        if answer.status_code == 101:
+            headers = {k.decode(): v.decode("latin-1") for k, v in answer.headers}
+            switched = RelayedConnection(
+                connection.detach_socket(),
+                http.trailing_data[0],
+                is_framed=RELAY_PROTOCOL in _list_protocols(headers),
+            )
     finally:
-        if not is_switched:
+        if switched is None:
             await connection.reset()
-    if status == REFUSED_STATUS:
+    if answer.status_code == REFUSED_STATUS:
         raise TargetRefusedError("refused, also at the relay")
-    if status == UNREACHED_STATUS:
+    if answer.status_code == UNREACHED_STATUS:
         raise RequestNotSentError("not reached, also at the relay")
-    if not is_switched:
-        raise RelayUnavailableError(f"status {status}")
-    return connection
+    if switched is None:
+        raise RelayUnavailableError(f"status {answer.status_code}")
+    return switched
 
 
 async def _request_switch(
-    connection: Connection, relay: Address, target: Address
-) -> int:
-    """Ask to relay, and return the status of the answer."""
-    http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+    connection: Connection, http: h11.Connection, relay: Address, target: Address
+) -> h11.InformationalResponse | h11.Response:
+    """Ask to relay, and return the head of the answer."""
     headers = [
         ("host", str(relay)),
         ("connection", "upgrade"),
-        ("upgrade", RELAY_PROTOCOL),
+        ("upgrade", f"{RELAY_PROTOCOL}, {UNFRAMED_PROTOCOL}"),
     ]
     head = h11.Request(method="GET", target=f"{RELAY_PATH}?{target}", headers=headers)
     await connection.send_all(
@@ -181,7 +253,7 @@
     while True:
         event = http.next_event()
         if isinstance(event, h11.InformationalResponse | h11.Response):
-            return int(event.status_code)
+            return event
         if event is not h11.NEED_DATA:
             raise ConnectionResetError("closed before the answer")
         http.receive_data(await connection.read())
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/forward/_relayed_connection.py
@@ -0,0 +1,92 @@
+"""The asker's side of a relayed connection, and how its bytes are framed.
+
+A host that relays and ends, by a crash or a stop, leaves a connection that closes in
+the ordinary way. Its asker can't tell that from the end of an answer without a length.
+So what a target sends is framed, and an end of its own says that the target closed.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from bramleyspread_daemon._connection import Connection
+
+#: Size of the number that precedes each part and gives its size, in bytes.
+SIZE_BYTES = 4
+#: Follows the last part if the target has closed its connection in the ordinary way.
+END = bytes(SIZE_BYTES)
+
+
+def encode_part(data: bytes) -> bytes:
+    r"""Frame bytes that a target has sent; there must be some.
+
+    >>> encode_part(b"ab")
+    b'\x00\x00\x00\x02ab'
+    """
+    return len(data).to_bytes(SIZE_BYTES, "big") + data
+
+
+class RelayedConnection(Connection):
+    """Connection whose peer is a target, by way of a host that relays it.
+
+    It counts as reset unless the host has said that the target closed it. Hosts of
+    earlier builds can't say so.
+
+    :param connected_socket: the connected socket of curio.
+    :param early: bytes that have been received on it already.
+    :param is_framed: whether what the host sends is framed.
+    """
+
+    __slots__ = ("_buffer", "_has_ended", "_is_framed", "_left_bytes")
+
+    def __init__(
+        self,
+        connected_socket: Any,  # noqa: ANN401
+        early: bytes,
+        *,
+        is_framed: bool,
+    ) -> None:
+        super().__init__(connected_socket)
+        self._buffer = bytearray(early)
+        self._is_framed = is_framed
+        # Bytes of the part that is being received which have not been returned yet.
+        self._left_bytes = 0
+        self._has_ended = False
+
+    async def read(self) -> bytes:
+        """Wait for bytes from the target.
+
+        :returns: the bytes; empty when the connection has ended.
+        """
+        while not self._has_ended:
+            data = self._take()
+            if data or self._has_ended:
+                return data
+            received = await super().read()
+            if not received:
+                self.was_reset = True
+                return b""
+            self._buffer += received
+        return b""
+
+    def _take(self) -> bytes:
+        """Take bytes of one part from the buffer; empty if it holds none."""
+        if not self._is_framed:
+            data = bytes(self._buffer)
+            self._buffer.clear()
+            return data
+        if not self._left_bytes:
+            if len(self._buffer) < SIZE_BYTES:
+                return b""
+            self._left_bytes = int.from_bytes(self._buffer[:SIZE_BYTES], "big")
+            del self._buffer[:SIZE_BYTES]
+            self._has_ended = not self._left_bytes
+        data = bytes(self._buffer[: self._left_bytes])
+        del self._buffer[: len(data)]
+        self._left_bytes -= len(data)
+        return data
+
+    def is_idle(self) -> bool:
+        """Whether the connection is open and no received bytes wait to be read."""
+        is_buffered = bool(self._buffer or self._left_bytes or self._has_ended)
+        return not is_buffered and super().is_idle()
