--- a/packages/control/bramleyspread_control/_config.py
+++ b/packages/control/bramleyspread_control/_config.py
@@ -45,8 +45,13 @@
     voter_replacement_timeout_s: float = math.inf
     #: Minimum number of journal records before a checkpoint is written.
     checkpoint_min_records: int = 1_000
+    #: Size of the journal at which a checkpoint is written however few its records are,
+    #: in bytes; a larger checkpoint makes it as large as that.
+    max_journal_bytes: int = 8_000_000
     #: Number of applied entries that stay in the log for replicas that lag behind.
     retained_log_entries: int = 500
+    #: Maximum size of these entries, in bytes; others get the whole state.
+    retained_log_bytes: int = 8_000_000
     #: Number of accepted changes whose ids are remembered, so that a retried change is
     #: recognised.
     retained_change_ids: int = 2_000
--- a/packages/control/bramleyspread_control/_disk.py
+++ b/packages/control/bramleyspread_control/_disk.py
@@ -70,6 +70,9 @@
     def read(self, name: str) -> bytes:
         """Read a complete file."""
 
+    def read_part(self, name: str, offset: int, size: int) -> bytes:
+        """Read a part of a file; less than ``size`` bytes only at its end."""
+
     def append(self, name: str, data: bytes) -> None:
         """Append to a file, which is created if it is missing."""
 
@@ -166,6 +169,15 @@
         except OSError as error:
             raise DiskError("read", name, str(error)) from None
 
+    def read_part(self, name: str, offset: int, size: int) -> bytes:
+        """Read a part of a file; less than ``size`` bytes only at its end."""
+        try:
+            with (self._folder / name).open("rb") as file:
+                file.seek(offset)
+                return file.read(size)
+        except OSError as error:
+            raise DiskError("read", name, str(error)) from None
+
     def append(self, name: str, data: bytes) -> None:
         """Append to a file, which is created if it is missing."""
         try:
--- a/packages/control/bramleyspread_control/_journal.py
+++ b/packages/control/bramleyspread_control/_journal.py
@@ -10,6 +10,8 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
+from functools import partial
 from typing import Any
 
 from bramleyspread_control._disk import CorruptFileError, Disk
@@ -21,11 +23,12 @@
     GroupStateRecord,
     HeaderRecord,
     JournalRecord,
-    LoadedFolder,
+    LoadedCheckpoint,
     LocatedRecord,
     SyncedRecord,
 )
 from bramleyspread_control._records import (
+    RecordReader,
     encode_record,
     find_later_records,
     read_records,
@@ -67,10 +70,11 @@
         """File name of the checkpoint."""
         return f"checkpoint-{self._number:08d}"
 
-    def load(self) -> LoadedFolder | None:
-        """Read the data folder, and remove files left by an interrupted checkpoint.
+    def load(self) -> LoadedCheckpoint | None:
+        """Read the checkpoint; :meth:`read_records` must follow.
 
-        :returns: the content of the folder; None when the folder has never been used.
+        :returns: the content of the checkpoint; None when the folder has never been
+            used.
         :raises CorruptFileError: when a file is damaged or missing.
         :raises DiskError: when an operation on the data folder fails.
         """
@@ -88,10 +92,7 @@
         if self._number not in journals:
             raise CorruptFileError(self.name, 0, "the journal file is missing")
         self.complete_groups = self._read_fingerprint()
-        loaded = self._read_checkpoint(self.checkpoint_name)
-        loaded.records += self._read_journal()
-        self._remove_leftovers()
-        return loaded
+        return self._read_checkpoint(self.checkpoint_name)
 
     def write_fingerprint(self, complete_groups: tuple[int, ...]) -> None:
         """Write the current fingerprint of the folder for the next start.
@@ -173,7 +174,7 @@
                     name, 0, "the checkpoint file for this journal is missing"
                 )
 
-    def _read_checkpoint(self, name: str) -> LoadedFolder:
+    def _read_checkpoint(self, name: str) -> LoadedCheckpoint:
         data = self._disk.read(name)
         self.checkpoint_bytes = len(data)
         contents, end = read_records(data)
@@ -194,28 +195,35 @@
             for (offset, _), each in zip(contents, records, strict=True)
             if isinstance(each, EntryRecord)
         ]
-        return LoadedFolder(header, states, entry_records)
+        return LoadedCheckpoint(header, states, entry_records)
 
-    def _read_journal(self) -> list[LocatedRecord]:
-        data = self._disk.read(self.name)
-        contents, end = read_records(data)
-        if end != len(data):
-            self._truncate_tail(data, end)
-        self._size = end
-        records = []
-        for offset, content in contents:
+    def read_records(self) -> Iterator[LocatedRecord]:
+        """Read the records of the journal, one after the other.
+
+        Then remove files left by an interrupted checkpoint.
+
+        :raises CorruptFileError: when the file is damaged.
+        :raises DiskError: when an operation on the data folder fails.
+        """
+        reader = RecordReader(partial(self._disk.read_part, self.name))
+        for offset, content in reader:
             record: JournalRecord = _decode(self.name, offset, content, JournalRecord)
             self.record_count += 1
             if not isinstance(record, SyncedRecord):
-                records.append(LocatedRecord(self.name, offset, record))
-        return records
+                yield LocatedRecord(self.name, offset, record)
+        self._size = reader.offset
+        if self._disk.read_part(self.name, self._size, 1):
+            self._truncate_tail(self._disk.read(self.name)[self._size :])
+        self._remove_leftovers()
 
-    def _truncate_tail(self, data: bytes, end: int) -> None:
+    def _truncate_tail(self, tail: bytes) -> None:
         """Truncate bytes that were never synced.
 
+        :param tail: the bytes after the last valid record.
         :raises CorruptFileError: when bytes that were synced are damaged.
         """
-        for content in find_later_records(data, end):
+        end = self._size
+        for content in find_later_records(tail, 0):
             try:
                 record: JournalRecord = decode_json(content, JournalRecord)
             except MessageError:
--- a/packages/control/bramleyspread_control/_journal_records.py
+++ b/packages/control/bramleyspread_control/_journal_records.py
@@ -106,12 +106,12 @@
     record: VoteRecord | EntryRecord | CommitRecord
 
 
-class LoadedFolder(msgspec.Struct):
-    """The content of a data folder."""
+class LoadedCheckpoint(msgspec.Struct):
+    """The content of a checkpoint."""
 
     #: The first record of the checkpoint.
     header: HeaderRecord
     #: The group states in the checkpoint.
     states: list[GroupStateRecord]
-    #: All later records of the checkpoint and the journal, in order.
+    #: All later records of the checkpoint, in order.
     records: list[LocatedRecord]
--- a/packages/control/bramleyspread_control/_log.py
+++ b/packages/control/bramleyspread_control/_log.py
@@ -148,6 +148,21 @@
         self.base_index, self.base_term, self.base_members = index, term, members
         self._first_unwritten = max(self._first_unwritten, index + 1)
 
+    def compact_applied(self, max_entries: int, max_bytes: int) -> None:
+        """Remove applied entries from the start of the log, but for the newest ones.
+
+        :param max_entries: maximum number of applied entries that stay.
+        :param max_bytes: maximum size of their changes.
+        """
+        index, size = self.applied_index, 0
+        oldest = max(self.base_index, self.applied_index - max_entries)
+        while index > oldest:
+            size += len(memoryview(self.get(index).change))
+            if size > max_bytes:
+                break
+            index -= 1
+        self.compact(index)
+
     def reset(self, index: int, term: int, members: Members) -> None:
         """Replace the whole log by a base, for a snapshot that was received.
 
--- a/packages/control/bramleyspread_control/_memory_disk.py
+++ b/packages/control/bramleyspread_control/_memory_disk.py
@@ -53,6 +53,8 @@
         self.kill_at_step: int | None = None
         #: Number of bytes that can still be written; None for no limit.
         self.free_bytes: int | None = None
+        #: Size of all files together that the disk holds; None for no limit.
+        self.capacity_bytes: int | None = None
         #: Duration that is reported of each sync, in seconds.
         self.sync_s = 0.001
 
@@ -65,6 +67,7 @@
         folder = MemoryDisk()
         folder._boot_id = rng.getrandbits(64)
         folder.free_bytes, folder.sync_s = self.free_bytes, self.sync_s
+        folder.capacity_bytes = self.capacity_bytes
         files = self._files if rng.random() < 0.5 else self._synced_files
         for name, file in files.items():
             kept = _File()
@@ -79,6 +82,7 @@
         folder = MemoryDisk()
         folder._boot_id, folder.steps = self._boot_id, self.steps
         folder.free_bytes, folder.sync_s = self.free_bytes, self.sync_s
+        folder.capacity_bytes = self.capacity_bytes
         for name, file in self._files.items():
             kept = _File(file.changed_at_step)
             kept.content = bytearray(file.content)
@@ -123,6 +127,10 @@
         """Read a complete file."""
         return bytes(self._find("read", name).content)
 
+    def read_part(self, name: str, offset: int, size: int) -> bytes:
+        """Read a part of a file; less than ``size`` bytes only at its end."""
+        return bytes(self._find("read", name).content[offset : offset + size])
+
     def append(self, name: str, data: bytes) -> None:
         """Append to a file, which is created if it is missing."""
         self._count_step()
@@ -178,6 +186,9 @@
 
     def _allocate(self, data: bytes) -> bytes:
         """Return the part of the data for which there is space, and take the space."""
+        if self.capacity_bytes is not None:
+            used = sum(len(each.content) for each in self._files.values())
+            return data[: max(self.capacity_bytes - used, 0)]
         if self.free_bytes is None:
             return data
         written = data[: self.free_bytes]
--- a/packages/control/bramleyspread_control/_store.py
+++ b/packages/control/bramleyspread_control/_store.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
+from itertools import chain
 
 import msgspec
 
@@ -78,8 +80,8 @@
         self._written_commit_indexes: dict[int, int] = {}
         #: Whether the next write must be a checkpoint.
         self.checkpoint_due = False
-        for located in loaded.records if loaded else ():
-            self._replay(located)
+        if loaded is not None:
+            self._replay_all(chain(loaded.records, self._journal.read_records()))
         self._finish_loading()
         if loaded is None:
             self._write_checkpoint()
@@ -205,6 +207,24 @@
         )
         return replica
 
+    def _replay_all(self, records: Iterable[LocatedRecord]) -> None:
+        """Replay records, and keep no more of them in memory than is needed."""
+        replayed_bytes = 0
+        for located in records:
+            self._replay(located)
+            if (
+                located.offset - replayed_bytes
+                >= self._config.timings.max_journal_bytes
+            ):
+                replayed_bytes = located.offset
+                for replica in self.replicas.values():
+                    replica.apply_committed()
+                    self._compact(replica.log)
+
+    def _compact(self, log: Log) -> None:
+        timings = self._config.timings
+        log.compact_applied(timings.retained_log_entries, timings.retained_log_bytes)
+
     def _replay(self, located: LocatedRecord) -> None:
         record = located.record
         replica = self.replicas.get(record.group)
@@ -253,10 +273,12 @@
 
     def _is_checkpoint_due(self) -> bool:
         journal = self._journal
+        timings = self._config.timings
+        has_many_records = journal.record_count >= timings.checkpoint_min_records
+        is_large = journal.size >= timings.max_journal_bytes
         journal_is_long = (
-            journal.record_count >= self._config.timings.checkpoint_min_records
-            and journal.size >= journal.checkpoint_bytes
-        )
+            has_many_records or is_large
+        ) and journal.size >= journal.checkpoint_bytes
         snapshot_installed = any(
             each.follower_state.snapshot_installed for each in self.replicas.values()
         )
@@ -278,9 +300,7 @@
             replica.consensus.vote_unwritten = False
             replica.follower_state.snapshot_installed = False
             replica.log.mark_written()
-            replica.log.compact(
-                replica.log.applied_index - self._config.timings.retained_log_entries
-            )
+            self._compact(replica.log)
             self._written_commit_indexes[group] = replica.log.applied_index
 
     def _make_group_record(self, group: int, replica: Replica) -> GroupStateRecord:
