Give others their turn after 64 pieces of what a peer sends, not after 16 reads

Cause: a task that never waits keeps all others from running, and turns counted reads. How much work a read holds is up to the sender. The splitter of events also copied the rest of its buffer for each event, and took each empty line for one.

Now all readers of chunks, heads and events count pieces, any connection counts reads that didn't wait, events are split in one pass, and line ends are no events, so that a target which sends nothing else is given up after 1 MiB.

--- a/packages/daemon/bramleyspread_daemon/_client.py
+++ b/packages/daemon/bramleyspread_daemon/_client.py
@@ -9,6 +9,7 @@
 from bramleyspread_core import Address
 from bramleyspread_daemon._clock import STAMP_HEADER, ProcessClock, read_monotonic
 from bramleyspread_daemon._connection import Connection
+from bramleyspread_daemon._turns import Turns
 
 #: Maximum size of a response's head.
 MAX_HEAD_BYTES = 16_384
@@ -54,6 +55,7 @@
         "_http",
         "_needs_data",
         "_peer_closed",
+        "_turns",
         "address",
         "idle_since",
     )
@@ -69,6 +71,7 @@
         self._body_ended = False
         self._needs_data = True
         self._peer_closed = False
+        self._turns = Turns()
         #: The address of the peer.
         self.address = address
         #: When its last response ended, as monotonic time in seconds.
@@ -173,6 +176,7 @@
             if self._needs_data:
                 await self._read_more()
             event = self._next_event()
+            await self._turns.step()
             if event is h11.NEED_DATA:
                 if pieces:
                     break
@@ -209,6 +213,7 @@
     async def _read_event(self) -> object:
         while (event := self._next_event()) is h11.NEED_DATA:
             await self._read_more()
+        await self._turns.step()
         return event
 
     def _next_event(self) -> object:
--- a/packages/daemon/bramleyspread_daemon/_connection.py
+++ b/packages/daemon/bramleyspread_daemon/_connection.py
@@ -8,6 +8,7 @@
 from collections import deque
 from typing import Any
 
+import curio
 import curio.io
 import curio.socket
 from curio.traps import _read_wait
@@ -17,6 +18,9 @@
 
 #: Maximum bytes of one read.
 READ_BYTES = 65_536
+#: Number of reads without a wait after which other tasks get their turn, in case the
+#: peer sends faster than bytes are read.
+READS_PER_TURN = 16
 #: Maximum bytes buffered for a slow reader before its connection is aborted.
 MAX_PENDING_BYTES = 4_194_304
 #: A connection whose reader accepts no bytes for this long is aborted.
@@ -38,6 +42,7 @@
     __slots__ = (
         "_pending",
         "_raw",
+        "_reads",
         "_received_bytes",
         "_sent_bytes",
         "_receive_buffer_empty",
@@ -54,6 +59,8 @@
         self._raw: stdlib_socket.socket = connected_socket._socket
         self._raw.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
         self._receive_buffer_empty = False
+        # Reads since one had to wait.
+        self._reads = 0
         self._sent_bytes = 0
         self._received_bytes = 0
         self._pending: deque[bytes] = deque()
@@ -91,8 +98,12 @@
 
         :returns: the bytes; empty when the peer or :meth:`abort` closed it.
         """
+        self._reads += 1
         if self._receive_buffer_empty:
+            self._reads = 0
             await _read_wait(self._socket._fileno)
+        elif self._reads % READS_PER_TURN == 0:
+            await curio.sleep(0)
         try:
             data: bytes = await self._socket.recv(READ_BYTES)
         except OSError:
--- a/packages/daemon/bramleyspread_daemon/_server_connection.py
+++ b/packages/daemon/bramleyspread_daemon/_server_connection.py
@@ -12,6 +12,7 @@
 from bramleyspread_daemon._exchange import Headers, HttpRequest, Reply, Switch
 from bramleyspread_daemon._refusal import encode_refusal, make_retry_headers
 from bramleyspread_daemon._server_context import ServerContext
+from bramleyspread_daemon._turns import Turns
 
 #: Maximum bytes read from a caller while its reply is unfinished.
 MAX_PIPELINED_BYTES = 65_536
@@ -42,6 +43,7 @@
         "_reply",
         "_reserved_bytes",
         "_server",
+        "_turns",
         "closing",
         "deadline",
     )
@@ -56,6 +58,7 @@
         self._pipelined_bytes = 0
         self._reserved_bytes = 0
         self._is_head_request = False
+        self._turns = Turns()
         #: Whether no further response will be sent on it.
         self.closing = False
         #: When the connection times out: while idle, while a request is received, or
@@ -157,6 +160,7 @@
         size = 0
         while True:
             event = self._http.next_event()
+            await self._turns.step()
             if event is h11.NEED_DATA:
                 if not await self._read_more():
                     return None
--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import TypeVar, cast
 
 import curio
@@ -28,6 +28,7 @@
     MayHaveRun,
     Placed,
     PlaceStep,
+    StreamEvent,
     StreamOrigin,
     TargetFailed,
     TargetLoad,
@@ -49,6 +50,8 @@
 REQUESTS = "requests"
 #: Maximum number of stream bytes buffered for a slow caller.
 MAX_UNSENT_BYTES = 131_072
+#: Maximum number of events that are passed on before other tasks get their turn.
+MAX_EVENTS_AT_ONCE = 64
 #: Maximum number of a prompt's parts in one log line.
 MAX_LOGGED_PARTS = 8
 #: Interval at which a slow caller's buffer is checked, in seconds.
@@ -286,11 +289,13 @@
         if not self._reply.begun:
             self._reply.begin_stream(head.status, head.headers)
         while chunk := await connection.read_chunk():
-            for event in splitter.feed(chunk):
-                self._reply.send_chunk(event.data)
-                self.last_event = event.event_id or self.last_event
-                self._report_event()
-                self._times.record_event()
+            events = splitter.feed(chunk, MAX_EVENTS_AT_ONCE)
+            while events:
+                self._pass_on(events)
+                if len(events) < MAX_EVENTS_AT_ONCE:
+                    break
+                await curio.sleep(0)
+                events = splitter.feed(b"", MAX_EVENTS_AT_ONCE)
             await self._stages.release()
             await self._wait_for_caller()
         if not splitter.is_between_events:
@@ -298,9 +303,18 @@
         if connection.ends_by_closing and self._first_byte_at is None:
             raise ConnectionClosedError("ended before the first event")
         await self._release_connection(connection, head)
+        if splitter.rest:
+            self._reply.send_chunk(splitter.rest)
         self._reply.end()
         return Delivered()
 
+    def _pass_on(self, events: Sequence[StreamEvent]) -> None:
+        for event in events:
+            self._reply.send_chunk(event.data)
+            self.last_event = event.event_id or self.last_event
+            self._report_event()
+            self._times.record_event()
+
     async def _wait_for_caller(self) -> None:
         """Stop reading from the target while the caller is too slow."""
         while self._reply.unsent_bytes > MAX_UNSENT_BYTES:
--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -17,6 +17,7 @@
 )
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._connection import Connection
+from bramleyspread_daemon._turns import Turns
 
 #: Maximum size of a response head.
 MAX_HEAD_BYTES = 65_536
@@ -29,9 +30,6 @@
 SMALL_BODY_BYTES = 1_048_576
 #: Maximum number of provisional responses before the final one.
 MAX_PROVISIONAL_RESPONSES = 16
-#: Number of reads after which other tasks get their turn, in case the peer sends faster
-#: than bytes are read.
-READS_PER_TURN = 16
 #: Time after which a connection with unacknowledged bytes is closed, in ms; it also
 #: decides when keepalive probes give up. Sound targets may be silent for over a second.
 UNACKNOWLEDGED_TIMEOUT_MS = 2_000
@@ -63,8 +61,8 @@
         "_http",
         "_is_eof",
         "_method",
-        "_reads",
         "_send_task",
+        "_turns",
         "address",
         "ends_by_closing",
         "idle_since",
@@ -79,7 +77,7 @@
     ) -> None:
         self._connection = connection
         self._buffered = buffered
-        self._reads = 0
+        self._turns = Turns()
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -198,6 +196,8 @@
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionClosedError("closed before the answer")
+            # A head may have thousands of lines.
+            await curio.sleep(0)
         raise ConnectionClosedError("provisional answers without end")
 
     async def read_chunk(self) -> bytes:
@@ -246,6 +246,7 @@
         :raises ConnectionClosedError: if no response can follow.
         """
         await self.read_body(max_bytes)
+        await curio.sleep(0)
         if self._http.our_state is not h11.IDLE:
             raise ConnectionClosedError("closed after an answer to another request")
         # The parser takes a response only after a request.
@@ -259,11 +260,9 @@
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
                 raise ConnectionClosedError(f"not HTTP: {error}") from None
+            await self._turns.step()
             if event is not h11.NEED_DATA:
                 return event
-            self._reads += 1
-            if self._reads % READS_PER_TURN == 0:
-                await curio.sleep(0)
             data = await self._connection.read()
             if not data:
                 if self._is_eof:
--- a/packages/forwarding/bramleyspread_forwarding/_events.py
+++ b/packages/forwarding/bramleyspread_forwarding/_events.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+import re
+import sys
+
 import msgspec
 
 #: Maximum number of bytes that are buffered for an incomplete event.
 MAX_EVENT_BYTES = 1_048_576
 #: Byte sequences that end an event.
-SEPARATORS = (b"\n\n", b"\r\n\r\n")
+_SEPARATOR = re.compile(rb"\n\n|\r\n\r\n")
+#: Line ends before an event, which belong to it.
+_LINE_ENDS = re.compile(rb"[\r\n]*")
 #: Size of the longest of them.
-MAX_SEPARATOR_BYTES = max(map(len, SEPARATORS))
+MAX_SEPARATOR_BYTES = 4
+#: The first line of an event that gives its id.
+_ID_LINE = re.compile(rb"^id(?::(.*))?$", re.MULTILINE)
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
@@ -17,7 +24,7 @@
 
     #: Id of the event; empty when it has none.
     event_id: str
-    #: Bytes of the event, including the empty line that ends it.
+    #: Bytes of the event, with line ends before it and the empty line that ends it.
     data: bytes
 
 
@@ -35,53 +42,61 @@
     False
     """
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "_line_end_bytes", "_searched_bytes")
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        # Line ends at the start of the buffer.
+        self._line_end_bytes = 0
+        # Bytes in which no end was found, which are not searched again.
+        self._searched_bytes = 0
 
     @property
     def is_between_events(self) -> bool:
-        """Whether the bytes so far end with a complete event, or there are none."""
-        return not self._buffer
+        """Whether no event has begun since the last complete one."""
+        return self._line_end_bytes == len(self._buffer)
+
+    @property
+    def rest(self) -> bytes:
+        """The bytes since the last complete event."""
+        return bytes(self._buffer)
 
-    def feed(self, data: bytes) -> list[StreamEvent]:
+    def feed(self, data: bytes, max_events: int = sys.maxsize) -> list[StreamEvent]:
         """Add bytes and return the events that they complete.
 
-        :param data: the next bytes of the stream.
-        :returns: the events that are complete now.
+        :param data: the next bytes of the stream; may be empty, to get further events.
+        :param max_events: maximum number of events to return.
+        :returns: the next events that are complete; if they are as many as that, there
+            may be more.
         :raises EventError: when an incomplete event exceeds ``MAX_EVENT_BYTES``.
         """
-        # Bytes in which no end was found are not searched again.
-        searched = max(len(self._buffer) - MAX_SEPARATOR_BYTES + 1, 0)
         self._buffer += data
-        events = []
-        while (end := _find_end(self._buffer, searched)) > 0:
-            complete, self._buffer = bytes(self._buffer[:end]), self._buffer[end:]
+        events: list[StreamEvent] = []
+        while len(events) < max_events and (end := self._find_end()) is not None:
+            complete = bytes(self._buffer[:end])
+            del self._buffer[:end]
+            self._line_end_bytes = self._searched_bytes = 0
             events.append(StreamEvent(_find_id(complete), complete))
-            searched = 0
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise EventError(f"an event of over {MAX_EVENT_BYTES} bytes")
         return events
 
+    def _find_end(self) -> int | None:
+        """Find the end of the first event.
 
-def _find_end(data: bytearray, start: int) -> int:
-    """Find the end of the first complete event; 0 when there is none.
-
-    :param data: the bytes.
-    :param start: where to begin to search.
-    """
-    ends = [
-        found + len(separator)
-        for separator in SEPARATORS
-        if (found := data.find(separator, start)) >= 0
-    ]
-    return min(ends, default=0)
+        :raises EventError: if it exceeds ``MAX_EVENT_BYTES`` and has no end so far.
+        """
+        line_ends = _LINE_ENDS.match(self._buffer, self._line_end_bytes)
+        assert line_ends is not None, "any bytes match"
+        self._line_end_bytes = line_ends.end()
+        searched_bytes = max(self._searched_bytes, self._line_end_bytes)
+        found = _SEPARATOR.search(self._buffer, searched_bytes)
+        if found is not None:
+            return found.end()
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventError(f"an event of over {MAX_EVENT_BYTES} bytes")
+        self._searched_bytes = max(len(self._buffer) - MAX_SEPARATOR_BYTES + 1, 0)
+        return None
 
 
 def _find_id(event: bytes) -> str:
-    for line in event.splitlines():
-        name, _, value = line.partition(b":")
-        if name == b"id":
-            return value.strip().decode("latin-1")
-    return ""
+    found = _ID_LINE.search(event.replace(b"\r", b"\n"))
+    return (found[1] or b"").strip().decode("latin-1") if found is not None else ""
