Know copies of all earlier answers to calls for pieces, not only of the last one

Cause: such answers name no call, and a copy was known only directly after its own answer. A copy of an answer that names no result could not be known at all.

Now a connection remembers all results that its answers have named, and is closed after an answer that names none, or after 1,024 results.

--- a/packages/daemon/bramleyspread_daemon/forward/_piece_calls.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_calls.py
@@ -28,6 +28,8 @@
 CONNECT_TIMEOUT_S = 0.25
 #: Maximum size of the answer to a call, in bytes.
 MAX_ANSWER_BYTES = 1_048_576
+#: Number of results that a connection's answers may have named; then it is closed.
+MAX_KNOWN_RESULTS = 1_024
 #: Timeout for releasing results at a target, in seconds.
 RELEASE_TIMEOUT_S = 1.0
 
@@ -93,15 +95,15 @@
     ) -> tuple[PieceResult, ...] | PiecesRejected:
         """Read the results of a call.
 
-        :raises ConnectionClosedError: if they are those of the call before.
+        :raises ConnectionClosedError: if they are those of an earlier call.
         """
         results = self._wire.read_pieces(call, reply.status, reply.body)
         if isinstance(results, PiecesRejected):
             return results
         handles = frozenset(each.handle for each in results if each.handle)
-        if handles & connection.latest_results:
-            raise ConnectionClosedError("a second copy of the answer before")
-        connection.latest_results = handles or connection.latest_results
+        if handles & connection.known_results:
+            raise ConnectionClosedError("a second copy of an earlier answer")
+        connection.known_results |= handles
         return results
 
     async def release(
@@ -180,9 +182,7 @@
                 self._signals.record(target, head.signals, sent_at)
             body = await connection.read_body(MAX_ANSWER_BYTES)
             outcome = read(WireReply(head.status, body), connection)
-            # Answers name no call: a target could write a rejection once more, in
-            # place of the answer to the next one.
-            is_complete = not isinstance(outcome, PiecesRejected)
+            is_complete = _can_copies_be_told(outcome, connection)
         finally:
             self._pool.record_traffic(call.path, connection)
             if is_complete:
@@ -192,5 +192,19 @@
         return outcome
 
 
+def _can_copies_be_told(outcome: object, connection: UpstreamConnection) -> bool:
+    """Whether a later copy of an answer can be told from the answer to another call.
+
+    Answers name no call, only the results that they hold. A target could write an
+    answer without any once more, in place of the one to a later call.
+    """
+    if isinstance(outcome, PiecesRejected):
+        return False
+    if not isinstance(outcome, tuple):
+        return True
+    is_known = any(isinstance(x, PieceResult) and x.handle for x in outcome)
+    return is_known and len(connection.known_results) < MAX_KNOWN_RESULTS
+
+
 def _read_nothing(reply: WireReply, connection: UpstreamConnection) -> None:
     """Ignore the answer to a call that has no results."""
--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -67,7 +67,7 @@
         "ends_by_closing",
         "idle_since",
         "is_relayed",
-        "latest_results",
+        "known_results",
         "max_idle_s",
         "was_used",
     )
@@ -90,8 +90,8 @@
         self.is_relayed = False
         #: When the last response on it ended, in monotonic seconds.
         self.idle_since = connection.opened_at
-        #: Handles of the stage results that the latest response with any has named.
-        self.latest_results: frozenset[str] = frozenset()
+        #: Handles of the stage results that responses on it have named.
+        self.known_results: set[str] = set()
         #: Whether the response has neither a length nor chunks, so that it ends with
         #: the connection.
         self.ends_by_closing = False
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_limited_stages.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_limited_stages.py
@@ -89,7 +89,7 @@
     def __init__(self, host: str, target: SignallingTarget) -> None:
         self._host, self._target = host, target
         self._run_s = 0.0
-        self.latest_results: frozenset[str] = frozenset()
+        self.known_results: set[str] = set()
 
     async def send(self, method: str, path: str, headers: object, body: bytes) -> None:
         self._target.arrivals.append((read_monotonic(), self._host))
