Don't take an answer without a length for whole if its target ended with it

Users saw streams end as complete before their last piece (ORDER, real processes). Here: a target killed every 6 s, streams without a length: over eight in 30 s, several at one host at once (trial with real processes).

Cause: the operating system closes the connections of a killed process in the ordinary way, which is how such an answer ends.

Now such an answer counts only if its target still accepts connections just after, or was leaving, and if its time wasn't over. A refusal that no host could confirm, since all had just met it, counts if this host reaches another target.

--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable, Sequence
 from typing import TypeVar, cast
 
@@ -17,6 +18,7 @@
 from bramleyspread_daemon.forward._stream_times import StreamTimes
 from bramleyspread_daemon.forward._target_connector import NoPathError
 from bramleyspread_daemon.forward._target_crashes import RequestFeatures
+from bramleyspread_daemon.forward._unframed_end import UnframedEnd
 from bramleyspread_daemon.forward._upstream import UpstreamConnection
 from bramleyspread_daemon.forward._wire import CallMetadata, TargetHead
 from bramleyspread_forwarding import (
@@ -86,6 +88,8 @@
         self._connection: UpstreamConnection | None = None
         self._is_end_reported = False
         self._first_byte_at: float | None = None
+        # When the time of the request is over; known once it is sent.
+        self._deadline = math.inf
         #: Whether any byte of the request was sent.
         self.was_sent = False
         #: Whether the target may be processing the request now.
@@ -111,6 +115,7 @@
         :returns: how the attempt ended.
         """
         end: AttemptEnd | None = None
+        self._deadline = read_monotonic() + metadata.remaining_ms / 1000
         try:
             end = await self._send(metadata, max_idle_s)
         finally:
@@ -262,6 +267,7 @@
         if is_success and head.is_stream:
             return await self._relay_stream(connection, head)
         body = await connection.read_body()
+        await self._check_end(connection)
         self._report_first_byte()
         await self._release_connection(connection, head)
         if not is_success:
@@ -302,12 +308,26 @@
             raise ConnectionClosedError("ended in the middle of an event")
         if connection.ends_by_closing and self._first_byte_at is None:
             raise ConnectionClosedError("ended before the first event")
+        await self._check_end(connection)
         await self._release_connection(connection, head)
         if splitter.rest:
             self._reply.send_chunk(splitter.rest)
         self._reply.end()
         return Delivered()
 
+    async def _check_end(self, connection: UpstreamConnection) -> None:
+        """Check that an answer without a length has not broken off.
+
+        :raises ConnectionClosedError: if it has.
+        """
+        if not connection.ends_by_closing:
+            return
+        end = UnframedEnd(self._placed.target, self._deadline)
+        context = self._context
+        why = await end.find_break(context.upstream, context.targets)
+        if why:
+            raise ConnectionClosedError(why)
+
     def _pass_on(self, events: Sequence[StreamEvent]) -> None:
         for event in events:
             self._reply.send_chunk(event.data)
--- a/packages/daemon/bramleyspread_daemon/forward/_target_connector.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_connector.py
@@ -234,7 +234,8 @@
     async def is_refused(self, address: Address, timeout: float) -> bool:
         """Find whether a target accepts no connections, by whichever path.
 
-        A refusal counts only if another host meets it too, as far as there is any.
+        A refusal counts only if another host meets it too, or if none can tell and this
+        host reaches another target.
         """
         try:
             connection = await self.open_directly(address, timeout)
@@ -252,10 +253,21 @@
         except RequestNotSentError:
             return False
         if relayed is None:
-            return not self._has_other_hosts()
+            return not self._has_other_hosts() or await self._reaches_another(address)
         await relayed.close()
         return False
 
+    async def _reaches_another(self, address: Address) -> bool:
+        """Find whether another target is reached now.
+
+        Hosts that have just been refused themselves don't relay, so of several that see
+        one crash none would learn of it from the others.
+        """
+        started_at = read_monotonic()
+        await self._try_others(address)
+        now = read_monotonic()
+        return self.paths.has_reached_another(address, now, now - started_at)
+
     def _has_other_hosts(self) -> bool:
         return len(self._list_hosts()) > 1
 
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_relay.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_relay.py
@@ -15,6 +15,7 @@
     RequestNotSentError,
     TargetRefusedError,
 )
+from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._connection import Connection
 from bramleyspread_daemon._server import HttpServer
 from bramleyspread_daemon.forward import _relay as relay
@@ -54,6 +55,7 @@
     def __init__(self) -> None:
         self.known: set[Address] = set()
         self.server: HttpServer | None = None
+        self.address = Address("127.0.0.1", 0)
         self.relay = UpstreamPool(None, lambda pool: self._connect(pool, ()))
         assert self.relay.connector is not None
         self.is_stopping = False
@@ -67,8 +69,8 @@
         :param others: more hosts that it may ask.
         """
         routes = ("GET", RELAY_PATH, self.service.serve)
-        self.server, address = await start_server(routes)
-        hosts = (EntryHost("relay", "far", address), *others)
+        self.server, self.address = await start_server(routes)
+        hosts = (EntryHost("relay", "far", self.address), *others)
         return UpstreamPool(None, lambda pool: self._connect(pool, hosts, lost=True))
 
     def _connect(
@@ -497,3 +499,25 @@
         assert site.service.open + other.service.open == 0
 
     run(main)
+
+
+# Guards against a crash that several hosts see, and each takes for its own lost path.
+@pytest.mark.parametrize("others_reached", [True, False])
+def test_refusal_that_all_hosts_have_just_met_counts_if_others_are_reached(
+    others_reached: bool,
+) -> None:
+    ended = Address("127.0.0.1", 1)
+
+    async def action(site: Site, pool: UpstreamPool, target: Address) -> None:
+        if not others_reached:
+            site.known.clear()
+            site.known.add(Address("127.0.0.1", 2))
+        site.known.add(ended)
+        assert site.relay.connector is not None
+        now = read_monotonic()
+        site.relay.connector.paths.record_failure(ended, now, is_silent=False)
+        host = EntryHost("relay", "far", site.address)
+        own = UpstreamPool(None, lambda pool: site._connect(pool, (host,)))
+        assert await own.is_refused(ended) is others_reached
+
+    run_relayed(ignore, action)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
@@ -10,7 +10,9 @@
 import pytest
 
 from bramleyspread_core import Address, ForwardRoute
+from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon.forward._target_crashes import COLLECTION_S, TargetCrashes
+from bramleyspread_daemon.forward._unframed_end import UnframedEnd
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward._wire import TargetHead
 from bramleyspread_daemon.forward.tests.test_request_forwarder import (
@@ -28,7 +30,13 @@
     run,
     start_scripted_server,
 )
-from bramleyspread_forwarding import ForwardRequest, ForwardTarget, Placed, PlaceQuery
+from bramleyspread_forwarding import (
+    ForwardRequest,
+    ForwardTarget,
+    Placed,
+    PlaceQuery,
+    TargetTable,
+)
 
 #: Heads that give neither a length nor chunks.
 HEADS = (
@@ -177,3 +185,71 @@
 def test_stream_with_an_end_of_its_own_may_have_no_event() -> None:
     head = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
     assert forward(STREAM_ROUTE, head, b"").reply.ended == "whole"
+
+
+class CrashingTarget:
+    """A target that ends with its answer, as a process that is killed does.
+
+    :param answer: what it sends before.
+    """
+
+    def __init__(self, answer: bytes) -> None:
+        self._answer = answer
+        self._listening = curio.socket.socket()
+        self._listening.bind(("127.0.0.1", 0))
+        self._listening.listen(16)
+        self.address = Address(*self._listening.getsockname())
+
+    async def serve(self) -> None:
+        connected, _ = await self._listening.accept()
+        await read_request(connected)
+        await connected.sendall(self._answer)
+        await curio.sleep(0.05)
+        await connected.close()
+        await self._listening.close()
+
+
+def forward_to_crashing(
+    route: ForwardRoute, body: bytes, *, has_departed: bool = False
+) -> _Reply:
+    """Forward a request to a target that ends with its answer."""
+    reply = _Reply()
+
+    async def main() -> None:
+        target = CrashingTarget(HEADS[0] + body)
+        await curio.spawn(target.serve, daemon=True)
+        wire = _Wire(is_stream=route is STREAM_ROUTE)
+        context = make_context(wire)
+        context.placement = _Placement(target.address)
+        context.upstream = UpstreamPool()
+        if has_departed:
+            context.targets.record_departure("t", 0, 0.0)
+        await make_forwarder(route, context, wire, reply).run()
+
+    run(main)
+    return reply
+
+
+# Guards against half an answer without a length that looks whole since a killed
+# process's connections are closed in the ordinary way.
+def test_answer_that_ends_with_its_target_is_not_whole() -> None:
+    reply = forward_to_crashing(STREAM_ROUTE, EVENT * 3)
+    assert (reply.statuses, reply.ended) == ([200], "cut")
+    assert b"".join(reply.chunks) == EVENT * 3
+    assert forward_to_crashing(PLAIN_ROUTE, b"half of it").statuses == [502]
+
+
+def test_answer_of_a_target_that_was_leaving_is_whole() -> None:
+    reply = forward_to_crashing(STREAM_ROUTE, EVENT * 3, has_departed=True)
+    assert (reply.statuses, reply.ended) == ([200], "whole")
+
+
+# Guards against a stream that its target gave up at the deadline it was given.
+def test_answer_that_ends_as_its_time_is_over_is_not_whole() -> None:
+    async def main() -> str:
+        target = CrashingTarget(b"")
+        named = ForwardTarget("t", target.address, "z", 1)
+        end = UnframedEnd(named, read_monotonic() + 0.005)
+        return await end.find_break(UpstreamPool(), TargetTable())
+
+    assert "time" in run(main)
--- a/packages/forwarding/bramleyspread_forwarding/_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/_targets.py
@@ -264,6 +264,15 @@
             self._crashes[target, born] = now
             self._rebuild(now)
 
+    def has_departed(self, target: str, born: int) -> bool:
+        """Whether a target's process is leaving or has left, as far as is known.
+
+        :param target: the target.
+        :param born: when the process started, in milliseconds since 1970; 0 if unknown.
+        """
+        known = self._departures.get(target)
+        return known is not None and known[0] >= born
+
     def _add_departure(self, target: str, born: int, now: float) -> None:
         known = self._departures.get(target)
         if known is None or known[0] <= born:
@@ -314,8 +323,7 @@
         usable: dict[str, list[ForwardTarget]] = {}
         stale: dict[str, list[ForwardTarget]] = {}
         for target, notice in sorted(newest.items()):
-            departure = self._departures.get(target)
-            if departure is not None and departure[0] >= notice.born:
+            if self.has_departed(target, notice.born):
                 continue
             is_fresh = target in fresh_targets
             is_confirmed = is_fresh and (target, notice.born) not in self._crashes
