Refuse requests that come after accepting has ended, and answer all at the end of a stop

Other operators saw requests taken late in a planned stop and cut without an answer (LOST). Here a connection whose stream began before the signal took further requests to the end of the stop, and one whose body came late was passed on.

Now such requests are refused with 503 at once, connections close after the answer under way, and at the end each unfinished request gets 503 or 504, by whether a target got it.

Evidence: test_server.py: the new test failed before for callers (the request was served).

--- a/packages/daemon/bramleyspread_daemon/_server.py
+++ b/packages/daemon/bramleyspread_daemon/_server.py
@@ -50,6 +50,8 @@
         self.is_public = False
         #: Whether responses ask peers to close their connections.
         self.draining = False
+        #: Whether further requests are refused, as the process is about to end.
+        self.refuses_requests = False
         #: Connections accepted so far.
         self.accepted = 0
         #: Requests passed to the handler so far.
@@ -96,9 +98,12 @@
     async def stop_accepting(self) -> None:
         """Stop accepting connections; requests in progress continue.
 
-        Idle connections are closed, because a request sent on one later could
-        arrive after this process has exited and would get no answer.
+        Requests that peers outside the deployment send from now on, on connections
+        that are busy, are refused: they might not be finished in time. Idle connections
+        are closed, because a request sent on one later could arrive after this process
+        has exited and would get no answer.
         """
+        self.refuses_requests = self.is_public
         if self._accept_task is not None:
             await self._accept_task.cancel()
             await self._listen_socket.close()
--- a/packages/daemon/bramleyspread_daemon/_server_connection.py
+++ b/packages/daemon/bramleyspread_daemon/_server_connection.py
@@ -105,6 +105,9 @@
             return False
         if request is None:
             return False
+        if self._server.refuses_requests:
+            self._refuse(503, "about to stop; try another host")
+            return False
         self.deadline = None
         self._pipelined_bytes = 0
         self._reply = reply = Reply(self)
@@ -299,6 +302,7 @@
             self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
             and not self._http.trailing_data[0]
+            and not self._server.refuses_requests
         )
         if reusable:
             self._http.start_next_cycle()
@@ -316,8 +320,12 @@
             await curio.sleep(FLUSH_INTERVAL_S)
         if self.closing and not self._connection.aborted:
             self._connection.finish_writing()
+            is_sending = False
             while await self._connection.read():
-                pass
+                is_sending = True
+            if is_sending and self._connection.aborted:
+                # A peer whose bytes no longer fit would never learn of a plain close.
+                await self._connection.reset()
 
     def flush(self, now: float) -> bool:
         """Try to send the buffered bytes.
--- a/packages/daemon/bramleyspread_daemon/_server_context.py
+++ b/packages/daemon/bramleyspread_daemon/_server_context.py
@@ -32,6 +32,8 @@
     is_public: bool
     #: Whether responses ask peers to close their connections.
     draining: bool
+    #: Whether further requests are refused, as the process is about to end.
+    refuses_requests: bool
 
     async def answer(self, request: HttpRequest, reply: Reply) -> None:
         """Pass a request to the handler."""
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -82,6 +82,7 @@
         self._source = source
         self._process = process
         self._started_at = process.now()
+        self._running: dict[RequestForwarder, curio.Task] = {}
         self._settings = settings
         self._wire = callers
         #: State shared by all requests.
@@ -141,13 +142,27 @@
         if isinstance(forwarder, Refusal):
             self._refuse(forwarder, reply)
             return
-        task = await curio.spawn(forwarder.run, daemon=True)
+        task = await curio.spawn(self._run, forwarder, daemon=True)
 
         async def cancel_task() -> None:
             await task.cancel(blocking=False)
 
         reply.on_disconnect = cancel_task
 
+    async def _run(self, forwarder: RequestForwarder) -> None:
+        self._running[forwarder] = await curio.current_task()
+        try:
+            await forwarder.run()
+        finally:
+            del self._running[forwarder]
+
+    async def _end_requests(self) -> None:
+        """Answer the requests that are unfinished, and reset relayed connections."""
+        for forwarder, task in tuple(self._running.items()):
+            await task.cancel()
+            forwarder.end_by_stop()
+        await self.relays.stop()
+
     def _admit(
         self, request: ForwardRequest | MalformedRequest, reply: Reply
     ) -> RequestForwarder | Refusal:
@@ -305,7 +320,7 @@
             servers,
             do_nothing,
             lambda: self.context.in_flight == 0,
-            self.relays.stop,
+            self._end_requests,
         )
 
     async def run(self) -> int:
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -52,6 +52,8 @@
 RETRY_AFTER_SHARE = 0.25
 #: Why requests are refused under which targets crash.
 QUARANTINED = "targets crash under requests like this one"
+#: Why requests end that are unfinished when this host stops.
+STOPPED = "this host stops"
 #: Timeout of a request whose caller gives no deadline, in ms.
 DEFAULT_TIMEOUT_MS = 30_000.0
 
@@ -120,6 +122,15 @@
             self._log_outcome(outcome)
             await self._clean_up()
 
+    def end_by_stop(self) -> None:
+        """Give the caller a final answer after :meth:`run` was cancelled by a stop."""
+        if self._reply.begun:
+            self._reply.abort()
+        elif self._may_have_run:
+            self._refuse(504, STOPPED, None)
+        else:
+            self._refuse(503, STOPPED, RETRY_AFTER_S)
+
     async def _clean_up(self) -> None:
         if self._current_attempt is not None:
             await self._current_attempt.close()
--- a/packages/daemon/bramleyspread_daemon/tests/test_server.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_server.py
@@ -232,6 +232,47 @@
     run(main)
 
 
+# Guards against requests that are taken late in a stop, and cut off at its end.
+@pytest.mark.parametrize("is_public", [True, False])
+def test_requests_after_the_end_of_accepting_are_refused_at_once(
+    is_public: bool,
+) -> None:
+    async def main() -> None:
+        begun: list[Reply] = []
+
+        async def wait(_: HttpRequest, reply: Reply) -> None:
+            begun.append(reply)
+
+        server, address = await start_server(
+            ("POST", "/echo", echo), ("GET", "/wait", wait)
+        )
+        server.is_public = is_public
+        streaming, sending = await connect(address), await connect(address)
+        # The head of this reply was sent before the stop, so it asks for no close.
+        await streaming.sendall(b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n")
+        while not begun:
+            await curio.sleep(0)
+        begun[0].begin_events()
+        head, rest = VALID_REQUEST[:10], VALID_REQUEST[10:]
+        await sending.sendall(head)
+        await curio.sleep(0.05)
+        server.draining = True
+        await server.stop_accepting()
+        await sending.sendall(rest)
+        answer = await read_all(sending)
+        assert (b" 503 " in answer) is is_public
+        assert b"connection: close" in answer.lower()
+        begun[0].end()
+        if is_public:
+            assert (await read_all(streaming)).endswith(b"0\r\n\r\n")
+            return
+        await read_until(streaming, b"0\r\n\r\n")
+        await streaming.sendall(VALID_REQUEST)
+        assert (await read_all(streaming)).endswith(b"hi")
+
+    run(main)
+
+
 def test_total_size_of_request_bodies_is_limited() -> None:
     async def main() -> None:
         limits = Limits(held_bytes=100_000, body_bytes=90_000)
