--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -35,6 +35,7 @@
     TargetFailed,
     TargetLoad,
     WasNotRun,
+    follows,
     list_shared_parts,
 )
 
@@ -88,6 +89,8 @@
         self._connection: UpstreamConnection | None = None
         self._is_end_reported = False
         self._first_byte_at: float | None = None
+        # Id of the last event that the caller had before; empty if it had none.
+        self._after_event = ""
         # When the time of the request is over; known once it is sent.
         self._deadline = math.inf
         #: Whether any byte of the request was sent.
@@ -115,6 +118,7 @@
         :returns: how the attempt ended.
         """
         end: AttemptEnd | None = None
+        self._after_event = metadata.last_event_id
         self._deadline = read_monotonic() + metadata.remaining_ms / 1000
         try:
             end = await self._send(metadata, max_idle_s)
@@ -330,6 +334,8 @@
 
     def _pass_on(self, events: Sequence[StreamEvent]) -> None:
         for event in events:
+            if not self.last_event and not follows(event.event_id, self._after_event):
+                raise ConnectionClosedError("began with an event that was passed on")
             self._reply.send_chunk(event.data)
             self.last_event = event.event_id or self.last_event
             self._report_event()
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -13,7 +13,12 @@
     DocumentParts,
     build_document,
 )
-from bramleyspread_forwarding._events import EventError, EventSplitter, StreamEvent
+from bramleyspread_forwarding._events import (
+    EventError,
+    EventSplitter,
+    StreamEvent,
+    follows,
+)
 from bramleyspread_forwarding._feed import (
     ControlProcess,
     Departure,
@@ -217,6 +222,7 @@
     "find_preferred_engine",
     "estimate_reading_ms",
     "estimate_call_ms",
+    "follows",
     "list_shared_parts",
     "find_call_lead_s",
     "find_shard_of",
--- a/packages/forwarding/bramleyspread_forwarding/_events.py
+++ b/packages/forwarding/bramleyspread_forwarding/_events.py
@@ -9,6 +9,8 @@
 
 #: Maximum number of bytes that are buffered for an incomplete event.
 MAX_EVENT_BYTES = 1_048_576
+#: Maximum number of digits of an id that is read as a number.
+MAX_ID_DIGITS = 18
 #: Byte sequences that end an event.
 _SEPARATOR = re.compile(rb"\n\n|\r\n\r\n")
 #: Line ends before an event, which belong to it.
@@ -32,6 +34,20 @@
     """Reports a stream that can't be split into events."""
 
 
+def follows(event_id: str, last_id: str) -> bool:
+    """Whether an event may come after another one of its stream.
+
+    Ids of events increase; one that isn't a number says nothing.
+
+    >>> follows("10", "9"), follows("9", "9"), follows("", "9")
+    (True, False, True)
+    """
+    are_numbers = event_id.isdecimal() and last_id.isdecimal()
+    if not are_numbers or max(len(event_id), len(last_id)) > MAX_ID_DIGITS:
+        return True
+    return int(event_id) > int(last_id)
+
+
 class EventSplitter:
     r"""Splits a stream of bytes into complete events.
 
