--- a/packages/core/bramleyspread_core/_deployment.py
+++ b/packages/core/bramleyspread_core/_deployment.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterator
 from enum import Enum
@@ -190,6 +191,17 @@
     for name, count in names.items():
         if count > 1:
             yield f"services: {name!r} stands {count} times"
+    for number, service in enumerate(deployment.services):
+        if service.pieces is not None:
+            yield from _find_number_faults(f"services[{number}].pieces", service.pieces)
+
+
+def _find_number_faults(path: str, checked: msgspec.Struct) -> Iterator[str]:
+    """Find numbers that aren't finite, which JSON can't hold."""
+    for name in checked.__struct_fields__:
+        value = getattr(checked, name)
+        if isinstance(value, float) and not math.isfinite(value):
+            yield f"{path}: a number is too large ({name})"
 
 
 def _find_route_faults(deployment: Deployment) -> Iterator[str]:
@@ -204,6 +216,7 @@
             yield f"{path}.prefix: must begin and end with a slash"
         if route.timeout_ms <= 0:
             yield f"{path}.timeout: must be above 0"
+        yield from _find_number_faults(path, route)
         yield from _find_share_faults(path, route, services)
         yield from _find_stage_faults(path, route, services)
 
