--- a/packages/daemon/bramleyspread_daemon/forward/_relay.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_relay.py
@@ -222,6 +222,7 @@
             headers = {k.decode(): v.decode("latin-1") for k, v in answer.headers}
             switched = RelayedConnection(
                 connection.detach_socket(),
+                relay,
                 http.trailing_data[0],
                 is_framed=RELAY_PROTOCOL in _list_protocols(headers),
             )
--- a/packages/daemon/bramleyspread_daemon/forward/_relayed_connection.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_relayed_connection.py
@@ -9,8 +9,15 @@
 
 from typing import Any
 
+import curio
+
+from bramleyspread_core import Address
 from bramleyspread_daemon._connection import Connection
 
+#: Time in which a process that ends closes all its sockets, in seconds.
+PROCESS_END_S = 0.005
+#: Timeout for finding out whether a host accepts connections, in seconds.
+CHECK_TIMEOUT_S = 0.25
 #: Size of the number that precedes each part and gives its size, in bytes.
 SIZE_BYTES = 4
 #: Follows the last part if the target has closed its connection in the ordinary way.
@@ -30,23 +37,26 @@
     """Connection whose peer is a target, by way of a host that relays it.
 
     It counts as reset unless the host has said that the target closed it. Hosts of
-    earlier builds can't say so.
+    earlier builds can't say so; they are asked whether they still run.
 
     :param connected_socket: the connected socket of curio.
+    :param relay: address of the host that relays.
     :param early: bytes that have been received on it already.
     :param is_framed: whether what the host sends is framed.
     """
 
-    __slots__ = ("_buffer", "_has_ended", "_is_framed", "_left_bytes")
+    __slots__ = ("_buffer", "_has_ended", "_is_framed", "_left_bytes", "_relay")
 
     def __init__(
         self,
         connected_socket: Any,  # noqa: ANN401
+        relay: Address,
         early: bytes,
         *,
         is_framed: bool,
     ) -> None:
         super().__init__(connected_socket)
+        self._relay = relay
         self._buffer = bytearray(early)
         self._is_framed = is_framed
         # Bytes of the part that is being received which have not been returned yet.
@@ -64,11 +74,24 @@
                 return data
             received = await super().read()
             if not received:
-                self.was_reset = True
+                lacks_end = self._is_framed or await self._has_relay_ended()
+                self.was_reset = self.was_reset or lacks_end
                 return b""
             self._buffer += received
         return b""
 
+    async def _has_relay_ended(self) -> bool:
+        """Whether the host accepts no connections, so that it closed this one."""
+        await curio.sleep(PROCESS_END_S)
+        try:
+            connection = await curio.timeout_after(
+                CHECK_TIMEOUT_S, Connection.open, self._relay
+            )
+        except (OSError, curio.TaskTimeout):
+            return True
+        await connection.reset()
+        return False
+
     def _take(self) -> bytes:
         """Take bytes of one part from the buffer; empty if it holds none."""
         if not self._is_framed:
--- a/packages/daemon/bramleyspread_daemon/forward/_unframed_end.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_unframed_end.py
@@ -9,11 +9,10 @@
 import curio
 
 from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon.forward._relayed_connection import PROCESS_END_S
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_forwarding import ForwardTarget, TargetTable
 
-#: Time in which a process that ends closes all its sockets, in seconds.
-PROCESS_END_S = 0.005
 #: Time before the end of a request's time in which its target may stop work, in
 #: seconds.
 STOP_MARGIN_S = 0.01
