--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_endless_responses.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_endless_responses.py
@@ -190,7 +190,7 @@
         assert splitter.is_between_events
 
 
-class _Wire(FakeWire):
+class SendingWire(FakeWire):
     """Wire format whose requests can really be sent.
 
     :param not_run: whether each response says that the request has not run.
@@ -241,7 +241,7 @@
 
 def test_endless_rejection_is_still_a_rejection() -> None:
     reply, target = RecordingReply(), EndlessTarget(*ENDLESS_BODIES["until close"])
-    steps = forward(target, _Wire(not_run=True), reply)
+    steps = forward(target, SendingWire(not_run=True), reply)
     assert reply.statuses == [503]
     assert target.closed == 1
     assert steps[-1].good is False
@@ -249,7 +249,7 @@
 
 def test_endless_event_cuts_the_answer_off_and_counts_as_a_failure() -> None:
     reply, target = StreamReply(), EndlessTarget(*ENDLESS_BODIES["until close"])
-    steps = forward(target, _Wire(), reply)
+    steps = forward(target, SendingWire(), reply)
     assert (reply.statuses, reply.chunks, reply.ended) == ([200], [], "cut")
     assert target.closed == 1
     assert steps[-1].good is False
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
@@ -9,11 +9,13 @@
 
 from bramleyspread_core import Address, ForwardRoute
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
-from bramleyspread_daemon.forward.tests.test_endless_responses import pool_of
+from bramleyspread_daemon.forward.tests.test_endless_responses import (
+    SendingWire,
+    pool_of,
+)
 from bramleyspread_daemon.forward.tests.test_request_forwarder import (
     ROUTE,
     STREAM,
-    FakeWire,
     StreamReply,
     make_context,
     make_forwarder,
@@ -26,14 +28,6 @@
 )
 
 
-class _Wire(FakeWire):
-    """Wire format whose requests can really be sent."""
-
-    def write_head(self, request: Any, metadata: Any) -> Any:
-        super().write_head(request, metadata)
-        return ((b"host", b"h"),)
-
-
 def stop_during(route: ForwardRoute, answer: bytes, *, hangs: bool = False) -> Any:
     """Stop a host while a target is at work on a request; return the reply.
 
@@ -50,7 +44,7 @@
 
     async def main() -> None:
         _, address = await start_scripted_server(serve)
-        wire, pool = _Wire(), UpstreamPool()
+        wire, pool = SendingWire(), UpstreamPool()
         context = make_context(wire)
 
         async def acquire(_: Address, *args: object, **options: object) -> Any:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_tiny_pieces.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_tiny_pieces.py
@@ -4,7 +4,6 @@
 
 from typing import Any
 
-import msgspec
 import pytest
 
 from bramleyspread_core import Address
@@ -15,12 +14,12 @@
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward.tests.test_endless_responses import (
     CHUNKED,
+    SendingWire,
     count_turns,
     pool_of,
 )
 from bramleyspread_daemon.forward.tests.test_request_forwarder import (
     STREAM,
-    FakeWire,
     StreamReply,
     make_context,
     make_forwarder,
@@ -129,17 +128,6 @@
     run(main)
 
 
-class _Wire(FakeWire):
-    """Wire format whose requests can really be sent."""
-
-    def write_head(self, request: Any, metadata: Any) -> Any:
-        super().write_head(request, metadata)
-        return ((b"host", b"h"),)
-
-    def read_head(self, status: int, headers: object) -> Any:
-        return msgspec.structs.replace(super().read_head(status, headers))
-
-
 async def forward_stream(body: bytes, reply: StreamReply) -> int:
     """Forward a stream, and return how often another task got its turn meanwhile."""
 
@@ -149,7 +137,7 @@
         await connected.sendall(b"HTTP/1.1 200 OK\r\n" + length + body)
 
     _, address = await start_scripted_server(answer)
-    wire, pool = _Wire(), UpstreamPool()
+    wire, pool = SendingWire(), UpstreamPool()
     context = make_context(wire)
 
     async def acquire(_: Address, *args: object, **options: object) -> Any:
