--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_tiny_pieces.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_tiny_pieces.py
@@ -11,6 +11,7 @@
 from bramleyspread_daemon._clock import ProcessClock, read_monotonic
 from bramleyspread_daemon._connection import READ_BYTES, Connection
 from bramleyspread_daemon._exchange import HttpRequest, Reply
+from bramleyspread_daemon.forward._upstream import UpstreamConnection
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward.tests.test_endless_responses import (
     CHUNKED,
@@ -49,19 +50,26 @@
     await connected.sendall(CHUNKED + ONE_BYTE_CHUNKS)
 
 
+async def check_turns_of_one_answer(
+    connection: UpstreamConnection | ClientConnection,
+) -> None:
+    """Read an answer in one-byte chunks, and check that others get their turn."""
+
+    async def read() -> None:
+        await connection.read_head()
+        assert await connection.read_body() == b"x" * PIECES
+
+    assert await count_turns(read) >= PIECES / MAX_PIECES_PER_TURN
+    await connection.close()
+
+
 # Guards against a body in tiny chunks that keeps all other requests from running.
 def test_tiny_chunks_of_targets_leave_others_their_turn() -> None:
     async def main() -> None:
         _, address = await start_scripted_server(answer_in_one_byte_chunks)
         connection = await UpstreamPool().acquire(address, 1.0)
         await connection.send("GET", "/", [(b"host", b"h")], b"")
-
-        async def read() -> None:
-            await connection.read_head()
-            assert await connection.read_body() == b"x" * PIECES
-
-        assert await count_turns(read) >= PIECES / MAX_PIECES_PER_TURN
-        await connection.close()
+        await check_turns_of_one_answer(connection)
 
     run(main)
 
@@ -71,13 +79,7 @@
         _, address = await start_scripted_server(answer_in_one_byte_chunks)
         connection = await ClientConnection.open(address, ProcessClock(), 1.0)
         await connection.send("GET", "/", b"")
-
-        async def read() -> None:
-            await connection.read_head()
-            assert await connection.read_body() == b"x" * PIECES
-
-        assert await count_turns(read) >= PIECES / MAX_PIECES_PER_TURN
-        await connection.close()
+        await check_turns_of_one_answer(connection)
 
     run(main)
 
