Logs tell a request that a stop cut off from one whose caller left

A request that was unfinished at the end of a planned stop was logged as 'left', like one whose caller had gone, and nothing said when accepting ended and what was unfinished then: the hypotheses of the incident could not be told apart by logs. The end line now says what the stop did, how many events had gone out and for how long the stream was silent; the stop has a line when accepting ends and at its end. The test failed before (the text was 'left', there was no such field).

--- a/packages/daemon/bramleyspread_daemon/_process.py
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -235,11 +235,15 @@
         await curio.sleep(limits.grace_s)
         for server in servers:
             await server.stop_accepting()
+        replies = sum(server.open_replies for server in servers)
+        log = logger.bind(step="stop", peer="-")
+        log.info(f"accepts no more connections; {replies} replies are unfinished")
         finished = await wait_until(is_finished, limits.drain_s)
         if finish is not None:
             await finish()
         for server in servers:
             await server.close_connections()
+        log.info("stopped" if finished else "stopped; unfinished requests were ended")
         self.write_timeline_event("stopped", detail="" if finished else "cut off")
         return finished
 
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -159,6 +159,7 @@
     async def _end_requests(self) -> None:
         """Answer the requests that are unfinished, and reset relayed connections."""
         for forwarder, task in tuple(self._running.items()):
+            forwarder.is_ended_by_stop = True
             await task.cancel()
             forwarder.end_by_stop()
         await self.relays.stop()
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -103,11 +103,13 @@
         self._earlier_attempt_may_have_run = False
         self._target_failure: TargetFailed | None = None
         self._current_attempt: Attempt | None = None
+        #: Whether the host's stop is what cancels it.
+        self.is_ended_by_stop = False
 
     async def run(self) -> None:
         """Run until the caller has its final answer or has disconnected."""
         self._context.in_flight += 1
-        outcome = "left"
+        outcome = ""
         try:
             remaining_s = max(self._deadline - read_monotonic(), 0.001)
             try:
@@ -118,6 +120,7 @@
                 outcome = self._end_by_error()
         finally:
             self._context.in_flight -= 1
+            outcome = outcome or self._describe_cancellation()
             self._context.end_counts[outcome.partition(":")[0]] += 1
             self._log_outcome(outcome)
             await self._clean_up()
@@ -131,6 +134,15 @@
         else:
             self._refuse(503, STOPPED, RETRY_AFTER_S)
 
+    def _describe_cancellation(self) -> str:
+        """Describe how the request ended that was cancelled, for the log."""
+        if not self.is_ended_by_stop:
+            return "left"
+        if self._reply.begun:
+            return "ended by stop: cut off"
+        what = "may have run" if self._may_have_run else "not run"
+        return f"ended by stop: {what}"
+
     async def _clean_up(self) -> None:
         if self._current_attempt is not None:
             await self._current_attempt.close()
@@ -148,6 +160,8 @@
             connect_ms=round(self._times.connecting_ms),
             first_ms=round(self._times.first_ms),
             pause_ms=round(self._times.longest_pause_ms),
+            silent_ms=round(self._times.silent_ms),
+            events=self._times.events,
             ms=round(elapsed_ms),
             # An attempt that was interrupted is not counted in ``_attempts``.
             attempts=self._attempts + self._is_in_flight,
--- a/packages/daemon/bramleyspread_daemon/forward/_stream_times.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stream_times.py
@@ -12,6 +12,7 @@
         "_last_event_at",
         "_started_at",
         "connecting_ms",
+        "events",
         "first_ms",
         "longest_pause_ms",
     )
@@ -24,6 +25,8 @@
         #: Time from the request to its first event, in milliseconds; 0 before the
         #: first.
         self.first_ms = 0.0
+        #: Number of events sent to the caller.
+        self.events = 0
         #: Longest pause between two consecutive events, in milliseconds.
         self.longest_pause_ms = 0.0
 
@@ -37,3 +40,11 @@
                 self.longest_pause_ms, (now - self._last_event_at) * 1000
             )
         self._last_event_at = now
+        self.events += 1
+
+    @property
+    def silent_ms(self) -> float:
+        """Time since the last event, in milliseconds; 0 before the first."""
+        if not self._last_event_at:
+            return 0.0
+        return (read_monotonic() - self._last_event_at) * 1000
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
@@ -6,6 +6,7 @@
 
 import curio
 import pytest
+from loguru import logger
 
 from bramleyspread_core import Address, ForwardRoute
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
@@ -56,6 +57,7 @@
         forwarder = make_forwarder(route, context, wire, reply)
         task = await curio.spawn(forwarder.run)
         await curio.sleep(0.1)
+        forwarder.is_ended_by_stop = True
         await task.cancel()
         forwarder.end_by_stop()
         assert context.in_flight == 0
@@ -81,3 +83,25 @@
     event = b"id: 1\n\n"
     reply = stop_during(STREAM, b"HTTP/1.1 200 OK\r\n\r\n" + event)
     assert (reply.statuses, reply.chunks, reply.ended) == ([200], [event], "cut")
+
+
+# Guards against logs in which a stop's cut looks like a caller that left.
+@pytest.mark.parametrize(
+    ("route", "answer", "outcome"),
+    [
+        (STREAM, b"HTTP/1.1 200 OK\r\n\r\nid: 1\n\n", "ended by stop: cut off"),
+        (ROUTE, b"", "ended by stop: may have run"),
+    ],
+)
+def test_end_by_a_stop_is_logged_as_such(
+    route: ForwardRoute, answer: bytes, outcome: str
+) -> None:
+    ends: list[Any] = []
+    handler = logger.add(lambda message: ends.append(message.record))
+    try:
+        stop_during(route, answer)
+    finally:
+        logger.remove(handler)
+    (end,) = [each for each in ends if each["extra"].get("step") == "end"]
+    assert end["message"] == outcome
+    assert end["extra"]["events"] == (1 if route is STREAM else 0)
