Record SIGHUP from the start of a process on

What was seen: hosts ended by themselves with exit code -1 (SIGHUP) when the signal came within about two seconds of their start.

Cause: the signal was handled only once a process served. Until then, while modules and settings are loaded, its default action ends the process; on a slow processor that takes seconds.

Fix: the entry point records the signal before it loads anything else, and the wait for the stop takes up what was recorded, so that a change told meanwhile isn't missed either. In the time before the entry point's first line the interpreter's default action remains.

--- a/packages/daemon/bramleyspread_daemon/__main__.py
+++ b/packages/daemon/bramleyspread_daemon/__main__.py
@@ -2,6 +2,10 @@
 
 import sys
 
-from bramleyspread_daemon._main import main
+from bramleyspread_daemon._reload_signal import record_reload_signals
 
-sys.exit(main())
+if __name__ == "__main__":
+    record_reload_signals()
+    from bramleyspread_daemon._main import main
+
+    sys.exit(main())
--- a/packages/daemon/bramleyspread_daemon/_main.py
+++ b/packages/daemon/bramleyspread_daemon/_main.py
@@ -15,6 +15,7 @@
 
 from bramleyspread_core import InvalidFileError
 from bramleyspread_daemon._logs import configure_logging
+from bramleyspread_daemon._reload_signal import record_reload_signals
 from bramleyspread_daemon._roles import ROLES, RoleSettings, Runnable
 
 #: The daemon shut down gracefully.
@@ -98,6 +99,7 @@
     :param arguments: the command-line arguments; None for those of the process.
     :returns: the exit code.
     """
+    record_reload_signals()
     options = make_parser().parse_args(arguments)
     role = ROLES[options.role]
     try:
--- a/packages/daemon/bramleyspread_daemon/_process.py
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -19,6 +19,10 @@
 from bramleyspread_daemon._metrics import Metrics, send_metrics
 from bramleyspread_daemon._pool import ConnectionPool
 from bramleyspread_daemon._refusal import encode_refusal
+from bramleyspread_daemon._reload_signal import (
+    record_reload_signals,
+    take_reload_signals,
+)
 from bramleyspread_daemon._routes import RouteHandler
 from bramleyspread_daemon._server import HttpServer
 from bramleyspread_daemon._settings import Limits
@@ -278,18 +282,17 @@
 ) -> str:
     """Wait for SIGTERM or SIGINT.
 
-    :param reload: awaited after each SIGHUP, to read the settings again.
+    :param reload: awaited after each SIGHUP, also one before this call, to read the
+        settings again.
     :returns: the name of the stop signal.
     """
     stop_signals: list[int] = []
-    reload_signals: list[int] = []
-    signal.signal(signal.SIGHUP, lambda which, _: reload_signals.append(which))
+    record_reload_signals()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda which, _: stop_signals.append(which))
     while not stop_signals:
         await curio.sleep(STOP_CHECK_INTERVAL_S)
-        if reload_signals and reload is not None:
-            reload_signals.clear()
+        if take_reload_signals() and reload is not None:
             await reload()
     return signal.Signals(stop_signals[0]).name
 
