Answer waiting requests before the end of a stop, and keep to its end

What callers saw: requests whose stages had run got no answer around the SIGTERM of their host ("LOST", the last stage call ended just before).

Cause: requests without an answer got one only at the very end of a stop, 0.5 s before the kill, together with the streams that were cut, each after waiting until the task before it had ended. The end moved, too: the time for draining was counted from when accepting had really ended. On a slow processor the kill came first; callers of requests that waited for stages or an engine saw their connections close.

Of the tests, those of the end of a stop failed before, as nothing could answer the waiting requests apart, and for a server that takes 3 s to stop accepting the end came at 10 s instead of 7 s.

Fix: the end is counted from the beginning of the stop. Requests whose answer has not begun get their final one 0.7 s before it, when their tasks have ended, which are cancelled together. Streams run until the end.

--- a/packages/daemon/bramleyspread_daemon/_process.py
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -35,6 +35,9 @@
 STOP_CHECK_INTERVAL_S = 0.05
 #: How often a draining process checks whether it has finished.
 DRAIN_CHECK_INTERVAL_S = 0.02
+#: Time before the end of a stop at which requests without an answer get one, in
+#: seconds. A slow processor needs it to write them all.
+ANSWER_LEAD_S = 0.7
 
 
 class ProcessSettings(Protocol):
@@ -213,6 +216,7 @@
         begin: Callable[[], Awaitable[None]],
         is_idle: Callable[[], bool],
         finish: Callable[[], Awaitable[None]] | None = None,
+        answer_waiting: Callable[[], Awaitable[int]] | None = None,
     ) -> bool:
         """Shut down gracefully.
 
@@ -224,6 +228,8 @@
         :param begin: awaited when draining begins.
         :param is_idle: whether nothing except replies is in flight.
         :param finish: awaited before the connections that are left are closed.
+        :param answer_waiting: awaited shortly before; answers the requests whose
+            answers have not begun, and returns their number.
         :returns: whether everything in flight was finished in time.
         """
 
@@ -231,19 +237,28 @@
             return is_idle() and not any(server.open_replies for server in servers)
 
         limits = self.settings.limits
+        # A slow processor must not move the end, which may be followed by a kill.
+        accepts_until = read_monotonic() + limits.grace_s
+        ends_at = accepts_until + limits.drain_s
         self.is_stopping = True
         for server in servers:
             server.draining = True
         self.write_timeline_event("draining")
         await begin()
-        await curio.sleep(limits.grace_s)
+        await curio.sleep(accepts_until - read_monotonic())
         for server in servers:
             await server.stop_accepting()
-        finished = await wait_until(is_finished, limits.drain_s)
+        answered = 0
+        if answer_waiting is not None:
+            lead_ends_at = max(ends_at - ANSWER_LEAD_S, accepts_until)
+            if not await wait_until(is_finished, lead_ends_at - read_monotonic()):
+                answered = await answer_waiting()
+        finished = await wait_until(is_finished, ends_at - read_monotonic())
         if finish is not None:
             await finish()
         for server in servers:
             await server.close_connections()
+        finished = finished and not answered
         self.write_timeline_event("stopped", detail="" if finished else "cut off")
         return finished
 
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -33,6 +33,7 @@
     RETRY_AFTER_S,
     RequestForwarder,
 )
+from bramleyspread_daemon.forward._running_requests import RunningRequests
 from bramleyspread_daemon.forward._settings import ForwardEntrySettings
 from bramleyspread_daemon.forward._settings_source import SettingsSource
 from bramleyspread_daemon.forward._stream_keepers import (
@@ -82,7 +83,7 @@
         self._source = source
         self._process = process
         self._started_at = process.now()
-        self._running: dict[RequestForwarder, curio.Task] = {}
+        self._running = RunningRequests()
         self._settings = settings
         self._wire = callers
         #: State shared by all requests.
@@ -142,25 +143,16 @@
         if isinstance(forwarder, Refusal):
             self._refuse(forwarder, reply)
             return
-        task = await curio.spawn(self._run, forwarder, daemon=True)
+        task = await curio.spawn(self._running.run, forwarder, daemon=True)
 
         async def cancel_task() -> None:
             await task.cancel(blocking=False)
 
         reply.on_disconnect = cancel_task
 
-    async def _run(self, forwarder: RequestForwarder) -> None:
-        self._running[forwarder] = await curio.current_task()
-        try:
-            await forwarder.run()
-        finally:
-            del self._running[forwarder]
-
     async def _end_requests(self) -> None:
         """Answer the requests that are unfinished, and reset relayed connections."""
-        for forwarder, task in tuple(self._running.items()):
-            await task.cancel()
-            forwarder.end_by_stop()
+        await self._running.end_all()
         await self.relays.stop()
 
     def _admit(
@@ -321,6 +313,7 @@
             do_nothing,
             lambda: self.context.in_flight == 0,
             self._end_requests,
+            self._running.answer_waiting,
         )
 
     async def run(self) -> int:
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -122,6 +122,11 @@
             self._log_outcome(outcome)
             await self._clean_up()
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller's answer has begun."""
+        return self._reply.begun
+
     def end_by_stop(self) -> None:
         """Give the caller a final answer after :meth:`run` was cancelled by a stop."""
         if self._reply.begun:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
-from typing import Any
+from pathlib import Path
+from typing import Any, cast
 
 import curio
 import pytest
 
 from bramleyspread_core import Address, ForwardRoute
+from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon._process import ANSWER_LEAD_S, Process
+from bramleyspread_daemon._settings import Limits
+from bramleyspread_daemon.forward._running_requests import RunningRequests
+from bramleyspread_daemon.forward._settings import ForwardEntrySettings
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward.tests.test_endless_responses import (
     SendingWire,
@@ -26,6 +32,9 @@
     run,
     start_scripted_server,
 )
+from bramleyspread_daemon.tests.virtual_time import run_in_virtual_time
+
+LIMITS = Limits(grace_s=2.0, drain_s=5.0)
 
 
 def stop_during(route: ForwardRoute, answer: bytes, *, hangs: bool = False) -> Any:
@@ -81,3 +90,92 @@
     event = b"id: 1\n\n"
     reply = stop_during(STREAM, b"HTTP/1.1 200 OK\r\n\r\n" + event)
     assert (reply.statuses, reply.chunks, reply.ended) == ([200], [event], "cut")
+
+
+class StoppingServer:
+    """Server that is slow to stop, with a reply that doesn't end."""
+
+    open_replies = 1
+    draining = False
+
+    def __init__(self, delay_s: float) -> None:
+        self._delay_s = delay_s
+
+    async def stop_accepting(self) -> None:
+        await curio.sleep(self._delay_s)
+
+    async def close_connections(self) -> None:
+        pass
+
+
+# Guards against requests without an answer: a stop on a slow processor took longer than
+# the time before the kill, as it ended later than planned, and answered at the end.
+@pytest.mark.parametrize("delay_s", [0.0, 3.0])
+def test_waiting_requests_are_answered_before_the_end_of_a_stop(
+    delay_s: float, monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    async def main() -> None:
+        settings = ForwardEntrySettings(
+            host="e",
+            zone="z",
+            seeds=("127.0.0.1:4",),
+            fail_closed=False,
+            listen_at="127.0.0.1:1",
+            callers_at="127.0.0.1:2",
+            ready_at="127.0.0.1:3",
+            timeline=str(tmp_path / "timeline"),
+            limits=LIMITS,
+        )
+        times: dict[str, float] = {}
+        started_at = read_monotonic()
+
+        async def do_nothing() -> None:
+            return None
+
+        async def finish() -> None:
+            times["end"] = read_monotonic() - started_at
+
+        async def answer_waiting() -> int:
+            times["answers"] = read_monotonic() - started_at
+            return 0
+
+        servers = cast("Any", [StoppingServer(delay_s)])
+        drain = Process(settings).drain
+        await drain(servers, do_nothing, lambda: False, finish, answer_waiting)
+        expected = {"answers": 7.0 - ANSWER_LEAD_S, "end": 7.0}
+        assert times == pytest.approx(expected, abs=0.05)
+
+    run_in_virtual_time(monkeypatch, main)
+
+
+# Guards against streams that are cut together with the requests that are answered.
+def test_streams_that_have_begun_outlast_waiting_requests() -> None:
+    event = b"id: 1\n\n"
+    answers = [b"", b"HTTP/1.1 200 OK\r\n\r\n" + event]
+    waiting, streaming = StreamReply(), StreamReply()
+
+    async def serve(connected: Any) -> None:
+        await read_request(connected)
+        await connected.sendall(answers.pop(0))
+        await read_all(connected)
+
+    async def main() -> None:
+        _, address = await start_scripted_server(serve)
+        running = RunningRequests()
+        wire, pool = SendingWire(), UpstreamPool()
+        for route, reply in ((ROUTE, waiting), (STREAM, streaming)):
+            context = make_context(wire)
+
+            async def acquire(_: Address, *args: object, **options: object) -> Any:
+                return await pool.acquire(address, 1.0)
+
+            context.upstream = pool_of(acquire, pool)
+            forwarder = make_forwarder(route, context, wire, reply)
+            await curio.spawn(running.run, forwarder, daemon=True)
+            await curio.sleep(0.1)
+        assert await running.answer_waiting() == 1
+        assert (waiting.statuses, streaming.ended) == ([504], "")
+        assert await running.end_all() == 1
+        assert (streaming.chunks, streaming.ended) == ([event], "cut")
+
+    run(main)
