Refuse requests from a time of the stop on, not from when accepting ended

What callers saw: a request sent later than 3 s after SIGTERM was taken, and its stream cut at the end of the stop.

Cause: requests on kept connections were refused once accepting had ended. On a slow processor that came late, as the pause before it and the closing of the listening socket wait for their turn.

Fix: the time from which requests are refused is set when the stop begins. A request is read after it was sent, so none that is sent later is taken.

--- a/packages/daemon/bramleyspread_daemon/_process.py
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -243,6 +243,7 @@
         self.is_stopping = True
         for server in servers:
             server.draining = True
+            server.refuses_from = accepts_until
         self.write_timeline_event("draining")
         await begin()
         await curio.sleep(accepts_until - read_monotonic())
--- a/packages/daemon/bramleyspread_daemon/_server.py
+++ b/packages/daemon/bramleyspread_daemon/_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import sys
 from typing import Any
 
@@ -50,8 +51,9 @@
         self.is_public = False
         #: Whether responses ask peers to close their connections.
         self.draining = False
-        #: Whether further requests are refused, as the process is about to end.
-        self.refuses_requests = False
+        #: When requests of peers outside the deployment are refused, as the process is
+        #: about to end, in monotonic seconds.
+        self.refuses_from = math.inf
         #: Connections accepted so far.
         self.accepted = 0
         #: Requests passed to the handler so far.
@@ -67,6 +69,11 @@
         #: Requests refused before they reached the handler, by HTTP status.
         self.refusals: dict[int, int] = {}
 
+    @property
+    def refuses_requests(self) -> bool:
+        """Whether further requests are refused, as the process is about to end."""
+        return self.is_public and read_monotonic() >= self.refuses_from
+
     @property
     def open_connections(self) -> int:
         """Number of open connections."""
@@ -103,7 +110,7 @@
         are closed, because a request sent on one later could arrive after this process
         has exited and would get no answer.
         """
-        self.refuses_requests = self.is_public
+        self.refuses_from = min(self.refuses_from, read_monotonic())
         if self._accept_task is not None:
             await self._accept_task.cancel()
             await self._listen_socket.close()
--- a/packages/daemon/bramleyspread_daemon/_server_context.py
+++ b/packages/daemon/bramleyspread_daemon/_server_context.py
@@ -32,8 +32,10 @@
     is_public: bool
     #: Whether responses ask peers to close their connections.
     draining: bool
-    #: Whether further requests are refused, as the process is about to end.
-    refuses_requests: bool
+
+    @property
+    def refuses_requests(self) -> bool:
+        """Whether further requests are refused, as the process is about to end."""
 
     async def answer(self, request: HttpRequest, reply: Reply) -> None:
         """Pass a request to the handler."""
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from pathlib import Path
 from typing import Any, cast
 
@@ -97,6 +98,7 @@
 
     open_replies = 1
     draining = False
+    refuses_from = math.inf
 
     def __init__(self, delay_s: float) -> None:
         self._delay_s = delay_s
@@ -139,9 +141,13 @@
             times["answers"] = read_monotonic() - started_at
             return 0
 
-        servers = cast("Any", [StoppingServer(delay_s)])
+        server = StoppingServer(delay_s)
         drain = Process(settings).drain
-        await drain(servers, do_nothing, lambda: False, finish, answer_waiting)
+        await drain(
+            [cast("Any", server)], do_nothing, lambda: False, finish, answer_waiting
+        )
+        # Nor may requests be taken longer.
+        assert server.refuses_from - started_at == LIMITS.grace_s
         expected = {"answers": 7.0 - ANSWER_LEAD_S, "end": 7.0}
         assert times == pytest.approx(expected, abs=0.05)
 
--- a/packages/daemon/bramleyspread_daemon/tests/test_server.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_server.py
@@ -273,6 +273,25 @@
     run(main)
 
 
+# Guards against requests that are taken after the end of accepting, and cut off, by a
+# process that is too slow to end it in time.
+@pytest.mark.parametrize("is_public", [True, False])
+def test_requests_are_refused_from_a_time_on(is_public: bool) -> None:
+    async def main() -> None:
+        server, address = await start_server(("POST", "/echo", echo))
+        server.is_public = is_public
+        async with await connect(address) as connected:
+            await connected.sendall(VALID_REQUEST)
+            await read_until(connected, b"hi")
+            server.refuses_from = read_monotonic()
+            await connected.sendall(VALID_REQUEST)
+            answer = await read_until(connected, b"\r\n\r\n")
+        assert (b" 503 " in answer) is is_public
+        assert (b"connection: close" in answer.lower()) is is_public
+
+    run(main)
+
+
 def test_total_size_of_request_bodies_is_limited() -> None:
     async def main() -> None:
         limits = Limits(held_bytes=100_000, body_bytes=90_000)
