Count a stop from the arrival of its signal

What callers saw: requests whose stages had run got no answer around the SIGTERM of their host.

A busy process looked later, so that its end came after the kill.

Fix: the handler of the signal records when it came; the drain counts from there. A second signal changes nothing, as before.

--- a/packages/daemon/bramleyspread_daemon/_process.py
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
@@ -26,6 +25,7 @@
 from bramleyspread_daemon._routes import RouteHandler
 from bramleyspread_daemon._server import HttpServer
 from bramleyspread_daemon._settings import Limits
+from bramleyspread_daemon._stop_signal import find_stop_signal, record_stop_signals
 from bramleyspread_daemon._timeline import TimelineFile
 from bramleyspread_daemon._traffic import TRAFFIC_LOG_INTERVAL_S
 
@@ -237,8 +237,10 @@
             return is_idle() and not any(server.open_replies for server in servers)
 
         limits = self.settings.limits
+        stop = find_stop_signal()
+        began_at = stop.arrived_at if stop is not None else read_monotonic()
         # A slow processor must not move the end, which may be followed by a kill.
-        accepts_until = read_monotonic() + limits.grace_s
+        accepts_until = began_at + limits.grace_s
         ends_at = accepts_until + limits.drain_s
         self.is_stopping = True
         for server in servers:
@@ -302,15 +304,13 @@
         settings again.
     :returns: the name of the stop signal.
     """
-    stop_signals: list[int] = []
     record_reload_signals()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda which, _: stop_signals.append(which))
-    while not stop_signals:
+    record_stop_signals()
+    while (stop := find_stop_signal()) is None:
         await curio.sleep(STOP_CHECK_INTERVAL_S)
         if take_reload_signals() and reload is not None:
             await reload()
-    return signal.Signals(stop_signals[0]).name
+    return stop.name
 
 
 async def wait_until(is_done: Callable[[], bool], timeout_s: float) -> bool:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import math
+import signal
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any, cast
 
@@ -10,8 +14,9 @@
 import pytest
 
 from bramleyspread_core import Address, ForwardRoute
+from bramleyspread_daemon import _stop_signal
 from bramleyspread_daemon._clock import read_monotonic
-from bramleyspread_daemon._process import ANSWER_LEAD_S, Process
+from bramleyspread_daemon._process import ANSWER_LEAD_S, Process, wait_for_stop
 from bramleyspread_daemon._settings import Limits
 from bramleyspread_daemon.forward._running_requests import RunningRequests
 from bramleyspread_daemon.forward._settings import ForwardEntrySettings
@@ -110,6 +115,25 @@
         pass
 
 
+def make_process(folder: Path, limits: Limits) -> Process:
+    settings = ForwardEntrySettings(
+        host="e",
+        zone="z",
+        seeds=("127.0.0.1:4",),
+        fail_closed=False,
+        listen_at="127.0.0.1:1",
+        callers_at="127.0.0.1:2",
+        ready_at="127.0.0.1:3",
+        timeline=str(folder / "timeline"),
+        limits=limits,
+    )
+    return Process(settings)
+
+
+async def do_nothing() -> None:
+    return None
+
+
 # Guards against requests without an answer: a stop on a slow processor took longer than
 # the time before the kill, as it ended later than planned, and answered at the end.
 @pytest.mark.parametrize("delay_s", [0.0, 3.0])
@@ -117,23 +141,9 @@
     delay_s: float, monkeypatch: pytest.MonkeyPatch, tmp_path: Path
 ) -> None:
     async def main() -> None:
-        settings = ForwardEntrySettings(
-            host="e",
-            zone="z",
-            seeds=("127.0.0.1:4",),
-            fail_closed=False,
-            listen_at="127.0.0.1:1",
-            callers_at="127.0.0.1:2",
-            ready_at="127.0.0.1:3",
-            timeline=str(tmp_path / "timeline"),
-            limits=LIMITS,
-        )
         times: dict[str, float] = {}
         started_at = read_monotonic()
 
-        async def do_nothing() -> None:
-            return None
-
         async def finish() -> None:
             times["end"] = read_monotonic() - started_at
 
@@ -142,7 +152,7 @@
             return 0
 
         server = StoppingServer(delay_s)
-        drain = Process(settings).drain
+        drain = make_process(tmp_path, LIMITS).drain
         await drain(
             [cast("Any", server)], do_nothing, lambda: False, finish, answer_waiting
         )
@@ -154,6 +164,41 @@
     run_in_virtual_time(monkeypatch, main)
 
 
+@contextmanager
+def keep_signal_handlers(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    """Restore the handlers of signals, and forget the signals, afterwards."""
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    handlers = [signal.getsignal(each) for each in numbers]
+    monkeypatch.setattr(_stop_signal, "_received", [])
+    try:
+        yield
+    finally:
+        for number, handler in zip(numbers, handlers, strict=True):
+            signal.signal(number, handler)
+
+
+# Guards against a stop that ends after the kill: a busy process noticed SIGTERM late.
+def test_a_stop_is_counted_from_its_signal(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    async def main() -> None:
+        process = make_process(tmp_path, Limits(grace_s=0.1, drain_s=0.1))
+        waiting = await curio.spawn(wait_for_stop)
+        await curio.sleep(0)
+        signal.raise_signal(signal.SIGTERM)
+        signalled_at = read_monotonic()
+        # The process is busy, and a second signal changes nothing.
+        time.sleep(0.2)
+        signal.raise_signal(signal.SIGTERM)
+        assert await waiting.join() == "SIGTERM"
+        server = cast("Any", StoppingServer(0.0))
+        await process.drain([server], do_nothing, lambda: False)
+        assert server.refuses_from <= signalled_at + 0.1
+
+    with keep_signal_handlers(monkeypatch):
+        run(main)
+
+
 # Guards against streams that are cut together with the requests that are answered.
 def test_streams_that_have_begun_outlast_waiting_requests() -> None:
     event = b"id: 1\n\n"
