--- a/packages/daemon/bramleyspread_daemon/_process.py
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
@@ -19,9 +18,14 @@
 from bramleyspread_daemon._metrics import Metrics, send_metrics
 from bramleyspread_daemon._pool import ConnectionPool
 from bramleyspread_daemon._refusal import encode_refusal
+from bramleyspread_daemon._reload_signal import (
+    record_reload_signals,
+    take_reload_signals,
+)
 from bramleyspread_daemon._routes import RouteHandler
 from bramleyspread_daemon._server import HttpServer
 from bramleyspread_daemon._settings import Limits
+from bramleyspread_daemon._stop_signal import find_stop_signal, record_stop_signals
 from bramleyspread_daemon._timeline import TimelineFile
 from bramleyspread_daemon._traffic import TRAFFIC_LOG_INTERVAL_S
 
@@ -31,6 +35,9 @@
 STOP_CHECK_INTERVAL_S = 0.05
 #: How often a draining process checks whether it has finished.
 DRAIN_CHECK_INTERVAL_S = 0.02
+#: Time before the end of a stop at which requests without an answer get one, in
+#: seconds. A slow processor needs it to write them all.
+ANSWER_LEAD_S = 0.7
 
 
 class ProcessSettings(Protocol):
@@ -209,6 +216,7 @@
         begin: Callable[[], Awaitable[None]],
         is_idle: Callable[[], bool],
         finish: Callable[[], Awaitable[None]] | None = None,
+        answer_waiting: Callable[[], Awaitable[int]] | None = None,
     ) -> bool:
         """Shut down gracefully.
 
@@ -220,6 +228,8 @@
         :param begin: awaited when draining begins.
         :param is_idle: whether nothing except replies is in flight.
         :param finish: awaited before the connections that are left are closed.
+        :param answer_waiting: awaited shortly before; answers the requests whose
+            answers have not begun, and returns their number.
         :returns: whether everything in flight was finished in time.
         """
 
@@ -227,22 +237,34 @@
             return is_idle() and not any(server.open_replies for server in servers)
 
         limits = self.settings.limits
+        stop = find_stop_signal()
+        began_at = stop.arrived_at if stop is not None else read_monotonic()
+        # A slow processor must not move the end, which may be followed by a kill.
+        accepts_until = began_at + limits.grace_s
+        ends_at = accepts_until + limits.drain_s
         self.is_stopping = True
         for server in servers:
             server.draining = True
+            server.refuses_from = accepts_until
         self.write_timeline_event("draining")
         await begin()
-        await curio.sleep(limits.grace_s)
+        await curio.sleep(accepts_until - read_monotonic())
         for server in servers:
             await server.stop_accepting()
         replies = sum(server.open_replies for server in servers)
         log = logger.bind(step="stop", peer="-")
         log.info(f"accepts no more connections; {replies} replies are unfinished")
-        finished = await wait_until(is_finished, limits.drain_s)
+        answered = 0
+        if answer_waiting is not None:
+            lead_ends_at = max(ends_at - ANSWER_LEAD_S, accepts_until)
+            if not await wait_until(is_finished, lead_ends_at - read_monotonic()):
+                answered = await answer_waiting()
+        finished = await wait_until(is_finished, ends_at - read_monotonic())
         if finish is not None:
             await finish()
         for server in servers:
             await server.close_connections()
+        finished = finished and not answered
         log.info("stopped" if finished else "stopped; unfinished requests were ended")
         self.write_timeline_event("stopped", detail="" if finished else "cut off")
         return finished
@@ -282,20 +304,17 @@
 ) -> str:
     """Wait for SIGTERM or SIGINT.
 
-    :param reload: awaited after each SIGHUP, to read the settings again.
+    :param reload: awaited after each SIGHUP, also one before this call, to read the
+        settings again.
     :returns: the name of the stop signal.
     """
-    stop_signals: list[int] = []
-    reload_signals: list[int] = []
-    signal.signal(signal.SIGHUP, lambda which, _: reload_signals.append(which))
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda which, _: stop_signals.append(which))
-    while not stop_signals:
+    record_reload_signals()
+    record_stop_signals()
+    while (stop := find_stop_signal()) is None:
         await curio.sleep(STOP_CHECK_INTERVAL_S)
-        if reload_signals and reload is not None:
-            reload_signals.clear()
+        if take_reload_signals() and reload is not None:
             await reload()
-    return signal.Signals(stop_signals[0]).name
+    return stop.name
 
 
 async def wait_until(is_done: Callable[[], bool], timeout_s: float) -> bool:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
@@ -2,13 +2,25 @@
 
 from __future__ import annotations
 
-from typing import Any
+import math
+import signal
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any, cast
 
 import curio
 import pytest
 from loguru import logger
 
 from bramleyspread_core import Address, ForwardRoute
+from bramleyspread_daemon import _stop_signal
+from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon._process import ANSWER_LEAD_S, Process, wait_for_stop
+from bramleyspread_daemon._settings import Limits
+from bramleyspread_daemon.forward._running_requests import RunningRequests
+from bramleyspread_daemon.forward._settings import ForwardEntrySettings
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward.tests.test_endless_responses import (
     SendingWire,
@@ -27,6 +39,9 @@
     run,
     start_scripted_server,
 )
+from bramleyspread_daemon.tests.virtual_time import run_in_virtual_time
+
+LIMITS = Limits(grace_s=2.0, drain_s=5.0)
 
 
 def stop_during(route: ForwardRoute, answer: bytes, *, hangs: bool = False) -> Any:
@@ -105,3 +120,137 @@
     (end,) = [each for each in ends if each["extra"].get("step") == "end"]
     assert end["message"] == outcome
     assert end["extra"]["events"] == (1 if route is STREAM else 0)
+
+
+class StoppingServer:
+    """Server that is slow to stop, with a reply that doesn't end."""
+
+    open_replies = 1
+    draining = False
+    refuses_from = math.inf
+
+    def __init__(self, delay_s: float) -> None:
+        self._delay_s = delay_s
+
+    async def stop_accepting(self) -> None:
+        await curio.sleep(self._delay_s)
+
+    async def close_connections(self) -> None:
+        pass
+
+
+def make_process(folder: Path, limits: Limits) -> Process:
+    settings = ForwardEntrySettings(
+        host="e",
+        zone="z",
+        seeds=("127.0.0.1:4",),
+        fail_closed=False,
+        listen_at="127.0.0.1:1",
+        callers_at="127.0.0.1:2",
+        ready_at="127.0.0.1:3",
+        timeline=str(folder / "timeline"),
+        limits=limits,
+    )
+    return Process(settings)
+
+
+async def do_nothing() -> None:
+    return None
+
+
+# Guards against requests without an answer: a stop on a slow processor took longer than
+# the time before the kill, as it ended later than planned, and answered at the end.
+@pytest.mark.parametrize("delay_s", [0.0, 3.0])
+def test_waiting_requests_are_answered_before_the_end_of_a_stop(
+    delay_s: float, monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    async def main() -> None:
+        times: dict[str, float] = {}
+        started_at = read_monotonic()
+
+        async def finish() -> None:
+            times["end"] = read_monotonic() - started_at
+
+        async def answer_waiting() -> int:
+            times["answers"] = read_monotonic() - started_at
+            return 0
+
+        server = StoppingServer(delay_s)
+        drain = make_process(tmp_path, LIMITS).drain
+        await drain(
+            [cast("Any", server)], do_nothing, lambda: False, finish, answer_waiting
+        )
+        # Nor may requests be taken longer.
+        assert server.refuses_from - started_at == LIMITS.grace_s
+        expected = {"answers": 7.0 - ANSWER_LEAD_S, "end": 7.0}
+        assert times == pytest.approx(expected, abs=0.05)
+
+    run_in_virtual_time(monkeypatch, main)
+
+
+@contextmanager
+def keep_signal_handlers(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    """Restore the handlers of signals, and forget the signals, afterwards."""
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    handlers = [signal.getsignal(each) for each in numbers]
+    monkeypatch.setattr(_stop_signal, "_received", [])
+    try:
+        yield
+    finally:
+        for number, handler in zip(numbers, handlers, strict=True):
+            signal.signal(number, handler)
+
+
+# Guards against a stop that ends after the kill: a busy process noticed SIGTERM late.
+def test_a_stop_is_counted_from_its_signal(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    async def main() -> None:
+        process = make_process(tmp_path, Limits(grace_s=0.1, drain_s=0.1))
+        waiting = await curio.spawn(wait_for_stop)
+        await curio.sleep(0)
+        signal.raise_signal(signal.SIGTERM)
+        signalled_at = read_monotonic()
+        # The process is busy, and a second signal changes nothing.
+        time.sleep(0.2)
+        signal.raise_signal(signal.SIGTERM)
+        assert await waiting.join() == "SIGTERM"
+        server = cast("Any", StoppingServer(0.0))
+        await process.drain([server], do_nothing, lambda: False)
+        assert server.refuses_from <= signalled_at + 0.1
+
+    with keep_signal_handlers(monkeypatch):
+        run(main)
+
+
+# Guards against streams that are cut together with the requests that are answered.
+def test_streams_that_have_begun_outlast_waiting_requests() -> None:
+    event = b"id: 1\n\n"
+    answers = [b"", b"HTTP/1.1 200 OK\r\n\r\n" + event]
+    waiting, streaming = StreamReply(), StreamReply()
+
+    async def serve(connected: Any) -> None:
+        await read_request(connected)
+        await connected.sendall(answers.pop(0))
+        await read_all(connected)
+
+    async def main() -> None:
+        _, address = await start_scripted_server(serve)
+        running = RunningRequests()
+        wire, pool = SendingWire(), UpstreamPool()
+        for route, reply in ((ROUTE, waiting), (STREAM, streaming)):
+            context = make_context(wire)
+
+            async def acquire(_: Address, *args: object, **options: object) -> Any:
+                return await pool.acquire(address, 1.0)
+
+            context.upstream = pool_of(acquire, pool)
+            forwarder = make_forwarder(route, context, wire, reply)
+            await curio.spawn(running.run, forwarder, daemon=True)
+            await curio.sleep(0.1)
+        assert await running.answer_waiting() == 1
+        assert (waiting.statuses, streaming.ended) == ([504], "")
+        assert await running.end_all() == 1
+        assert (streaming.chunks, streaming.ended) == ([event], "cut")
+
+    run(main)
