Take an answer without a length for whole only if its target answers after the end

What callers saw: streams that ended as complete before their last event (ORDER), when an engine was killed and its connections closed in the ordinary way while its address still accepted others.

Cause: an end was confirmed by a connection that the address accepted 5 ms later. The kernel accepts connections into a queue for a process that is dying, lets go of its sockets one by one, and the address may be in use again at once, or its listening socket shared.

Now an end is confirmed by an answer of the same instance to bytes sent after the end: a GET of the health path that names its id, whatever its status but 421, or an answer to another request that it has run. Idle connections are asked first, by own path or relay; ends at the same moment share one question; failed or unanswered questions are followed by others at growing intervals until the request's time is over, then the answer counts as broken off. Refused everywhere, known as crashed, or another instance in its place: broken off at once. Leaving: whole without a question, as before. A relay of an earlier build is asked GET /v1/live instead of only for a connection.

The health path comes with the service in the document. Digests of documents leave it out, since hosts of earlier builds drop it; so a version that changes nothing of a service but this path isn't noticed by a host that holds the service already.

Stand-ins in test_unframed_answers and test_relay_builds answer the question now, as engines and hosts of earlier builds do: a stand-in that couldn't would stand for a target that has ended.

--- a/packages/core/bramleyspread_core/_deployment.py
+++ b/packages/core/bramleyspread_core/_deployment.py
@@ -132,6 +132,9 @@
     engine: EngineLimits | None = None
     #: Capacity of its targets for pieces; None if no stage uses the service.
     pieces: PieceLimits | None = None
+    #: Path of its targets' health checks; unset for the platform's usual one. Hosts of
+    #: earlier builds don't know it.
+    health_path: str | msgspec.UnsetType = msgspec.UNSET
 
 
 class CallerLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -74,6 +74,7 @@
         reply: Reply,
         stages: StageWork,
         times: StreamTimes,
+        service: str,
         placed: Placed,
         features: RequestFeatures,
         binding: StreamBinding,
@@ -85,6 +86,7 @@
         self._reply = reply
         self._stages = stages
         self._times = times
+        self._service = service
         self._placed = placed
         self._connection: UpstreamConnection | None = None
         self._is_end_reported = False
@@ -259,7 +261,9 @@
     async def _handle_answer(
         self, connection: UpstreamConnection, head: TargetHead, sent_at: float
     ) -> AttemptEnd:
-        self._context.signals.record(self._placed.target, head.signals, sent_at)
+        target = self._placed.target
+        self._context.signals.record(target, head.signals, sent_at)
+        self._context.unframed_ends.record_answer(target, head, sent_at)
         if head.load is not None:
             self._report(self._build_step(load=head.load))
         if head.not_run:
@@ -326,9 +330,10 @@
         """
         if not connection.ends_by_closing:
             return
-        end = UnframedEnd(self._placed.target, self._deadline)
-        context = self._context
-        why = await end.find_break(context.upstream, context.targets)
+        end = UnframedEnd(
+            self._placed.target, self._service, read_monotonic(), self._deadline
+        )
+        why = await self._context.unframed_ends.find_break(end)
         if why:
             raise ConnectionClosedError(why)
 
--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -29,6 +29,7 @@
 from bramleyspread_daemon.forward._target_connector import TargetConnector
 from bramleyspread_daemon.forward._target_crashes import TargetCrashes
 from bramleyspread_daemon.forward._target_signals import TargetSignals
+from bramleyspread_daemon.forward._unframed_end import UnframedEnds
 from bramleyspread_daemon.forward._upstream import UpstreamConnection
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward._wire import TargetWire
@@ -115,6 +116,10 @@
             lambda address: self.upstream.is_refused(address),
             self.targets.record_crash,
         )
+        #: Whether answers without a length are whole.
+        self.unframed_ends = UnframedEnds(
+            wire, self.upstream, self.targets, self.signals, self._find_health_path
+        )
         #: Computes the pieces of stages.
         self.piece_service = PieceService(
             settings.host,
@@ -237,6 +242,11 @@
         service = self.find_service(name)
         return service.pieces if service is not None else None
 
+    def _find_health_path(self, name: str) -> str | None:
+        service = self.find_service(name)
+        path = service.health_path if service is not None else None
+        return path if isinstance(path, str) else None
+
     def get_retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         budget = self._budgets.get(service)
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -248,6 +248,9 @@
         metrics.set_gauge("relays_open", "For other hosts.", self.relays.open)
         number = self._connector.paths.count_lost()
         metrics.set_gauge("lost_paths", "Targets that only others reach.", number)
+        text = "Questions whether targets live that ended an answer."
+        number = self.context.unframed_ends.asked
+        metrics.set_counter("life_checks_total", text, number)
         signals = self.context.signals
         for name, number in signals.table.counts.items():
             text = "Responses in which a target said so of itself."
--- a/packages/daemon/bramleyspread_daemon/forward/_relayed_connection.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_relayed_connection.py
@@ -10,14 +10,15 @@
 from typing import Any
 
 import curio
+import h11
 
 from bramleyspread_core import Address
 from bramleyspread_daemon._connection import Connection
 
-#: Time in which a process that ends closes all its sockets, in seconds.
-PROCESS_END_S = 0.005
-#: Timeout for finding out whether a host accepts connections, in seconds.
-CHECK_TIMEOUT_S = 0.25
+#: Timeout for finding out whether a host lives, in seconds.
+CHECK_TIMEOUT_S = 1.0
+#: Path on which a host says that it lives.
+LIVE_PATH = "/v1/live"
 #: Size of the number that precedes each part and gives its size, in bytes.
 SIZE_BYTES = 4
 #: Follows the last part if the target has closed its connection in the ordinary way.
@@ -81,16 +82,31 @@
         return b""
 
     async def _has_relay_ended(self) -> bool:
-        """Whether the host accepts no connections, so that it closed this one."""
-        await curio.sleep(PROCESS_END_S)
+        """Whether the host doesn't answer any more, so that it closed this connection.
+
+        The operating system may accept connections for a process that has ended.
+        """
         try:
-            connection = await curio.timeout_after(
-                CHECK_TIMEOUT_S, Connection.open, self._relay
-            )
-        except (OSError, curio.TaskTimeout):
+            return not await curio.timeout_after(CHECK_TIMEOUT_S, self._ask_relay)
+        except (OSError, curio.TaskTimeout, h11.RemoteProtocolError):
             return True
-        await connection.reset()
-        return False
+
+    async def _ask_relay(self) -> bool:
+        """Ask the host whether it lives, and return whether it has answered."""
+        http = h11.Connection(h11.CLIENT)
+        headers = [("host", str(self._relay)), ("connection", "close")]
+        question = http.send(
+            h11.Request(method="GET", target=LIVE_PATH, headers=headers)
+        )
+        question = (question or b"") + (http.send(h11.EndOfMessage()) or b"")
+        connection = await Connection.open(self._relay)
+        try:
+            await connection.send_all(question)
+            while (event := http.next_event()) is h11.NEED_DATA:
+                http.receive_data(await connection.read())
+        finally:
+            await connection.reset()
+        return isinstance(event, h11.Response)
 
     def _take(self) -> bytes:
         """Take bytes of one part from the buffer; empty if it holds none."""
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -270,6 +270,7 @@
             self._reply,
             self._stages,
             self._times,
+            service,
             placed,
             self._features,
             self._binding,
--- a/packages/daemon/bramleyspread_daemon/forward/_wire.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_wire.py
@@ -80,6 +80,10 @@
     sealed: bool
     #: Whether the target states that it has not run the request.
     not_run: bool
+    #: Id of the target that answered; empty if it doesn't say.
+    instance: str = ""
+    #: Whether it states that another target was intended.
+    is_misdirected: bool = False
     #: Whether the body is an event stream.
     is_stream: bool
     #: Load of the target, if reported.
@@ -120,6 +124,13 @@
     ) -> TargetHead:
         """Parse the head of a response."""
 
+    def write_life_question(self, target: str, health_path: str | None) -> WireCall:
+        """Encode a call without a body, by GET, that a target answers with its id.
+
+        :param target: id of the intended target.
+        :param health_path: path of its health checks; None for the usual one.
+        """
+
     def write_pieces(self, call: BatchedCall) -> WireCall:
         """Encode a call that computes pieces."""
 
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_relay_builds.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_relay_builds.py
@@ -98,7 +98,9 @@
 
     async def serve(self, asker: Any) -> None:  # noqa: ANN401
         """Switch to the protocol of earlier builds whatever the asker offers."""
-        await read_request(asker)
+        if (await read_request(asker)).startswith(b"GET /v1/live "):
+            await asker.sendall(write_answer(b'{"live":true}'))
+            return
         switched = f"HTTP/1.1 101 \r\nupgrade: {UNFRAMED_PROTOCOL}\r\n"
         await asker.sendall(f"{switched}connection: upgrade\r\n\r\n".encode())
         target = await Connection.open(self._target)
@@ -179,3 +181,28 @@
             await fetch(pool, target)
 
     run(main)
+
+
+# Guards against half an answer by way of a host of an earlier build that was killed,
+# while the operating system still accepts connections for it.
+def test_answer_whose_relay_is_not_heard_of_again_is_not_whole() -> None:
+    async def main() -> None:
+        site = Site()
+        _, target = await start_scripted_server(answer_without_a_length)
+        earlier, served = EarlierRelay(target), 0
+
+        async def serve(asker: Any) -> None:  # noqa: ANN401
+            nonlocal served
+            served += 1
+            if served == 1:
+                await earlier.serve(asker)
+            else:
+                await asker.close()
+
+        _, address = await start_scripted_server(serve)
+        site.known.add(target)
+        pool = await site.start(EntryHost("earlier", OWN.zone, address))
+        with pytest.raises(ConnectionClosedError):
+            await fetch(pool, target)
+
+    run(main)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
@@ -23,10 +23,12 @@
 from bramleyspread_daemon.forward._stream_keepers import StreamKeepers
 from bramleyspread_daemon.forward._target_crashes import TargetCrashes
 from bramleyspread_daemon.forward._target_signals import TargetSignals
+from bramleyspread_daemon.forward._unframed_end import UnframedEnds
 from bramleyspread_daemon.forward._wire import (
     CallMetadata,
     Refusal,
     TargetHead,
+    WireCall,
     WireReply,
 )
 from bramleyspread_daemon.tests.loopback import run
@@ -89,6 +91,9 @@
         self.metadata.append(metadata)
         return ()
 
+    def write_life_question(self, target: str, health_path: str | None) -> WireCall:
+        return WireCall("/life", b"", ((b"expected", target.encode()),))
+
     def read_head(self, status: int, headers: object) -> TargetHead:
         return TargetHead(
             status=status,
@@ -171,6 +176,16 @@
         pass
 
 
+class CurrentPool:
+    """The pool that a context has when it is used."""
+
+    def __init__(self, context: SimpleNamespace) -> None:
+        self._context = context
+
+    def __getattr__(self, name: str) -> Any:  # noqa: ANN401
+        return getattr(self._context.upstream, name)
+
+
 class FakePlacement:
     """Placement that chooses a new target each time."""
 
@@ -197,7 +212,8 @@
     own = EntryHost("e", "z", Address("127.0.0.1", 2))
     table = TargetTable()
     keepers = StreamKeepers(own, table, lambda: (own,), cast("Any", None))
-    return SimpleNamespace(
+    signals = TargetSignals(table, Random(1))
+    context = SimpleNamespace(
         targets=table,
         stream_keepers=keepers,
         in_flight=0,
@@ -208,13 +224,18 @@
         rank_urgency=lambda *_: 0,
         get_retry_budget=lambda _: budget,
         list_hosts=tuple,
-        signals=TargetSignals(table, Random(1)),
+        signals=signals,
         crashes=TargetCrashes(answer_connections, lambda *_: None),
         count_limited=lambda _: 0,
         placement=FakePlacement(),
         upstream=FakePool(*targets),
         wire=wire,
     )
+    pool = cast("Any", CurrentPool(context))
+    context.unframed_ends = UnframedEnds(
+        cast("Any", wire), pool, table, signals, lambda _: None
+    )
+    return context
 
 
 def make_forwarder(
--- a/packages/forwarding/bramleyspread_forwarding/_document_parts.py
+++ b/packages/forwarding/bramleyspread_forwarding/_document_parts.py
@@ -205,10 +205,17 @@
     known = earlier.get(place)
     if known is not None and known.part == part:
         return known
-    text = f"{type(part).__name__} ".encode() + encode_json(part)
+    text = f"{type(part).__name__} ".encode() + encode_json(_omit_unknown(part))
     return _IndexedPart(part, place, xxhash.xxh3_128_intdigest(text))
 
 
+def _omit_unknown(part: _Part) -> _Part:
+    """Omit what hosts of earlier builds drop, so that their digests agree."""
+    if isinstance(part, ForwardService):
+        return msgspec.structs.replace(part, health_path=msgspec.UNSET)
+    return part
+
+
 def _identify(part: _Part) -> str:
     if isinstance(part, ForwardRoute):
         return f"route {part.host} {part.prefix}"
--- a/packages/forwarding/bramleyspread_forwarding/_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/_targets.py
@@ -273,6 +273,14 @@
         known = self._departures.get(target)
         return known is not None and known[0] >= born
 
+    def has_crashed(self, target: str, born: int) -> bool:
+        """Whether a target's process has crashed, as far as is known.
+
+        :param target: the target.
+        :param born: when the process started, in milliseconds since 1970; 0 if unknown.
+        """
+        return (target, born) in self._crashes
+
     def _add_departure(self, target: str, born: int, now: float) -> None:
         known = self._departures.get(target)
         if known is None or known[0] <= born:
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_document_parts.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_document_parts.py
@@ -195,3 +195,14 @@
     answer = newest.answer(query, confirmed=True)
     size = len(encode_json(query)) + len(encode_json(answer))
     assert size * CHANGES_PER_S <= CHANGES_SHARE * CONTROL_BYTES_PER_S
+
+
+# Guards against documents that hosts of earlier builds, which don't know where health
+# checks are answered, can't take over.
+def test_digest_leaves_out_what_earlier_builds_drop() -> None:
+    earlier = ForwardService(name="llm", max_connections=400)
+    later = msgspec.structs.replace(earlier, health_path="/healthz")
+    documents = [Deployment(version=1, services=(each,)) for each in (earlier, later)]
+    parts = [DocumentParts.from_deployment(each) for each in documents]
+    assert parts[0].digest == parts[1].digest
+    assert b"health" not in encode_json(earlier)
