Ask leaving targets, too, whether they live after an answer without a length

An answer without a length counted as whole at once if its target had said that it leaves.

The two tests that asked for the earlier behaviour are replaced: whole if the leaving target still answers, cut if it has ended. Both failed before the change ('whole' where 'cut' is due).

--- a/packages/daemon/bramleyspread_daemon/forward/_unframed_end.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_unframed_end.py
@@ -97,9 +97,6 @@
         target = end.target
         if read_monotonic() >= end.deadline - STOP_MARGIN_S:
             return "ended as its time was over"
-        if self._targets.has_departed(target.target, target.born):
-            # It may end as soon as it has answered.
-            return ""
         process = (target.target, target.born)
         inquiry = self._inquiries.get(process)
         if inquiry is None:
@@ -125,8 +122,6 @@
         target = end.target
         if inquiry.lived_at >= end.ended_at:
             return ""
-        if self._targets.has_departed(target.target, target.born):
-            return ""
         has_crashed = self._targets.has_crashed(target.target, target.born)
         if inquiry.has_ended or (inquiry.has_asked and has_crashed):
             return "ended together with its target"
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
@@ -254,9 +254,13 @@
     assert forward_to_crashing(PLAIN_ROUTE, b"half of it").statuses == [502]
 
 
-def test_answer_of_a_target_that_was_leaving_is_whole() -> None:
+# Guards against half an answer that looks whole since its target had said that it
+# leaves: it may exit, or be killed, in the middle.
+def test_answer_that_ends_with_a_leaving_target_is_not_whole() -> None:
     reply = forward_to_crashing(STREAM_ROUTE, EVENT * 3, has_departed=True)
-    assert (reply.statuses, reply.ended) == ([200], "whole")
+    assert (reply.statuses, reply.ended) == ([200], "cut")
+    leaving = forward_to_crashing(PLAIN_ROUTE, b"half of it", has_departed=True)
+    assert leaving.statuses == [502]
 
 
 # Guards against a stream that its target gave up at the deadline it was given.
@@ -436,9 +440,11 @@
     assert run(main) == ("whole", 1)
 
 
-# Guards against whole answers of leaving targets that exit once they have answered.
-def test_answer_is_whole_if_its_target_leaves_while_it_is_asked() -> None:
-    assert forward_to_asked(close, leaves_after_s=0.3).ended == "whole"
+# Guards against whole answers of leaving targets that are cut though they still run.
+def test_answer_of_a_leaving_target_that_still_answers_is_whole() -> None:
+    answers = answer_with(write_life("t"), delay_s=0.4)
+    assert forward_to_asked(answers, leaves_after_s=0.1).ended == "whole"
+    assert forward_to_asked(close, leaves_after_s=0.1).ended == "cut"
 
 
 # Guards against a question for each of many answers that end at the same moment.
