Send a stream's head together with its first event

What callers saw: a closed connection with neither head nor body, when a target was killed between its head and its first event (also on routes that can be resumed).

Cause: the head counted as the beginning of the answer as soon as the target's had come, so that all later ends could only cut the connection, though the server had sent nothing.

Now the head goes out with the first event, or with the end of an empty stream. Before, the answer is still open: another target's stream has its own head, a target's failure is passed on, else 502, 504 (out of time, planned stop) as for other requests. Where an event has gone out nothing changes. A second target may answer with a plain body as long as no event was passed on.

The tests of cuts after an event stay.

--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -300,12 +300,10 @@
         self, connection: UpstreamConnection, head: TargetHead
     ) -> AttemptEnd:
         splitter = EventSplitter()
-        if not self._reply.begun:
-            self._reply.begin_stream(head.status, head.headers)
         while chunk := await connection.read_chunk():
             events = splitter.feed(chunk, MAX_EVENTS_AT_ONCE)
             while events:
-                self._pass_on(events)
+                self._pass_on(events, head)
                 if len(events) < MAX_EVENTS_AT_ONCE:
                     break
                 await curio.sleep(0)
@@ -318,6 +316,7 @@
             raise ConnectionClosedError("ended before the first event")
         await self._check_end(connection)
         await self._release_connection(connection, head)
+        self._begin(head)
         if splitter.rest:
             self._reply.send_chunk(splitter.rest)
         self._reply.end()
@@ -337,10 +336,19 @@
         if why:
             raise ConnectionClosedError(why)
 
-    def _pass_on(self, events: Sequence[StreamEvent]) -> None:
+    def _begin(self, head: TargetHead) -> None:
+        """Pass on the head, unless one went out.
+
+        Until then a target that breaks off leaves the caller's answer open.
+        """
+        if not self._reply.begun:
+            self._reply.begin_stream(head.status, head.headers)
+
+    def _pass_on(self, events: Sequence[StreamEvent], head: TargetHead) -> None:
         for event in events:
             if not self.last_event and not follows(event.event_id, self._after_event):
                 raise ConnectionClosedError("began with an event that was passed on")
+            self._begin(head)
             self._reply.send_chunk(event.data)
             self.last_event = event.event_id or self.last_event
             self._report_event()
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
@@ -77,6 +77,13 @@
     assert stop_during(ROUTE, b"", hangs=hangs).statuses == [status]
 
 
+# Guards against a caller that gets neither head nor body.
+@pytest.mark.parametrize("body", [b"", b"id: 1\nda"])
+def test_stream_without_an_event_gets_a_final_answer(body: bytes) -> None:
+    reply = stop_during(STREAM, b"HTTP/1.1 200 OK\r\n\r\n" + body)
+    assert (reply.statuses, reply.chunks, reply.ended) == ([504], [], "")
+
+
 def test_stream_that_has_begun_is_cut() -> None:
     event = b"id: 1\n\n"
     reply = stop_during(STREAM, b"HTTP/1.1 200 OK\r\n\r\n" + event)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
@@ -301,6 +301,87 @@
     assert (reply.statuses, reply.ended, len(wire.metadata)) == ([200], "cut", 1)
 
 
+# Guards against a caller that gets neither head nor body since its target crashed
+# between the head and the first event.
+def test_stream_that_breaks_off_before_its_first_event_is_answered() -> None:
+    wire, reply = FakeWire(), StreamReply()
+    route = msgspec.structs.replace(STREAM, resumable=False)
+    target = FakeConnection(b"id: 1\nda", breaks=True)
+    run(make_forwarder(route, make_context(wire, target), wire, reply).run)
+    assert (reply.statuses, reply.chunks, reply.ended) == ([502], [], "")
+    assert len(wire.metadata) == 1
+
+
+class SilentConnection(FakeConnection):
+    """Connection to a target that sends the head of an answer only."""
+
+    async def read_chunk(self) -> bytes:
+        await curio.sleep(60)
+        return b""
+
+
+# Guards against a caller that gets neither head nor body when its time is over.
+def test_stream_without_an_event_in_time_is_answered() -> None:
+    wire, reply = FakeWire(), StreamReply()
+    route = msgspec.structs.replace(STREAM, timeout_ms=50)
+    context = make_context(wire, SilentConnection())
+    run(make_forwarder(route, context, wire, reply).run)
+    assert (reply.statuses, reply.chunks, reply.ended) == ([504], [], "")
+
+
+class NumberingWire(FakeWire):
+    """Wire format that says in each head how many came before."""
+
+    heads = 0
+
+    def read_head(self, status: int, headers: object) -> TargetHead:
+        self.heads += 1
+        numbered = (("attempt", str(self.heads)),)
+        return msgspec.structs.replace(
+            super().read_head(status, headers), headers=numbered
+        )
+
+
+class HeadReply(StreamReply):
+    """Reply that records the headers as well."""
+
+    headers: object = None
+
+    def begin_stream(self, status: int, headers: object) -> None:
+        super().begin_stream(status, headers)
+        self.headers = headers
+
+
+# Guards against the head of one target before the events of another.
+def test_head_comes_from_the_target_of_the_first_event() -> None:
+    wire, reply = NumberingWire(), HeadReply()
+    context = make_context(
+        wire,
+        FakeConnection(breaks=True),
+        FakeConnection(b"id: 1\ndata: a\n\n", breaks=True),
+        FakeConnection(b"id: 2\ndata: b\n\n"),
+    )
+    route = msgspec.structs.replace(STREAM, attempts=3)
+    run(make_forwarder(route, context, wire, reply).run)
+    assert reply.chunks == [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"]
+    assert (reply.statuses, reply.ended) == ([200], "whole")
+    assert reply.headers == (("attempt", "2"),)
+
+
+# Guards against a stream that is cut off although a target has answered the request.
+def test_failure_of_the_second_target_is_passed_on_if_the_first_sent_no_event() -> None:
+    wire, reply = FakeWire(), StreamReply()
+    context = make_context(wire, FakeConnection(breaks=True), FailingConnection())
+    run(make_forwarder(STREAM, context, wire, reply).run)
+    assert (reply.statuses, reply.chunks, reply.ended) == ([500], [], "")
+
+
+def test_stream_without_events_has_a_head() -> None:
+    wire, reply = FakeWire(), StreamReply()
+    run(make_forwarder(STREAM, make_context(wire, FakeConnection()), wire, reply).run)
+    assert (reply.statuses, reply.chunks, reply.ended) == ([200], [], "whole")
+
+
 def test_slow_caller_limits_buffered_stream_bytes() -> None:
     async def main() -> None:
         event = b"id: 1\ndata: " + b"x" * 1_000 + b"\n\n"
