Don't close connections as idle while a request waits on them unread

What callers saw: requests on kept connections to a host that stops, sent after SIGTERM and not passed on, ended with a reset more than 0.2 s after they were sent.

Cause: idle connections are closed when accepting ends. A connection on which a busy process had not read yet counted as idle, and closing it with unread bytes resets it. The same at the end of the time for which connections may be idle.

Both tests failed before with no answer (b"").

Fix: a connection is closed as idle only if nothing waits to be read.

--- a/packages/daemon/bramleyspread_daemon/_server_connection.py
+++ b/packages/daemon/bramleyspread_daemon/_server_connection.py
@@ -217,12 +217,13 @@
         self._http.receive_data(data)
 
     def close_idle(self) -> None:
-        """Close the connection unless a request is in progress."""
+        """Close the connection unless a request is in progress, or waits unread."""
         has_request = (
             self._http.their_state is not h11.IDLE or self._http.trailing_data[0]
         )
-        if not has_request and not self.has_open_reply:
-            self._connection.abort()
+        if has_request or self.has_open_reply or not self._connection.is_idle():
+            return
+        self._connection.abort()
 
     def close_timed_out(self) -> None:
         """Close the connection after a timeout; a slow sender gets a 408 first."""
@@ -230,7 +231,7 @@
             self._connection.abort()
         elif self._http.trailing_data[0] or self._http.their_state is h11.SEND_BODY:
             self._refuse(408, "the request did not arrive in time; send it faster")
-        else:
+        elif self._connection.is_idle():
             self._connection.abort()
 
     def refuse_over_limit(self) -> None:
--- a/packages/daemon/bramleyspread_daemon/tests/test_server.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_server.py
@@ -273,6 +273,47 @@
     run(main)
 
 
+# Guards against requests that wait unread while their process is busy, and get no
+# answer as their connection counts as idle when accepting ends.
+def test_a_connection_with_an_unread_request_is_not_closed_as_idle() -> None:
+    async def main() -> None:
+        begun: list[Reply] = []
+
+        async def wait(_: HttpRequest, reply: Reply) -> None:
+            begun.append(reply)
+
+        server, address = await start_server(
+            ("POST", "/echo", echo), ("GET", "/wait", wait)
+        )
+        async with await connect(address) as connected:
+            await connected.sendall(b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n")
+            while not begun:
+                await curio.sleep(0)
+            await server.stop_accepting()
+            begun[0].send(200, b"done")
+            await read_until(connected, b"done")
+            await connected.sendall(VALID_REQUEST)
+            # The second call closes idle connections before the server gets to read.
+            await server.stop_accepting()
+            assert (await read_until(connected, b"hi")).startswith(b"HTTP/1.1 200")
+
+    run(main)
+
+
+# Guards against the same at the end of the time for which connections may be idle.
+def test_an_unread_request_outlasts_the_idle_time_of_its_connection() -> None:
+    async def main() -> None:
+        server, address = await start_server(("POST", "/echo", echo))
+        async with await connect(address) as connected:
+            await connected.sendall(VALID_REQUEST)
+            await read_until(connected, b"hi")
+            await connected.sendall(VALID_REQUEST)
+            server.sweep(read_monotonic() + 2 * server.limits.idle_s)
+            assert (await read_until(connected, b"hi")).startswith(b"HTTP/1.1 200")
+
+    run(main)
+
+
 # Guards against requests that are taken after the end of accepting, and cut off, by a
 # process that is too slow to end it in time.
 @pytest.mark.parametrize("is_public", [True, False])
