A control host trusts its logs after a full disk as much as before

Callers: where folders aren't trusted by the settings (trust_folder false), changes stayed unanswered (503) for good after a disk had room again, though all processes ran, if one voter was away or had been replaced for good.

Cause: a host that loads its folder again after a failed write counted as one that restarted on a changed folder, since the failed write and each attempt to rewrite the folder change its files. Its votes weren't trusted until a leader had confirmed its log. With the leader's disk full, nobody could be elected to confirm it unless every voter voted, also one that will never come back.

The process hasn't ended, so it knows what it had synced and may have told others: term, vote and last entry of each group. If the loaded folder has the same identity and contains that, the log is trusted as it was before; if it doesn't (lost, or an older copy put in its place), it isn't, as after a restart.

--- a/packages/control/bramleyspread_control/_host.py
+++ b/packages/control/bramleyspread_control/_host.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Sequence
 
+import msgspec
 import xxhash
 
 from bramleyspread_control._claim_timers import ClaimTimers
@@ -13,7 +14,7 @@
 from bramleyspread_control._disk import Disk
 from bramleyspread_control._entries import Change, PutDocument
 from bramleyspread_control._peer_protocol import PeerProtocol
-from bramleyspread_control._replica import Replica
+from bramleyspread_control._replica import Replica, SyncedState
 from bramleyspread_control._store import DOCUMENTS_GROUP, Store
 from bramleyspread_control._tickets import PendingCommands
 from bramleyspread_core import (
@@ -54,6 +55,15 @@
 ENTRY_HOST_TIMEOUT_S = 60.0
 
 
+class SyncedStates(msgspec.Struct, frozen=True):
+    """What a host had made durable of all groups."""
+
+    #: Identity of the data folder.
+    incarnation: str
+    #: The replicas' states, by group.
+    states: dict[int, SyncedState]
+
+
 class ControlHost:
     """All decisions of one control host; implements ``ControlNode``.
 
@@ -158,6 +168,24 @@
             tuple(events),
         )
 
+    def list_synced_states(self) -> SyncedStates:
+        """List what this host has made durable, for :meth:`trust_as_before`."""
+        replicas = self._store.replicas
+        return SyncedStates(
+            self._store.header.incarnation,
+            {group: each.synced_state for group, each in replicas.items()},
+        )
+
+    def trust_as_before(self, former: SyncedStates) -> None:
+        """Trust the loaded logs as far as this process did before its disk failed.
+
+        :param former: what the process had made durable then.
+        """
+        if former.incarnation != self._store.header.incarnation:
+            return
+        for group, replica in self._store.replicas.items():
+            replica.trust_as_before(former.states[group])
+
     def rewrite_folder(self) -> None:
         """Write the whole state to new files, and sync them.
 
--- a/packages/control/bramleyspread_control/_memory_disk.py
+++ b/packages/control/bramleyspread_control/_memory_disk.py
@@ -55,6 +55,9 @@
         self.free_bytes: int | None = None
         #: Size of all files together that the disk holds; None for no limit.
         self.capacity_bytes: int | None = None
+        #: Kinds of operations that fail, such as ``append`` and ``rename``: those for
+        #: which a full disk has no space.
+        self.failing: frozenset[str] = frozenset()
         #: Duration that is reported of each sync, in seconds.
         self.sync_s = 0.001
 
@@ -67,7 +70,7 @@
         folder = MemoryDisk()
         folder._boot_id = rng.getrandbits(64)
         folder.free_bytes, folder.sync_s = self.free_bytes, self.sync_s
-        folder.capacity_bytes = self.capacity_bytes
+        folder.capacity_bytes, folder.failing = self.capacity_bytes, self.failing
         files = self._files if rng.random() < 0.5 else self._synced_files
         for name, file in files.items():
             kept = _File()
@@ -82,7 +85,7 @@
         folder = MemoryDisk()
         folder._boot_id, folder.steps = self._boot_id, self.steps
         folder.free_bytes, folder.sync_s = self.free_bytes, self.sync_s
-        folder.capacity_bytes = self.capacity_bytes
+        folder.capacity_bytes, folder.failing = self.capacity_bytes, self.failing
         for name, file in self._files.items():
             kept = _File(file.changed_at_step)
             kept.content = bytearray(file.content)
@@ -133,7 +136,7 @@
 
     def append(self, name: str, data: bytes) -> None:
         """Append to a file, which is created if it is missing."""
-        self._count_step()
+        self._begin("append", name)
         written = self._allocate(data)
         file = self._files.setdefault(name, _File())
         file.content += written
@@ -143,38 +146,38 @@
 
     def sync(self, name: str) -> None:
         """Make the content of a file durable."""
-        self._count_step()
+        self._begin("sync", name)
         file = self._find("sync", name)
         file.synced = bytes(file.content)
         self.syncs += 1
 
     def sync_folder(self) -> None:
         """Make created, renamed and removed file names durable."""
-        self._count_step()
+        self._begin("sync", ".")
         self._synced_files = dict(self._files)
 
     def rename(self, old: str, new: str) -> None:
         """Rename a file and replace any file of the new name."""
-        self._count_step()
+        self._begin("rename", old)
         self._files[new] = self._find("rename", old)
         del self._files[old]
 
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to a size in bytes."""
-        self._count_step()
+        self._begin("truncate", name)
         file = self._find("truncate", name)
         del file.content[size:]
         file.changed_at_step = self.steps
 
     def remove(self, name: str) -> None:
         """Remove a file."""
-        self._count_step()
+        self._begin("remove", name)
         self._find("remove", name)
         del self._files[name]
 
     def overwrite(self, name: str, data: bytes) -> None:
         """Overwrite a small file; the change is neither durable nor atomic."""
-        self._count_step()
+        self._begin("write", name)
         written = self._allocate(data)
         self._check_written("write", name, data, written)
         self._files.setdefault(name, _File()).content = bytearray(data)
@@ -207,9 +210,12 @@
             raise DiskError(operation, name, "no such file")
         return file
 
-    def _count_step(self) -> None:
+    def _begin(self, operation: str, name: str) -> None:
+        """Count an operation, which fails if the test chose it."""
         if self.kill_at_step is not None and self.steps >= self.kill_at_step:
             raise SimulatedKillError(f"simulated kill at step {self.steps}")
+        if operation in self.failing:
+            raise DiskError(operation, name, "no space left")
         self.steps += 1
 
 
--- a/packages/control/bramleyspread_control/_recovering_host.py
+++ b/packages/control/bramleyspread_control/_recovering_host.py
@@ -9,7 +9,7 @@
 
 from bramleyspread_control._config import ControlConfig
 from bramleyspread_control._disk import DiskError
-from bramleyspread_control._host import ControlHost
+from bramleyspread_control._host import ControlHost, SyncedStates
 from bramleyspread_core import (
     Address,
     Command,
@@ -71,6 +71,8 @@
         self._reopen_at = now
         self._reopen_delay_s = MIN_REOPEN_DELAY_S
         self._deployment: Deployment | None = None
+        # What this process had made durable; None before the first successful start.
+        self._synced_states: SyncedStates | None = None
         self._pending_tickets: set[int] = set()
         self._replies: list[CommandReply] = []
         self._events: list[UnstampedEvent] = []
@@ -141,6 +143,8 @@
     def _suspend(self, error: DiskError, now: float) -> None:
         """Stop taking part; the outcome of pending commands is undecided."""
         self._deployment = self.deployment
+        if self._host is not None:
+            self._synced_states = self._host.list_synced_states()
         self._is_usable = False
         self._reopen_delay_s = MIN_REOPEN_DELAY_S
         self._reopen_at = now + self._reopen_delay_s
@@ -156,6 +160,11 @@
     def _reopen(self, now: float) -> None:
         try:
             host = self._open_host(now)
+            # Each attempt changes files, so they no longer show that they are as this
+            # process left them.
+            if self._synced_states is not None:
+                host.trust_as_before(self._synced_states)
+            self._synced_states = host.list_synced_states()
             host.rewrite_folder()
         except DiskError:
             self._reopen_at = now + self._reopen_delay_s
--- a/packages/control/bramleyspread_control/_replica.py
+++ b/packages/control/bramleyspread_control/_replica.py
@@ -5,6 +5,8 @@
 import random
 from typing import Protocol
 
+import msgspec
+
 from bramleyspread_control._config import ControlTimings
 from bramleyspread_control._consensus_state import ConsensusState, Role
 from bramleyspread_control._election import Election
@@ -51,6 +53,19 @@
         self.result = result
 
 
+class SyncedState(msgspec.Struct, frozen=True):
+    """What a replica had made durable, and so may have told other hosts."""
+
+    #: The term, and the candidate that received the replica's vote in it.
+    term: int
+    vote: str
+    #: Index and term of the last log entry.
+    index: int
+    index_term: int
+    #: Whether the log up to there was known to be complete.
+    log_complete: bool
+
+
 class Replica:
     """One host's copy of one group: handles its messages, timers and commands.
 
@@ -83,6 +98,8 @@
         #: State and actions as leader; None while this replica is not the leader.
         self.leader_state: LeaderState | None = None
         self._election = Election(self.consensus)
+        #: What is durable; a loaded folder is rewritten before it counts as that.
+        self.synced_state = self._read_state()
 
     @property
     def log(self) -> Log:
@@ -185,10 +202,41 @@
         """
         log = self.log
         log.mark_synced()
+        self.synced_state = self._read_state()
         if self.leader_state is not None:
             self.leader_state.advance_commit_index()
         return self.apply_committed()
 
+    def trust_as_before(self, former: SyncedState) -> None:
+        """Take over from this process's former replica that the log is complete.
+
+        That holds only if the loaded folder contains all that the former replica had
+        made durable; otherwise a leader has to confirm the log, as after a restart.
+
+        :param former: what the former replica had made durable.
+        """
+        consensus, log = self.consensus, self.log
+        has_vote = consensus.term > former.term or (
+            consensus.term == former.term and former.vote in ("", consensus.vote)
+        )
+        has_entries = (
+            former.index <= log.base_index
+            or log.find_term(former.index) == former.index_term
+        )
+        if former.log_complete and has_vote and has_entries:
+            consensus.log_complete = True
+        self.synced_state = self._read_state()
+
+    def _read_state(self) -> SyncedState:
+        consensus, log = self.consensus, self.log
+        return SyncedState(
+            consensus.term,
+            consensus.vote,
+            log.last_index,
+            log.last_term,
+            consensus.log_complete,
+        )
+
     def apply_committed(self) -> list[AppliedEntry]:
         """Apply all committed entries that have not been applied yet.
 
--- a/packages/control/bramleyspread_control/tests/test_full_disk.py
+++ b/packages/control/bramleyspread_control/tests/test_full_disk.py
@@ -9,7 +9,12 @@
 import msgspec
 import pytest
 
-from bramleyspread_control import ControlHost, ControlTimings, RecoveringControlHost
+from bramleyspread_control import (
+    ControlHost,
+    ControlTimings,
+    MemoryDisk,
+    RecoveringControlHost,
+)
 from bramleyspread_control.tests._cluster import Cluster, submit
 from bramleyspread_core import Accepted, NotLeader, Undecided
 
@@ -244,3 +249,48 @@
     assert cluster.submit(2)
     status = msgspec.structs.asdict(cluster.nodes[leader].report_status(cluster.now))
     assert status["host"] == leader
+
+
+# No leader was elected any more after a disk had been full while one host was away.
+@pytest.mark.parametrize("size", [3, 4])
+@pytest.mark.parametrize("free_bytes", [0, 7, 150])
+def test_leader_is_elected_after_a_full_disk_while_another_host_is_away(
+    size: int, free_bytes: int
+) -> None:
+    cluster, leader = start_cluster(size)
+    away = next(each for each in cluster.nodes if each != leader)
+    cluster.kill(away)
+    cluster.fill(leader, free_bytes=free_bytes)
+    cluster.propose(leader, submit("c2", version=2))
+    cluster.run(3.0)
+    assert cluster.list_roles()[leader] == "suspended"
+    cluster.make_space()
+    assert cluster.submit(2, seconds=RECOVERY_S + ELECTION_S)
+
+
+@pytest.mark.parametrize("is_lost", [False, True])
+def test_folder_replaced_while_the_disk_is_full_is_not_trusted(is_lost: bool) -> None:
+    """A host with an empty or older folder and a lagging one must not elect a leader.
+
+    The accepted change would be lost, since only the killed leader holds it.
+    """
+    cluster, leader = start_cluster()
+    lagging, suspended = (each for each in cluster.nodes if each != leader)
+    older = cluster.disks[suspended].copy()
+    cluster.isolate(lagging)
+    assert isinstance(cluster.call(submit("c2", version=2), leader), Accepted)
+    cluster.fill(suspended)
+    cluster.propose(leader, submit("c3", version=3))
+    cluster.run(0.1)
+    assert cluster.list_roles()[suspended] == "suspended"
+    disk = cluster.disks[suspended]
+    cluster.disks[suspended] = MemoryDisk() if is_lost else disk.restore(older)
+    cluster.kill(leader)
+    cluster.heal()
+    cluster.run(20.0)
+    assert cluster.list_roles()[suspended] != "suspended"
+    assert cluster.find_leader() is None
+    cluster.start(leader)
+    retried = cluster.call(submit("c2", version=2), seconds=30.0)
+    assert isinstance(retried, Accepted)
+    assert retried.resent
