Count the exit of a target that was leaving as no crash

Cause: such an answer is whole, but whether its request does harm was asked 20 ms later, and a target that has left refuses connections, which counted as a crash.

Now an answer without a length of a target that was leaving says nothing: neither that its request is harmless, nor that it is fatal.

Failed before: both cases of the new test, with a crash in the table.

--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -198,13 +198,12 @@
     async def _record_success(
         self, connection: UpstreamConnection, sent_at: float
     ) -> None:
-        crashes = self._context.crashes
-        if connection.ends_by_closing:
-            await crashes.record_unframed_answer(
-                self._placed.target, self._features, sent_at
-            )
-        else:
+        crashes, target = self._context.crashes, self._placed.target
+        if not connection.ends_by_closing:
             crashes.record_success(self._features)
+        elif not self._context.targets.has_departed(target.target, target.born):
+            # A target that leaves may exit at once, which is no crash.
+            await crashes.record_unframed_answer(target, self._features, sent_at)
 
     def _log_lost_answer(self, end: MayHaveRun, sent_at: float) -> None:
         """Log what the target was at work on when its answer broke off."""
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
@@ -268,6 +268,28 @@
     assert (reply.statuses, reply.ended) == ([200], "whole")
 
 
+# Guards against requests that are refused as fatal since targets that were leaving
+# exited after having answered them.
+@pytest.mark.parametrize("route", [PLAIN_ROUTE, STREAM_ROUTE])
+def test_exit_of_a_target_that_was_leaving_is_no_crash(route: ForwardRoute) -> None:
+    async def main() -> TargetCrashes:
+        target = CrashingTarget(HEADS[0] + EVENT)
+        await curio.spawn(target.serve, daemon=True)
+        wire, pool = _Wire(is_stream=route is STREAM_ROUTE), UpstreamPool()
+        context = make_context(wire)
+        context.placement, context.upstream = _Placement(target.address), pool
+        context.crashes = TargetCrashes(pool.is_refused, lambda *_: None)
+        context.targets.record_departure("t", 0, 0.0)
+        reply = _Reply()
+        await make_forwarder(route, context, wire, reply).run()
+        assert reply.statuses == [200]
+        await curio.sleep(2 * COLLECTION_S)
+        crashes: TargetCrashes = context.crashes
+        return crashes
+
+    assert run(main).table.is_empty
+
+
 # Guards against a stream that its target gave up at the deadline it was given.
 def test_answer_that_ends_as_its_time_is_over_is_not_whole() -> None:
     async def main() -> str:
