Tests of ends without a length: no verdict that depends on how busy the machine is

Answers that are to be whole have 15 s, so that a slow run doesn't cut them; those that are to be cut have 1 s. That another target's answer decides at once is told by the reason, not by the time it took.

--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
@@ -368,7 +368,7 @@
         await self._scripts[at](connected)
 
     async def forward(self, **known: Any) -> _Reply:
-        """Forward a stream to the target; its time is over after two seconds."""
+        """Forward a stream to the target; its time is long, unless it is known."""
         wire, reply = _Wire(is_stream=True), _Reply()
         context = make_context(wire)
         context.placement = _Placement(self.address)
@@ -380,7 +380,8 @@
                 context.targets.record_departure("t", 0, 0.0)
 
             await curio.spawn(leave, daemon=True)
-        route = msgspec.structs.replace(STREAM_ROUTE, timeout_ms=2_000)
+        timeout_ms = known.get("timeout_ms", 15_000)
+        route = msgspec.structs.replace(STREAM_ROUTE, timeout_ms=timeout_ms)
         await make_forwarder(route, context, wire, reply).run()
         return reply
 
@@ -404,7 +405,7 @@
 def test_answer_is_not_whole_if_connections_are_accepted_but_not_served(
     script: Script,
 ) -> None:
-    assert forward_to_asked(script).ended == "cut"
+    assert forward_to_asked(script, timeout_ms=1_000).ended == "cut"
 
 
 # Guards against half an answer of a killed process whose address is in use again, or
@@ -415,9 +416,19 @@
 def test_answer_is_not_whole_if_another_target_answers_at_its_address(
     answer: bytes,
 ) -> None:
-    started_at = read_monotonic()
+    async def main() -> str:
+        target = AskedTarget(answer_with(answer))
+        target.answers = 0
+        await target.start()
+        context = make_context(_Wire(is_stream=True))
+        context.upstream = UpstreamPool()
+        named, now = ForwardTarget("t", target.address, "z", 1), read_monotonic()
+        end = UnframedEnd(named, "s", now, now + 15.0)
+        why: str = await context.unframed_ends.find_break(end)
+        return why
+
+    assert run(main) == "ended together with its target"
     assert forward_to_asked(answer_with(answer)).ended == "cut"
-    assert read_monotonic() - started_at < 1.0
 
 
 # Guards against an answer that says nothing of who gave it, or that was due before.
@@ -427,7 +438,7 @@
 def test_answer_of_a_target_that_does_not_name_itself_proves_nothing(
     answer: bytes,
 ) -> None:
-    assert forward_to_asked(answer_with(answer)).ended == "cut"
+    assert forward_to_asked(answer_with(answer), timeout_ms=1_000).ended == "cut"
 
 
 # Guards against whole answers that are cut since their targets are silent for a while.
@@ -495,17 +506,18 @@
 
 # Guards against whole answers that are cut since this host has lost its own path.
 @pytest.mark.parametrize(
-    ("script", "end"), [(answer_with(write_life("t")), "whole"), (close, "cut")]
+    ("script", "timeout_ms", "end"),
+    [(answer_with(write_life("t")), 15_000, "whole"), (close, 1_000, "cut")],
 )
 def test_target_that_only_another_host_reaches_is_asked_by_way_of_it(
-    script: Script, end: str
+    script: Script, timeout_ms: int, end: str
 ) -> None:
     async def main() -> str:
         target, site = AskedTarget(script), Site()
         await target.start()
         site.known.add(target.address)
         pool = await site.start()
-        reply = await target.forward(pool=pool)
+        reply = await target.forward(pool=pool, timeout_ms=timeout_ms)
         assert pool.connector is not None
         assert pool.connector.relayed > 1
         return reply.ended
