Count an unconfirmed end of a leaving target's answer as no crash either

Since leaving targets are asked like others, the end of such an answer can count as lost, and its target, which refuses connections as it has left, as crashed under the request.

--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -173,12 +173,13 @@
             await self._close_connection()
             end = MayHaveRun(str(error))
             self._log_lost_answer(end, sent_at)
-            await context.crashes.record_lost_answer(
-                self._placed.target,
-                self._features,
-                sent_at,
-                self._first_byte_at,
-            )
+            if not self._may_have_left(connection):
+                await context.crashes.record_lost_answer(
+                    self._placed.target,
+                    self._features,
+                    sent_at,
+                    self._first_byte_at,
+                )
         if isinstance(end, Delivered):
             await self._record_success(connection, sent_at)
         self.is_in_flight = False
@@ -198,12 +199,20 @@
     async def _record_success(
         self, connection: UpstreamConnection, sent_at: float
     ) -> None:
-        crashes, target = self._context.crashes, self._placed.target
+        crashes = self._context.crashes
         if not connection.ends_by_closing:
             crashes.record_success(self._features)
-        elif not self._context.targets.has_departed(target.target, target.born):
-            # A target that leaves may exit at once, which is no crash.
-            await crashes.record_unframed_answer(target, self._features, sent_at)
+        elif not self._may_have_left(connection):
+            await crashes.record_unframed_answer(
+                self._placed.target, self._features, sent_at
+            )
+
+    def _may_have_left(self, connection: UpstreamConnection) -> bool:
+        """Whether the target may have left right after its answer: that is no crash."""
+        target = self._placed.target
+        return connection.ends_by_closing and self._context.targets.has_departed(
+            target.target, target.born
+        )
 
     def _log_lost_answer(self, end: MayHaveRun, sent_at: float) -> None:
         """Log what the target was at work on when its answer broke off."""
