A new control host is told whom to ask, though its settings name no leader

Callers: after hosts had been exchanged while disks were full in turn, changes were unanswered (503) for good: a new host was never admitted, so that, when the host it stood in for was gone, the rest were no majority.

Cause: only a leader admits a host, and a new host greets only the hosts that its settings name, three at most. If they all followed, as after a full disk has moved the leadership to a host that isn't named, they kept the greeting to themselves. Where the leader of a claims group was named, the new host learnt the members from that group's log, so it went well mostly.

Now a member that is greeted by a host which isn't one answers with the members that its log lists, and the new host greets them all. The answer itself is never answered. A build from before ignores the added field (tried with its struct).

Evidence: test_host_joins_though_its_settings_name_no_leader fails on the code before.

--- a/packages/control/bramleyspread_control/_messages.py
+++ b/packages/control/bramleyspread_control/_messages.py
@@ -6,12 +6,22 @@
 
 from bramleyspread_control._entries import Entry
 from bramleyspread_control._members import Members
+from bramleyspread_core import HostName
 
 
 class _Message(msgspec.Struct, frozen=True, array_like=True):
     """Base of all messages; JSON arrays take half as many bytes as objects."""
 
 
+class HostAddress(msgspec.Struct, frozen=True, array_like=True):
+    """Where a member of the deployment receives messages."""
+
+    host: HostName
+    zone: str
+    #: The address, as ``ip:port``.
+    address: str
+
+
 class Hello(_Message, frozen=True, tag="hello"):
     """Periodic announcement of a host and the identity of its data folder."""
 
@@ -22,6 +32,8 @@
     #: Address at which the host receives messages, as ``ip:port``; empty when only
     #: hosts named in the settings may join.
     address: str = ""
+    #: The members that the sender knows, for a receiver that isn't one of them.
+    members: tuple[HostAddress, ...] = ()
 
 
 class CreateDeployment(_Message, frozen=True, tag="found"):
--- a/packages/control/bramleyspread_control/_peer_protocol.py
+++ b/packages/control/bramleyspread_control/_peer_protocol.py
@@ -13,6 +13,7 @@
     Envelope,
     GroupMessage,
     Hello,
+    HostAddress,
     Message,
     SnapshotChunk,
     SnapshotChunkRequest,
@@ -20,7 +21,7 @@
 )
 from bramleyspread_control._peers import Peer, PeerTable, derive_deployment_id
 from bramleyspread_control._replica import Replica
-from bramleyspread_control._store import Store
+from bramleyspread_control._store import DOCUMENTS_GROUP, Store
 from bramleyspread_core import (
     Address,
     HostName,
@@ -190,6 +191,10 @@
 
     def _handle_hello(self, peer: Peer, hello: Hello, now: float) -> None:
         self._peers.record_hello(peer, hello, now)
+        if hello.members:
+            self._add_told_members(peer, hello)
+        elif self._config.admits_unlisted_hosts:
+            self._tell_members(peer)
         header = self._store.header
         host = peer.settings.host
         if hello.is_uninitialised and header.founders.has_replica(
@@ -199,6 +204,32 @@
                 (host, CreateDeployment(header.founders, header.groups))
             )
 
+    def _tell_members(self, peer: Peer) -> None:
+        """Tell a host that isn't a member whom it may ask to be admitted.
+
+        Only a leader admits it, and its settings may name none.
+        """
+        members = self._store.replicas[DOCUMENTS_GROUP].log.members
+        host = peer.settings.host
+        if members.listed and not members.has_replica(host, peer.incarnation):
+            told = tuple(
+                HostAddress(each.host, each.zone, str(each.address))
+                for each in members.listed
+            )
+            hello = msgspec.structs.replace(self._hello_message, members=told)
+            self._host_messages.append((host, hello))
+
+    def _add_told_members(self, peer: Peer, hello: Hello) -> None:
+        for each in hello.members:
+            try:
+                address = Address.from_text(each.address)
+            except ValueError as error:
+                self._report_refused(peer.settings.host, str(error))
+                return
+            self._peers.add_unlisted(
+                ControlMember(each.host, ZoneName(each.zone), address)
+            )
+
     def _handle_create_deployment(self, create: CreateDeployment) -> None:
         is_founder = create.members.has_replica(
             self._config.host, self._store.header.incarnation
--- a/packages/control/bramleyspread_control/tests/test_deployment.py
+++ b/packages/control/bramleyspread_control/tests/test_deployment.py
@@ -5,10 +5,11 @@
 import msgspec
 import pytest
 
-from bramleyspread_control import ControlTimings
+from bramleyspread_control import ControlMember, ControlTimings, MemoryDisk
 from bramleyspread_control._messages import Envelope, Hello
 from bramleyspread_control.tests._cluster import Cluster
 from bramleyspread_core import (
+    Address,
     CommandResult,
     ConfirmDeployment,
     Deployment,
@@ -261,3 +262,25 @@
     assert cluster.call(ConfirmDeployment()) == DeploymentRead(8, "text 8")
     cluster.run(10.0)
     assert list_voters(cluster, cluster.run_until_leader()) == set(names)
+
+
+# A new host stayed out while no host that its settings name was a leader.
+def test_host_joins_though_its_settings_name_no_leader() -> None:
+    cluster = start_open_cluster("abc", 4)
+    cluster.run(10.0)
+    leader = cluster.run_until_leader()
+    assert list_voters(cluster, leader) == set("abcd")
+    cluster.kill("d")
+    cluster.lose_disk("d")
+    leaders = {leader, cluster.run_until_leader("1")}
+    named = next(each for each in "abc" if each not in leaders)
+    all_members = cluster.members
+    address = Address("127.0.0.1", 7_100)
+    added = ControlMember(HostName("e"), ZoneName("e"), address)
+    cluster.disks["e"] = MemoryDisk()
+    cluster.members = (next(x for x in all_members if x.host == named), added)
+    cluster.start("e", may_found_deployment=False, admits_unlisted_hosts=True)
+    cluster.members = (*all_members, added)
+    cluster.run(4.0)
+    assert cluster.find_leader() == leader
+    assert "e" in list_voters(cluster, leader)
