--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_copied_rejections.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_copied_rejections.py
@@ -22,7 +22,7 @@
     make_context,
     make_forwarder,
 )
-from bramleyspread_daemon.forward.tests.test_unframed_answers import _Placement
+from bramleyspread_daemon.forward.tests.test_unframed_answers import OneTargetPlacement
 from bramleyspread_daemon.tests.loopback import (
     read_request,
     run,
@@ -117,7 +117,7 @@
     async def main() -> list[int]:
         _, address = await start_scripted_server(target.serve)
         context = make_context(_Wire())
-        context.placement = _Placement(address)
+        context.placement = OneTargetPlacement(address)
         context.upstream = UpstreamPool()
         context.signals.record = lambda _, told, __: signals.append(told)
         context.find_route = lambda *_: ONCE
