Ask targets whether they live only when they want requests, and take a rejection for proof

A target that is full rejects the question without naming itself; that was taken for no proof, so it was asked again and again, and the whole answer was cut at the end of its time. The question names the target that is meant, and any other one would have said so: a rejection is an answer of the right one. A target that has asked this host for a pause was asked during it. Now the question waits until the pause is over.

--- a/packages/daemon/bramleyspread_daemon/forward/_unframed_end.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_unframed_end.py
@@ -182,11 +182,17 @@
         head = self._wire.read_head(raw.status_code, raw.headers)
         if head.request:
             return  # the answer to an earlier request
-        if head.instance == target.target and not head.is_misdirected:
+        is_other = head.instance not in ("", target.target)
+        if head.is_misdirected or is_other:
+            inquiry.record_end()
+        elif head.instance or head.not_run:
+            # Another target would have said that it isn't the one that is asked.
             self._signals.record(target, head.signals, sent_at)
             inquiry.record_life(sent_at)
-        elif head.instance or head.is_misdirected:
-            inquiry.record_end()
+
+    def find_pause_s(self, target: ForwardTarget) -> float:
+        """Return for how long a target wants nothing from this host, in seconds."""
+        return self._signals.table.find_pause_s(target, read_monotonic())
 
 
 class _Inquiry:
@@ -258,6 +264,9 @@
         retry_s, silence_s = RETRY_DELAY_S, SILENCE_S
         async with curio.TaskGroup(wait=None) as group:
             while not self._is_over:
+                if pause_s := self._ends.find_pause_s(self.target):
+                    await curio.sleep(pause_s)
+                    continue
                 task = await group.spawn(self._ask)
                 await curio.ignore_after(silence_s, task.wait)
                 if not task.terminated:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_answers.py
@@ -64,6 +64,8 @@
 
     def read_head(self, status: int, headers: Any) -> TargetHead:
         head = super().read_head(status, headers)
+        if b"rejected" in dict(headers):
+            return msgspec.structs.replace(head, request="", not_run=True)
         instance = dict(headers).get(b"instance", b"").decode()
         if instance:
             return msgspec.structs.replace(
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_ends.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_ends.py
@@ -34,7 +34,7 @@
     run,
     start_scripted_server,
 )
-from bramleyspread_forwarding import ForwardTarget
+from bramleyspread_forwarding import ForwardTarget, ResponseSignals
 
 #: What a target does when it is asked whether it lives, with its connection.
 Script = Callable[[Any], Awaitable[None]]
@@ -187,6 +187,35 @@
     assert reply.ended == "whole"
 
 
+# Guards against questions without end to a target that is full. Another target would
+# have said that it isn't the one that is asked.
+def test_answer_of_a_target_that_rejects_without_an_id_is_whole() -> None:
+    rejection = b"HTTP/1.1 503 Full\r\nrejected: 1\r\ncontent-length: 0\r\n\r\n"
+    assert forward_to_asked(answer_with(rejection), stay_silent).ended == "whole"
+
+
+# Guards against questions to a target that has asked this host for a pause.
+def test_target_that_wants_a_pause_is_asked_after_it() -> None:
+    pause_s = 0.5
+
+    async def main() -> tuple[str, float]:
+        target = AskedTarget(answer_with(write_life("t")))
+        target.answers = 0
+        await target.start()
+        context = make_context(UnframedWire(is_stream=True))
+        context.upstream = UpstreamPool()
+        named, now = ForwardTarget("t", target.address, "z", 1), read_monotonic()
+        signals = ResponseSignals(pause_s=pause_s)
+        context.signals.record(named, signals, now)
+        end = UnframedEnd(named, "s", now, now + 15.0)
+        why = await context.unframed_ends.find_break(end)
+        return why, read_monotonic() - now
+
+    why, elapsed_s = run(main)
+    assert why == ""
+    assert elapsed_s >= pause_s
+
+
 # Guards against whole answers that are cut since their targets have no connection left.
 def test_answer_of_a_target_at_its_connection_limit_is_whole() -> None:
     limited = forward_to_asked(reset, reset, reset, answer_with(write_life("t")))
