End the wait for a silent target that is known to have crashed

Tests besides: answers to other requests, sent after the end or before, rejected, or given by another target.

--- a/packages/daemon/bramleyspread_daemon/forward/_unframed_end.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_unframed_end.py
@@ -217,7 +217,7 @@
         self.lived_at = -math.inf
         #: Whether it is known that the target has ended.
         self.has_ended = False
-        #: Whether a question has failed.
+        #: Whether a question has failed, or wasn't answered for a while.
         self.has_asked = False
 
     async def join(self, end: UnframedEnd) -> None:
@@ -265,6 +265,7 @@
             while not self._is_over:
                 task = await group.spawn(self._ask)
                 await curio.ignore_after(silence_s, task.wait)
+                self.has_asked = True
                 if not task.terminated:
                     silence_s *= GROWTH
                 elif not self._is_over:
@@ -274,6 +275,5 @@
 
     async def _ask(self) -> None:
         await self._ends.ask(self)
-        self.has_asked = True
         news, self._news = self._news, curio.Event()
         await news.set()
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_ends.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_ends.py
@@ -255,3 +255,69 @@
         return reply.ended
 
     assert run(main) == end
+
+
+def find_break(learn: Callable[[Any, UnframedEnd], None], deadline_s: float) -> str:
+    """Find why an answer is not whole; its target is silent, but more is learnt of it.
+
+    :param learn: learns something of the target while it is asked.
+    :param deadline_s: when the request's time is over, in seconds from now.
+    """
+
+    async def main() -> str:
+        target = AskedTarget(stay_silent)
+        target.answers = 0
+        await target.start()
+        context = make_context(UnframedWire(is_stream=True))
+        context.upstream = UpstreamPool()
+        named, now = ForwardTarget("t", target.address, "z", 1), read_monotonic()
+        end = UnframedEnd(named, "s", now, now + deadline_s)
+
+        async def learn_later() -> None:
+            await curio.sleep(0.1)
+            learn(context, end)
+
+        await curio.spawn(learn_later, daemon=True)
+        why: str = await context.unframed_ends.find_break(end)
+        return why
+
+    return run(main)
+
+
+def answer_request(
+    sent_after_s: float, **fields: Any
+) -> Callable[[Any, UnframedEnd], None]:
+    """Let the target answer another request, sent some time after the end."""
+
+    def record(context: Any, end: UnframedEnd) -> None:
+        head = UnframedWire(is_stream=True).read_head(200, ())
+        head = msgspec.structs.replace(head, **fields)
+        sent_at = end.ended_at + sent_after_s
+        context.unframed_ends.record_answer(end.target, head, sent_at)
+
+    return record
+
+
+# Guards against whole answers of busy targets that are cut since a question waits.
+@pytest.mark.parametrize("fields", [{}, {"instance": "t"}])
+def test_answer_to_a_later_request_shows_that_its_target_lived(fields: Any) -> None:
+    assert find_break(answer_request(0.01, **fields), 15.0) == ""
+
+
+# Guards against answers that were due before the end, or that another target may give.
+@pytest.mark.parametrize(
+    ("sent_after_s", "fields"),
+    [(-0.01, {}), (0.01, {"not_run": True}), (0.01, {"instance": "other"})],
+)
+def test_other_answers_to_requests_show_nothing(
+    sent_after_s: float, fields: Any
+) -> None:
+    assert find_break(answer_request(sent_after_s, **fields), 0.5).startswith("ended")
+
+
+# Guards against a long wait for a target of whose crash other hosts have told.
+def test_target_that_is_silent_and_known_to_have_crashed_has_ended() -> None:
+    def tell_of_crash(context: Any, end: UnframedEnd) -> None:
+        context.targets.record_crash("t", 0, read_monotonic())
+
+    assert find_break(tell_of_crash, 3.0) == "ended together with its target"
