A voter that returned once is replaced too when it leaves for good

Callers: after hosts had been exchanged while disks were full in turn, changes were unanswered (503) for good, though all processes ran.

Cause: a voter that is silent for 2.5 s loses its vote to one that came later into its zone. A host whose disk is full is silent. If that happens to one whose stand-in is there already, it loses its vote, and once its disk has room it is taken in again, as the last. When it then leaves for good, no later voter is in its zone, so it counted for ever: the next hosts to leave took the majority.

Now a voter that came earlier replaces it as well, after twice the time. The order of a zone's voters only decides how soon.

--- a/packages/control/bramleyspread_control/_leading.py
+++ b/packages/control/bramleyspread_control/_leading.py
@@ -19,6 +19,9 @@
 from bramleyspread_control._progress import OutgoingSnapshot, ReplicaProgress
 from bramleyspread_core import HostName
 
+#: How many times as long a voter must be silent to be replaced by one of its zone that
+#: came before it.
+EARLIER_VOTER_FACTOR = 2
 #: A leader hands over when its syncs take at least this many times as long as those of
 #: a quorum of others.
 SLOW_SYNC_FACTOR = 5.0
@@ -263,29 +266,30 @@
             self.append(SetMembers(), log.members.remove(replaced.host))
 
     def _find_replaceable_voter(self, now: float) -> Member | None:
-        """Find a silent voter that a later voter in its availability zone replaces.
+        """Find a silent voter that another voter in its availability zone replaces.
 
         As long as the silent voter counts, a majority needs one more replica, and one
-        further failure can stop the group.
+        further failure can stop the group. A voter that came earlier replaces it as
+        well, only later: a voter that returns after it was replaced comes last again.
         """
         timeout = self._consensus.timings.voter_replacement_timeout_s
         voters = self._consensus.log.members.voters
-        silent = [
-            member.host != self._consensus.host
-            and max(self._get_progress(member).last_contact_at, self.elected_at)
-            + timeout
-            < now
-            for member in voters
-        ]
+        silences = [self._find_silence(member, now) for member in voters]
         for number, member in enumerate(voters):
-            reachable_successors = (
-                each.zone == member.zone and not silent[number + 1 + at]
-                for at, each in enumerate(voters[number + 1 :])
-            )
-            if silent[number] and any(reachable_successors):
-                return member
+            for other, successor in enumerate(voters):
+                if successor.zone != member.zone or silences[other] > timeout:
+                    continue
+                factor = 1 if other > number else EARLIER_VOTER_FACTOR
+                if silences[number] > factor * timeout:
+                    return member
         return None
 
+    def _find_silence(self, member: Member, now: float) -> float:
+        """Find for how long a member has been silent, in seconds; 0 for this host."""
+        if member.host == self._consensus.host:
+            return 0.0
+        return now - max(self._get_progress(member).last_contact_at, self.elected_at)
+
     def transfer_leadership(self, now: float) -> None:
         """Stop accepting entries, and request an up-to-date replica to take over."""
         if self._transfer_deadline is None:
--- a/packages/control/bramleyspread_control/tests/_cluster.py
+++ b/packages/control/bramleyspread_control/tests/_cluster.py
@@ -52,7 +52,7 @@
         self.rng = random.Random(seed)
         self.now = 0.0
         self.timings = timings or ControlTimings()
-        names = "abcdefg"[:size]
+        names = "abcdefghij"[:size]
         self.members = tuple(
             ControlMember(
                 HostName(name), ZoneName(f"z{name}"), Address("127.0.0.1", 7000 + i)
--- a/packages/control/bramleyspread_control/tests/_operator.py
+++ b/packages/control/bramleyspread_control/tests/_operator.py
@@ -7,7 +7,12 @@
 
 import msgspec
 
-from bramleyspread_control import ControlConfig, ControlHost, RecoveringControlHost
+from bramleyspread_control import (
+    ControlConfig,
+    ControlHost,
+    ControlMember,
+    RecoveringControlHost,
+)
 from bramleyspread_control.tests._cluster import Cluster
 from bramleyspread_core import (
     CommandResult,
@@ -99,6 +104,8 @@
     ) -> None:
         self._founder_count = size
         self._options = {"trust_folder": trust_folder, "admits_unlisted_hosts": True}
+        #: Hosts that the settings of a host name; the founders if it isn't here.
+        self.named: dict[str, tuple[ControlMember, ...]] = {}
         #: Changes that are under way, and all of them.
         self.under_way: list[Sending] = []
         self.sendings: list[Sending] = []
@@ -111,9 +118,10 @@
     def config(self, name: str, **changes: bool) -> ControlConfig:
         own = next(each for each in self.members if each.host == name)
         founders = self.members[: self._founder_count]
+        named = self.named.get(name, founders)
         return msgspec.structs.replace(
             super().config(name, **{**self._options, **changes}),
-            members=tuple(dict.fromkeys((*founders, own))),
+            members=tuple(dict.fromkeys((*named, own))),
             may_found_deployment=own in founders,
         )
 
--- a/packages/control/bramleyspread_control/tests/test_deployment.py
+++ b/packages/control/bramleyspread_control/tests/test_deployment.py
@@ -284,3 +284,18 @@
     cluster.run(4.0)
     assert cluster.find_leader() == leader
     assert "e" in list_voters(cluster, leader)
+
+
+# A voter that had been away for a while counted for good after it was replaced.
+def test_voter_that_returned_once_is_replaced_by_an_earlier_voter_of_its_zone() -> None:
+    cluster = start_cluster_with_spares("xyzz")
+    start_and_join(cluster, "d")
+    cluster.kill("c")
+    cluster.run(5.0)
+    assert list_voters(cluster, "d") == set("abd")
+    start_and_join(cluster, "c")
+    cluster.run(4.0)
+    assert list_voters(cluster, "d") == set("abcd")
+    cluster.kill("c")
+    cluster.run(8.0)
+    assert list_voters(cluster, "d") == set("abd")
--- a/packages/control/bramleyspread_control/tests/test_disks_in_turn.py
+++ b/packages/control/bramleyspread_control/tests/test_disks_in_turn.py
@@ -45,16 +45,19 @@
 class Schedule:
     """A cluster, the disruptions that one seed draws, and changes all along."""
 
-    def __init__(self, seed: int, size: int, trust_folder: bool) -> None:
+    def __init__(
+        self, seed: int, size: int, trust_folder: bool, spares: int = 1
+    ) -> None:
         self.rng = random.Random(seed)
         timings = make_timings(self.rng.choice(CHECKPOINT_RECORDS))
         self.cluster = DiskCluster(
-            size, spares=1, trust_folder=trust_folder, seed=seed, timings=timings
+            size, spares=spares, trust_folder=trust_folder, seed=seed, timings=timings
         )
         #: What happened, for the message of a failed check.
         self.log: list[str] = []
         self.version = 0
         self._next_change_at = 0.0
+        self._next_spare = size
         #: Hosts that are gone for good.
         self.gone: set[str] = set()
         self._actions: list[tuple[float, Callable[[], None]]] = []
@@ -180,15 +183,46 @@
 
     def _replace(self, name: str) -> None:
         """Stop a host for good, a while after or before another stands in for it."""
+        self._add_spare(name)
+        self.plan(self.rng.uniform(0.0, 4.0), lambda: self._stop(name))
+
+    def _add_spare(self, name: str) -> None:
+        """Start a new host in a host's zone; its settings name some live hosts."""
         cluster = self.cluster
-        spare = cluster.members[-1]
-        self.note(f"replace {name} by {spare.host}")
+        spare = cluster.members[self._next_spare]
+        self.note(f"add {spare.host} for {name}")
         zone = next(each.zone for each in cluster.members if each.host == name)
         added = msgspec.structs.replace(spare, zone=zone)
-        cluster.members = (*cluster.members[:-1], added)
+        cluster.members = tuple(
+            added if each is spare else each for each in cluster.members
+        )
+        live = [each for each in cluster.members if each.host in cluster.nodes]
+        cluster.named[added.host] = tuple(self.rng.sample(live, min(3, len(live))))
         cluster.disks[spare.host] = MemoryDisk()
         cluster.start(spare.host)
-        self.plan(self.rng.uniform(0.0, 4.0), lambda: self._stop(name))
+        self._next_spare += 1
+
+    def replace_all(self) -> None:
+        """Replace the hosts one after another, while one disk after another is full."""
+        rng, cluster = self.rng, self.cluster
+        former = sorted(cluster.nodes)
+        rng.shuffle(former)
+        self._member_change = None
+        for name in former:
+            self._add_spare(name)
+            full = rng.choice(sorted(cluster.nodes))
+            self.fill(full)
+            if rng.random() < 0.5:
+                self.disrupt(full)
+            self.run(rng.uniform(1.0, 5.0))
+            if rng.random() < 0.5:
+                self._stop(name)
+            self.run(rng.uniform(0.0, 2.0))
+            self.make_space(full)
+            if name not in self.gone:
+                self.run(rng.uniform(0.0, 3.0))
+                self._stop(name)
+            self.run(rng.uniform(4.0, 7.0))
 
     def _stop(self, name: str) -> None:
         self.note(f"stop {name}")
@@ -224,7 +258,13 @@
         assert cluster.call(ConfirmDeployment()) == read
 
 
-def run_schedule(seed: int, size: int, trust_folder: bool) -> None:
+# Changes were unanswered for good after the disks of all hosts had been full in turn.
+@pytest.mark.parametrize("trust_folder", [False, True])
+@pytest.mark.parametrize("size", [3, 4, 5])
+@pytest.mark.parametrize("seed", [3, 9, 11, 14])
+def test_changes_are_acknowledged_after_disks_were_full_in_turn(
+    seed: int, size: int, trust_folder: bool
+) -> None:
     schedule = Schedule(seed, size, trust_folder)
     schedule.cluster.run_until_leader()
     schedule.run(2.0)
@@ -232,11 +272,15 @@
     schedule.check_acknowledged()
 
 
-# Changes were unanswered for good after the disks of all hosts had been full in turn.
-@pytest.mark.parametrize("trust_folder", [False, True])
+# Changes were unanswered for good after hosts had been replaced while disks were full.
 @pytest.mark.parametrize("size", [3, 4, 5])
-@pytest.mark.parametrize("seed", [3, 9, 11, 14])
-def test_changes_are_acknowledged_after_disks_were_full_in_turn(
-    seed: int, size: int, trust_folder: bool
+@pytest.mark.parametrize("seed", [1, 4, 5])
+def test_changes_are_acknowledged_after_hosts_were_replaced_meanwhile(
+    seed: int, size: int
 ) -> None:
-    run_schedule(seed, size, trust_folder)
+    schedule = Schedule(seed, size, trust_folder=True, spares=size)
+    schedule.cluster.run_until_leader()
+    schedule.run(1.0)
+    schedule.replace_all()
+    schedule.fill_in_turn()
+    schedule.check_acknowledged()
