A timeout that a busy process notices late ends no task with an error

Cause: if the time of a call inside expires while its task is ready to run, and that of the call around it before the task has returned, curio keeps the inner timeout pending and delivers it to the outer call, whose time it doesn't fit; it reports that as an error of the program.

Fix: one pair of functions for all timeouts of the daemon, which takes this error for what it is, an outer time that is over.

--- a/packages/daemon/bramleyspread_daemon/_client.py
+++ b/packages/daemon/bramleyspread_daemon/_client.py
@@ -9,6 +9,7 @@
 from bramleyspread_core import Address
 from bramleyspread_daemon._clock import STAMP_HEADER, ProcessClock, read_monotonic
 from bramleyspread_daemon._connection import Connection
+from bramleyspread_daemon._timeouts import timeout_after
 from bramleyspread_daemon._turns import Turns
 
 #: Maximum size of a response's head.
@@ -90,7 +91,7 @@
         :raises RequestNotSentError: when the connection cannot be established in time.
         """
         try:
-            connection = await curio.timeout_after(timeout, Connection.open, address)
+            connection = await timeout_after(timeout, Connection.open, address)
         except curio.TaskTimeout:
             raise RequestNotSentError(f"not connected within {timeout:.3f} s") from None
         except OSError as error:
--- a/packages/daemon/bramleyspread_daemon/_order_dispatcher.py
+++ b/packages/daemon/bramleyspread_daemon/_order_dispatcher.py
@@ -29,6 +29,7 @@
 )
 from bramleyspread_daemon._clock import ProcessClock, read_monotonic
 from bramleyspread_daemon._timeline import TimelineFile
+from bramleyspread_daemon._timeouts import timeout_after
 from bramleyspread_orders import OrderSend, Reconciler
 
 #: The path at which targets receive orders.
@@ -107,7 +108,7 @@
                 return _make_fault(order, Reason.DEADLINE, "too late to be sent")
             self.sent += 1
             body = encode_json(order)
-            response = await curio.timeout_after(
+            response = await timeout_after(
                 send.timeout_s, fetch, connection, "POST", ORDERS_PATH, body
             )
             answer: OrderAnswer = decode_json(response.body, OrderAnswer)
--- a/packages/daemon/bramleyspread_daemon/_pool.py
+++ b/packages/daemon/bramleyspread_daemon/_pool.py
@@ -14,6 +14,7 @@
     fetch,
 )
 from bramleyspread_daemon._clock import ProcessClock, read_monotonic
+from bramleyspread_daemon._timeouts import timeout_after
 from bramleyspread_daemon._traffic import Traffic
 
 #: Maximum idle time after which a connection is not reused.
@@ -147,7 +148,7 @@
         connection = await self.acquire(address, timeout=min(timeout, connect_timeout))
         is_complete = False
         try:
-            response: Response = await curio.timeout_after(
+            response: Response = await timeout_after(
                 timeout, fetch, connection, method, path, body
             )
             is_complete = True
--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Awaitable, Callable, Sequence
-from typing import TypeVar, cast
+from typing import TypeVar
 
 import curio
 from loguru import logger
@@ -12,6 +12,7 @@
 from bramleyspread_daemon._client import ConnectionClosedError, RequestNotSentError
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import Reply
+from bramleyspread_daemon._timeouts import timeout_after
 from bramleyspread_daemon.forward._context import ForwardContext
 from bramleyspread_daemon.forward._stage_work import StageWork
 from bramleyspread_daemon.forward._stream_binding import StreamBinding
@@ -435,7 +436,7 @@
     :raises ConnectionClosedError: if it takes too long.
     """
     try:
-        return cast("T", await curio.timeout_after(timeout_s, read, argument))
+        return await timeout_after(timeout_s, read, argument)
     except curio.TaskTimeout:
         raise ConnectionClosedError(f"no end within {timeout_s:.1f} s") from None
 
--- a/packages/daemon/bramleyspread_daemon/forward/_host_watch.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_host_watch.py
@@ -12,6 +12,7 @@
 from bramleyspread_daemon._client import ConnectionClosedError, RequestNotSentError
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._pool import ConnectionPool
+from bramleyspread_daemon._timeouts import timeout_after
 from bramleyspread_forwarding import EntryHost
 
 T = TypeVar("T")
@@ -55,7 +56,7 @@
         try:
             while True:
                 try:
-                    result: T = await curio.timeout_after(PROBE_DELAY_S, task.join)
+                    result: T = await timeout_after(PROBE_DELAY_S, task.join)
                 except curio.TaskTimeout:
                     if not await self._is_alive(host.address):
                         logger.bind(step="watch", peer=host.host).warning("gone")
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_calls.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_calls.py
@@ -13,6 +13,7 @@
 from bramleyspread_core import Address, MessageError
 from bramleyspread_daemon._client import ConnectionClosedError, RequestNotSentError
 from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon._timeouts import timeout_after
 from bramleyspread_daemon.forward._target_signals import TargetSignals
 from bramleyspread_daemon.forward._upstream import UpstreamConnection
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
@@ -73,7 +74,7 @@
         """
         timeout_s = max(call.timeout_ms, 1.0) / 1000
         try:
-            results: CallOutcome = await curio.timeout_after(
+            results: CallOutcome = await timeout_after(
                 timeout_s,
                 self._post,
                 call.target.address,
@@ -129,7 +130,7 @@
                 if target is not None and not self._take_turn(target, share):
                     held_back += own_handles
                     continue
-                await curio.timeout_after(
+                await timeout_after(
                     RELEASE_TIMEOUT_S, self._post, address, call, target, _read_nothing
                 )
             except (
--- a/packages/daemon/bramleyspread_daemon/forward/_relay.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_relay.py
@@ -20,6 +20,7 @@
 from bramleyspread_daemon._connection import Connection
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._refusal import encode_refusal
+from bramleyspread_daemon._timeouts import timeout_after
 from bramleyspread_daemon.forward._relayed_connection import (
     END,
     RelayedConnection,
@@ -201,9 +202,7 @@
     :raises RequestNotSentError: if that host doesn't reach the target.
     """
     try:
-        connection: Connection = await curio.timeout_after(
-            ASK_TIMEOUT_S, _ask, relay, target
-        )
+        connection: Connection = await timeout_after(ASK_TIMEOUT_S, _ask, relay, target)
     except curio.TaskTimeout:
         raise RelayUnavailableError("no answer from the relay") from None
     except (OSError, h11.RemoteProtocolError) as error:
--- a/packages/daemon/bramleyspread_daemon/forward/_relayed_connection.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_relayed_connection.py
@@ -14,6 +14,7 @@
 
 from bramleyspread_core import Address
 from bramleyspread_daemon._connection import Connection
+from bramleyspread_daemon._timeouts import timeout_after
 
 #: Timeout for finding out whether a host lives, in seconds.
 CHECK_TIMEOUT_S = 1.0
@@ -87,7 +88,7 @@
         The operating system may accept connections for a process that has ended.
         """
         try:
-            return not await curio.timeout_after(CHECK_TIMEOUT_S, self._ask_relay)
+            return not await timeout_after(CHECK_TIMEOUT_S, self._ask_relay)
         except (OSError, curio.TaskTimeout, h11.RemoteProtocolError):
             return True
 
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -11,6 +11,7 @@
 from bramleyspread_core import ForwardRoute, OrganisationKeys
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import Reply
+from bramleyspread_daemon._timeouts import timeout_after
 from bramleyspread_daemon.forward._attempt import Attempt
 from bramleyspread_daemon.forward._context import ForwardContext
 from bramleyspread_daemon.forward._stage_work import StageWork
@@ -113,7 +114,7 @@
         try:
             remaining_s = max(self._deadline - read_monotonic(), 0.001)
             try:
-                outcome = await curio.timeout_after(remaining_s, self._process)
+                outcome = await timeout_after(remaining_s, self._process)
             except curio.TaskTimeout:
                 outcome = self._end_by_timeout()
             except Exception:
--- a/packages/daemon/bramleyspread_daemon/forward/_target_connector.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_connector.py
@@ -12,6 +12,7 @@
 from bramleyspread_core import Address
 from bramleyspread_daemon._client import RequestNotSentError, TargetRefusedError
 from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon._timeouts import ignore_after
 from bramleyspread_forwarding import EntryHost, RelayChoice, TargetPaths
 
 #: Timeout for a connection that is only to show whether a path works, in seconds.
@@ -298,7 +299,7 @@
             for host in ranked[:MAX_RELAYS_ASKED]:
                 search.asked.append(host.host)
                 await group.spawn(self._ask, host, search)
-                await curio.ignore_after(NEXT_RELAY_DELAY_S, group.next_done)
+                await ignore_after(NEXT_RELAY_DELAY_S, group.next_done)
                 if search.is_over:
                     return
             while not search.is_over and await group.next_done() is not None:
--- a/packages/daemon/bramleyspread_daemon/forward/_unframed_end.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_unframed_end.py
@@ -17,6 +17,7 @@
 
 from bramleyspread_daemon._client import ConnectionClosedError, RequestNotSentError
 from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon._timeouts import ignore_after
 from bramleyspread_daemon.forward._target_signals import TargetSignals
 from bramleyspread_daemon.forward._upstream import UpstreamConnection
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
@@ -241,7 +242,7 @@
 
     async def wait(self, timeout_s: float) -> None:
         """Wait for news, for a limited time in seconds."""
-        await curio.ignore_after(timeout_s, self._news.wait)
+        await ignore_after(timeout_s, self._news.wait)
 
     def record_life(self, sent_at: float) -> None:
         """Record that the target answered what was sent at a time."""
@@ -268,7 +269,7 @@
                     await curio.sleep(pause_s)
                     continue
                 task = await group.spawn(self._ask)
-                await curio.ignore_after(silence_s, task.wait)
+                await ignore_after(silence_s, task.wait)
                 self.has_asked = True
                 if not task.terminated:
                     silence_s *= GROWTH
--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -17,6 +17,7 @@
 )
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._connection import Connection
+from bramleyspread_daemon._timeouts import timeout_after
 from bramleyspread_daemon._turns import Turns
 
 #: Maximum size of a response head.
@@ -113,7 +114,7 @@
         :raises RequestNotSentError: if the target can't be reached in time.
         """
         try:
-            connection = await curio.timeout_after(timeout, Connection.open, address)
+            connection = await timeout_after(timeout, Connection.open, address)
         except curio.TaskTimeout:
             raise RequestNotSentError(f"not connected within {timeout:.3f} s") from None
         except ConnectionRefusedError as error:
