--- a/packages/daemon/bramleyspread_daemon/tests/test_lost_folder.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_lost_folder.py
@@ -37,9 +37,12 @@
 RETRY_PAUSE_S = 0.05
 
 
-class _ControlProcesses:
+class ControlProcesses:
     """Three control processes, each with its own data folder."""
 
+    #: How the daemon is started.
+    program: tuple[str, ...] = (str(Path(sys.executable).parent / "bramleyspreadd"),)
+
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._pool = ConnectionPool(ProcessClock())
@@ -58,8 +61,7 @@
             f"listen: {{ip: 127.0.0.1, port: {self._addresses[name].port}}}\n"
             f"log: {{file: {self._folder}/{name}.log}}\n"
         )
-        program = str(Path(sys.executable).parent / "bramleyspreadd")
-        command = [program, "control", "--settings", str(path)]
+        command = [*self.program, "control", "--settings", str(path)]
         self.running[name] = subprocess.Popen(command)
 
     def kill(self, name: str) -> None:
@@ -119,7 +121,7 @@
     tmp_path: Path,
 ) -> None:
     async def main() -> None:
-        hosts = _ControlProcesses(tmp_path)
+        hosts = ControlProcesses(tmp_path)
         try:
             for name in NAMES:
                 hosts.start(name)
