--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -29,6 +29,8 @@
 MAX_BUFFERED_BYTES = 67_108_864
 #: Size up to which a body is read in any case, in bytes.
 SMALL_BODY_BYTES = 1_048_576
+#: Statuses of responses that never have a body.
+BODILESS_STATUSES = frozenset({204, 304})
 #: Maximum number of provisional responses before the final one.
 MAX_PROVISIONAL_RESPONSES = 16
 #: Time after which a connection with unacknowledged bytes is closed, in ms; it also
@@ -193,7 +195,7 @@
         for _ in range(MAX_PROVISIONAL_RESPONSES + 1):
             event = await self._read_event()
             if isinstance(event, h11.Response):
-                self.ends_by_closing = not _has_end(event)
+                self.ends_by_closing = not _has_end(event, self._method)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionClosedError("closed before the answer")
@@ -289,7 +291,9 @@
         await self._connection.reset()
 
 
-def _has_end(response: h11.Response) -> bool:
-    """Whether a response says itself where its body ends."""
+def _has_end(response: h11.Response, method: str) -> bool:
+    """Whether a response says itself where its body ends, or can't have one."""
+    if method == "HEAD" or response.status_code in BODILESS_STATUSES:
+        return True
     names = {name for name, _ in response.headers}
     return b"content-length" in names or b"transfer-encoding" in names
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_ends.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_unframed_ends.py
@@ -15,6 +15,7 @@
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward.tests.test_relay import Site
 from bramleyspread_daemon.forward.tests.test_request_forwarder import (
+    REQUEST,
     make_context,
     make_forwarder,
 )
@@ -22,6 +23,7 @@
     EVENT,
     HEADS,
     NO_LINGER,
+    PLAIN_ROUTE,
     STREAM_ROUTE,
     OneTargetPlacement,
     SentReply,
@@ -353,3 +355,30 @@
         context.targets.record_crash("t", 0, read_monotonic())
 
     assert find_break(tell_of_crash, 3.0) == "ended together with its target"
+
+
+# Guards against answers without a body whose targets are asked whether they live.
+@pytest.mark.parametrize(
+    ("method", "status"),
+    [("HEAD", "200 OK"), ("GET", "204 No Content"), ("GET", "304 Not Modified")],
+)
+def test_answer_that_can_have_no_body_is_whole_at_once(
+    method: str, status: str
+) -> None:
+    async def serve(connected: Any) -> None:
+        await read_request(connected)
+        await connected.sendall(f"HTTP/1.1 {status}\r\n\r\n".encode())
+        await read_all(connected)
+
+    async def main() -> tuple[list[int], int]:
+        _, address = await start_scripted_server(serve)
+        wire, reply = UnframedWire(is_stream=False), SentReply()
+        context = make_context(wire)
+        context.placement = OneTargetPlacement(address)
+        context.upstream = UpstreamPool()
+        forwarder = make_forwarder(PLAIN_ROUTE, context, wire, reply)
+        forwarder._request = msgspec.structs.replace(REQUEST, method=method)
+        await forwarder.run()
+        return reply.statuses, context.unframed_ends.asked
+
+    assert run(main) == ([int(status[:3])], 0)
