--- a/packages/daemon/bramleyspread_daemon/_server.py
+++ b/packages/daemon/bramleyspread_daemon/_server.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import curio
+import curio.io
 import curio.socket
 from loguru import logger
 
@@ -113,11 +114,23 @@
         self.refuses_from = min(self.refuses_from, read_monotonic())
         if self._accept_task is not None:
             await self._accept_task.cancel()
+            await self._accept_waiting()
             await self._listen_socket.close()
             self._accept_task = None
         for connection in tuple(self._connections):
             connection.close_idle()
 
+    async def _accept_waiting(self) -> None:
+        """Accept the connections that wait; closing the socket would reset them."""
+        for _ in range(BACKLOG):
+            try:
+                accepted, _ = self._listen_socket._socket.accept()
+            except OSError:
+                return
+            self.accepted += 1
+            client_socket = curio.io.Socket(accepted)
+            await curio.spawn(self._serve_connection, client_socket, daemon=True)
+
     async def close_connections(self) -> None:
         """Abort all open connections and wait until their tasks have ended."""
         for connection in tuple(self._connections):
--- a/packages/daemon/bramleyspread_daemon/tests/test_server.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import curio
 import pytest
 
@@ -355,3 +357,21 @@
         await _check_valid_request(address)
 
     run(main)
+
+
+# Guards against requests that are reset since their connections wait to be accepted
+# when accepting ends.
+def test_connections_that_wait_to_be_accepted_get_an_answer() -> None:
+    async def main() -> bytes:
+        server, address = await start_server(("POST", "/echo", echo))
+        server.is_public = True
+        # Until then the server hasn't begun to wait for connections.
+        await curio.sleep(0.05)
+        with socket.create_connection((address.ip, address.port)) as waiting:
+            waiting.sendall(VALID_REQUEST)
+            await server.stop_accepting()
+            waiting.setblocking(False)
+            await curio.sleep(0.2)
+            return waiting.recv(1_000)
+
+    assert run(main).startswith(b"HTTP/1.1 503")
