A stop that is noticed late leaves time to hand over

Found by the review: since a stop is counted from its signal, a control host that noticed it over 0.3 s late ended at once, before its request to another host to take the lead had left. It has 0.3 s at least now. The test failed before: nothing was handed over.

--- a/packages/daemon/bramleyspread_daemon/_process.py
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -38,6 +38,9 @@
 #: Time before the end of a stop at which requests without an answer get one, in
 #: seconds. A slow processor needs it to write them all.
 ANSWER_LEAD_S = 0.7
+#: Time after the beginning of a stop in which a process at least hands over what it
+#: leads, in seconds.
+HAND_OVER_S = 0.3
 
 
 class ProcessSettings(Protocol):
@@ -248,7 +251,8 @@
             server.refuses_from = accepts_until
         self.write_timeline_event("draining")
         await begin()
-        await curio.sleep(accepts_until - read_monotonic())
+        hand_over_s = min(HAND_OVER_S, limits.grace_s)
+        await curio.sleep(max(accepts_until - read_monotonic(), hand_over_s))
         for server in servers:
             await server.stop_accepting()
         replies = sum(server.open_replies for server in servers)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
@@ -19,6 +19,7 @@
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._process import ANSWER_LEAD_S, Process, wait_for_stop
 from bramleyspread_daemon._settings import Limits
+from bramleyspread_daemon._stop_signal import StopSignal
 from bramleyspread_daemon.forward._running_requests import RunningRequests
 from bramleyspread_daemon.forward._settings import ForwardEntrySettings
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
@@ -230,6 +231,32 @@
         run(main)
 
 
+# Guards against a process that ends before it has handed over what it leads, since it
+# noticed SIGTERM late.
+def test_a_stop_that_is_noticed_late_leaves_time_to_hand_over(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    handed_over: list[bool] = []
+
+    async def begin() -> None:
+        async def hand_over() -> None:
+            await curio.sleep(0.1)
+            handed_over.append(True)
+
+        await curio.spawn(hand_over, daemon=True)
+
+    async def main() -> None:
+        late = StopSignal("SIGTERM", read_monotonic() - 1.0)
+        monkeypatch.setattr(_stop_signal, "_received", [late])
+        process = make_process(tmp_path, Limits(grace_s=0.3, drain_s=3.0))
+        server = cast("Any", StoppingServer(0.0))
+        server.open_replies = 0
+        await process.drain([server], begin, lambda: True)
+
+    run_in_virtual_time(monkeypatch, main)
+    assert handed_over
+
+
 # Guards against streams that are cut together with the requests that are answered.
 def test_streams_that_have_begun_outlast_waiting_requests() -> None:
     event = b"id: 1\n\n"
