Compare a folder with what was synced, not with what was read once

Found by the review: after a failed write each attempt to load the folder took what it had read, also bytes that were never synced, for durable. If the operating system dropped these before the next attempt, the log wasn't trusted any more. What the process had synced stays the measure until a rewrite has succeeded.

--- a/packages/control/bramleyspread_control/_recovering_host.py
+++ b/packages/control/bramleyspread_control/_recovering_host.py
@@ -164,7 +164,6 @@
             # process left them.
             if self._synced_states is not None:
                 host.trust_as_before(self._synced_states)
-            self._synced_states = host.list_synced_states()
             host.rewrite_folder()
         except DiskError:
             self._reopen_at = now + self._reopen_delay_s
--- a/packages/control/bramleyspread_control/tests/test_full_disk.py
+++ b/packages/control/bramleyspread_control/tests/test_full_disk.py
@@ -294,3 +294,20 @@
     retried = cluster.call(submit("c2", version=2), seconds=30.0)
     assert isinstance(retried, Accepted)
     assert retried.resent
+
+
+# Guards against a log that is no longer trusted since the operating system dropped
+# bytes that were never durable, between two attempts to load the folder.
+def test_log_is_trusted_if_only_bytes_that_were_not_durable_are_lost() -> None:
+    cluster, leader = start_cluster(3)
+    away, follower = [name for name in cluster.nodes if name != leader]
+    cluster.kill(away)
+    disk = cluster.disks[follower]
+    disk.failing = frozenset({"sync"})
+    cluster.propose(leader, submit("c2", version=2))
+    cluster.run(RECOVERY_S)
+    assert cluster.list_roles()[follower] == "suspended"
+    for file in disk._files.values():
+        file.content = bytearray(file.synced)
+    disk.failing = frozenset()
+    assert cluster.submit(2, seconds=RECOVERY_S + ELECTION_S)
