Hosts that a member tells of are taken up only where settings admit them

Found by the review: a host whose settings admit no others took up whom a greeting named, and as leader admitted it. The test failed before.

--- a/packages/control/bramleyspread_control/_peer_protocol.py
+++ b/packages/control/bramleyspread_control/_peer_protocol.py
@@ -191,10 +191,11 @@
 
     def _handle_hello(self, peer: Peer, hello: Hello, now: float) -> None:
         self._peers.record_hello(peer, hello, now)
-        if hello.members:
-            self._add_told_members(peer, hello)
-        elif self._config.admits_unlisted_hosts:
-            self._tell_members(peer)
+        if self._config.admits_unlisted_hosts:
+            if hello.members:
+                self._add_told_members(peer, hello)
+            else:
+                self._tell_members(peer)
         header = self._store.header
         host = peer.settings.host
         if hello.is_uninitialised and header.founders.has_replica(
--- a/packages/control/bramleyspread_control/tests/test_deployment.py
+++ b/packages/control/bramleyspread_control/tests/test_deployment.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bramleyspread_control import ControlMember, ControlTimings, MemoryDisk
-from bramleyspread_control._messages import Envelope, Hello
+from bramleyspread_control._messages import Envelope, Hello, HostAddress
 from bramleyspread_control.tests._cluster import Cluster
 from bramleyspread_core import (
     Address,
@@ -299,3 +299,17 @@
     cluster.kill("c")
     cluster.run(8.0)
     assert list_voters(cluster, "d") == set("abd")
+
+
+# Guards against hosts that are admitted where the settings admit none but those named.
+def test_host_of_which_a_member_tells_is_unknown_where_none_are_admitted() -> None:
+    cluster = Cluster(3)
+    leader = cluster.run_until_leader()
+    sender = next(name for name in cluster.nodes if name != leader)
+    told = HostAddress(HostName("x"), "zx", "127.0.0.1:9999")
+    protocol = cluster.nodes[sender]._peer_protocol
+    protocol._host_messages.append(
+        (HostName(leader), Hello(is_uninitialised=False, members=(told,)))
+    )
+    cluster.run(0.5)
+    assert cluster.nodes[leader]._peer_protocol._peers.find("x") is None
