A stop doesn't end before what has arrived is read

Connections that were accepted at the end of accepting, or whose requests waited unread, were closed at once if nothing else was in work: a process counted as finished without having looked at them.

--- a/packages/daemon/bramleyspread_daemon/_process.py
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -237,7 +237,9 @@
         """
 
         def is_finished() -> bool:
-            return is_idle() and not any(server.open_replies for server in servers)
+            return is_idle() and not any(
+                server.open_replies or server.has_unread_bytes for server in servers
+            )
 
         limits = self.settings.limits
         stop = find_stop_signal()
--- a/packages/daemon/bramleyspread_daemon/_server.py
+++ b/packages/daemon/bramleyspread_daemon/_server.py
@@ -85,6 +85,11 @@
         """Number of connections whose reply is unfinished or not fully sent."""
         return sum(each.has_open_reply for each in self._connections)
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether a peer has sent something that is not read yet."""
+        return any(each.has_unread_bytes for each in self._connections)
+
     async def start(self, address: Address) -> Address:
         """Listen, and start the accept and sweep tasks.
 
@@ -126,10 +131,12 @@
             try:
                 accepted, _ = self._listen_socket._socket.accept()
             except OSError:
-                return
+                break
             self.accepted += 1
             client_socket = curio.io.Socket(accepted)
             await curio.spawn(self._serve_connection, client_socket, daemon=True)
+        # Their tasks have to begin before connections are counted.
+        await curio.sleep(0)
 
     async def close_connections(self) -> None:
         """Abort all open connections and wait until their tasks have ended."""
--- a/packages/daemon/bramleyspread_daemon/_server_connection.py
+++ b/packages/daemon/bramleyspread_daemon/_server_connection.py
@@ -72,6 +72,12 @@
         unsent = self._connection.pending_bytes > 0
         return (awaited or unsent) and not self._connection.aborted
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether the peer has sent something that is not read yet."""
+        is_open = not self.closing and not self._connection.aborted
+        return is_open and not self._connection.is_idle()
+
     @property
     def unsent_bytes(self) -> int:
         """Number of response bytes buffered because the peer reads too slowly."""
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_planned_stop.py
@@ -134,6 +134,7 @@
     """Server that is slow to stop, with a reply that doesn't end."""
 
     open_replies = 1
+    has_unread_bytes = False
     draining = False
     refuses_from = math.inf
 
@@ -257,6 +258,29 @@
     assert handed_over
 
 
+# Guards against requests that arrive in time and are reset unread, since nothing else
+# is left to do when accepting ends.
+def test_a_stop_does_not_end_before_what_has_arrived_is_read(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    async def main() -> float:
+        started_at = read_monotonic()
+        process = make_process(tmp_path, Limits(grace_s=0.3, drain_s=3.0))
+        server = cast("Any", StoppingServer(0.0))
+        server.open_replies, server.has_unread_bytes = 0, True
+
+        async def read() -> None:
+            await curio.sleep(1.0)
+            server.has_unread_bytes = False
+
+        await curio.spawn(read, daemon=True)
+        assert await process.drain([server], do_nothing, lambda: True)
+        return read_monotonic() - started_at
+
+    elapsed_s = run_in_virtual_time(monkeypatch, main)
+    assert elapsed_s == pytest.approx(1.0, abs=0.1)
+
+
 # Guards against streams that are cut together with the requests that are answered.
 def test_streams_that_have_begun_outlast_waiting_requests() -> None:
     event = b"id: 1\n\n"
