Take any answer to the question for proof that its target lives, but another target's

The question names the engine that is meant, and any other one says 421, so what isn't that, nor names another instance or a request, comes from the right one.

--- a/packages/daemon/bramleyspread_daemon/forward/_unframed_end.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_unframed_end.py
@@ -186,7 +186,7 @@
         is_other = head.instance not in ("", target.target)
         if head.is_misdirected or is_other:
             inquiry.record_end()
-        elif head.instance or head.not_run:
+        else:
             # Another target would have said that it isn't the one that is asked.
             self._signals.record(target, head.signals, sent_at)
             inquiry.record_life(sent_at)
