Tests: clusters whose hosts are suspended on full disks share their start

Read again: _operator.py and test_full_disk.py held the same method. Moved, nothing else changed; test_full_disk, test_disks_in_turn and test_large_changes pass.

--- a/packages/control/bramleyspread_control/tests/_cluster.py
+++ b/packages/control/bramleyspread_control/tests/_cluster.py
@@ -14,6 +14,7 @@
     ControlMember,
     ControlTimings,
     MemoryDisk,
+    RecoveringControlHost,
 )
 from bramleyspread_core import (
     Address,
@@ -219,3 +220,17 @@
 def settle(request: str, ended: str, name: str = "pay-1") -> Settle:
     answer = msgspec.Raw(b'{"paid":true}') if ended == "done" else None
     return Settle(key(name), RequestId(request), ended, answer)
+
+
+class SuspendingCluster(Cluster):
+    """A cluster whose hosts are suspended while their disks fail."""
+
+    def start(self, name: str, **changes: bool) -> None:
+        config = self.config(name, **changes)
+
+        def open_host(now: float) -> ControlHost:
+            rng = random.Random(self.rng.getrandbits(64))
+            return ControlHost.from_config(config, self.disks[name], rng, now)
+
+        host: Any = RecoveringControlHost.from_config(config, open_host, self.now)
+        self.nodes[name] = host
--- a/packages/control/bramleyspread_control/tests/_operator.py
+++ b/packages/control/bramleyspread_control/tests/_operator.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-import random
 from typing import Any
 
 import msgspec
 
 from bramleyspread_control import (
     ControlConfig,
-    ControlHost,
     ControlMember,
-    RecoveringControlHost,
 )
-from bramleyspread_control.tests._cluster import Cluster
+from bramleyspread_control.tests._cluster import SuspendingCluster
 from bramleyspread_core import (
     CommandResult,
     Deployment,
@@ -96,7 +93,7 @@
         self._backoff_s = min(2 * self._backoff_s, MAX_BACKOFF_S)
 
 
-class DiskCluster(Cluster):
+class DiskCluster(SuspendingCluster):
     """Hosts that are suspended while their disks fail, and operators' changes."""
 
     def __init__(
@@ -125,16 +122,6 @@
             may_found_deployment=own in founders,
         )
 
-    def start(self, name: str, **changes: bool) -> None:
-        config = self.config(name, **changes)
-
-        def open_host(now: float) -> ControlHost:
-            rng = random.Random(self.rng.getrandbits(64))
-            return ControlHost.from_config(config, self.disks[name], rng, now)
-
-        host: Any = RecoveringControlHost.from_config(config, open_host, self.now)
-        self.nodes[name] = host
-
     def step(self) -> None:
         super().step()
         for each in self.under_way:
--- a/packages/control/bramleyspread_control/tests/test_full_disk.py
+++ b/packages/control/bramleyspread_control/tests/test_full_disk.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 from typing import Any
 
@@ -10,12 +9,10 @@
 import pytest
 
 from bramleyspread_control import (
-    ControlHost,
     ControlTimings,
     MemoryDisk,
-    RecoveringControlHost,
 )
-from bramleyspread_control.tests._cluster import Cluster, submit
+from bramleyspread_control.tests._cluster import SuspendingCluster, submit
 from bramleyspread_core import Accepted, NotLeader, Undecided
 
 #: Time in which a cluster elects a leader, in seconds.
@@ -26,19 +23,9 @@
 SHORT_JOURNALS = ControlTimings(checkpoint_min_records=8)
 
 
-class DiskCluster(Cluster):
+class DiskCluster(SuspendingCluster):
     """A cluster whose hosts are suspended while their disks fail."""
 
-    def start(self, name: str, **changes: bool) -> None:
-        config = self.config(name, **changes)
-
-        def open_host(now: float) -> ControlHost:
-            rng = random.Random(self.rng.getrandbits(64))
-            return ControlHost.from_config(config, self.disks[name], rng, now)
-
-        host: Any = RecoveringControlHost.from_config(config, open_host, self.now)
-        self.nodes[name] = host
-
     def find_leader(self, group: str = "0") -> str | None:
         leaders = [
             name
