Backoffs don't overflow after 1,024 failures in a row

Callers: once a target had failed 1,024 times in a row, as one that sends answers without end does within 20 s, each further failure ended its request with 500 internal error. A batching task ended in the same way, so that its pieces stayed without a result and its target's place was taken until the jobs' time was over.

Cause: BACKOFF_S * 2 ** failures without a bound on the exponent; only a success set the number back. The same in the placement, in the batching of stages and in the entry role's exclusions. The orders' own bound now is the shared one; that of quarantines, in a package that depends on nothing, was right.

Evidence: the three tests fail with OverflowError on the code before (the first two in record_failure, the third in _exclude) and pass now; 334 tests of the packages forwarding, entry and orders pass.

--- a/packages/core/bramleyspread_core/__init__.py
+++ b/packages/core/bramleyspread_core/__init__.py
@@ -9,6 +9,7 @@
     TargetsReport,
     TargetState,
 )
+from bramleyspread_core._backoff import find_backoff_s
 from bramleyspread_core._calls import (
     CancelCall,
     Done,
@@ -311,6 +312,7 @@
     "ZoneName",
     "decode_json",
     "encode_json",
+    "find_backoff_s",
     "find_deployment_faults",
     "find_reference_faults",
     "load_yaml",
--- a/packages/entry/bramleyspread_entry/_outliers.py
+++ b/packages/entry/bramleyspread_entry/_outliers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from bramleyspread_core import Reason, TargetName
+from bramleyspread_core import Reason, TargetName, find_backoff_s
 
 #: Length of a target's first exclusion; doubles with each further one in a row.
 FIRST_EXCLUSION_S = 0.5
@@ -144,7 +144,9 @@
     def _exclude(self, health: _Health, now: float) -> None:
         if now < health.excluded_until:
             return
-        duration_s = min(MAX_EXCLUSION_S, FIRST_EXCLUSION_S * 2**health.exclusions)
+        duration_s = find_backoff_s(
+            FIRST_EXCLUSION_S, health.exclusions, MAX_EXCLUSION_S
+        )
         health.exclusions += 1
         health.excluded_until = now + duration_s
         health.trial_until = 0.0
--- a/packages/entry/bramleyspread_entry/tests/test_outliers.py
+++ b/packages/entry/bramleyspread_entry/tests/test_outliers.py
@@ -3,6 +3,7 @@
 from bramleyspread_core import Reason, TargetName
 from bramleyspread_entry._outliers import (
     FIRST_EXCLUSION_S,
+    MAX_EXCLUSION_S,
     MIN_SLOW_ANSWERS,
     SLOW_FACTOR,
     PeerOutlierDetection,
@@ -49,3 +50,14 @@
     outliers = PeerOutlierDetection()
     outliers.record_failure(TARGET, Reason.CONNECT, 0.0)
     assert not outliers.allows(TARGET, 0.0)
+
+
+# Guards against an overflow of the exclusion's length after 1,024 exclusions in a row.
+def test_target_that_was_excluded_thousands_of_times_is_tried_again() -> None:
+    outliers = PeerOutlierDetection()
+    now = 0.0
+    for _ in range(5_000):
+        outliers.record_failure(TARGET, Reason.CONNECT, now)
+        assert not outliers.allows(TARGET, now)
+        now += MAX_EXCLUSION_S
+        assert outliers.allows(TARGET, now)
--- a/packages/forwarding/bramleyspread_forwarding/_accounts.py
+++ b/packages/forwarding/bramleyspread_forwarding/_accounts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bramleyspread_core import find_backoff_s
 from bramleyspread_forwarding._placement_messages import TargetLoad
 from bramleyspread_forwarding._requests import Prompt
 
@@ -70,7 +71,7 @@
     def record_failure(self, now: float) -> None:
         """Start a backoff that doubles with each failure in a row."""
         self._failures += 1
-        backoff_s = min(MAX_BACKOFF_S, BACKOFF_S * 2 ** (self._failures - 1))
+        backoff_s = find_backoff_s(BACKOFF_S, self._failures - 1, MAX_BACKOFF_S)
         self.backoff_until = now + backoff_s
 
     def record_success(self) -> None:
--- a/packages/forwarding/bramleyspread_forwarding/_call_history.py
+++ b/packages/forwarding/bramleyspread_forwarding/_call_history.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Sequence
 
+from bramleyspread_core import find_backoff_s
 from bramleyspread_forwarding._batched_calls import RunningCall
 from bramleyspread_forwarding._paces import SlowdownTracker
 
@@ -82,7 +83,8 @@
     def record_failure(self, call: RunningCall, now: float) -> None:
         """Start a backoff after a call got no answer or was rejected."""
         target_id = call.target.target
-        backoff_s = min(BACKOFF_S * 2 ** self._failures[target_id], MAX_BACKOFF_S)
+        failures = self._failures[target_id]
+        backoff_s = find_backoff_s(BACKOFF_S, failures, MAX_BACKOFF_S)
         self._failures[target_id] += 1
         self._backoff_until[target_id] = now + backoff_s
         if (now - call.started_at) * 1000 >= call.expected_ms * TIMEOUT_FACTOR:
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_placement.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_placement.py
@@ -80,6 +80,18 @@
     assert place(placement, query("top", "sub"), 9.5).target == first.target
 
 
+# Guards against an overflow of the backoff, which ended each further request with an
+# internal error once a target had failed 1,024 times in a row.
+def test_target_that_failed_thousands_of_times_in_a_row_is_used_again() -> None:
+    placement = make_placement()
+    first = place(placement, query("top", "sub"))
+    for _ in range(5_000):
+        failed = PlaceStep(ticket=0, target=first.target.target, good=False)
+        placement.record_step(failed, 0.0)
+    assert place(placement, query("top", "sub"), 0.5).target != first.target
+    assert place(placement, query("top", "sub"), 9.5).target == first.target
+
+
 def test_target_that_reports_waiting_requests_gets_no_more() -> None:
     placement = make_placement()
     preferred = place(placement, query("top", "sub")).target
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_unreachable_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_unreachable_targets.py
@@ -124,3 +124,20 @@
     batcher.add(make_job("small", 1, result_bytes=small), LIMITS, 1, 0.01)
     (call,) = batcher.dispatch(target, LIMITS, 0.5)
     assert [each.item.request for each in call.items] == ["small"]
+
+
+# Guards against an overflow of the backoff, with which the pieces of a failed call
+# stayed without a result once a target had failed some thousand calls in a row.
+def test_calls_are_given_up_after_thousands_of_failures_in_a_row() -> None:
+    batcher = Batcher()
+    now = 0.0
+    failed_calls = 0
+    while failed_calls < 1_100:
+        batcher.add(make_job(f"r{failed_calls}", 1), LIMITS, 1, now)
+        for call in batcher.dispatch(TARGETS[:1], LIMITS, now):
+            batcher.fail(call.call, now + 0.25, may_have_run=False)
+            failed_calls += 1
+        now += 2.0
+    (probe,) = batcher.dispatch(TARGETS[:1], LIMITS, now)
+    batcher.finish(probe.call, make_results(len(probe.items)), now + 0.2)
+    assert isinstance(batcher.add(make_job("next", 1), LIMITS, 1, now + 0.2), int)
--- a/packages/orders/bramleyspread_orders/_reconciler.py
+++ b/packages/orders/bramleyspread_orders/_reconciler.py
@@ -18,6 +18,7 @@
     TargetName,
     TargetsReport,
     UnstampedEvent,
+    find_backoff_s,
 )
 from bramleyspread_orders._assignments import (
     TargetAssignment,
@@ -318,8 +319,10 @@
 
     def _back_off(self, progress: OrderProgress, now: float) -> OrderProgress:
         failures = progress.failures + 1
-        doubled_delay = self._config.first_retry_delay_s * 2 ** min(failures - 1, 16)
-        delay = min(self._config.max_retry_delay_s, doubled_delay)
+        config = self._config
+        delay = find_backoff_s(
+            config.first_retry_delay_s, failures - 1, config.max_retry_delay_s
+        )
         due_at = now + delay * (0.5 + self._rng.random() / 2)
         return replace(
             progress,
