A host that refuses another one's messages is told in its log

So hosts whose log could not be handed on (413 for a body over the receiver's limit) looked like hosts that had nothing to say. Now such messages count as refused (peer_messages_refused_total), and a line in 10 s for each peer names status and bytes.

--- a/packages/daemon/bramleyspread_daemon/_messenger.py
+++ b/packages/daemon/bramleyspread_daemon/_messenger.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 import curio
+from loguru import logger
 
 from bramleyspread_core import (
     Address,
@@ -15,6 +16,7 @@
     encode_json,
 )
 from bramleyspread_daemon._client import ConnectionClosedError, RequestNotSentError
+from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._pool import ConnectionPool
 
 #: The path at which hosts receive each other's messages.
@@ -25,6 +27,8 @@
 MAX_PENDING_MESSAGES = 512
 #: Maximum messages in one delivery.
 MAX_BATCH_MESSAGES = 64
+#: Interval between two lines about deliveries that one address refuses, in seconds.
+REFUSAL_LOG_INTERVAL_S = 10.0
 
 
 class PeerMessenger:
@@ -37,8 +41,10 @@
         "_delivering",
         "_pending",
         "_pool",
+        "_refusal_logged_at",
         "bytes_sent",
         "lost",
+        "refused",
         "sent",
     )
 
@@ -46,10 +52,13 @@
         self._pool = pool
         self._pending: dict[Address, deque[PeerMessage]] = {}
         self._delivering: set[Address] = set()
+        self._refusal_logged_at: dict[Address, float] = {}
         #: Messages delivered.
         self.sent = 0
         #: Messages dropped after a failed delivery.
         self.lost = 0
+        #: Messages that a peer received and refused; a repetition is refused again.
+        self.refused = 0
         #: Bytes of delivered messages.
         self.bytes_sent = 0
 
@@ -91,11 +100,29 @@
     ) -> None:
         body = encode_json(messages)
         try:
-            await self._pool.request(address, PEER_PATH, body, DELIVERY_TIMEOUT_S)
-            self.sent += len(messages)
-            self.bytes_sent += len(body)
+            response = await self._pool.request(
+                address, PEER_PATH, body, DELIVERY_TIMEOUT_S
+            )
         except (RequestNotSentError, ConnectionClosedError):
             self.lost += len(messages)
+            return
+        if response.status >= 300:
+            self.refused += len(messages)
+            self._log_refusal(address, response.status, len(body))
+            return
+        self.sent += len(messages)
+        self.bytes_sent += len(body)
+
+    def _log_refusal(self, address: Address, status: int, size: int) -> None:
+        """Log that a peer refuses messages, at intervals for each peer."""
+        now = read_monotonic()
+        logged_at = self._refusal_logged_at.get(address)
+        if logged_at is not None and now - logged_at < REFUSAL_LOG_INTERVAL_S:
+            return
+        self._refusal_logged_at[address] = now
+        logger.bind(step="message", peer=str(address), bytes=size).warning(
+            f"refused with {status}"
+        )
 
 
 def decode_messages(body: bytes) -> tuple[PeerMessage, ...]:
--- a/packages/daemon/bramleyspread_daemon/_process.py
+++ b/packages/daemon/bramleyspread_daemon/_process.py
@@ -162,6 +162,7 @@
         count("timeline_events_total", "Events written.", self.timeline.written)
         count("peer_messages_total", "Sent to hosts.", self.messenger.sent)
         count("peer_messages_lost_total", "Not delivered.", self.messenger.lost)
+        count("peer_messages_refused_total", "Refused.", self.messenger.refused)
         count("peer_bytes_total", "Bytes sent to hosts.", self.messenger.bytes_sent)
         self.pool.traffic.fill_metrics(metrics)
         pool_counts = self.pool.counts
