Changes that can't be handed on are refused, and the largest accepted ones arrive

Callers: after a change of some hundred KB, or of 6 MB under the deployed limits, no change was acknowledged any more (503, not decided), with no fault under way; after a loss of power of all hosts no configuration could be read at all.

Cause: what a control host accepts from an operator and what the others accept from it were bounded by the same setting, each host by its own. The entry of a change is about three times as large as what the operator sent, since it holds the parsed document and the text. So the leader appended an entry that each follower's server refused, and sent it again for ever, with everything behind it in line. The class: a limit on what is taken is not derived from the limits on handing it on.

Now one maximum holds for a change as JSON, MAX_CHANGE_BYTES, on every host and under any settings: the host that receives it answers 413 with both sizes before anything is proposed or relayed, and a leader rejects commands that come some other way. Hosts take each other's messages and relayed commands up to a size of their own, so that an entry that an earlier build accepted is delivered as well. Deliveries are bounded in bytes besides the number of messages, as are those that wait; a delivery, and a leader before it repeats entries, wait for as long as their size needs.

--- a/packages/control/bramleyspread_control/_entries.py
+++ b/packages/control/bramleyspread_control/_entries.py
@@ -94,18 +94,25 @@
         cls,
         index: int,
         term: int,
-        change: Change,
+        change: Change | msgspec.Raw,
         members: Members | None = None,
     ) -> Entry:
         """Create an entry from a change.
 
         :param index: log index of the entry.
         :param term: term of the leader.
-        :param change: the change.
+        :param change: the change, which may be encoded already.
         :param members: the new members, if the entry changes them.
         :returns: the entry.
         """
-        return cls(index, term, msgspec.Raw(encode_json(change)), members)
+        if not isinstance(change, msgspec.Raw):
+            change = encode_change(change)
+        return cls(index, term, change, members)
+
+    @property
+    def size(self) -> int:
+        """Size of the encoded change, in bytes."""
+        return len(memoryview(self.change))
 
     def read_change(self) -> Change:
         """Decode the change.
@@ -121,3 +128,8 @@
         return Entry(
             self.index, self.term, msgspec.Raw(bytes(self.change)), self.members
         )
+
+
+def encode_change(change: Change) -> msgspec.Raw:
+    """Encode a change as an entry contains it."""
+    return msgspec.Raw(encode_json(change))
--- a/packages/control/bramleyspread_control/_host.py
+++ b/packages/control/bramleyspread_control/_host.py
@@ -12,7 +12,7 @@
 from bramleyspread_control._config import ControlConfig
 from bramleyspread_control._consensus_state import Role
 from bramleyspread_control._disk import Disk
-from bramleyspread_control._entries import Change, PutDocument
+from bramleyspread_control._entries import Change, PutDocument, encode_change
 from bramleyspread_control._peer_protocol import PeerProtocol
 from bramleyspread_control._replica import Replica, SyncedState
 from bramleyspread_control._store import DOCUMENTS_GROUP, Store
@@ -45,6 +45,7 @@
     Undecided,
     UnstampedEvent,
     encode_json,
+    find_size_fault,
 )
 
 #: Commands that become entries of a group's log.
@@ -131,7 +132,12 @@
         if isinstance(change, Rejected):
             self._pending_commands.add_reply(ticket, change)
             return
-        index = replica.propose(change, now)
+        encoded = encode_change(change)
+        fault = find_size_fault(len(memoryview(encoded)))
+        if fault:
+            self._pending_commands.add_reply(ticket, Rejected((fault,)))
+            return
+        index = replica.propose(encoded, now)
         if index is None:
             self._pending_commands.add_reply(ticket, NotLeader(None))
         else:
--- a/packages/control/bramleyspread_control/_leading.py
+++ b/packages/control/bramleyspread_control/_leading.py
@@ -22,6 +22,9 @@
 #: How many times as long a voter must be silent to be replaced by one of its zone that
 #: came before it.
 EARLIER_VOTER_FACTOR = 2
+#: Rate at which a replica is expected to receive and sync entries at least, in bytes a
+#: second. Unanswered ones are sent again only after the time that this takes besides.
+MIN_REPLICATION_RATE = 8_000_000
 #: A leader hands over when its syncs take at least this many times as long as those of
 #: a quorum of others.
 SLOW_SYNC_FACTOR = 5.0
@@ -71,7 +74,7 @@
         """Whether entries may be appended; a leadership transfer stops that."""
         return self._transfer_deadline is None
 
-    def append(self, change: Change, members: Members | None) -> int:
+    def append(self, change: Change | msgspec.Raw, members: Members | None) -> int:
         """Append an entry to the log.
 
         :param change: the entry's change.
@@ -366,9 +369,9 @@
             return
         entries = log.get_batch(progress.next_index) if has_entries else ()
         if entries:
-            progress.retransmit_due_at = (
-                now + self._consensus.timings.retransmit_timeout_s
-            )
+            size = sum(entry.size for entry in entries)
+            timeout_s = self._consensus.timings.retransmit_timeout_s
+            progress.retransmit_due_at = now + timeout_s + size / MIN_REPLICATION_RATE
         self._send_entries(member, progress.next_index - 1, entries, now)
 
     def _send_entries(
--- a/packages/control/bramleyspread_control/_log.py
+++ b/packages/control/bramleyspread_control/_log.py
@@ -99,7 +99,7 @@
         size = 0
         start = first - self.base_index - 1
         for entry in self._entries[start : start + MAX_BATCH_ENTRIES]:
-            size += len(memoryview(entry.change))
+            size += entry.size
             if batch and size > MAX_BATCH_BYTES:
                 break
             batch.append(entry)
@@ -157,7 +157,7 @@
         index, size = self.applied_index, 0
         oldest = max(self.base_index, self.applied_index - max_entries)
         while index > oldest:
-            size += len(memoryview(self.get(index).change))
+            size += self.get(index).size
             if size > max_bytes:
                 break
             index -= 1
--- a/packages/control/bramleyspread_control/_replica.py
+++ b/packages/control/bramleyspread_control/_replica.py
@@ -172,10 +172,10 @@
         ):
             self._step_down(now)
 
-    def propose(self, change: Change, now: float) -> int | None:
+    def propose(self, change: Change | msgspec.Raw, now: float) -> int | None:
         """Append a change to the log.
 
-        :param change: the change.
+        :param change: the change, which may be encoded already.
         :param now: monotonic seconds.
         :returns: log index of the entry, or None when this replica may not accept
             commands.
--- a/packages/core/bramleyspread_core/__init__.py
+++ b/packages/core/bramleyspread_core/__init__.py
@@ -160,6 +160,11 @@
     AnswerWhole,
     CallerRequest,
 )
+from bramleyspread_core._sizes import (
+    MAX_CHANGE_BYTES,
+    find_command_fault,
+    find_size_fault,
+)
 from bramleyspread_core._timeline import (
     HybridClock,
     Stamp,
@@ -248,6 +253,7 @@
     "LEAVING_LEFT_ALONE",
     "Load",
     "LoadedModel",
+    "MAX_CHANGE_BYTES",
     "MAX_KEPT_BREACHES",
     "MAX_YAML_BYTES",
     "MAX_YAML_DEPTH",
@@ -313,7 +319,9 @@
     "decode_json",
     "encode_json",
     "find_backoff_s",
+    "find_command_fault",
     "find_deployment_faults",
     "find_reference_faults",
+    "find_size_fault",
     "load_yaml",
 ]
--- a/packages/daemon/bramleyspread_daemon/_control.py
+++ b/packages/daemon/bramleyspread_daemon/_control.py
@@ -26,7 +26,7 @@
 )
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import HttpRequest, Reply
-from bramleyspread_daemon._messenger import decode_messages
+from bramleyspread_daemon._messenger import PEER_PATH, decode_messages
 from bramleyspread_daemon._metrics import Metrics
 from bramleyspread_daemon._order_dispatcher import OrderDispatcher
 from bramleyspread_daemon._process import Process, run_periodically, wait_for_stop
@@ -42,6 +42,8 @@
 ORDER_INTERVAL_S = 0.25
 #: How often the extension is ticked.
 EXTENSION_TICK_INTERVAL_S = 0.02
+#: Path at which commands arrive, also from other control hosts.
+COMMANDS_PATH = "/v1/control/commands"
 #: Commands not decided within this time are answered as undecided.
 COMMAND_TIMEOUT_S = 10.0
 
@@ -122,17 +124,18 @@
         )
         self.server.traffic = process.pool.traffic
         self.server.counted_paths = frozenset(path for _, path in routes)
+        self.server.host_paths = frozenset({PEER_PATH, COMMANDS_PATH})
 
     def _list_routes(self) -> dict[tuple[str, str], RouteHandler]:
         routes = self._process.list_routes(
             self._find_unready_reason, self._fill_metrics
         )
-        routes[("POST", "/v1/control/commands")] = self._receive_command
+        routes[("POST", COMMANDS_PATH)] = self._receive_command
         routes[("POST", "/v1/control/documents")] = self._answer_documents_query
         routes[("POST", "/v1/control/targets")] = self._receive_targets_report
         routes[("GET", "/v1/control/status")] = self._answer_status
         routes[("GET", "/v1/control/documents-in-force")] = self._answer_documents
-        routes[("POST", "/v1/peer")] = self._receive_messages
+        routes[("POST", PEER_PATH)] = self._receive_messages
         if self._extension is not None:
             routes.update(self._extension.list_routes())
         return routes
--- a/packages/daemon/bramleyspread_daemon/_messenger.py
+++ b/packages/daemon/bramleyspread_daemon/_messenger.py
@@ -21,16 +21,69 @@
 
 #: The path at which hosts receive each other's messages.
 PEER_PATH = "/v1/peer"
-#: Timeout of one delivery; the connection is then replaced.
+#: Timeout of a small delivery; the connection is then replaced.
 DELIVERY_TIMEOUT_S = 0.4
+#: Rate at which a peer is expected to take a delivery at least, in bytes a second. The
+#: timeout is longer by the time that this takes.
+MIN_DELIVERY_RATE = 8_000_000
 #: Maximum queued messages per address; the oldest are dropped first.
 MAX_PENDING_MESSAGES = 512
+#: Maximum size of the queued messages per address, in bytes; the newest stays however
+#: large it is.
+MAX_PENDING_BYTES = 8_000_000
 #: Maximum messages in one delivery.
 MAX_BATCH_MESSAGES = 64
+#: Maximum size of the messages in one delivery, in bytes; one message is sent however
+#: large it is.
+MAX_BATCH_BYTES = 1_000_000
 #: Interval between two lines about deliveries that one address refuses, in seconds.
 REFUSAL_LOG_INTERVAL_S = 10.0
 
 
+class _Queue:
+    """Messages that wait for their delivery to one address."""
+
+    __slots__ = ("_messages", "_size")
+
+    def __init__(self) -> None:
+        self._messages: deque[PeerMessage] = deque()
+        self._size = 0
+
+    def __len__(self) -> int:
+        return len(self._messages)
+
+    def add(self, message: PeerMessage) -> int:
+        """Add a message.
+
+        :returns: the number of older messages that were dropped for it.
+        """
+        self._messages.append(message)
+        self._size += _measure(message)
+        dropped = 0
+        while len(self) > 1 and (
+            len(self) > MAX_PENDING_MESSAGES or self._size > MAX_PENDING_BYTES
+        ):
+            self._take()
+            dropped += 1
+        return dropped
+
+    def take_batch(self) -> list[PeerMessage]:
+        """Remove and return the messages of the next delivery, one at least."""
+        batch = [self._take()]
+        size = _measure(batch[0])
+        while self._messages and len(batch) < MAX_BATCH_MESSAGES:
+            size += _measure(self._messages[0])
+            if size > MAX_BATCH_BYTES:
+                break
+            batch.append(self._take())
+        return batch
+
+    def _take(self) -> PeerMessage:
+        message = self._messages.popleft()
+        self._size -= _measure(message)
+        return message
+
+
 class PeerMessenger:
     """Sends messages with one delivery in flight per address.
 
@@ -50,12 +103,12 @@
 
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
-        self._pending: dict[Address, deque[PeerMessage]] = {}
+        self._pending: dict[Address, _Queue] = {}
         self._delivering: set[Address] = set()
         self._refusal_logged_at: dict[Address, float] = {}
         #: Messages delivered.
         self.sent = 0
-        #: Messages dropped after a failed delivery.
+        #: Messages dropped after a failed delivery, or for want of room.
         self.lost = 0
         #: Messages that a peer received and refused; a repetition is refused again.
         self.refused = 0
@@ -75,10 +128,8 @@
         for each in sends:
             pending = self._pending.get(each.address)
             if pending is None:
-                pending = self._pending[each.address] = deque(
-                    maxlen=MAX_PENDING_MESSAGES
-                )
-            pending.append(each.message)
+                pending = self._pending[each.address] = _Queue()
+            self.lost += pending.add(each.message)
             if each.address not in self._delivering:
                 self._delivering.add(each.address)
                 await curio.spawn(self._deliver, each.address, daemon=True)
@@ -87,9 +138,7 @@
         pending = self._pending[address]
         try:
             while pending:
-                batch_size = min(len(pending), MAX_BATCH_MESSAGES)
-                messages = [pending.popleft() for _ in range(batch_size)]
-                await self._deliver_batch(address, messages)
+                await self._deliver_batch(address, pending.take_batch())
         finally:
             self._delivering.discard(address)
             if not pending:
@@ -99,10 +148,9 @@
         self, address: Address, messages: list[PeerMessage]
     ) -> None:
         body = encode_json(messages)
+        timeout_s = DELIVERY_TIMEOUT_S + len(body) / MIN_DELIVERY_RATE
         try:
-            response = await self._pool.request(
-                address, PEER_PATH, body, DELIVERY_TIMEOUT_S
-            )
+            response = await self._pool.request(address, PEER_PATH, body, timeout_s)
         except (RequestNotSentError, ConnectionClosedError):
             self.lost += len(messages)
             return
@@ -125,6 +173,10 @@
         )
 
 
+def _measure(message: PeerMessage) -> int:
+    return len(memoryview(message.body))
+
+
 def decode_messages(body: bytes) -> tuple[PeerMessage, ...]:
     """Decode the messages of one delivery.
 
--- a/packages/daemon/bramleyspread_daemon/_server.py
+++ b/packages/daemon/bramleyspread_daemon/_server.py
@@ -26,6 +26,11 @@
 #: How often connections are checked for timeouts.
 TIMEOUT_SWEEP_INTERVAL_S = 0.25
 
+#: Maximum size of a body that another host of the deployment sends, in bytes, whatever
+#: the limit of other bodies is: hosts must take what any of them has accepted, also
+#: under settings of earlier builds.
+MAX_HOST_BODY_BYTES = 67_108_864
+
 #: How often the flush loop wakes while no connection has buffered bytes.
 IDLE_FLUSH_INTERVAL_S = 0.05
 
@@ -65,6 +70,8 @@
         self.traffic = Traffic()
         #: Paths whose bytes are counted under their own names.
         self.counted_paths: frozenset[str] = frozenset()
+        #: Paths that hosts of the deployment call; their bodies have their own limit.
+        self.host_paths: frozenset[str] = frozenset()
         #: Conversation under which the bytes of all other paths are counted.
         self.conversation = "other"
         #: Requests refused before they reached the handler, by HTTP status.
@@ -171,6 +178,15 @@
         """
         self._stalled.add(server_connection)
 
+    def find_body_limit(self, path: str) -> int:
+        """Find the maximum size of a request's body, in bytes.
+
+        :param path: the path of the request.
+        """
+        if path in self.host_paths:
+            return MAX_HOST_BODY_BYTES
+        return self.limits.body_bytes
+
     def reserve_body_bytes(self, size: int) -> bool:
         """Count body bytes held in memory.
 
--- a/packages/daemon/bramleyspread_daemon/_server_connection.py
+++ b/packages/daemon/bramleyspread_daemon/_server_connection.py
@@ -39,6 +39,7 @@
         "_connection",
         "_http",
         "_is_head_request",
+        "_max_body_bytes",
         "_pipelined_bytes",
         "_reply",
         "_reserved_bytes",
@@ -58,6 +59,7 @@
         self._pipelined_bytes = 0
         self._reserved_bytes = 0
         self._is_head_request = False
+        self._max_body_bytes = server.limits.body_bytes
         self._turns = Turns()
         #: Whether no further response will be sent on it.
         self.closing = False
@@ -179,7 +181,7 @@
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 self._reserve_body_bytes(len(event.data))
-                if size > self._server.limits.body_bytes:
+                if size > self._max_body_bytes:
                     raise self._make_body_size_error()
                 body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage) and head is not None:
@@ -189,9 +191,11 @@
 
     def _check_request_head(self, head: h11.Request) -> None:
         self._is_head_request = head.method == b"HEAD"
+        path = head.target.decode("ascii").partition("?")[0]
+        self._max_body_bytes = self._server.find_body_limit(path)
         for name, value in head.headers:
             if name == b"content-length":
-                if int(value) > self._server.limits.body_bytes:
+                if int(value) > self._max_body_bytes:
                     raise self._make_body_size_error()
                 if any(each == b"transfer-encoding" for each, _ in head.headers):
                     raise _BadRequestError(400, "both a length and chunks")
@@ -206,9 +210,7 @@
             raise _BadRequestError(503, detail)
 
     def _make_body_size_error(self) -> _BadRequestError:
-        return _BadRequestError(
-            413, f"body over {self._server.limits.body_bytes} bytes"
-        )
+        return _BadRequestError(413, f"body over {self._max_body_bytes} bytes")
 
     async def _read_more(self) -> bool:
         data = await self._connection.read()
--- a/packages/daemon/bramleyspread_daemon/_server_context.py
+++ b/packages/daemon/bramleyspread_daemon/_server_context.py
@@ -43,6 +43,9 @@
     def add_stalled(self, server_connection: StalledConnection) -> None:
         """Register a connection whose buffered bytes must be flushed later."""
 
+    def find_body_limit(self, path: str) -> int:
+        """Find the maximum size of a request's body by its path, in bytes."""
+
     def reserve_body_bytes(self, size: int) -> bool:
         """Count body bytes held in memory; False when the total exceeds the limit."""
 
--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -22,9 +22,11 @@
     Undecided,
     decode_json,
     encode_json,
+    find_command_fault,
 )
 from bramleyspread_daemon._client import ConnectionClosedError, RequestNotSentError
 from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon._control import COMMANDS_PATH
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._pool import ConnectionPool
 from bramleyspread_daemon._refusal import encode_refusal
@@ -45,12 +47,11 @@
     FeedPage,
     FeedQuery,
     LiveHosts,
+    MalformedRequest,
     TargetHeartbeat,
     TargetRegistry,
 )
 
-#: Path on which control hosts accept commands relayed by each other.
-COMMANDS_PATH = "/v1/control/commands"
 #: How long a feed query without news is held open, in seconds.
 FEED_HOLD_S = 0.4
 #: Interval at which held feed queries are checked, in seconds.
@@ -151,6 +152,8 @@
                 self.registry.handle_departure(call.target, call.born, now)
                 self._publish_changes(now)
                 _send(reply, self._wire.write_acknowledgement())
+            case PutDeployment() if fault := find_command_fault(call):
+                _send(reply, self._wire.write_fault(MalformedRequest(413, fault)))
             case PutDeployment():
                 await curio.spawn(self._decide_and_reply, call, reply, daemon=True)
             case GetDeployment():
--- a/packages/daemon/bramleyspread_daemon/tests/test_messenger.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_messenger.py
@@ -11,13 +11,41 @@
 
 from bramleyspread_core import Address, HostName, PeerMessage, PeerSend
 from bramleyspread_daemon._client import Response
-from bramleyspread_daemon._messenger import REFUSAL_LOG_INTERVAL_S, PeerMessenger
+from bramleyspread_daemon._messenger import (
+    DELIVERY_TIMEOUT_S,
+    MAX_BATCH_BYTES,
+    MAX_PENDING_BYTES,
+    MIN_DELIVERY_RATE,
+    REFUSAL_LOG_INTERVAL_S,
+    PeerMessenger,
+)
 from bramleyspread_daemon.tests.virtual_time import run_in_virtual_time
 
 PEER = Address("10.0.0.7", 7100)
 MESSAGE = PeerMessage(HostName("a"), HostName("b"), msgspec.Raw(b"{}"))
 
 
+def make_message(size: int) -> PeerMessage:
+    """Make a message whose body has a size, in bytes."""
+    body = msgspec.Raw(b'"' + b"x" * (size - 2) + b'"')
+    return PeerMessage(HostName("a"), HostName("b"), body)
+
+
+class SlowPool:
+    """Takes deliveries, one a second."""
+
+    def __init__(self) -> None:
+        #: Size and timeout of each delivery, in bytes and seconds.
+        self.deliveries: list[tuple[int, float]] = []
+
+    async def request(
+        self, _: Address, __: str, body: bytes, timeout: float
+    ) -> Response:
+        self.deliveries.append((len(body), timeout))
+        await curio.sleep(1.0)
+        return Response(204, b"")
+
+
 class RefusingPool:
     """Answers each request with one status."""
 
@@ -70,3 +98,40 @@
 ) -> None:
     messenger, logged = send_repeatedly(monkeypatch, 204, 3)
     assert (messenger.sent, messenger.refused, logged) == (3, 0, [])
+
+
+# Guards against deliveries that no receiver takes, since they are bounded by the number
+# of their messages alone, or that are given up before they can have arrived.
+def test_deliveries_are_bounded_in_bytes_and_get_time_for_their_size(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    pool = SlowPool()
+    messenger = PeerMessenger(pool)  # type: ignore[arg-type]
+    sizes = [MAX_BATCH_BYTES // 3] * 8 + [4 * MAX_BATCH_BYTES, 100, 100]
+
+    async def run() -> None:
+        await messenger.send([PeerSend(PEER, make_message(x)) for x in sizes])
+        await curio.sleep(20.0)
+
+    run_in_virtual_time(monkeypatch, run)
+    assert messenger.sent == len(sizes)
+    large = [size for size, _ in pool.deliveries if size > 1.1 * MAX_BATCH_BYTES]
+    assert len(large) == 1
+    for size, timeout in pool.deliveries:
+        assert timeout >= DELIVERY_TIMEOUT_S + size / MIN_DELIVERY_RATE
+
+
+# Guards against a queue that is bounded by the number of its messages alone, while a
+# peer that takes none is sent the same large entry again and again.
+def test_queued_messages_are_bounded_in_bytes(monkeypatch: pytest.MonkeyPatch) -> None:
+    pool = SlowPool()
+    messenger = PeerMessenger(pool)  # type: ignore[arg-type]
+    message = make_message(MAX_PENDING_BYTES // 4)
+
+    async def run() -> None:
+        await messenger.send([PeerSend(PEER, message)] * 100)
+        await curio.sleep(20.0)
+
+    run_in_virtual_time(monkeypatch, run)
+    assert sum(size for size, _ in pool.deliveries) < 2 * MAX_PENDING_BYTES
+    assert messenger.lost + messenger.sent == 100
--- a/packages/daemon/bramleyspread_daemon/tests/test_server.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_server.py
@@ -98,6 +98,28 @@
     run(main)
 
 
+# Guards against hosts that don't take what another one, with other settings, accepted.
+def test_bodies_of_hosts_are_not_bounded_by_the_settings() -> None:
+    async def main() -> tuple[bytes, bytes]:
+        server, address = await start_server(
+            ("POST", "/hosts", echo),
+            ("POST", "/echo", echo),
+            limits=Limits(body_bytes=1_000),
+        )
+        server.host_paths = frozenset({"/hosts"})
+        answers = []
+        for path in (b"/hosts", b"/echo"):
+            async with await connect(address) as connected:
+                head = b"POST %s HTTP/1.1\r\nhost: a\r\ncontent-length: 90000\r\n\r\n"
+                await connected.sendall(head % path + b"x" * 90_000)
+                answers.append(await read_until(connected, b"\r\n\r\n"))
+        return answers[0], answers[1]
+
+    of_host, of_caller = run(main)
+    assert of_host.startswith(b"HTTP/1.1 200")
+    assert of_caller.startswith(b"HTTP/1.1 413")
+
+
 def test_connections_over_limit_are_refused() -> None:
     async def main() -> None:
         server, address = await start_server(
