Versions that a control host doesn't tell are unknown, not one that all targets have

Cause: the heartbeat that control hosts pass on had the empty text as its version by default. So 'not told' was read as 'names none', confirmed and the same for all targets. The class: a default value of a message's field that is also a valid value.

Now a missing version is unknown, as it is where no control host confirms one. What another control host tells of the same process counts. A target whose version was never told and that has vanished may have had any. New control hosts always write the field, so nothing changes among hosts of this build.

Limit: beside such control hosts streams that break off can't go on at other targets.

--- a/packages/forwarding/bramleyspread_forwarding/_heartbeats.py
+++ b/packages/forwarding/bramleyspread_forwarding/_heartbeats.py
@@ -42,14 +42,20 @@
     #: Number of calls that it processes at once.
     slots: int
     readiness: Readiness
-    #: Version of its software; empty if it names none.
-    software: str = ""
+    #: Version of its software; empty if it names none, None if the control host that
+    #: passes the heartbeat on doesn't tell.
+    software: str | None = None
 
     @property
     def sort_key(self) -> tuple[int, int]:
         """Sort key for the order in which a target sent its heartbeats."""
         return (self.born, self.sequence)
 
+    @property
+    def process(self) -> tuple[str, int]:
+        """The target and the start of its process."""
+        return (self.target, self.born)
+
 
 class TargetChange(msgspec.Struct, frozen=True):
     """State of a target as a control host reports it to entry hosts."""
--- a/packages/forwarding/bramleyspread_forwarding/_software_history.py
+++ b/packages/forwarding/bramleyspread_forwarding/_software_history.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable, Mapping
 
 from bramleyspread_forwarding._heartbeats import Readiness, TargetHeartbeat
 from bramleyspread_forwarding._stream_origins import ORIGIN_RETENTION_S
@@ -25,41 +25,68 @@
     ...     software="v1",
     ... )
     >>> history = SoftwareHistory()
-    >>> history.update([first], 0.0)
+    >>> history.update([first], {("i-1", 0): "v1"}, 0.0)
     >>> history.find_sole_version("llm", 1.0)
     'v1'
     """
 
-    __slots__ = ("_current", "_seen_at")
+    __slots__ = ("_current", "_seen_at", "_untold")
 
     def __init__(self) -> None:
-        self._current: dict[str, set[str]] = {}
+        # A version that no control host tells is None, and may be any.
+        self._current: dict[str, set[str | None]] = {}
         # By service and version, until when a target was known that had it, in seconds.
-        self._seen_at: dict[str, dict[str, float]] = {}
+        self._seen_at: dict[str, dict[str | None, float]] = {}
+        # The service of each target whose version isn't told, by its process.
+        self._untold: dict[tuple[str, int], str] = {}
 
-    def update(self, notices: Iterable[TargetHeartbeat], now: float) -> None:
+    def update(
+        self,
+        notices: Iterable[TargetHeartbeat],
+        told: Mapping[tuple[str, int], str],
+        now: float,
+    ) -> None:
         """Follow a change of the known targets.
 
         :param notices: what is known of all targets, including those that are gone.
+        :param told: the versions that some control host tells, by target and start.
         :param now: the current time, in seconds.
         """
+        notices = tuple(notices)
+        self._follow_untold({each.process for each in notices}, told, now)
         for service, versions in self._current.items():
-            self._seen_at.setdefault(service, {}).update(dict.fromkeys(versions, now))
+            self._seen_at.setdefault(service, {}).update(
+                dict.fromkeys(versions - {None}, now)
+            )
         self._current = {}
         for notice in notices:
+            version = told.get(notice.process)
             if notice.readiness is Readiness.GONE:
                 seen_at = self._seen_at.setdefault(notice.service, {})
-                seen_at.setdefault(notice.software, now)
-            else:
-                versions = self._current.setdefault(notice.service, set())
-                versions.add(notice.software)
+                seen_at.setdefault(version, now)
+                continue
+            self._current.setdefault(notice.service, set()).add(version)
+            if version is None:
+                self._untold[notice.process] = notice.service
+
+    def _follow_untold(
+        self,
+        listed: Container[tuple[str, int]],
+        told: Mapping[tuple[str, int], str],
+        now: float,
+    ) -> None:
+        """Note that targets have vanished whose version nobody has told meanwhile."""
+        for process, service in self._untold.items():
+            if process not in listed and process not in told:
+                self._seen_at.setdefault(service, {})[None] = now
+        self._untold = {}
 
     def find_sole_version(self, service: str, now: float) -> str | None:
         """Find the only version that the targets of a service had lately.
 
         :param service: the service.
         :param now: the current time, in seconds.
-        :returns: the version; None if there were several, or none is known.
+        :returns: the version; None if there were several, or one isn't known.
         """
         versions = set(self._current.get(service, ()))
         for version, seen_at in self._seen_at.get(service, {}).items():
--- a/packages/forwarding/bramleyspread_forwarding/_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/_targets.py
@@ -313,10 +313,11 @@
         For each target, the newest heartbeat that says it is ready counts.
         """
         self._forget_old(now)
-        self.software.update(
-            (x.notice for view in self._views.values() for x in view.targets.values()),
-            now,
-        )
+        notices = [
+            x.notice for view in self._views.values() for x in view.targets.values()
+        ]
+        told = {x.process: x.software for x in notices if x.software is not None}
+        self.software.update(notices, told, now)
         newest: dict[str, TargetHeartbeat] = {}
         fresh_targets: set[str] = set()
         for control, view in self._views.items():
@@ -343,7 +344,7 @@
                     notice.zone,
                     notice.slots,
                     notice.born,
-                    notice.software if is_confirmed else None,
+                    told.get(notice.process) if is_confirmed else None,
                 )
             )
         self._usable = {
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_targets.py
@@ -152,3 +152,49 @@
     for control in (CONTROL_A, CONTROL_B):
         table.apply(control, make_versions_page("v1", 0, incarnation="2"), 9.0)
     assert table.find_sole_version("photos", 9.0) is None
+
+
+def read_page_without_software(*notices: TargetHeartbeat) -> FeedPage:
+    """Return a page as a control host writes it that knows no software versions."""
+    page = msgspec.to_builtins(make_page(*notices))
+    for change in page["changes"]:
+        del change["notice"]["software"]
+    return msgspec.convert(page, FeedPage)
+
+
+# Guards against streams that are joined of two versions beside control hosts of an
+# earlier build: what they don't tell was taken for one version that all targets have.
+def test_versions_that_a_control_host_does_not_tell_are_not_known() -> None:
+    table = TargetTable()
+    notices = [make_notice(name, software=f"v-{name}") for name in ("t", "u")]
+    table.apply(CONTROL_A, read_page_without_software(*notices), 0.0)
+    assert [each.software for each in table.list_usable("photos")] == [None, None]
+    assert table.software.find_sole_version("photos", 1.0) is None
+
+
+def test_version_that_one_of_two_control_hosts_tells_counts() -> None:
+    table = TargetTable()
+    notice = make_notice(software="v1")
+    table.apply(CONTROL_A, read_page_without_software(notice), 0.0)
+    table.apply(CONTROL_B, make_page(notice), 0.1)
+    assert [each.software for each in table.list_usable("photos")] == ["v1"]
+    assert table.software.find_sole_version("photos", 1.0) == "v1"
+
+
+def test_untold_version_of_a_target_that_has_vanished_may_be_any() -> None:
+    table = TargetTable()
+    gone = make_notice("u", readiness=Readiness.GONE)
+    table.apply(
+        CONTROL_A, read_page_without_software(make_notice(), make_notice("u")), 0.0
+    )
+    table.apply(CONTROL_A, read_page_without_software(gone), 0.1)
+    table.apply(CONTROL_B, make_page(make_notice(software="v1")), 0.2)
+    assert [each.software for each in table.list_usable("photos")] == ["v1"]
+    assert table.software.find_sole_version("photos", 1.0) is None
+
+
+def test_target_that_names_no_version_has_one_of_its_own() -> None:
+    table = TargetTable()
+    notice, unnamed = make_notice(software="v1"), make_notice("u", software="")
+    table.apply(CONTROL_B, make_page(notice, unnamed), 0.2)
+    assert {each.software for each in table.list_usable("photos")} == {"v1", ""}
