Control hosts tell why a group has no leader and who doesn't admit them

Hosts that elect nobody to the end, a new host that nobody admits, and folders that came back empty or older wrote no line.

Now a start tells what the folder holds (folder-loaded: deployment, terms, last entries, voters, trust); a group without a leader for 5 s names each voter and what is lacking of it (leaderless: silent, folder lost, vote not trusted, vote denied and why); a host in no deployment names whom it asks (not-admitted). The last two are repeated at intervals that double up to 300 s, and name 16 hosts at most. A denied vote carries its reason in a further optional field, which earlier builds skip and leave out.

--- a/packages/control/bramleyspread_control/_election.py
+++ b/packages/control/bramleyspread_control/_election.py
@@ -2,11 +2,26 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from bramleyspread_control._consensus_state import ConsensusState, Role
 from bramleyspread_control._messages import VoteRequest, VoteResponse
 from bramleyspread_core import HostName
 
 
+class VoterAnswer(msgspec.Struct, frozen=True):
+    """A voter's newest answer to this replica's vote requests."""
+
+    #: When it arrived, in monotonic seconds.
+    at: float
+    #: Whether the vote was granted, in a pre-vote or in the vote.
+    granted: bool
+    #: Whether the voter's log was known to be complete.
+    trusted: bool
+    #: Why the vote was denied, as the voter says; empty if it doesn't say.
+    denial: str
+
+
 class VoteTally:
     """Tally of the votes that a candidate has received, and of those that are trusted.
 
@@ -53,11 +68,13 @@
 class Election:
     """A replica's part in elections, as a candidate and as a voter."""
 
-    __slots__ = ("_consensus", "_vote_tally")
+    __slots__ = ("_consensus", "_vote_tally", "answers")
 
     def __init__(self, consensus: ConsensusState) -> None:
         self._consensus = consensus
         self._vote_tally: VoteTally | None = None
+        #: The voters' newest answers, by host.
+        self.answers: dict[str, VoterAnswer] = {}
 
     def start_election(
         self, now: float, is_pre_vote: bool, transfer_requested: bool = False
@@ -106,15 +123,15 @@
         """
         consensus = self._consensus
         if has_live_leader and not request.transfer_requested:
-            self._send_response(sender, request, False, now)
+            self._send_response(sender, request, "hears a leader", now)
             return
         if request.term > consensus.term and not request.is_pre_vote:
             consensus.become_follower(request.term, None, now)
-        granted = self._may_grant(sender, request)
-        if granted and not request.is_pre_vote:
+        denial = self._find_denial(sender, request)
+        if not denial and not request.is_pre_vote:
             consensus.set_term_and_vote(request.term, sender)
             consensus.reset_election_timer(now)
-        self._send_response(sender, request, granted, now)
+        self._send_response(sender, request, denial, now)
 
     def handle_vote_response(
         self, sender: HostName, response: VoteResponse, now: float
@@ -127,6 +144,10 @@
         :returns: True when this replica is elected.
         """
         consensus = self._consensus
+        trusted = response.log_complete or consensus.was_confirmed_since(
+            now - response.uptime_s
+        )
+        self._record_answer(sender, response, trusted, now)
         if not response.granted and response.term > consensus.term:
             consensus.become_follower(response.term, None, now)
             return False
@@ -142,9 +163,6 @@
             vote_tally.is_pre_vote,
         ):
             return False
-        trusted = response.log_complete or consensus.was_confirmed_since(
-            now - response.uptime_s
-        )
         vote_tally.add(sender, trusted)
         return self._check_result(now)
 
@@ -159,19 +177,36 @@
             else True
         )
 
-    def _may_grant(self, sender: HostName, request: VoteRequest) -> bool:
+    def _record_answer(
+        self, sender: HostName, response: VoteResponse, trusted: bool, now: float
+    ) -> None:
+        voters = {each.host for each in self._consensus.log.members.voters}
+        self.answers[sender] = VoterAnswer(
+            now, response.granted, trusted, response.denial
+        )
+        for host in self.answers.keys() - voters:
+            del self.answers[host]
+
+    def _find_denial(self, sender: HostName, request: VoteRequest) -> str:
+        """Find why a vote can't be granted; empty if it can."""
         consensus = self._consensus
         log = consensus.log
         if (request.last_term, request.last_index) < (log.last_term, log.last_index):
-            return False
+            return f"has entry {log.last_index} of term {log.last_term}"
         if request.is_pre_vote:
-            return request.term > consensus.term
-        return request.term == consensus.term and consensus.vote in ("", sender)
+            is_newer = request.term > consensus.term
+            return "" if is_newer else f"is in term {consensus.term}"
+        if request.term != consensus.term:
+            return f"is in term {consensus.term}"
+        if consensus.vote not in ("", sender):
+            return f"has voted for {consensus.vote}"
+        return ""
 
     def _send_response(
-        self, sender: HostName, request: VoteRequest, granted: bool, now: float
+        self, sender: HostName, request: VoteRequest, denial: str, now: float
     ) -> None:
         consensus = self._consensus
+        granted = not denial
         response = VoteResponse(
             consensus.group,
             request.term if granted else consensus.term,
@@ -179,5 +214,6 @@
             granted,
             consensus.log_complete,
             now - consensus.started_at,
+            denial,
         )
         consensus.send(sender, response)
--- a/packages/control/bramleyspread_control/_host.py
+++ b/packages/control/bramleyspread_control/_host.py
@@ -13,6 +13,7 @@
 from bramleyspread_control._consensus_state import Role
 from bramleyspread_control._disk import Disk
 from bramleyspread_control._entries import Change, PutDocument, encode_change
+from bramleyspread_control._folder_report import describe_folder
 from bramleyspread_control._peer_protocol import PeerProtocol
 from bramleyspread_control._replica import Replica, SyncedState
 from bramleyspread_control._store import DOCUMENTS_GROUP, Store
@@ -43,7 +44,6 @@
     Settle,
     SubmitDocument,
     Undecided,
-    UnstampedEvent,
     encode_json,
     find_size_fault,
 )
@@ -82,9 +82,10 @@
         self._config = config
         self._store = Store(config, disk, rng, now)
         self._peer_protocol = PeerProtocol(
-            config, self._store, f"{rng.getrandbits(64):016x}"
+            config, self._store, f"{rng.getrandbits(64):016x}", now
         )
         self._pending_commands = PendingCommands()
+        self._events = describe_folder(self._store)
         # By group: the term for which the timers were started, and the timers.
         self._claim_timers: dict[int, tuple[int, ClaimTimers]] = {}
         # By entry host: its last query, and the time at which it arrived.
@@ -159,7 +160,7 @@
             replica.check_leadership(now)
             replica.replicate(now)
         self._store.write()
-        events: list[UnstampedEvent] = []
+        events, self._events = self._events, []
         for group, replica in replicas.items():
             for applied in replica.mark_synced():
                 self._pending_commands.resolve(group, applied)
--- a/packages/control/bramleyspread_control/_messages.py
+++ b/packages/control/bramleyspread_control/_messages.py
@@ -75,6 +75,8 @@
     log_complete: bool
     #: Time since the voter's process started, in seconds.
     uptime_s: float
+    #: Why the vote is denied; empty if it is granted, or if the voter doesn't say.
+    denial: str = ""
 
 
 class AppendRequest(_Message, frozen=True, tag="append"):
--- a/packages/control/bramleyspread_control/_peer_protocol.py
+++ b/packages/control/bramleyspread_control/_peer_protocol.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bramleyspread_control._admission_reports import AdmissionReports
 from bramleyspread_control._config import ControlConfig, ControlMember
 from bramleyspread_control._members import Members
 from bramleyspread_control._messages import (
@@ -38,11 +39,14 @@
 class PeerProtocol:
     """Opens received envelopes, builds outgoing ones, and founds deployments."""
 
-    def __init__(self, config: ControlConfig, store: Store, session: str) -> None:
+    def __init__(
+        self, config: ControlConfig, store: Store, session: str, now: float
+    ) -> None:
         self._config = config
         self._store = store
         self._session = session
         self._peers = PeerTable(config)
+        self._admission_reports = AdmissionReports(now)
         self._events: list[UnstampedEvent] = []
         self._host_messages: list[tuple[HostName, Hello | CreateDeployment]] = []
 
@@ -125,6 +129,10 @@
                 create = CreateDeployment(founders, self._config.groups)
                 for peer in self._peers.list_all():
                     self._host_messages.append((peer.settings.host, create))
+        if self.is_uninitialised:
+            self._events += self._admission_reports.list_due(
+                self._peers.list_all(), now
+            )
         if self._peers.is_hello_due(now):
             self._add_log_members()
             for peer in self._peers.list_all():
--- a/packages/control/bramleyspread_control/_replica.py
+++ b/packages/control/bramleyspread_control/_replica.py
@@ -12,6 +12,7 @@
 from bramleyspread_control._election import Election
 from bramleyspread_control._entries import Change, Entry
 from bramleyspread_control._following import FollowerState
+from bramleyspread_control._leaderless_reports import LeaderlessReports
 from bramleyspread_control._leading import LeaderState
 from bramleyspread_control._log import Log
 from bramleyspread_control._members import Member
@@ -98,6 +99,9 @@
         #: State and actions as leader; None while this replica is not the leader.
         self.leader_state: LeaderState | None = None
         self._election = Election(self.consensus)
+        self._leaderless_reports = LeaderlessReports(
+            self.consensus, self._election.answers, now
+        )
         #: What is durable; a loaded folder is rewritten before it counts as that.
         self.synced_state = self._read_state()
 
@@ -122,6 +126,7 @@
         """Run everything that is due: heartbeats, retransmissions and elections."""
         self.check_leadership(now)
         consensus = self.consensus
+        self._leaderless_reports.tick(now, self.leader_state is not None)
         if self.leader_state is not None:
             self.leader_state.tick(now)
             return
