Tests: the newest document is read after exchanges and a loss of disks and power

Control hosts are exchanged for new ones, planned or not, whose settings often name no leader; perhaps a disk is lost; then as many disks as are to be borne, and all other hosts lose power at once, or go on. The newest acknowledged document must be read, and be known at all hosts, within 4 s of the restart, and both groups must have leaders. 3 and 4 hosts that bear the loss of one disk, 5 and 6 that bear two; in virtual time, fixed seeds.

The choice of the hosts that a new one's settings name is a method of its own now in the schedule of full disks; what it draws is unchanged.

--- /dev/null
+++ b/packages/control/bramleyspread_control/tests/test_closing.py
@@ -0,0 +1,34 @@
+"""Control hosts are exchanged; then disks are lost and all other hosts lose power."""
+
+from __future__ import annotations
+
+import pytest
+
+from bramleyspread_control.tests._closing import ClosingSchedule
+
+
+# After hosts had been exchanged, and disks and power were lost at the end of a day, no
+# configuration could be read any more: hosts that nobody admitted hid that those which
+# they stood in for went on counting.
+@pytest.mark.parametrize(
+    ("size", "tolerance", "seed"),
+    [
+        (3, 1, 3),
+        (3, 1, 5),
+        (4, 1, 9),
+        (4, 1, 18),
+        (5, 2, 12),
+        (5, 2, 21),
+        (6, 2, 7),
+        (6, 2, 18),
+    ],
+)
+@pytest.mark.parametrize("is_dark", [True, False])
+def test_newest_document_is_read_after_exchanges_and_a_loss_of_disks_and_power(
+    size: int, tolerance: int, seed: int, is_dark: bool
+) -> None:
+    schedule = ClosingSchedule(seed, size, tolerance)
+    schedule.exchange()
+    schedule.acknowledge()
+    schedule.lose_disks_and_power(is_dark)
+    schedule.check_read()
--- a/packages/control/bramleyspread_control/tests/test_disks_in_turn.py
+++ b/packages/control/bramleyspread_control/tests/test_disks_in_turn.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from bramleyspread_control import ControlTimings, MemoryDisk
+from bramleyspread_control import ControlMember, ControlTimings, MemoryDisk
 from bramleyspread_control.tests._operator import DiskCluster, Sending
 from bramleyspread_core import ConfirmDeployment, Deployment, DeploymentRead
 
@@ -197,11 +197,15 @@
             added if each is spare else each for each in cluster.members
         )
         live = [each for each in cluster.members if each.host in cluster.nodes]
-        cluster.named[added.host] = tuple(self.rng.sample(live, min(3, len(live))))
+        cluster.named[added.host] = self._choose_named(live)
         cluster.disks[spare.host] = MemoryDisk()
         cluster.start(spare.host)
         self._next_spare += 1
 
+    def _choose_named(self, live: list[ControlMember]) -> tuple[ControlMember, ...]:
+        """Choose the hosts that a new host's settings name."""
+        return tuple(self.rng.sample(live, min(3, len(live))))
+
     def replace_all(self) -> None:
         """Replace the hosts one after another, while one disk after another is full."""
         rng, cluster = self.rng, self.cluster
