Signals to stop are recorded before a process loads its modules

SIGTERM and SIGINT were recorded only once the process waited for them, after its modules, settings and data folder were loaded; until then the signal's default ends it.

Now the program records them before it imports anything but the standard library, both as installed and as a module, and notes their time at once; a process that is told to stop while it loads starts, stops as planned and exits with 0. A signal while the interpreter itself starts still ends it.

Evidence: the new test of what is loaded fails on the code before, passes now; the test with real processes sends the signal once a handler is there (a guard, it passes on both).

--- a/packages/daemon/bramleyspread_daemon/__init__.py
+++ b/packages/daemon/bramleyspread_daemon/__init__.py
@@ -13,7 +13,7 @@
     from bramleyspread_daemon._build import build_control, build_entry
     from bramleyspread_daemon._control import ControlProcess
     from bramleyspread_daemon._entry import EntryProcess
-    from bramleyspread_daemon._main import main
+    from bramleyspread_daemon._launch import main
     from bramleyspread_daemon._settings import (
         ControlSettings,
         EntrySettings,
@@ -39,7 +39,7 @@
     "build_control": "_build",
     "build_entry": "_build",
     "load_settings": "_settings",
-    "main": "_main",
+    "main": "_launch",
 }
 
 
--- a/packages/daemon/bramleyspread_daemon/__main__.py
+++ b/packages/daemon/bramleyspread_daemon/__main__.py
@@ -2,10 +2,7 @@
 
 import sys
 
-from bramleyspread_daemon._reload_signal import record_reload_signals
+from bramleyspread_daemon._launch import main
 
 if __name__ == "__main__":
-    record_reload_signals()
-    from bramleyspread_daemon._main import main
-
     sys.exit(main())
--- a/packages/daemon/bramleyspread_daemon/_stop_signal.py
+++ b/packages/daemon/bramleyspread_daemon/_stop_signal.py
@@ -1,15 +1,17 @@
-"""The signal to stop, and when it arrived; a busy process gets to act on it later."""
+"""The signal to stop, and when it arrived; a busy process gets to act on it later.
+
+Signals are recorded before the other modules are loaded, which takes a while; so this
+module imports none of them.
+"""
 
 from __future__ import annotations
 
 import signal
-
-import msgspec
-
-from bramleyspread_daemon._clock import read_monotonic
+import time
+from typing import NamedTuple
 
 
-class StopSignal(msgspec.Struct, frozen=True):
+class StopSignal(NamedTuple):
     """A signal to stop."""
 
     #: Its name.
@@ -28,7 +30,8 @@
 
 
 def _record(which: int, _: object) -> None:
-    _received.append(StopSignal(signal.Signals(which).name, read_monotonic()))
+    arrived_at = time.clock_gettime(time.CLOCK_BOOTTIME)
+    _received.append(StopSignal(signal.Signals(which).name, arrived_at))
 
 
 def find_stop_signal() -> StopSignal | None:
--- a/packages/daemon/bramleyspread_daemon/tests/test_main.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_main.py
@@ -2,16 +2,29 @@
 
 from __future__ import annotations
 
+import signal
 import socket
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
-from bramleyspread_daemon import main
+from bramleyspread_daemon import _stop_signal, main
 
 EXAMPLES = Path(__file__).parents[4] / "examples" / "settings"
 
 
+@pytest.fixture(autouse=True)
+def keep_signal_handlers(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    """Restore the handlers of signals, and forget the signals, afterwards."""
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    handlers = [signal.getsignal(each) for each in numbers]
+    monkeypatch.setattr(_stop_signal, "_received", [])
+    yield
+    for number, handler in zip(numbers, handlers, strict=True):
+        signal.signal(number, handler)
+
+
 @pytest.mark.parametrize("role", ["entry", "control"])
 def test_example_settings_are_valid(
     role: str, capsys: pytest.CaptureFixture[str]
--- /dev/null
+++ b/packages/daemon/bramleyspread_daemon/tests/test_starting.py
@@ -0,0 +1,82 @@
+"""Processes that are signalled early."""
+
+from __future__ import annotations
+
+import re
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import pytest
+
+from bramleyspread_daemon.tests.test_processes import find_port
+
+#: Time in which a process starts or ends, in seconds.
+TIMEOUT_S = 20.0
+#: The program as it is installed, and as a module.
+PROGRAMS = (
+    (str(Path(sys.executable).parent / "bramleyspreadd"),),
+    (sys.executable, "-m", "bramleyspread_daemon"),
+)
+
+
+def write_settings(folder: Path, port: int) -> Path:
+    path = folder / "entry.yaml"
+    path.write_text(
+        f"host: e\nzone: z\nlisten: {{ip: 127.0.0.1, port: {port}}}\n"
+        f"timeline: {folder}/e.jsonl\nlog: {{file: {folder}/e.log}}\n"
+        "limits: {grace_s: 0.1}\n"
+    )
+    return path
+
+
+@contextmanager
+def run_entry(
+    folder: Path, port: int, program: tuple[str, ...]
+) -> Iterator[subprocess.Popen[bytes]]:
+    command = [*program, "entry", "--settings", str(write_settings(folder, port))]
+    with (folder / "output").open("wb") as output:
+        process = subprocess.Popen(command, stdout=output, stderr=output)
+        try:
+            yield process
+        finally:
+            process.kill()
+            process.wait()
+
+
+def has_handler(process: subprocess.Popen[bytes], number: signal.Signals) -> bool:
+    """Whether a process handles a signal."""
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    caught = re.search(r"^SigCgt:\s*([0-9a-f]+)$", status, re.MULTILINE)
+    assert caught is not None
+    return bool(int(caught[1], 16) >> (number - 1) & 1)
+
+
+# A stop in the first moments of a process ended it by the signal (-15).
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_stop_while_modules_are_loaded_is_a_planned_stop(
+    tmp_path: Path, program: tuple[str, ...]
+) -> None:
+    with run_entry(tmp_path, find_port(), program) as process:
+        deadline = time.monotonic() + TIMEOUT_S
+        while not has_handler(process, signal.SIGTERM):
+            assert time.monotonic() < deadline
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(TIMEOUT_S) == 0
+
+
+# Signals in the first moments of a process ended it: loading the modules takes long.
+def test_signals_are_recorded_before_other_modules_are_loaded() -> None:
+    code = (
+        "import sys; known = set(sys.modules); import bramleyspread_daemon._launch;"
+        "print(*(set(sys.modules) - known))"
+    )
+    output = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    ).stdout
+    packages = {each.partition(".")[0] for each in output.split()}
+    assert packages - set(sys.stdlib_module_names) == {"bramleyspread_daemon"}
