A process whose address is in use waits for it instead of ending

Whoever lost it this way had one control host fewer, and nothing starts it again. The process before it may still be ending, or the system has lent the port to an outgoing connection.

A stop meanwhile ends the process with 0. Entry hosts of the forwarding role bind the address of their callers last, so that no caller is accepted while the host waits for another address.

Evidence: with the port held by a listener, by an outgoing connection, and with a stop meanwhile, the three new tests with real processes fail on the code before, pass now. test_address_in_use_exits_1 shortens the wait, and still demands exit 1 and the line of the failure, and now one line about the attempts.

--- a/packages/daemon/bramleyspread_daemon/_main.py
+++ b/packages/daemon/bramleyspread_daemon/_main.py
@@ -17,6 +17,7 @@
 from bramleyspread_daemon._logs import configure_logging
 from bramleyspread_daemon._reload_signal import record_reload_signals
 from bramleyspread_daemon._roles import ROLES, RoleSettings, Runnable
+from bramleyspread_daemon._stop_signal import StoppedBeforeServingError
 
 #: The daemon shut down gracefully.
 EXIT_OK = 0
@@ -121,6 +122,9 @@
         process = build()
         _tune_garbage_collector()
         code: int = curio.run(process.run)
+    except StoppedBeforeServingError as stopped:
+        logger.bind(step="stop", peer="-").info(f"stopped before it served: {stopped}")
+        return EXIT_OK
     except Exception as error:
         log = logger.bind(step="start", peer=str(settings.listen.address))
         log.opt(exception=sys.exc_info()).critical(f"process failed: {error}")
--- a/packages/daemon/bramleyspread_daemon/_server.py
+++ b/packages/daemon/bramleyspread_daemon/_server.py
@@ -8,10 +8,10 @@
 
 import curio
 import curio.io
-import curio.socket
 from loguru import logger
 
 from bramleyspread_core import Address
+from bramleyspread_daemon._binding import BACKLOG, bind_listener
 from bramleyspread_daemon._clock import STAMP_HEADER, ProcessClock, read_monotonic
 from bramleyspread_daemon._connection import Connection
 from bramleyspread_daemon._exchange import Handler, HttpRequest, Reply
@@ -21,8 +21,6 @@
 from bramleyspread_daemon._settings import Limits
 from bramleyspread_daemon._traffic import ByteCountSource, Traffic
 
-#: Listen backlog of the socket.
-BACKLOG = 1_024
 #: How often connections are checked for timeouts.
 TIMEOUT_SWEEP_INTERVAL_S = 0.25
 
@@ -103,12 +101,10 @@
         :param address: the address to listen on; port 0 selects a free port.
         :returns: the actual address.
         :raises OSError: when the address cannot be bound.
+        :raises StoppedBeforeServingError: when a signal to stop arrives while the
+            address is in use.
         """
-        family = curio.socket.AF_INET6 if ":" in address.ip else curio.socket.AF_INET
-        listen_socket = curio.socket.socket(family, curio.socket.SOCK_STREAM)
-        listen_socket.setsockopt(curio.socket.SOL_SOCKET, curio.socket.SO_REUSEADDR, 1)
-        listen_socket.bind((address.ip, address.port))
-        listen_socket.listen(BACKLOG)
+        listen_socket = await bind_listener(address)
         self._listen_socket = listen_socket
         self._accept_task = await curio.spawn(self._accept_loop, daemon=True)
         await curio.spawn(self._sweep_loop, daemon=True)
--- a/packages/daemon/bramleyspread_daemon/_stop_signal.py
+++ b/packages/daemon/bramleyspread_daemon/_stop_signal.py
@@ -20,6 +20,10 @@
     arrived_at: float
 
 
+class StoppedBeforeServingError(Exception):
+    """A signal to stop arrived before the process had all that it needs to serve."""
+
+
 _received: list[StopSignal] = []
 
 
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -270,9 +270,10 @@
         :returns: the address on which callers are served.
         :raises OSError: if an address can't be bound.
         """
-        address = await self.public.start(self._settings.callers.address)
+        # Callers come last: an address that is in use delays all that follows.
         await self.server.start(self._settings.listen.address)
         await self.health.start(self._settings.ready.address)
+        address = await self.public.start(self._settings.callers.address)
         await self._link.start_polling(self._settings.seed_addresses)
         for action, name, interval_s in (
             (self.context.piece_service.tick, "batch", TICK_INTERVAL_S),
--- a/packages/daemon/bramleyspread_daemon/tests/test_main.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_main.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from bramleyspread_daemon import _stop_signal, main
+from bramleyspread_daemon import _binding, _stop_signal, main
 
 EXAMPLES = Path(__file__).parents[4] / "examples" / "settings"
 
@@ -58,7 +58,10 @@
     assert caught.value.code == code
 
 
-def test_address_in_use_exits_1(tmp_path: Path) -> None:
+def test_address_in_use_exits_1(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(_binding, "BIND_TIMEOUT_S", 0.3)
     with socket.socket() as taken:
         taken.bind(("127.0.0.1", 0))
         taken.listen()
@@ -69,4 +72,6 @@
             f"timeline: {tmp_path}/e.jsonl\nlog: {{file: {tmp_path}/e.log}}\n"
         )
         assert main(["entry", "--settings", str(path)]) == 1
-    assert "process failed: " in (tmp_path / "e.log").read_text()
+    log = (tmp_path / "e.log").read_text()
+    assert log.count("tries again") == 1
+    assert "process failed: " in log
--- a/packages/daemon/bramleyspread_daemon/tests/test_starting.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_starting.py
@@ -1,9 +1,10 @@
-"""Processes that are signalled early."""
+"""Processes that start while their address is in use, or that are signalled early."""
 
 from __future__ import annotations
 
 import re
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -17,6 +18,7 @@
 
 #: Time in which a process starts or ends, in seconds.
 TIMEOUT_S = 20.0
+POLL_INTERVAL_S = 0.02
 #: The program as it is installed, and as a module.
 PROGRAMS = (
     (str(Path(sys.executable).parent / "bramleyspreadd"),),
@@ -48,6 +50,52 @@
             process.wait()
 
 
+def wait_for_log(folder: Path, text: str) -> str:
+    log = folder / "e.log"
+    for _ in range(int(TIMEOUT_S / POLL_INTERVAL_S)):
+        written = log.read_text() if log.exists() else ""
+        if text in written:
+            return written
+        time.sleep(POLL_INTERVAL_S)
+    raise AssertionError((text, written, (folder / "output").read_text()))
+
+
+# A host ended at once when it was started again while its port was still in use.
+@pytest.mark.parametrize("holder", ["listener", "connection"])
+def test_start_waits_for_an_address_that_is_in_use(tmp_path: Path, holder: str) -> None:
+    port = find_port()
+    with socket.socket() as holding, socket.socket() as server:
+        holding.bind(("127.0.0.1", port))
+        if holder == "listener":
+            holding.listen()
+        else:
+            server.bind(("127.0.0.1", 0))
+            server.listen()
+            holding.connect(server.getsockname())
+        with run_entry(tmp_path, port, PROGRAMS[0]) as process:
+            wait_for_log(tmp_path, "tries again")
+            time.sleep(0.3)
+            holding.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            holding.close()
+            log = wait_for_log(tmp_path, f"entry host at 127.0.0.1:{port}")
+            assert log.count("tries again") == 1
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(TIMEOUT_S) == 0
+
+
+# A host that waits for its address must not outlast its stop, nor end it as a failure.
+def test_stop_ends_the_wait_for_an_address(tmp_path: Path) -> None:
+    port = find_port()
+    with socket.socket() as holding:
+        holding.bind(("127.0.0.1", port))
+        holding.listen()
+        with run_entry(tmp_path, port, PROGRAMS[0]) as process:
+            wait_for_log(tmp_path, "tries again")
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(TIMEOUT_S) == 0
+    assert "stopped before it served" in (tmp_path / "e.log").read_text()
+
+
 def has_handler(process: subprocess.Popen[bytes], number: signal.Signals) -> bool:
     """Whether a process handles a signal."""
     status = Path(f"/proc/{process.pid}/status").read_text()
