Tasks begun while a process ends its tasks are ended too, and are no failure

The kernel cancels tasks one after another, and those that are still to be cancelled go on and may begin others, such as an accepted connection; the kernel takes what is left for an error, and the process exited with 1.

Now what is left is cancelled again, at most ten times, and the exit code is that of the process.

Evidence: the new test fails on the code before (exit 1, the same message), passes now.

--- a/packages/daemon/bramleyspread_daemon/_main.py
+++ b/packages/daemon/bramleyspread_daemon/_main.py
@@ -26,6 +26,9 @@
 #: The command line or the settings are invalid.
 EXIT_USAGE = 2
 
+#: Maximum number of times that the tasks which are left at the end are cancelled.
+MAX_SHUTDOWN_ROUNDS = 10
+
 #: Number of new container objects that triggers a garbage collection.
 GC_THRESHOLD = 20_000
 
@@ -121,7 +124,7 @@
     try:
         process = build()
         _tune_garbage_collector()
-        code: int = curio.run(process.run)
+        code = _run_until_stop(process)
     except StoppedBeforeServingError as stopped:
         logger.bind(step="stop", peer="-").info(f"stopped before it served: {stopped}")
         return EXIT_OK
@@ -132,6 +135,25 @@
     return code
 
 
+def _run_until_stop(process: Runnable) -> int:
+    """Run a process, and end the tasks that it leaves behind.
+
+    While tasks are cancelled, those that are still to be cancelled go on and may begin
+    new ones, which the kernel takes for an error of the process.
+    """
+    kernel = curio.Kernel()
+    try:
+        code: int = kernel.run(process.run)
+    finally:
+        for _ in range(MAX_SHUTDOWN_ROUNDS):
+            try:
+                kernel.run(shutdown=True)
+                break
+            except AssertionError:
+                continue
+    return code
+
+
 def _check_open_file_limit(settings: RoleSettings) -> None:
     """Log a warning when the limit on open files is lower than the need."""
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/packages/daemon/bramleyspread_daemon/tests/test_starting.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_starting.py
@@ -11,9 +11,13 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
 
+import curio
 import pytest
 
+from bramleyspread_daemon import _main
 from bramleyspread_daemon.tests.test_processes import find_port
 
 #: Time in which a process starts or ends, in seconds.
@@ -128,3 +132,34 @@
     ).stdout
     packages = {each.partition(".")[0] for each in output.split()}
     assert packages - set(sys.stdlib_module_names) == {"bramleyspread_daemon"}
+
+
+class _Spawning:
+    """A process with tasks that begin others while the process's tasks are ended."""
+
+    async def run(self) -> int:
+        async def sleep() -> None:
+            await curio.sleep(60)
+
+        async def begin_others() -> None:
+            while True:
+                await curio.sleep(0.001)
+                await curio.spawn(sleep, daemon=True)
+
+        async def end_slowly() -> None:
+            try:
+                await curio.sleep(60)
+            finally:
+                await curio.sleep(0.05)
+
+        await curio.spawn(begin_others, daemon=True)
+        await curio.spawn(end_slowly, daemon=True)
+        await curio.sleep(0)
+        return 0
+
+
+# A planned stop ended with an error: "New tasks created during shutdown".
+def test_tasks_begun_while_others_are_ended_are_no_failure() -> None:
+    listen = SimpleNamespace(address="127.0.0.1:1")
+    settings = cast("Any", SimpleNamespace(listen=listen))
+    assert _main._run(lambda: cast("Any", _Spawning()), settings) == 0
