--- a/packages/control/bramleyspread_control/tests/_closing.py
+++ b/packages/control/bramleyspread_control/tests/_closing.py
@@ -32,6 +32,8 @@
         self._member_change = None
         self._tolerance = tolerance
         self._spares_left = 10 - size
+        # Whether a host's settings trust its folder; they do if it isn't here.
+        self._trust: dict[str, bool] = {}
         self.cluster.run_until_leader()
         for name in sorted(self.cluster.nodes)[: size - founders]:
             self._add_spare(name)
@@ -74,6 +76,43 @@
         self.run(1.0)
         self._add_spare(name)
 
+    def exchange_two_at_once(self) -> None:
+        """Exchange two hosts within the time after which a silent one is replaced."""
+        rng = self.rng
+        for name in rng.sample(self.hosts, 2):
+            self._spares_left -= 1
+            if rng.random() < 0.5:
+                self._add_spare(name)
+                self.plan(rng.uniform(0.0, 2.5), lambda name=name: self._stop(name))  # type: ignore[misc]
+            else:
+                self._stop(name)
+                self.plan(
+                    rng.uniform(0.2, 1.5),
+                    lambda name=name: self._add_spare(name),  # type: ignore[misc]
+                )
+            self.run(rng.uniform(0.0, 2.4))
+        self.run(JOINED_S)
+
+    def exchange_beside_a_cut(self) -> None:
+        """Exchange a host while a minority is cut off from all others."""
+        rng, cluster = self.rng, self.cluster
+        for name in rng.sample(self.hosts, (len(self.hosts) - 1) // 2):
+            self.note(f"cut {name}")
+            cluster.isolate(name)
+            for each in cluster.members[len(cluster.disks) :]:
+                cluster.blocked |= {(each.host, name), (name, each.host)}
+        self.run(rng.uniform(0.5, 6.0))
+        self.exchange_one(rng.choice(self.hosts), is_planned=rng.random() < 0.5)
+        self.run(rng.uniform(0.0, 5.0))
+        cluster.heal()
+        self.note("heal")
+        self.run(JOINED_S)
+
+    def trust_some_folders(self) -> None:
+        """Let the settings of some hosts trust their folders from the next start on."""
+        for name in self.hosts:
+            self._trust[name] = self.rng.random() < 0.5
+
     def acknowledge(self) -> None:
         """Have a change acknowledged, the newest one."""
         cluster = self.cluster
@@ -109,6 +148,11 @@
                 self.plan(rng.uniform(0.0, 0.5), lambda name=name: self._restart(name))  # type: ignore[misc]
         return lost
 
+    def _restart(self, name: str) -> None:
+        if name not in self.cluster.nodes and name not in self.gone:
+            self.note(f"start {name}")
+            self.cluster.start(name, trust_folder=self._trust.get(name, True))
+
     def check_read(self) -> float:
         """Check that the newest document is read at all hosts in time.
 
