A control host whose data folder is in use waits for it instead of ending

Now a start waits for the folder, tries again every 0.1 s for 30 s, and logs that once; a stop meanwhile ends the process with 0.

--- a/packages/daemon/bramleyspread_daemon/_build.py
+++ b/packages/daemon/bramleyspread_daemon/_build.py
@@ -91,6 +91,7 @@
     )
     rng = _make_rng()
     folder = ControlFolder(config, settings.data, rng)
+    folder.wait_until_free()
     node = RecoveringControlHost.from_config(config, folder.open, read_monotonic())
     reconciler = Reconciler.from_config(ReconcilerConfig(), rng)
     return ControlProcess(process, settings, node, reconciler)
--- a/packages/daemon/bramleyspread_daemon/forward/_build_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_build_control.py
@@ -50,6 +50,7 @@
     config = _build_config(settings)
     is_first_start = settings.bootstrap and not _has_files(Path(settings.data))
     folder = ControlFolder(config, settings.data, rng)
+    folder.wait_until_free()
     node = RecoveringControlHost.from_config(config, folder.open, read_monotonic())
     forward = ForwardControl(
         node,
--- a/packages/daemon/bramleyspread_daemon/tests/test_starting.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_starting.py
@@ -17,6 +17,7 @@
 import curio
 import pytest
 
+from bramleyspread_control import FileDisk
 from bramleyspread_daemon import _main
 from bramleyspread_daemon.tests.test_processes import find_port
 
@@ -100,6 +101,37 @@
     assert "stopped before it served" in (tmp_path / "e.log").read_text()
 
 
+# A control host ended at once when it was started again while the process before it was
+# still ending and used its folder.
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_control_host_waits_for_a_folder_that_is_in_use(
+    tmp_path: Path, is_stopped: bool
+) -> None:
+    port = find_port()
+    owner = FileDisk.from_folder(tmp_path / "data")
+    path = tmp_path / "control.yaml"
+    path.write_text(
+        f"host: c\nzone: z\nlisten: {{ip: 127.0.0.1, port: {port}}}\n"
+        f"timeline: {tmp_path}/c.jsonl\nlog: {{file: {tmp_path}/e.log}}\n"
+        f"data: {tmp_path}/data\nlimits: {{grace_s: 0.1}}\n"
+        f"control_hosts: [{{host: c, zone: z, address: '127.0.0.1:{port}'}}]\n"
+    )
+    command = [*PROGRAMS[0], "control", "--settings", str(path)]
+    with (tmp_path / "output").open("wb") as output:
+        process = subprocess.Popen(command, stdout=output, stderr=output)
+    try:
+        wait_for_log(tmp_path, "tries again")
+        if not is_stopped:
+            owner.close()
+            wait_for_log(tmp_path, f"control host at 127.0.0.1:{port}")
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(TIMEOUT_S) == 0
+    finally:
+        process.kill()
+        process.wait()
+        owner.close()
+
+
 def has_handler(process: subprocess.Popen[bytes], number: signal.Signals) -> bool:
     """Whether a process handles a signal."""
     status = Path(f"/proc/{process.pid}/status").read_text()
