Heartbeats pass large entries, and a slow receiver gets more time for them

Callers: a control host whose link or receiver takes less than 8 MB/s never got a large entry, so with too few others the change was not acknowledged for good; and while one was on its way, the leader could lose its lease (503, not decided).

Cause: a delivery that wasn't over in time was tried again with the same timeout. And one delivery at a time went to each host, so heartbeats waited behind an entry of up to 4 MB, for as long as its receiver took.

Now large messages have a delivery of their own beside the small ones; no message relies on the order of those before it, since connections were replaced before this as well. A large delivery that fails doubles the time for the next one's size, up to 16 times, until one arrives.

Not shown: that this helps where hosts lack the processor.

--- a/packages/daemon/bramleyspread_daemon/_messenger.py
+++ b/packages/daemon/bramleyspread_daemon/_messenger.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Iterable
+from typing import NamedTuple
 
 import curio
 from loguru import logger
@@ -26,9 +27,15 @@
 #: Rate at which a peer is expected to take a delivery at least, in bytes a second. The
 #: timeout is longer by the time that this takes.
 MIN_DELIVERY_RATE = 8_000_000
-#: Maximum queued messages per address; the oldest are dropped first.
+#: How many times as slow a peer may be that did not take large deliveries in time; each
+#: failure doubles what it is given, up to this.
+MAX_SLOWNESS = 16
+#: Size from which a message is large, in bytes: large ones are delivered beside the
+#: others, so that a heartbeat does not wait for an entry.
+LARGE_MESSAGE_BYTES = 100_000
+#: Maximum queued messages per channel; the oldest are dropped first.
 MAX_PENDING_MESSAGES = 512
-#: Maximum size of the queued messages per address, in bytes; the newest stays however
+#: Maximum size of the queued messages per channel, in bytes; the newest stays however
 #: large it is.
 MAX_PENDING_BYTES = 8_000_000
 #: Maximum messages in one delivery.
@@ -40,8 +47,16 @@
 REFUSAL_LOG_INTERVAL_S = 10.0
 
 
+class _Channel(NamedTuple):
+    """Messages to one address that are delivered one after another."""
+
+    address: Address
+    #: Whether it is that of the large messages.
+    is_large: bool
+
+
 class _Queue:
-    """Messages that wait for their delivery to one address."""
+    """Messages that wait for their delivery in one channel."""
 
     __slots__ = ("_messages", "_size")
 
@@ -85,9 +100,10 @@
 
 
 class PeerMessenger:
-    """Sends messages with one delivery in flight per address.
+    """Sends messages with one delivery of small and one of large ones per address.
 
-    Messages that cannot be delivered are dropped; the protocols that use them resend.
+    A small message may overtake a large one. Messages that cannot be delivered are
+    dropped; the protocols that use them resend.
     """
 
     __slots__ = (
@@ -95,6 +111,7 @@
         "_pending",
         "_pool",
         "_refusal_logged_at",
+        "_slowness",
         "bytes_sent",
         "lost",
         "refused",
@@ -103,8 +120,10 @@
 
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
-        self._pending: dict[Address, _Queue] = {}
-        self._delivering: set[Address] = set()
+        self._pending: dict[_Channel, _Queue] = {}
+        self._delivering: set[_Channel] = set()
+        # By address: the factor on the time that the size of a large delivery needs.
+        self._slowness: dict[Address, int] = {}
         self._refusal_logged_at: dict[Address, float] = {}
         #: Messages delivered.
         self.sent = 0
@@ -126,34 +145,41 @@
         :param sends: the messages and their addresses.
         """
         for each in sends:
-            pending = self._pending.get(each.address)
+            is_large = _measure(each.message) >= LARGE_MESSAGE_BYTES
+            channel = _Channel(each.address, is_large)
+            pending = self._pending.get(channel)
             if pending is None:
-                pending = self._pending[each.address] = _Queue()
+                pending = self._pending[channel] = _Queue()
             self.lost += pending.add(each.message)
-            if each.address not in self._delivering:
-                self._delivering.add(each.address)
-                await curio.spawn(self._deliver, each.address, daemon=True)
+            if channel not in self._delivering:
+                self._delivering.add(channel)
+                await curio.spawn(self._deliver, channel, daemon=True)
 
-    async def _deliver(self, address: Address) -> None:
-        pending = self._pending[address]
+    async def _deliver(self, channel: _Channel) -> None:
+        pending = self._pending[channel]
         try:
             while pending:
-                await self._deliver_batch(address, pending.take_batch())
+                await self._deliver_batch(channel, pending.take_batch())
         finally:
-            self._delivering.discard(address)
+            self._delivering.discard(channel)
             if not pending:
-                self._pending.pop(address, None)
+                self._pending.pop(channel, None)
 
     async def _deliver_batch(
-        self, address: Address, messages: list[PeerMessage]
+        self, channel: _Channel, messages: list[PeerMessage]
     ) -> None:
-        body = encode_json(messages)
-        timeout_s = DELIVERY_TIMEOUT_S + len(body) / MIN_DELIVERY_RATE
+        address, body = channel.address, encode_json(messages)
+        slowness = self._slowness.get(address, 1) if channel.is_large else 1
+        timeout_s = DELIVERY_TIMEOUT_S + slowness * len(body) / MIN_DELIVERY_RATE
         try:
             response = await self._pool.request(address, PEER_PATH, body, timeout_s)
-        except (RequestNotSentError, ConnectionClosedError):
+        except (RequestNotSentError, ConnectionClosedError) as error:
             self.lost += len(messages)
+            if channel.is_large and isinstance(error, ConnectionClosedError):
+                self._slowness[address] = min(2 * slowness, MAX_SLOWNESS)
             return
+        if channel.is_large:
+            self._slowness.pop(address, None)
         if response.status >= 300:
             self.refused += len(messages)
             self._log_refusal(address, response.status, len(body))
--- a/packages/daemon/bramleyspread_daemon/tests/test_messenger.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_messenger.py
@@ -9,12 +9,20 @@
 import pytest
 from loguru import logger
 
-from bramleyspread_core import Address, HostName, PeerMessage, PeerSend
-from bramleyspread_daemon._client import Response
+from bramleyspread_core import (
+    MAX_CHANGE_BYTES,
+    Address,
+    HostName,
+    PeerMessage,
+    PeerSend,
+)
+from bramleyspread_daemon._client import ConnectionClosedError, Response
+from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._messenger import (
     DELIVERY_TIMEOUT_S,
     MAX_BATCH_BYTES,
     MAX_PENDING_BYTES,
+    MAX_SLOWNESS,
     MIN_DELIVERY_RATE,
     REFUSAL_LOG_INTERVAL_S,
     PeerMessenger,
@@ -46,6 +54,31 @@
         return Response(204, b"")
 
 
+class LinkPool:
+    """Takes as many bytes a second of each delivery as a link does.
+
+    :param rate: bytes a second.
+    """
+
+    def __init__(self, rate: int) -> None:
+        self.rate = rate
+        #: Sizes of the deliveries that arrived whole, with the time, in seconds.
+        self.arrived: list[tuple[float, int]] = []
+        #: Number of deliveries begun.
+        self.begun = 0
+
+    async def request(
+        self, _: Address, __: str, body: bytes, timeout: float
+    ) -> Response:
+        self.begun += 1
+        needed = len(body) / self.rate
+        await curio.sleep(min(needed, timeout))
+        if needed > timeout:
+            raise ConnectionClosedError("no whole answer in time")
+        self.arrived.append((read_monotonic(), len(body)))
+        return Response(204, b"")
+
+
 class RefusingPool:
     """Answers each request with one status."""
 
@@ -135,3 +168,44 @@
     run_in_virtual_time(monkeypatch, run)
     assert sum(size for size, _ in pool.deliveries) < 2 * MAX_PENDING_BYTES
     assert messenger.lost + messenger.sent == 100
+
+
+# Guards against heartbeats that wait behind a large entry for the same host, so that
+# the leader that hands it on loses its lease.
+def test_small_messages_pass_a_large_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    pool = LinkPool(MIN_DELIVERY_RATE)
+    messenger = PeerMessenger(pool)  # type: ignore[arg-type]
+    arrived: list[int] = []
+
+    async def run() -> None:
+        await messenger.send([PeerSend(PEER, make_message(MAX_CHANGE_BYTES))])
+        for _ in range(4):
+            await messenger.send([PeerSend(PEER, MESSAGE)])
+            await curio.sleep(0.1)
+        arrived.extend(size for _, size in pool.arrived)
+        assert not messenger.is_idle
+        await curio.sleep(1.0)
+
+    run_in_virtual_time(monkeypatch, run)
+    assert len(arrived) == 4
+    assert max(arrived) < 1_000
+    assert (messenger.sent, messenger.lost, messenger.is_idle) == (5, 0, True)
+
+
+# Guards against an entry that is given up for ever at the same time, short of its end,
+# because the link or the receiver is slower than expected.
+def test_large_message_gets_more_time_after_each_failure(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    pool = LinkPool(MIN_DELIVERY_RATE // MAX_SLOWNESS)
+    messenger = PeerMessenger(pool)  # type: ignore[arg-type]
+
+    async def run() -> None:
+        while not messenger.sent and messenger.lost < 10:
+            await messenger.send([PeerSend(PEER, make_message(MAX_CHANGE_BYTES))])
+            while not messenger.is_idle:
+                await curio.sleep(0.1)
+
+    run_in_virtual_time(monkeypatch, run)
+    assert messenger.sent == 1
+    assert messenger.lost <= MAX_SLOWNESS.bit_length()
