A document has time for its size to be decided

Callers: a change of megabytes could get 503 (not decided) although it was accepted, again at each repetition, when the leader was busy or another host had been asked.

Cause: the leader's answer to a relayed command had 0.8 s, the decision 0.9 s, whatever the size; the largest accepted change holds hosts up longer than that as soon as they take less than 5 MB/s of it.

Now both are longer by the time that the document's text needs at 2.5 MB/s. Small commands and reads keep their timeouts, so a leader that is gone is found as soon.

--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -58,10 +58,13 @@
 TICK_INTERVAL_S = 0.02
 #: How long an entry host is listed after its last query, in seconds.
 HOST_EXPIRY_S = 1.5
-#: Timeout for the leader's answer to a relayed command, in seconds.
+#: Timeout for the leader's answer to a small relayed command, in seconds.
 RELAY_TIMEOUT_S = 0.8
-#: Timeout for a decision on this host, in seconds.
+#: Timeout for a decision on a small command on this host, in seconds.
 DECISION_TIMEOUT_S = 0.9
+#: Rate at which a document is expected to be decided at least, in bytes of its text a
+#: second. Both timeouts are longer by the time that this takes.
+MIN_DECISION_RATE = 2_500_000
 #: Interval at which a pending command checks for its result, in seconds.
 RESULT_POLL_INTERVAL_S = 0.004
 #: Maximum number of control hosts to which a command is relayed in turn.
@@ -187,7 +190,7 @@
     async def _decide_locally(self, command: Command) -> CommandResult:
         results: list[CommandResult] = []
         await self._propose(command, results.append)
-        deadline = read_monotonic() + DECISION_TIMEOUT_S
+        deadline = read_monotonic() + DECISION_TIMEOUT_S + _find_size_time(command)
         while not results and read_monotonic() < deadline:
             await curio.sleep(RESULT_POLL_INTERVAL_S)
         return results[0] if results else Undecided("not decided in time")
@@ -195,9 +198,10 @@
     async def _relay(self, leader: Address, command: Command) -> CommandResult:
         if leader == self._own:
             return Undecided("no leader is known")
+        timeout_s = RELAY_TIMEOUT_S + _find_size_time(command)
         try:
             response = await self._pool.request(
-                leader, COMMANDS_PATH, encode_json(command), RELAY_TIMEOUT_S
+                leader, COMMANDS_PATH, encode_json(command), timeout_s
             )
             result: CommandResult = decode_json(response.body, CommandResult)
         except (RequestNotSentError, ConnectionClosedError, MessageError) as error:
@@ -311,6 +315,13 @@
         return int(min(now - self._knows_targets_since, ORIGIN_RETENTION_S))
 
 
+def _find_size_time(command: Command) -> float:
+    """Find the time that the size of a command adds to its timeouts, in seconds."""
+    if not isinstance(command, PutDeployment):
+        return 0.0
+    return len(command.text) / MIN_DECISION_RATE
+
+
 def _send(reply: Reply, written: WireReply) -> None:
     reply.send(written.status, written.body, written.headers)
 
