A repeated document is no further entry of the log

Callers: an operator who gets no answer sends the same document again, to any host. While a large one is undecided that made hosts slower still, so that it took longer.

Cause: each repetition became an entry of its own, up to 4 MB that is encoded, sent to each host and synced, although it changes nothing.

Now a leader that may confirm its document answers from its state what isn't newer than that, by the same rule as the entry would; and a repetition of an entry that is under way in the leader's own term waits for that entry.

Evidence: sixteen times the same largest change, half of them while it is undecided: 16 entries on the code before (the new test fails), one now. The two tests beside it, that a leader without a lease doesn't answer so and that other content of the same version is refused, pass on both.

--- a/packages/control/bramleyspread_control/_documents.py
+++ b/packages/control/bramleyspread_control/_documents.py
@@ -130,6 +130,20 @@
             listed.append(record.in_force)
         return DocumentsPage(self.revision, tuple(listed))
 
+    def find_repeat_result(self, put: PutDeployment) -> CommandResult | None:
+        """Find the result of a deployment document that is not newer than the current.
+
+        :param put: the command with the document.
+        :returns: the result; None if the document would be put in force.
+        """
+        current = self.deployment_change
+        if current is None or put.deployment.version > current.deployment.version:
+            return None
+        version = current.deployment.version
+        if put.deployment.version == version and put.text != current.text:
+            return DeploymentDiffers(version)
+        return DeploymentAccepted(version)
+
     def encode(self) -> bytes:
         """Encode the complete state as JSON."""
         snapshot = _Snapshot(
@@ -206,14 +220,11 @@
                 yield f"service {name!r} would break: {fault}"
 
     def _put_deployment(self, put: PutDeployment) -> CommandResult:
-        current = self.deployment_change
-        if current is None or put.deployment.version > current.deployment.version:
+        result = self.find_repeat_result(put)
+        if result is None:
             self.deployment_change = put
-            return DeploymentAccepted(put.deployment.version)
-        version = current.deployment.version
-        if put.deployment.version == version and put.text != current.text:
-            return DeploymentDiffers(version)
-        return DeploymentAccepted(version)
+            result = DeploymentAccepted(put.deployment.version)
+        return result
 
     def _record_orders(self, command: IntendOrders) -> CommandResult:
         lowest_fence = min(
--- a/packages/control/bramleyspread_control/_entries.py
+++ b/packages/control/bramleyspread_control/_entries.py
@@ -114,6 +114,11 @@
         """Size of the encoded change, in bytes."""
         return len(memoryview(self.change))
 
+    def has_change(self, change: msgspec.Raw) -> bool:
+        """Whether the entry contains an encoded change."""
+        same_size = self.size == len(memoryview(change))
+        return same_size and bytes(self.change) == bytes(change)
+
     def read_change(self) -> Change:
         """Decode the change.
 
--- a/packages/control/bramleyspread_control/_host.py
+++ b/packages/control/bramleyspread_control/_host.py
@@ -22,6 +22,7 @@
     Claim,
     ClaimKey,
     Command,
+    CommandResult,
     ConfirmDeployment,
     ControlOutput,
     ControlStatus,
@@ -132,12 +133,32 @@
         if isinstance(change, Rejected):
             self._pending_commands.add_reply(ticket, change)
             return
+        result = self._find_repeat_result(change, now)
+        if result is not None:
+            self._pending_commands.add_reply(ticket, result)
+            return
+        self._propose_change(ticket, replica, change, now)
+
+    def _find_repeat_result(self, change: Change, now: float) -> CommandResult | None:
+        """Find the result of a deployment document that needs no entry any more."""
+        if isinstance(change, PutDeployment) and self.is_deployment_confirmed(now):
+            return self._store.documents.find_repeat_result(change)
+        return None
+
+    def _propose_change(
+        self, ticket: int, replica: Replica, change: Change, now: float
+    ) -> None:
+        """Append a change, or wait for the entry that has the same document."""
         encoded = encode_change(change)
         fault = find_size_fault(len(memoryview(encoded)))
         if fault:
             self._pending_commands.add_reply(ticket, Rejected((fault,)))
             return
-        index = replica.propose(encoded, now)
+        index = None
+        if isinstance(change, PutDeployment):
+            index = replica.log.find_unapplied(encoded, replica.consensus.term)
+        if index is None:
+            index = replica.propose(encoded, now)
         if index is None:
             self._pending_commands.add_reply(ticket, NotLeader(None))
         else:
--- a/packages/control/bramleyspread_control/_log.py
+++ b/packages/control/bramleyspread_control/_log.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from bramleyspread_control._entries import Entry
 from bramleyspread_control._members import Members
 
@@ -69,6 +71,19 @@
         """Return an entry that the log contains."""
         return self._entries[index - self.base_index - 1]
 
+    def find_unapplied(self, change: msgspec.Raw, term: int) -> int | None:
+        """Find an entry that is not applied yet by its change.
+
+        :param change: the encoded change.
+        :param term: term of the entry.
+        :returns: index of the entry; None when there is none.
+        """
+        for index in range(self.applied_index + 1, self.last_index + 1):
+            entry = self.get(index)
+            if entry.term == term and entry.has_change(change):
+                return index
+        return None
+
     def append(self, entry: Entry) -> None:
         """Append the entry that follows the last one."""
         assert entry.index == self.last_index + 1, "entries must be appended in order"
--- a/packages/control/bramleyspread_control/_tickets.py
+++ b/packages/control/bramleyspread_control/_tickets.py
@@ -15,8 +15,8 @@
     __slots__ = ("_pending", "_replies")
 
     def __init__(self) -> None:
-        # Term and ticket by group and log index.
-        self._pending: dict[int, dict[int, tuple[int, int]]] = {}
+        # Term and tickets by group and log index.
+        self._pending: dict[int, dict[int, tuple[int, list[int]]]] = {}
         self._replies: list[CommandReply] = []
 
     def add(self, ticket: int, replica: Replica, index: int) -> None:
@@ -28,23 +28,25 @@
         """
         consensus = replica.consensus
         pending = self._pending.setdefault(consensus.group, {})
-        pending[index] = (consensus.term, ticket)
+        term, tickets = pending.setdefault(index, (consensus.term, []))
+        if term == consensus.term:
+            tickets.append(ticket)
+        else:
+            pending[index] = (consensus.term, [ticket])
 
     def add_reply(self, ticket: int, result: CommandResult) -> None:
         """Queue the reply for a ticket."""
         self._replies.append(CommandReply(ticket, result))
 
     def resolve(self, group: int, applied: AppliedEntry) -> None:
-        """Queue the reply for the ticket, if any, that waits for an applied entry."""
+        """Queue the replies for the tickets that wait for an applied entry."""
         pending = self._pending.get(group, {})
-        pending_ticket = pending.pop(applied.entry.index, None)
-        if pending_ticket is None:
-            return
-        term, ticket = pending_ticket
-        if term == applied.entry.term and applied.result is not None:
-            self.add_reply(ticket, applied.result)
-        else:
-            self.add_reply(ticket, Undecided("another entry took its place; resend it"))
+        term, tickets = pending.pop(applied.entry.index, (0, []))
+        result = applied.result
+        if term != applied.entry.term or result is None:
+            result = Undecided("another entry took its place; resend it")
+        for ticket in tickets:
+            self.add_reply(ticket, result)
 
     def abandon_after_leadership_loss(self, group: int, replica: Replica) -> None:
         """Reply to tickets of terms that this replica no longer leads.
@@ -56,9 +58,11 @@
         if not pending:
             return
         term = replica.consensus.term if replica.leader_state is not None else -1
-        for index, (proposal_term, ticket) in list(pending.items()):
-            if proposal_term != term:
-                del pending[index]
+        for index, (proposal_term, tickets) in list(pending.items()):
+            if proposal_term == term:
+                continue
+            del pending[index]
+            for ticket in tickets:
                 self.add_reply(ticket, Undecided("leadership was lost; resend it"))
 
     def pop_replies(self) -> tuple[CommandReply, ...]:
--- a/packages/control/bramleyspread_control/tests/test_change_size.py
+++ b/packages/control/bramleyspread_control/tests/test_change_size.py
@@ -10,6 +10,7 @@
     MAX_CHANGE_BYTES,
     Deployment,
     DeploymentAccepted,
+    DeploymentDiffers,
     PeerSend,
     PutDeployment,
     Rejected,
@@ -78,3 +79,47 @@
     for name in set(cluster.nodes) - {leader}:
         assert cluster.nodes[name].deployment == make_change(1, 1_000).deployment
         assert cluster.sent_bytes[name] < 1.5 * MAX_CHANGE_BYTES
+
+
+# Guards against operators that ask again while a large change is undecided, or later:
+# each repetition was appended, sent and synced as another entry of the same size.
+def test_repeated_change_is_not_appended_again() -> None:
+    cluster = Cluster(3)
+    leader = cluster.run_until_leader()
+    cluster.run(2.0)
+    change = make_change(1, MAX_CHANGE_BYTES)
+    log = cluster.nodes[leader]._store.replicas[0].log
+    before = log.last_index
+    tickets = [cluster.propose(leader, change) for _ in range(8)]
+    cluster.run(1.0)
+    tickets += [cluster.propose(leader, change) for _ in range(8)]
+    cluster.run(1.0)
+    assert {cluster.replies[each] for each in tickets} == {DeploymentAccepted(1)}
+    assert log.last_index == before + 1
+
+
+# Guards against a repetition that is answered from a state that isn't confirmed.
+def test_repeated_change_needs_a_confirmed_leader() -> None:
+    cluster = Cluster(3)
+    leader = cluster.run_until_leader()
+    assert cluster.call(make_change(1, 1_000)) == DeploymentAccepted(1)
+    cluster.isolate(leader)
+    cluster.run(3.0)
+    ticket = cluster.propose(leader, make_change(1, 1_000))
+    cluster.run(1.0)
+    assert cluster.replies[ticket] != DeploymentAccepted(1)
+
+
+# Guards against two contents of one version that are both acknowledged.
+def test_other_content_of_an_undecided_version_is_refused() -> None:
+    cluster = Cluster(3)
+    leader = cluster.run_until_leader()
+    cluster.run(2.0)
+    first = cluster.propose(leader, make_change(1, 1_000))
+    other = cluster.propose(leader, make_change(1, 2_000))
+    cluster.run(1.0)
+    late = cluster.propose(leader, make_change(1, 2_000))
+    cluster.run(1.0)
+    assert cluster.replies[first] == DeploymentAccepted(1)
+    assert cluster.replies[other] == DeploymentDiffers(1)
+    assert cluster.replies[late] == DeploymentDiffers(1)
