Answers that are given up are let go at once, and count until they are passed on

Callers: with 700 streams of endless events that came slowly, a host with one limit on what it keeps of answers still took more memory than that limit explains.

Cause: what was counted and what was kept differed. An answer that was given up counted no longer at once, but was kept until its reader ran again, which takes long on a busy host; a stream's reader that waited for a slow caller didn't even look until the caller had read on. A body counted no longer once it was read, although it is kept while it is found out whether an answer without a length is whole. The rest in the parser's buffer didn't count. What callers had read meanwhile counted until the next bytes came, so sound streams could be given up for it.

Now giving up lets go of the parser's bytes and of the reader's at once; readers that wait look whether their answer was given up; an answer counts until its connection is released or closed; and before an answer is given up it is counted again.

--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -14,6 +14,7 @@
 from bramleyspread_daemon._exchange import Reply
 from bramleyspread_daemon._timeouts import timeout_after
 from bramleyspread_daemon.forward._context import ForwardContext
+from bramleyspread_daemon.forward._kept_parts import KeptEvents
 from bramleyspread_daemon.forward._stage_work import StageWork
 from bramleyspread_daemon.forward._stream_binding import StreamBinding
 from bramleyspread_daemon.forward._stream_times import StreamTimes
@@ -309,6 +310,7 @@
         self, connection: UpstreamConnection, head: TargetHead
     ) -> AttemptEnd:
         splitter = EventSplitter()
+        connection.keep(KeptEvents(splitter, self._reply))
         while chunk := await connection.read_chunk():
             events = splitter.feed(chunk, MAX_EVENTS_AT_ONCE)
             while events:
@@ -318,8 +320,8 @@
                 await curio.sleep(0)
                 events = splitter.feed(b"", MAX_EVENTS_AT_ONCE)
             await self._stages.release()
-            connection.record_kept(splitter.size + self._reply.unsent_bytes)
-            await self._wait_for_caller()
+            connection.record_kept()
+            await self._wait_for_caller(connection)
         if not splitter.is_between_events:
             raise ConnectionClosedError("ended in the middle of an event")
         if connection.ends_by_closing and self._first_byte_at is None:
@@ -340,11 +342,16 @@
         if not connection.ends_by_closing:
             return
         end = UnframedEnd(
-            self._placed.target, self._service, read_monotonic(), self._deadline
+            self._placed.target,
+            self._service,
+            read_monotonic(),
+            self._deadline,
+            connection.check_room,
         )
         why = await self._context.unframed_ends.find_break(end)
         if why:
             raise ConnectionClosedError(why)
+        connection.check_room()
 
     def _begin(self, head: TargetHead) -> None:
         """Pass on the head, unless one went out.
@@ -364,10 +371,14 @@
             self._report_event()
             self._times.record_event()
 
-    async def _wait_for_caller(self) -> None:
-        """Stop reading from the target while the caller is too slow."""
+    async def _wait_for_caller(self, connection: UpstreamConnection) -> None:
+        """Stop reading from the target while the caller is too slow.
+
+        :raises ConnectionClosedError: if the answer is given up meanwhile.
+        """
         while self._reply.unsent_bytes > MAX_UNSENT_BYTES:
             await curio.sleep(CALLER_POLL_INTERVAL_S)
+            connection.check_room()
 
     def _report_first_byte(self) -> None:
         if self._first_byte_at is None:
--- a/packages/daemon/bramleyspread_daemon/forward/_held_bytes.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_held_bytes.py
@@ -19,17 +19,26 @@
     """What is kept of the answer on one connection.
 
     :param address: the target.
-    :param give_up: closes the connection.
+    :param measure: finds how many bytes are kept now.
+    :param give_up: closes the connection, and lets go of what is kept at once.
     """
 
-    __slots__ = ("address", "give_up", "is_given_up", "size")
+    __slots__ = ("address", "give_up", "is_given_up", "measure", "size")
 
-    def __init__(self, address: Address, give_up: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        measure: Callable[[], int],
+        give_up: Callable[[], None],
+    ) -> None:
         #: Address of the target.
         self.address = address
-        #: Closes the connection.
+        #: Finds how many bytes are kept now; fewer than counted once some were passed
+        #: on.
+        self.measure = measure
+        #: Closes the connection, and lets go of what is kept at once.
         self.give_up = give_up
-        #: Bytes that are kept.
+        #: Bytes that are counted.
         self.size = 0
         #: Whether the answer was given up; what it holds no longer counts.
         self.is_given_up = False
@@ -44,8 +53,8 @@
     :param limit: maximum number of bytes.
 
     >>> held = HeldBytes(limit=100)
-    >>> endless = Holding(Address("10.0.0.1", 80), lambda: None)
-    >>> sound = Holding(Address("10.0.0.2", 80), lambda: None)
+    >>> endless = Holding(Address("10.0.0.1", 80), lambda: 90, lambda: None)
+    >>> sound = Holding(Address("10.0.0.2", 80), lambda: 20, lambda: None)
     >>> held.resize(endless, 90)
     >>> held.resize(sound, 20)
     >>> endless.is_given_up, sound.is_given_up, held.size
@@ -71,6 +80,11 @@
         :param holding: the answer's holding, which is not given up.
         :param size: the number of bytes; 0 once the answer has ended.
         """
+        self._count(holding, size)
+        while self.size > self.limit:
+            self._make_room()
+
+    def _count(self, holding: Holding, size: int) -> None:
         address, change = holding.address, size - holding.size
         if not change:
             return
@@ -80,8 +94,6 @@
             self._holdings.setdefault(address, set()).add(holding)
         else:
             self._remove(holding)
-        while self.size > self.limit:
-            self._give_up_largest()
 
     def _add(self, address: Address, change: int) -> None:
         self.size += change
@@ -95,14 +107,19 @@
             self._holdings.pop(holding.address, None)
             self._sizes.pop(holding.address, None)
 
-    def _give_up_largest(self) -> None:
-        """Give up the largest answer of the target that most is kept of."""
+    def _make_room(self) -> None:
+        """Give up the largest answer of the target that most is kept of.
+
+        If part of it was passed on since it was counted, it is only counted again.
+        """
         address = max(self._sizes, key=self._sizes.__getitem__)
         largest = max(self._holdings[address], key=lambda each: each.size)
+        size = largest.measure()
+        if size < largest.size:
+            self._count(largest, size)
+            return
         self._log(address, largest.size)
-        self._add(address, -largest.size)
-        self._remove(largest)
-        largest.size = 0
+        self._count(largest, 0)
         largest.is_given_up = True
         self.given_up += 1
         largest.give_up()
--- a/packages/daemon/bramleyspread_daemon/forward/_unframed_end.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_unframed_end.py
@@ -54,6 +54,8 @@
     ended_at: float
     #: When the request's time is over, in monotonic seconds.
     deadline: float
+    #: Raises ConnectionClosedError if the answer isn't kept any more.
+    check_room: Callable[[], None] = lambda: None
 
 
 class UnframedEnds:
@@ -94,6 +96,7 @@
 
         :param end: the end of the answer.
         :returns: why; empty if the answer is whole.
+        :raises ConnectionClosedError: if the answer isn't kept any more.
         """
         target = end.target
         if read_monotonic() >= end.deadline - STOP_MARGIN_S:
@@ -112,6 +115,7 @@
 
     async def _wait(self, inquiry: _Inquiry, end: UnframedEnd) -> str:
         while True:
+            end.check_room()
             why = self._judge(inquiry, end)
             if why is not None:
                 return why
--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -20,6 +20,7 @@
 from bramleyspread_daemon._timeouts import timeout_after
 from bramleyspread_daemon._turns import Turns
 from bramleyspread_daemon.forward._held_bytes import HeldBytes, Holding
+from bramleyspread_daemon.forward._kept_parts import KeptBody, KeptParts
 
 #: Maximum size of a response head.
 MAX_HEAD_BYTES = 65_536
@@ -47,10 +48,9 @@
         "_http",
         "_is_eof",
         "_method",
-        "_passed_on_bytes",
+        "_parts",
         "_send_task",
         "_turns",
-        "_unparsed_bytes",
         "address",
         "ends_by_closing",
         "idle_since",
@@ -65,10 +65,9 @@
     ) -> None:
         self._connection = connection
         self._held = held
-        self._holding = Holding(address, connection.abort)
-        # Bytes of the response that the parser keeps, and that its reader keeps.
-        self._unparsed_bytes = 0
-        self._passed_on_bytes = 0
+        self._holding = Holding(address, self._measure, self._give_up)
+        # What the response's reader keeps of it.
+        self._parts: KeptParts | None = None
         self._turns = Turns()
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
@@ -216,36 +215,61 @@
         :raises ConnectionClosedError: if the connection closes first, or the body is
             too large.
         """
-        chunks: list[bytes] = []
-        size = 0
+        body = KeptBody()
+        self.keep(body)
         while chunk := await self.read_chunk():
-            size += len(chunk)
-            if size > max_bytes:
+            if body.size + len(chunk) > max_bytes:
                 raise ConnectionClosedError(f"answer over {max_bytes} bytes")
-            chunks.append(chunk)
-            self.record_kept(size)
-        return b"".join(chunks)
+            body.add(chunk)
+            self.record_kept()
+        return body.join()
 
-    def record_kept(self, size: int) -> None:
-        """Record how many bytes the reader of the response keeps of it.
+    def keep(self, parts: KeptParts) -> None:
+        """Count what the reader of the response keeps of it, until it is released.
 
-        :param size: the number of bytes.
-        :raises ConnectionClosedError: if the response is given up for want of room.
+        :param parts: what the reader keeps.
         """
-        self._passed_on_bytes = size
-        self._update_held()
+        self._parts = parts
 
-    def _update_held(self) -> None:
-        """Count what is kept of the response.
+    def record_kept(self) -> None:
+        """Count what is kept of the response now.
 
         :raises ConnectionClosedError: if the response is given up for want of room.
         """
         if not self._holding.is_given_up:
-            kept = self._unparsed_bytes + self._passed_on_bytes
-            self._held.resize(self._holding, kept)
+            self._held.resize(self._holding, self._measure())
+        self.check_room()
+
+    def check_room(self) -> None:
+        """Check that the response is not given up.
+
+        :raises ConnectionClosedError: if it is.
+        """
         if self._holding.is_given_up:
             raise ConnectionClosedError("given up: too many bytes of answers are kept")
 
+    @property
+    def is_given_up(self) -> bool:
+        """Whether the response was given up for want of room."""
+        return self._holding.is_given_up
+
+    def release_response(self) -> None:
+        """Count nothing of the response any more: it is passed on or dropped."""
+        self._parts = None
+        if not self._holding.is_given_up:
+            self._held.resize(self._holding, 0)
+
+    def _measure(self) -> int:
+        parsed = self._parts.size if self._parts is not None else 0
+        return len(self._http._receive_buffer) + parsed
+
+    def _give_up(self) -> None:
+        """Close the connection, and let go of what is kept before its reader runs."""
+        self._connection.abort()
+        self._http = h11.Connection(h11.CLIENT)
+        if self._parts is not None:
+            self._parts.drop()
+
     async def skip_response(self, max_bytes: int) -> None:
         """Read the rest of a response to another request; the own one may follow.
 
@@ -253,6 +277,7 @@
         :raises ConnectionClosedError: if no response can follow.
         """
         await self.read_body(max_bytes)
+        self.release_response()
         await curio.sleep(0)
         if self._http.our_state is not h11.IDLE:
             raise ConnectionClosedError("closed after an answer to another request")
@@ -268,14 +293,12 @@
             except h11.RemoteProtocolError as error:
                 raise ConnectionClosedError(f"not HTTP: {error}") from None
             await self._turns.step()
+            self.check_room()
             if event is not h11.NEED_DATA:
-                # What may follow in the parser's buffer is less than one read.
-                self._unparsed_bytes = 0
                 return event
             data = await self._connection.read()
-            self._unparsed_bytes += len(data)
             # One that was given up reads as if its peer had closed it.
-            self._update_held()
+            self.check_room()
             if not data:
                 if self._is_eof:
                     raise ConnectionClosedError("closed")
@@ -283,10 +306,9 @@
                 if self._connection.was_reset:
                     raise ConnectionClosedError("reset")
             self._http.receive_data(data)
+            self.record_kept()
 
     def _finish_response(self) -> None:
-        self._passed_on_bytes = 0
-        self._update_held()
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
         self.idle_since = read_monotonic()
@@ -297,8 +319,7 @@
 
     async def close(self) -> None:
         """Close the connection, dropping bytes that are not yet sent."""
-        if not self._holding.is_given_up:
-            self._held.resize(self._holding, 0)
+        self.release_response()
         if self._send_task is not None:
             await self._send_task.cancel(blocking=False)
         await self._connection.reset()
--- a/packages/daemon/bramleyspread_daemon/forward/_upstream_pool.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream_pool.py
@@ -126,6 +126,7 @@
         :param keep_alive_s: how long the target keeps it open while idle, in seconds;
             None if the target doesn't say.
         """
+        connection.release_response()
         if keep_alive_s is not None:
             connection.max_idle_s = keep_alive_s * KEEP_ALIVE_SHARE
         if connection.is_relayed:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/uncounted.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/uncounted.py
@@ -6,5 +6,13 @@
 class UncountedConnection:
     """A connection that doesn't count what is kept of its answers."""
 
-    def record_kept(self, size: int) -> None:
+    is_given_up = False
+
+    def keep(self, parts: object) -> None:
+        """Do nothing."""
+
+    def record_kept(self) -> None:
+        """Do nothing."""
+
+    def check_room(self) -> None:
         """Do nothing."""
--- a/packages/forwarding/bramleyspread_forwarding/_events.py
+++ b/packages/forwarding/bramleyspread_forwarding/_events.py
@@ -82,6 +82,11 @@
         """The bytes since the last complete event."""
         return bytes(self._buffer)
 
+    def clear(self) -> None:
+        """Drop the bytes since the last complete event."""
+        self._buffer = bytearray()
+        self._line_end_bytes = self._searched_bytes = 0
+
     def feed(self, data: bytes, max_events: int = sys.maxsize) -> list[StreamEvent]:
         """Add bytes and return the events that they complete.
 
