Answers count until their callers have read them

Cause: what a target had sent whole counted no longer, although up to 4 MiB of it wait for each caller that reads slowly. Many such callers fill the memory.

Now it counts, under the target's address, until the caller has read it or leaves. Beyond the limit the caller's connection is aborted, so the answer can't look whole.

Evidence: test_answer_counts_until_its_caller_has_read_it times out on the code before, where nothing counts after the end. The reply of the tests forgets unsent bytes when it is aborted, as the real one does.

--- a/packages/daemon/bramleyspread_daemon/_exchange.py
+++ b/packages/daemon/bramleyspread_daemon/_exchange.py
@@ -150,6 +150,11 @@
         self.ended = True
         self._connection.abort()
 
+    def drop_unsent(self) -> None:
+        """Abort the connection of a caller that doesn't read, also after the end."""
+        if not self.caller_disconnected:
+            self._connection.abort()
+
     def send_chunk(self, piece: bytes) -> None:
         """Send a part of a streamed body.
 
--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -9,6 +9,7 @@
 import curio
 from loguru import logger
 
+from bramleyspread_core import Address
 from bramleyspread_daemon._client import ConnectionClosedError, RequestNotSentError
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import Reply
@@ -104,6 +105,11 @@
         #: Id of the last event relayed to the caller; None if there is none.
         self.last_event: str | None = None
 
+    @property
+    def address(self) -> Address:
+        """Address of the target."""
+        return self._placed.target.address
+
     async def wait_for_turn(self) -> bool:
         """Wait until the target's rate limit allows the request.
 
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -22,6 +22,7 @@
 from bramleyspread_daemon.forward._stream_times import StreamTimes
 from bramleyspread_daemon.forward._target_choice import choose_target, log_choice
 from bramleyspread_daemon.forward._target_crashes import RequestFeatures
+from bramleyspread_daemon.forward._unsent_answer import count_unsent
 from bramleyspread_daemon.forward._wire import (
     CallerWire,
     CallMetadata,
@@ -150,9 +151,13 @@
         return f"ended by stop: {what}"
 
     async def _clean_up(self) -> None:
-        if self._current_attempt is not None:
-            await self._current_attempt.close()
+        attempt = self._current_attempt
+        if attempt is not None:
+            await attempt.close()
         await self._stages.release()
+        if attempt is not None and self._reply.unsent_bytes:
+            held = self._context.upstream.held
+            await count_unsent(held, attempt.address, self._reply)
 
     def _log_outcome(self, outcome: str) -> None:
         elapsed_ms = (read_monotonic() - self._started_at) * 1000
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_answers_given_up.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_answers_given_up.py
@@ -165,6 +165,39 @@
     run(main)
 
 
+class UnreadReply(StreamReply):
+    """Reply whose caller doesn't read what it is sent."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.dropped = False
+
+    def end(self) -> None:
+        super().end()
+        self.unsent_bytes = LARGE
+
+    def drop_unsent(self) -> None:
+        self.dropped, self.unsent_bytes = True, 0
+
+
+# Guards against whole answers that many slow callers leave unread, and that don't count
+# once the target has sent them.
+def test_answer_counts_until_its_caller_has_read_it() -> None:
+    async def main() -> None:
+        pool, reply = UpstreamPool(max_held_bytes=LIMIT), UnreadReply()
+        chunk = b"%x\r\n%b\r\n" % (len(EVENT), EVENT)
+        address = await start_large(CHUNKED + chunk + b"0\r\n\r\n")
+        task = await curio.spawn(make_stream(pool, address, reply).run)
+        await curio.timeout_after(20.0, wait_until_kept, pool, LARGE)
+        flood = await send(await pool.acquire(await start_flood(), 1.0))
+        assert await read_whole(flood) == b""
+        assert reply.dropped
+        await task.join()
+        assert pool.held.size == 0
+
+    run(main)
+
+
 # Guards against sound streams that are given up for what their callers have read since.
 def test_what_callers_have_read_is_no_reason_to_give_up() -> None:
     held = HeldBytes(limit=100)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_endless_responses.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_endless_responses.py
@@ -292,6 +292,7 @@
 
 def pool_of(acquire: object, pool: UpstreamPool) -> Any:  # noqa: ANN401
     class Pool:
+        held = pool.held
         release_connection = staticmethod(pool.release_connection)
         record_traffic = staticmethod(pool.record_traffic)
 
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
@@ -68,6 +68,8 @@
 class RecordingReply:
     """Reply that records the statuses sent."""
 
+    unsent_bytes = 0
+
     def __init__(self) -> None:
         self.begun = False
         self.statuses: list[int] = []
@@ -129,7 +131,7 @@
         self.ended = "whole"
 
     def abort(self) -> None:
-        self.ended = "cut"
+        self.ended, self.unsent_bytes = "cut", 0
 
 
 class FakeConnection(UncountedConnection):
