Answers that a host gives up for room are no sign of a crash

Callers: none reported; seen by reading the code. While many answers are given up, a target that ends or starts again makes each of their requests a suspect, and requests like them are refused afterwards.

Cause: an answer that this host had given up was recorded as broken off, and all that broke off within 20 ms of a crash count for it. The host had ended it before.

Now only answers that the target's side ended are recorded. The requests that a crash really ends are still open then, so they are recorded as before.

Evidence: test_answer_that_is_given_up_is_no_sign_of_a_crash finds a crash recorded on the code before, and none now.

--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -181,7 +181,7 @@
             await self._close_connection()
             end = MayHaveRun(str(error))
             self._log_lost_answer(end, sent_at)
-            if not self._may_have_left(connection):
+            if not (connection.is_given_up or self._may_have_left(connection)):
                 await context.crashes.record_lost_answer(
                     self._placed.target,
                     self._features,
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_answers_given_up.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_answers_given_up.py
@@ -14,6 +14,7 @@
 from bramleyspread_daemon._client import ConnectionClosedError
 from bramleyspread_daemon.forward._attempt import MAX_UNSENT_BYTES
 from bramleyspread_daemon.forward._held_bytes import HeldBytes, Holding
+from bramleyspread_daemon.forward._target_crashes import TargetCrashes
 from bramleyspread_daemon.forward._upstream import UpstreamConnection
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward.tests.test_endless_responses import (
@@ -165,6 +166,36 @@
     run(main)
 
 
+# Guards against requests that are refused for a crash that came after this host had
+# given up their answers, and so ended others.
+def test_answer_that_is_given_up_is_no_sign_of_a_crash() -> None:
+    crashed: list[str] = []
+
+    async def refuse(_: Address) -> bool:
+        return True
+
+    async def main() -> None:
+        pool, reply = UpstreamPool(max_held_bytes=LIMIT), StreamReply()
+        reply.unsent_bytes = LARGE
+        chunk = b"%x\r\n%b\r\n" % (len(EVENT), EVENT)
+        address = await start_large(CHUNKED + chunk)
+        forwarder = make_stream(pool, address, reply)
+        crashes = TargetCrashes(refuse, lambda target, *_: crashed.append(target))
+        forwarder._context.crashes = crashes
+        task = await curio.spawn(forwarder.run)
+        await wait_until_kept(pool, LARGE)
+        flood = await send(await pool.acquire(await start_flood(), 1.0))
+        assert await read_whole(flood) == b""
+        await curio.timeout_after(20.0, task.join)
+        while crashes._ended_answers:
+            await curio.sleep(0.001)
+        assert reply.ended == "cut"
+        assert crashes.table.is_empty
+
+    run(main)
+    assert crashed == []
+
+
 class UnreadReply(StreamReply):
     """Reply whose caller doesn't read what it is sent."""
 
