Failures count while their requests are tried elsewhere

Callers: none reported; seen by reading the code.

Cause: a target's failure is kept until the next attempt ends, in case no other target takes the request. Its body may have 16 MiB, and counted no longer. A target that fails with large bodies beside a slow one fills the memory.

Now it counts until the request ends. Beyond the limit it is given up as a whole: the caller gets a refusal (outcome unknown), never the failure without its body.

Evidence: test_failure_counts_while_its_request_is_tried_elsewhere times out on the code before, where nothing counts meanwhile. The pool of the tests has a count as the real one.

--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -14,6 +14,7 @@
 from bramleyspread_daemon._timeouts import timeout_after
 from bramleyspread_daemon.forward._attempt import Attempt
 from bramleyspread_daemon.forward._context import ForwardContext
+from bramleyspread_daemon.forward._kept_failure import KeptFailure
 from bramleyspread_daemon.forward._stage_work import StageWork
 from bramleyspread_daemon.forward._stream_binding import (
     StreamBinding,
@@ -103,7 +104,7 @@
         self._tried_targets: list[str] = []
         self._last_event_id = request.last_event
         self._earlier_attempt_may_have_run = False
-        self._target_failure: TargetFailed | None = None
+        self._kept_failure = KeptFailure()
         self._current_attempt: Attempt | None = None
         #: Whether the host's stop is what cancels it.
         self.is_ended_by_stop = False
@@ -155,6 +156,7 @@
         if attempt is not None:
             await attempt.close()
         await self._stages.release()
+        self._kept_failure.drop()
         if attempt is not None and self._reply.unsent_bytes:
             held = self._context.upstream.held
             await count_unsent(held, attempt.address, self._reply)
@@ -200,8 +202,6 @@
             end = await self._run_attempt(service)
             if isinstance(end, Delivered):
                 return "delivered"
-            if isinstance(end, TargetFailed):
-                self._target_failure = end
             is_retryable = may_retry(self._route, end, self._attempts)
             if (
                 not is_retryable
@@ -215,8 +215,12 @@
                 request=self._request.request_id,
                 after_event=self._last_event_id,
             ).info(_describe_end(end))
+            if isinstance(end, TargetFailed) and self._current_attempt is not None:
+                address = self._current_attempt.address
+                self._kept_failure.keep(end, address, self._context.upstream.held)
             if not await self._ensure_inputs(end):
                 return self._conclude(end)
+            del end  # its body may be large
 
     def _is_quarantined(self) -> bool:
         """Whether requests like this one crash targets, so that none may get it."""
@@ -354,8 +358,9 @@
         if self._reply.begun:
             self._reply.abort()
             return "cut off"
-        if isinstance(end, WasNotRun) and self._target_failure is not None:
-            end = self._target_failure
+        failure = self._kept_failure.failure
+        if isinstance(end, WasNotRun) and failure is not None:
+            end = failure
         if isinstance(end, TargetFailed):
             self._reply.send(end.status, end.body, end.headers)
             return f"target failed with {end.status}"
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_answers_given_up.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_answers_given_up.py
@@ -4,6 +4,7 @@
 
 import tracemalloc
 from random import Random
+from types import SimpleNamespace
 from typing import Any
 
 import curio
@@ -28,6 +29,9 @@
 )
 from bramleyspread_daemon.forward.tests.test_request_forwarder import (
     ROUTE,
+    FakeConnection,
+    FakeWire,
+    SilentConnection,
     StreamReply,
     make_context,
     make_forwarder,
@@ -166,6 +170,38 @@
     run(main)
 
 
+class FailedConnection(FakeConnection):
+    """Connection to a target that answers with a large failure."""
+
+    async def read_head(self) -> SimpleNamespace:
+        return SimpleNamespace(status_code=500, headers=())
+
+    async def read_body(self) -> bytes:
+        return b"x" * LARGE
+
+
+# Guards against failures that fill the memory, uncounted, while requests are tried
+# elsewhere; one that is given up must not be passed on without its body.
+def test_failure_counts_while_its_request_is_tried_elsewhere() -> None:
+    async def main() -> None:
+        wire, reply = FakeWire(), StreamReply()
+        context = make_context(wire, FailedConnection(), SilentConnection())
+        pool = UpstreamPool(max_held_bytes=LIMIT)
+        context.upstream.held = pool.held
+        route = msgspec.structs.replace(ROUTE, timeout_ms=60_000, attempts=2)
+        forwarder = make_forwarder(route, context, wire, reply)
+        task = await curio.spawn(forwarder.run)
+        await curio.timeout_after(20.0, wait_until_kept, pool, LARGE)
+        flood = await send(await pool.acquire(await start_flood(), 1.0))
+        assert await read_whole(flood) == b""
+        assert pool.held.given_up
+        assert forwarder._kept_failure.failure is None
+        await task.cancel()
+        assert pool.held.size == 0
+
+    run(main)
+
+
 # Guards against requests that are refused for a crash that came after this host had
 # given up their answers, and so ended others.
 def test_answer_that_is_given_up_is_no_sign_of_a_crash() -> None:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
@@ -19,6 +19,7 @@
 )
 from bramleyspread_daemon._client import ConnectionClosedError
 from bramleyspread_daemon.forward._attempt import MAX_UNSENT_BYTES
+from bramleyspread_daemon.forward._held_bytes import HeldBytes
 from bramleyspread_daemon.forward._request_forwarder import RequestForwarder
 from bramleyspread_daemon.forward._stream_keepers import StreamKeepers
 from bramleyspread_daemon.forward._target_crashes import TargetCrashes
@@ -168,6 +169,7 @@
 
     def __init__(self, *targets: FakeConnection) -> None:
         self.targets = list(targets)
+        self.held = HeldBytes()
 
     async def acquire(self, *_: object, **__: object) -> FakeConnection:
         return self.targets.pop(0)
