Closed connections to targets don't refer to themselves

Cause: what counts a connection's bytes referred to the connection, and it to that. So a closed one, with up to 130 KB in its parser, stayed until the next collection of garbage, which daemons make rare.

--- a/packages/daemon/bramleyspread_daemon/forward/_held_bytes.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_held_bytes.py
@@ -43,6 +43,18 @@
         #: Whether the answer was given up; what it holds no longer counts.
         self.is_given_up = False
 
+    def detach(self) -> None:
+        """Forget the connection, which would otherwise refer to itself."""
+        self.measure, self.give_up = _measure_nothing, _do_nothing
+
+
+def _measure_nothing() -> int:
+    return 0
+
+
+def _do_nothing() -> None:
+    """Give up nothing."""
+
 
 class HeldBytes:
     """Bytes that a process keeps of answers, with one limit for all of them.
--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -327,6 +327,7 @@
     async def close(self) -> None:
         """Close the connection, dropping bytes that are not yet sent."""
         self.release_response()
+        self._holding.detach()
         if self._send_task is not None:
             await self._send_task.cancel(blocking=False)
         await self._connection.reset()
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_answers_given_up.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_answers_given_up.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import tracemalloc
 from random import Random
 from types import SimpleNamespace
@@ -21,6 +22,7 @@
 from bramleyspread_daemon.forward.tests.test_endless_responses import (
     CHUNKED,
     ENDLESS_BODIES,
+    ENDLESS_HEADS,
     EndlessTarget,
     SendingWire,
     pool_of,
@@ -46,6 +48,8 @@
 LIMIT = 4_000_000
 #: Size of an answer that is given up for the next one, in bytes.
 LARGE = 3_000_000
+#: Maximum size of what is left of a closed connection, in bytes.
+MAX_KEPT_PER_CONNECTION = 10_000
 EVENT = b"id: 1\ndata: x\n\n"
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\n"
 ANSWERS = (
@@ -204,6 +208,33 @@
     run(main)
 
 
+# Guards against closed connections that refer to themselves: what their parsers hold
+# stays until the next collection of garbage, which is rare.
+@pytest.mark.parametrize("name", [*ENDLESS_HEADS, *ENDLESS_BODIES])
+def test_closed_connection_is_let_go_without_a_collection(name: str) -> None:
+    answers = 20
+
+    async def main() -> None:
+        pool = UpstreamPool(max_held_bytes=300_000)
+        target = EndlessTarget(*(ENDLESS_HEADS | ENDLESS_BODIES)[name])
+        _, address = await start_scripted_server(target.serve)
+        gc.collect()
+        gc.disable()
+        tracemalloc.start()
+        for _ in range(answers):
+            await read_whole(await send(await pool.acquire(address, 1.0)))
+        while target.closed < answers:
+            await curio.sleep(0.001)
+        kept = tracemalloc.get_traced_memory()[0]
+        assert kept < answers * MAX_KEPT_PER_CONNECTION
+
+    try:
+        run(main)
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
 class FailedConnection(FakeConnection):
     """Connection to a target that answers with a large failure."""
 
