A target's header that isn't ASCII no longer fails the request

Callers: a 500 when a target's answer had a header with a byte over 127, which HTTP allows, for instance in a file name; the target's answer was lost.

Cause: heads of replies were given to h11 as text, of which it takes only ASCII.

The names and values are now given as bytes, the same that were received.

--- a/packages/daemon/bramleyspread_daemon/_server_connection.py
+++ b/packages/daemon/bramleyspread_daemon/_server_connection.py
@@ -304,7 +304,9 @@
             sent.append((STAMP_HEADER, self._server.clock.tick_text()))
         if self._server.draining:
             sent.append(("connection", "close"))
-        return h11.Response(status_code=status, headers=sent)
+        # As bytes, since h11 takes no text that isn't ASCII.
+        encoded = [(k.encode("latin-1"), v.encode("latin-1")) for k, v in sent]
+        return h11.Response(status_code=status, headers=encoded)
 
     def _finish_cycle(self) -> None:
         reusable = (
--- a/packages/daemon/bramleyspread_daemon/tests/test_server.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_server.py
@@ -397,3 +397,20 @@
             return waiting.recv(1_000)
 
     assert run(main).startswith(b"HTTP/1.1 503")
+
+
+# Guards against callers that get an internal error for a target's answer with a header
+# that isn't ASCII.
+def test_headers_may_hold_any_latin_1_text() -> None:
+    async def answer(_: HttpRequest, reply: Reply) -> None:
+        reply.send(200, b"hi", (("x-own", "caf\u00e9"),))
+
+    async def main() -> bytes:
+        _, address = await start_server(("POST", "/echo", answer))
+        async with await connect(address) as connected:
+            await connected.sendall(VALID_REQUEST)
+            return await read_until(connected, b"hi")
+
+    received = run(main)
+    assert received.startswith(b"HTTP/1.1 200")
+    assert b"x-own: caf\xe9\r\n" in received
