What can't be sent to a target is an attempt that was not run, no internal error

Callers: the log tells of an internal error when a stream breaks off behind an event whose id holds control characters; before a first byte it would be a 500.

Cause: the id goes into a header of the next attempt; h11 refuses such a header with an exception that nobody expected.

Evidence: test_stream_whose_ids_fit_no_header_is_cut ends as "fault" before, as broken off now. The fakes of that file may now use another wire format, and show how requests end.

Sending now reports it as any other request of which no byte was sent.

--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -154,7 +154,11 @@
         :raises RequestNotSentError: if no byte of the request was sent.
         """
         self.was_used, self._method = bool(self._method), method
-        head = h11.Request(method=method, target=target, headers=list(headers))
+        try:
+            head = h11.Request(method=method, target=target, headers=list(headers))
+        except h11.LocalProtocolError as error:
+            # Headers may repeat what another target has said.
+            raise RequestNotSentError(f"can't be sent: {error}") from None
         chunks = [self._http.send(head)]
         if body:
             chunks.append(self._http.send(h11.Data(data=body)))
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_broken_answers.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_broken_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sequence
 from typing import Any
 
@@ -91,6 +92,10 @@
     def __init__(self, *, resets: bool) -> None:
         self._resets = resets
         self._scripts: list[bytes] = []
+        #: The wire format of the next request.
+        self.wire = _Wire()
+        #: How requests ended.
+        self.end_counts: Counter[str] = Counter()
         self._listening = curio.socket.socket()
         self._listening.bind(("127.0.0.1", 0))
         self._listening.listen(16)
@@ -100,8 +105,9 @@
         """Forward a request whose attempts get these bytes."""
         self._scripts = list(scripts)
         serving = await curio.spawn(self._serve, daemon=True)
-        wire, pool, reply = _Wire(), UpstreamPool(), _Reply()
+        wire, pool, reply = self.wire, UpstreamPool(), _Reply()
         context = make_context(wire)
+        context.end_counts = self.end_counts
 
         async def acquire(_: Address, *args: object, **options: object) -> Any:
             return await pool.acquire(self.address, 1.0, max_idle_s=0.0)
@@ -185,6 +191,28 @@
     run(main)
 
 
+# Guards against an internal error when the id that a stream goes on from can't be sent.
+def test_stream_whose_ids_fit_no_header_is_cut() -> None:
+    event = b"id: \x00\x01\ndata: 1\n\n"
+    begun = write_head(200) + CHUNKED + write_chunks([event])[: -len(b"0\r\n\r\n")]
+
+    class SendingWire(_Wire):
+        def write_head(self, request: Any, metadata: Any) -> Any:
+            head = super().write_head(request, metadata)
+            return (*head, (b"last-event-id", metadata.last_event_id.encode()))
+
+    async def main() -> None:
+        targets = ScriptedTargets(resets=False)
+        targets.wire = SendingWire()
+        route = msgspec.structs.replace(STREAM, attempts=2)
+        reply = await targets.forward(route, begun, STREAMED)
+        assert (reply.statuses, reply.chunks) == ([200], [event])
+        assert (reply.ended, reply.bodies) == ("cut", [])
+        assert not targets.end_counts["fault"]
+
+    run(main)
+
+
 @pytest.mark.parametrize("resets", [False, True])
 def test_stream_that_goes_on_may_break_off_anywhere_again(resets: bool) -> None:
     rest = write_head(200) + CHUNKED + write_chunks(EVENTS[2:])
