One limit holds for all that a process keeps of requests and replies

Callers and targets: peers that each send a part of a head or a body, or don't read their replies, made a process keep up to 32 KB, 64 KB behind a request, 8 MB or 4 MB for each of 1,800 connections. It ran out of memory, and with it the requests of all others. While bodies alone had reached their limit, whoever sent one was refused, also one of two bytes.

Cause: only bodies counted in a limit of the process, and an entry process had three.

Now heads, bodies, bytes behind a request and replies that wait for slow readers count in one limit for all connections; an entry host's is a share of its memory. Beyond it the connection that grows gives up, with a 503 and a time to come back, or the largest one if that is over twice as large. So small requests go on. A request that is complete isn't given up, and other hosts' messages are the last. A line in 10 s and two metrics tell.

A body is put together in one buffer in place of a list: its chunks of two bytes each cost twenty times their size.

--- a/packages/daemon/bramleyspread_daemon/_exchange.py
+++ b/packages/daemon/bramleyspread_daemon/_exchange.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Protocol
 
+import h11
 import msgspec
 
 from bramleyspread_core import encode_json
@@ -36,6 +37,28 @@
     raw_headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
+def build_request(head: h11.Request, body: bytes) -> HttpRequest:
+    """Put a request together.
+
+    :param head: its head.
+    :param body: its body.
+    """
+    path, _, query = head.target.decode("ascii").partition("?")
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in head.headers:
+        name, value = raw_name.decode("ascii"), raw_value.decode("latin-1")
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
+    return HttpRequest(
+        head.method.decode("ascii"),
+        path,
+        query,
+        headers,
+        body,
+        head.target.decode("ascii"),
+        tuple((bytes(name), bytes(value)) for name, value in head.headers.raw_items()),
+    )
+
+
 class ReplyConnection(Protocol):
     """The connection over which a reply is sent to the peer."""
 
--- a/packages/daemon/bramleyspread_daemon/_server.py
+++ b/packages/daemon/bramleyspread_daemon/_server.py
@@ -15,6 +15,7 @@
 from bramleyspread_daemon._clock import STAMP_HEADER, ProcessClock, read_monotonic
 from bramleyspread_daemon._connection import Connection
 from bramleyspread_daemon._exchange import Handler, HttpRequest, Reply
+from bramleyspread_daemon._kept_bytes import Holder, KeptBytes
 from bramleyspread_daemon._refusal import encode_failure
 from bramleyspread_daemon._server_connection import FLUSH_INTERVAL_S, ServerConnection
 from bramleyspread_daemon._server_context import StalledConnection
@@ -64,8 +65,8 @@
         self.accepted = 0
         #: Requests passed to the handler so far.
         self.requests = 0
-        #: Body bytes currently held in memory.
-        self.held_bytes = 0
+        #: Bytes that its connections keep; servers of one process may share it.
+        self.kept = KeptBytes(limits.held_bytes)
         #: Bytes of its requests and replies.
         self.traffic = Traffic()
         #: Paths whose bytes are counted under their own names.
@@ -82,6 +83,11 @@
         """Whether further requests are refused, as the process is about to end."""
         return self.is_public and read_monotonic() >= self.refuses_from
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes that are kept of requests and replies."""
+        return self.kept.size
+
     @property
     def open_connections(self) -> int:
         """Number of open connections."""
@@ -187,22 +193,20 @@
             return MAX_HOST_BODY_BYTES
         return self.limits.body_bytes
 
-    def reserve_body_bytes(self, size: int) -> bool:
-        """Count body bytes held in memory.
+    def is_host_path(self, path: str) -> bool:
+        """Whether only other hosts of the deployment call a path.
 
-        :param size: the number of bytes.
-        :returns: whether the total is within the limit; in either case the bytes
-            count until they are released.
+        :param path: the path of the request.
         """
-        self.held_bytes += size
-        return self.held_bytes <= self.limits.held_bytes
+        return path in self.host_paths
 
-    def release_body_bytes(self, size: int) -> None:
-        """Stop counting body bytes that were reserved and are no longer held.
+    def record_kept(self, holder: Holder, size: int) -> None:
+        """Record how much a connection keeps; some may give up, also this one.
 
+        :param holder: the connection.
         :param size: the number of bytes.
         """
-        self.held_bytes -= size
+        self.kept.resize(holder, size)
 
     def record_traffic(self, path: str, connection: ByteCountSource) -> None:
         """Count the bytes of a request and its reply.
--- a/packages/daemon/bramleyspread_daemon/_server_connection.py
+++ b/packages/daemon/bramleyspread_daemon/_server_connection.py
@@ -9,7 +9,13 @@
 
 from bramleyspread_daemon._clock import STAMP_HEADER, read_monotonic
 from bramleyspread_daemon._connection import Connection
-from bramleyspread_daemon._exchange import Headers, HttpRequest, Reply, Switch
+from bramleyspread_daemon._exchange import (
+    Headers,
+    HttpRequest,
+    Reply,
+    Switch,
+    build_request,
+)
 from bramleyspread_daemon._refusal import encode_refusal, make_retry_headers
 from bramleyspread_daemon._server_context import ServerContext
 from bramleyspread_daemon._turns import Turns
@@ -36,17 +42,22 @@
     """A connection from a caller, target, operator or other host."""
 
     __slots__ = (
+        "_body",
+        "_body_bytes",
         "_connection",
         "_http",
+        "_is_given_up",
         "_is_head_request",
+        "_is_receiving",
         "_max_body_bytes",
         "_pipelined_bytes",
         "_reply",
-        "_reserved_bytes",
         "_server",
         "_turns",
+        "_unparsed_bytes",
         "closing",
         "deadline",
+        "is_host",
     )
 
     def __init__(self, connection: Connection, server: ServerContext) -> None:
@@ -57,14 +68,19 @@
         )
         self._reply: Reply | None = None
         self._pipelined_bytes = 0
-        self._reserved_bytes = 0
         self._is_head_request = False
+        self._is_receiving = True
+        self._is_given_up = False
         self._max_body_bytes = server.limits.body_bytes
         self._turns = Turns()
+        self._body = bytearray()
+        # What is kept of the body, also during the reply, and what the parser keeps.
+        self._body_bytes = self._unparsed_bytes = 0
+        #: Whether its peer is another host of the deployment.
+        self.is_host = False
         #: Whether no further response will be sent on it.
         self.closing = False
-        #: When the connection times out: while idle, while a request is received, or
-        #: while it is closing. None while the handler prepares a reply.
+        #: When the connection times out, unless the handler prepares a reply.
         self.deadline: float | None = read_monotonic() + server.limits.idle_s
 
     @property
@@ -85,22 +101,47 @@
         """Number of response bytes buffered because the peer reads too slowly."""
         return self._connection.pending_bytes
 
+    @property
+    def freeable_bytes(self) -> int:
+        """Number of bytes that giving up frees at once."""
+        body_bytes = self._body_bytes if self._is_receiving else 0
+        return body_bytes + self._unparsed_bytes + self._connection.pending_bytes
+
+    def give_up(self) -> None:
+        """Keep nothing any more, and close the connection, after a 503 if possible."""
+        self._is_given_up = True
+        if self._is_receiving and not self._connection.pending_bytes:
+            self._refuse(503, "too many bytes at once; try again or another host")
+            self._body = bytearray()
+            self._http = h11.Connection(h11.SERVER)
+        else:
+            self._connection.abort()
+
     async def run(self) -> None:
         """Serve requests one at a time until the connection closes."""
         try:
             while not self.closing and await self._serve_request():
-                self._release_body_bytes()
-            self._release_body_bytes()
+                self._drop_body()
+            self._unparsed_bytes = 0
+            self._drop_body()
             await self._linger()
         finally:
-            self._release_body_bytes()
             self._connection.abort()
+            self._unparsed_bytes = 0
+            self._drop_body()
             await self._notify_disconnect()
             await self._connection.close()
 
-    def _release_body_bytes(self) -> None:
-        self._server.release_body_bytes(self._reserved_bytes)
-        self._reserved_bytes = 0
+    def _drop_body(self) -> None:
+        self._body = bytearray()
+        self._body_bytes = 0
+        self._record_kept()
+
+    def _record_kept(self) -> None:
+        """Count what is kept; then this connection may have been given up."""
+        if not self._is_given_up:
+            kept = self._body_bytes + self._unparsed_bytes
+            self._server.record_kept(self, kept + self._connection.pending_bytes)
 
     async def _serve_request(self) -> bool:
         try:
@@ -167,9 +208,8 @@
     async def _read_request(self) -> HttpRequest | None:
         """Read one request; None when the connection closes before it is complete."""
         head = None
-        body: list[bytes] = []
-        size = 0
-        while True:
+        self._is_receiving, self.is_host = True, False
+        while not self._is_given_up:
             event = self._http.next_event()
             await self._turns.step()
             if event is h11.NEED_DATA:
@@ -179,20 +219,20 @@
                 head = event
                 self._check_request_head(event)
             elif isinstance(event, h11.Data):
-                size += len(event.data)
-                self._reserve_body_bytes(len(event.data))
-                if size > self._max_body_bytes:
-                    raise self._make_body_size_error()
-                body.append(bytes(event.data))
+                self._add_to_body(event.data)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return _build_request(head, b"".join(body))
+                self._is_receiving, self._unparsed_bytes = False, 0
+                body, self._body = bytes(self._body), bytearray()
+                return build_request(head, body)
             else:
                 return None
+        return None
 
     def _check_request_head(self, head: h11.Request) -> None:
         self._is_head_request = head.method == b"HEAD"
         path = head.target.decode("ascii").partition("?")[0]
         self._max_body_bytes = self._server.find_body_limit(path)
+        self.is_host = self._server.is_host_path(path)
         for name, value in head.headers:
             if name == b"content-length":
                 if int(value) > self._max_body_bytes:
@@ -203,18 +243,21 @@
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._connection.write(self._http.send(interim) or b"")
 
-    def _reserve_body_bytes(self, size: int) -> None:
-        self._reserved_bytes += size
-        if not self._server.reserve_body_bytes(size):
-            detail = "too many requests' bodies at once; try again or another host"
-            raise _BadRequestError(503, detail)
+    def _add_to_body(self, data: bytes) -> None:
+        # What may follow in the parser's buffer is less than one read.
+        self._unparsed_bytes = 0
+        self._body += data
+        self._body_bytes = len(self._body)
+        if self._body_bytes > self._max_body_bytes:
+            raise self._make_body_size_error()
+        self._record_kept()
 
     def _make_body_size_error(self) -> _BadRequestError:
         return _BadRequestError(413, f"body over {self._max_body_bytes} bytes")
 
     async def _read_more(self) -> bool:
         data = await self._connection.read()
-        if not data and self._connection.aborted:
+        if self._is_given_up or (not data and self._connection.aborted):
             return False
         self._feed(data)
         return True
@@ -223,6 +266,8 @@
         if self._http.their_state is h11.IDLE and not self._http.trailing_data[0]:
             self.deadline = read_monotonic() + self._server.limits.receive_s
         self._http.receive_data(data)
+        self._unparsed_bytes += len(data)
+        self._record_kept()
 
     def close_idle(self) -> None:
         """Close the connection unless a request is in progress, or waits unread."""
@@ -297,6 +342,7 @@
         self._connection.write(data)
         if self._connection.pending_bytes:
             self._server.add_stalled(self)
+            self._record_kept()
 
     def _build_head(self, status: int, headers: Headers) -> h11.Response:
         sent = [*headers]
@@ -345,25 +391,9 @@
         :returns: whether the buffer is empty.
         """
         self._connection.flush(now)
+        self._record_kept()
         return self._connection.pending_bytes == 0
 
     def abort(self) -> None:
         """Close the connection at once."""
         self._connection.abort()
-
-
-def _build_request(head: h11.Request, body: bytes) -> HttpRequest:
-    path, _, query = head.target.decode("ascii").partition("?")
-    headers: dict[str, str] = {}
-    for raw_name, raw_value in head.headers:
-        name, value = raw_name.decode("ascii"), raw_value.decode("latin-1")
-        headers[name] = f"{headers[name]}, {value}" if name in headers else value
-    return HttpRequest(
-        head.method.decode("ascii"),
-        path,
-        query,
-        headers,
-        body,
-        head.target.decode("ascii"),
-        tuple((bytes(name), bytes(value)) for name, value in head.headers.raw_items()),
-    )
--- a/packages/daemon/bramleyspread_daemon/_server_context.py
+++ b/packages/daemon/bramleyspread_daemon/_server_context.py
@@ -6,6 +6,7 @@
 
 from bramleyspread_daemon._clock import ProcessClock
 from bramleyspread_daemon._exchange import HttpRequest, Reply
+from bramleyspread_daemon._kept_bytes import Holder
 from bramleyspread_daemon._settings import Limits
 from bramleyspread_daemon._traffic import ByteCountSource
 
@@ -46,11 +47,11 @@
     def find_body_limit(self, path: str) -> int:
         """Find the maximum size of a request's body by its path, in bytes."""
 
-    def reserve_body_bytes(self, size: int) -> bool:
-        """Count body bytes held in memory; False when the total exceeds the limit."""
+    def is_host_path(self, path: str) -> bool:
+        """Whether only other hosts of the deployment call a path."""
 
-    def release_body_bytes(self, size: int) -> None:
-        """Stop counting body bytes that were reserved and are no longer held."""
+    def record_kept(self, holder: Holder, size: int) -> None:
+        """Record how much a connection keeps; some may give up, also this one."""
 
     def record_traffic(self, path: str, connection: ByteCountSource) -> None:
         """Count the bytes of a request and its reply."""
--- a/packages/daemon/bramleyspread_daemon/_settings.py
+++ b/packages/daemon/bramleyspread_daemon/_settings.py
@@ -65,8 +65,8 @@
     head_bytes: Annotated[int, msgspec.Meta(ge=1_024, le=1_048_576)] = 16_384
     #: Maximum size of a request's body.
     body_bytes: Annotated[int, msgspec.Meta(ge=0, le=67_108_864)] = 1_048_576
-    #: Maximum total size of all request bodies in memory; further requests are
-    #: refused.
+    #: Maximum size of all that is kept of requests, and of replies to slow readers;
+    #: beyond it connections give up.
     held_bytes: Annotated[int, msgspec.Meta(ge=65_536)] = 67_108_864
     #: Timeout for receiving a request, head and body together.
     receive_s: Seconds = 10.0
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -12,6 +12,7 @@
 from bramleyspread_core import Address, Deployment
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import HttpRequest, Reply
+from bramleyspread_daemon._kept_bytes import KeptBytes
 from bramleyspread_daemon._metrics import Metrics
 from bramleyspread_daemon._process import Process, run_periodically, wait_for_stop
 from bramleyspread_daemon._routes import Routes
@@ -116,6 +117,7 @@
         )
         routes[("GET", RELAY_PATH)] = self.relays.serve
         limits, clock = settings.limits, process.clock
+        kept = KeptBytes(settings.max_kept_bytes)
         #: Serves the other processes of the system.
         self.server = HttpServer(Routes(routes), limits, clock)
         self.server.counted_paths = frozenset(path for _, path in routes)
@@ -131,6 +133,7 @@
         self.health.conversation = "health checks"
         for server in (self.server, self.health, self.public):
             server.traffic = process.pool.traffic
+            server.kept = kept
 
     def _apply_limits(self, deployment: Deployment) -> None:
         self.public.limits = merge_limits(self._settings.limits, deployment.limits)
@@ -262,6 +265,9 @@
         held = self.context.upstream.held
         metrics.set_gauge("held_bytes", "Of targets' answers.", held.size)
         metrics.set_counter("answers_given_up_total", "No room.", held.given_up)
+        kept = self.public.kept
+        metrics.set_gauge("kept_bytes", "Of requests and replies.", kept.size)
+        metrics.set_counter("requests_given_up_total", "No room.", kept.given_up)
         metrics.set_counter("feed_failures_total", "Unanswered.", self._link.failures)
 
     async def start(self) -> Address:
--- a/packages/daemon/bramleyspread_daemon/forward/_settings.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_settings.py
@@ -26,6 +26,9 @@
 #: there more than once while an answer is put together and passed on.
 HELD_MEMORY_SHARE = 0.16
 
+#: Share of it for what it keeps of requests, and of replies to slow readers.
+KEPT_MEMORY_SHARE = 0.2
+
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=1)]
 ElectionSeconds = Annotated[float, msgspec.Meta(gt=0, le=60)]
 RetryCount = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
@@ -97,6 +100,12 @@
         """Maximum size of what is kept of targets' answers, in bytes."""
         return int(self.memory_mb * 1e6 * HELD_MEMORY_SHARE)
 
+    @property
+    def max_kept_bytes(self) -> int:
+        """Maximum size of what is kept of requests and replies, in bytes."""
+        share = int(self.memory_mb * 1e6 * KEPT_MEMORY_SHARE)
+        return min(self.limits.held_bytes, share)
+
     @property
     def key_trust_s(self) -> float:
         """How long keys stay trusted without confirmation, in seconds."""
