A control host has room for a bounded number of targets

Targets: a faulty peer that names ever new ids makes each control host, and each entry host by the feed, remember them all for two minutes; pages of the feed then exceed what a host reads, so that no host hears of any target any more.

Cause: the registry had no bound.

The states of all targets together are at most 6 MiB as JSON, so they fit a page. Beyond that targets that have fallen silent are forgotten, the first ones first; if there are none, a new target gets a 503. Known ones go on.

--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -144,6 +144,11 @@
         call = self._wire.read_call(http)
         now = read_monotonic()
         match call:
+            case TargetHeartbeat() if not self.registry.find_room(call):
+                log = logger.bind(step="target", peer=call.target)
+                log.warning("refused: no room for another target")
+                full = MalformedRequest(503, "too many targets")
+                _send(reply, self._wire.write_fault(full))
             case TargetHeartbeat():
                 if self.registry.handle_heartbeat(call, now):
                     self._publish_changes(now)
--- a/packages/forwarding/bramleyspread_forwarding/_registry.py
+++ b/packages/forwarding/bramleyspread_forwarding/_registry.py
@@ -15,12 +15,15 @@
 #: How long a target that is gone is remembered after its last message, in seconds, so
 #: that a delayed heartbeat does not make it ready again.
 GONE_RETENTION_S = 120.0
+#: Maximum size of all targets' states, in bytes as JSON: one page of the feed may have
+#: to hold them all.
+MAX_REGISTRY_BYTES = 6_291_456
 
 
 class _TargetState:
     """State of one target."""
 
-    __slots__ = ("change", "last_message_at", "position")
+    __slots__ = ("change", "last_message_at", "position", "size")
 
     def __init__(
         self, change: TargetChange, last_message_at: float, position: int
@@ -31,6 +34,8 @@
         self.last_message_at = last_message_at
         #: Position of its last change in the registry's sequence of changes.
         self.position = position
+        #: Size in a page of the feed, in bytes.
+        self.size = _measure(change)
 
 
 class TargetRegistry:
@@ -38,13 +43,36 @@
 
     When a process of a target has announced that it leaves, later heartbeats of the
     same process are ignored.
+
+    :param heartbeat_s: interval between two heartbeats of a target, in seconds.
+    :param max_bytes: maximum size of all targets' states, in bytes as JSON.
     """
 
-    def __init__(self, heartbeat_s: float) -> None:
+    def __init__(self, heartbeat_s: float, max_bytes: int = MAX_REGISTRY_BYTES) -> None:
+        self._max_bytes = max_bytes
         self._silence_limit_s = heartbeat_s * MAX_MISSED_HEARTBEATS
         self._entries: dict[str, _TargetState] = {}
+        # Silent targets, in the order in which they fell silent.
+        self._silent: dict[str, None] = {}
         #: Position of the newest change.
         self.position = 0
+        #: Size of all targets' states, in bytes as JSON.
+        self.size = 0
+
+    def find_room(self, notice: TargetHeartbeat) -> bool:
+        """Find room for a heartbeat; silent targets may be forgotten for it.
+
+        :param notice: the heartbeat.
+        :returns: whether there is room; heartbeats without room may not be handled.
+        """
+        known = self._entries.get(notice.target)
+        added = _measure(TargetChange(notice)) - (known.size if known else 0)
+        while self.size + added > self._max_bytes:
+            oldest = next((x for x in self._silent if x != notice.target), None)
+            if oldest is None:
+                return False
+            self._remove(oldest)
+        return True
 
     def handle_heartbeat(self, notice: TargetHeartbeat, now: float) -> bool:
         """Handle a heartbeat.
@@ -119,7 +147,7 @@
                         TargetChange(notice, silent=True), entry.last_message_at
                     )
             elif silence > GONE_RETENTION_S:
-                del self._entries[target]
+                self._remove(target)
 
     def list_changes(self, position: int) -> tuple[TargetChange, ...]:
         """List the targets that changed after a position.
@@ -135,9 +163,24 @@
 
     def _record_change(self, change: TargetChange, last_message_at: float) -> None:
         self.position += 1
-        self._entries[change.notice.target] = _TargetState(
-            change, last_message_at, self.position
-        )
+        target = change.notice.target
+        self._remove(target)
+        state = _TargetState(change, last_message_at, self.position)
+        self._entries[target] = state
+        self.size += state.size
+        if change.silent:
+            self._silent[target] = None
+
+    def _remove(self, target: str) -> None:
+        self._silent.pop(target, None)
+        removed = self._entries.pop(target, None)
+        if removed is not None:
+            self.size -= removed.size
+
+
+def _measure(change: TargetChange) -> int:
+    """Return the size of a target's state in a list, in bytes as JSON."""
+    return len(msgspec.json.encode(change)) + 1
 
 
 def _is_unchanged(notice: TargetHeartbeat, known: TargetHeartbeat) -> bool:
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_registry.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from bramleyspread_forwarding import Readiness, TargetHeartbeat, TargetRegistry
@@ -103,3 +104,48 @@
     registry.handle_departure("t", 0, 0.0)
     registry.tick(500.0)
     assert registry.list_changes(0) == ()
+
+
+# Guards against a control host, and a feed, that run out of room since a faulty peer
+# names ever new targets.
+def test_new_targets_find_no_room_while_known_ones_go_on() -> None:
+    registry = TargetRegistry(heartbeat_s=1.0, max_bytes=20_000)
+    known = make_notice(target="known", sequence=1)
+    registry.handle_heartbeat(known, 0.0)
+    refused = 0
+    for number in range(500):
+        notice = make_notice(target=f"t{number}", zone="z" * 100)
+        if registry.find_room(notice):
+            registry.handle_heartbeat(notice, 0.0)
+        else:
+            refused += 1
+    changes = registry.list_changes(0)
+    assert len(changes) == 501 - refused
+    assert 10_000 < len(msgspec.json.encode(changes)) <= 20_000
+    again = make_notice(target="known", sequence=2, readiness=DRAINING)
+    assert registry.find_room(again)
+    assert registry.handle_heartbeat(again, 0.1)
+
+
+# Guards against sound targets that are refused as long as records of others, who have
+# fallen silent, are kept.
+def test_silent_targets_make_room_for_new_ones() -> None:
+    registry = TargetRegistry(heartbeat_s=1.0, max_bytes=20_000)
+    registry.handle_heartbeat(make_notice(target="left"), 0.0)
+    registry.handle_departure("left", 0, 0.0)
+    for number in range(500):
+        notice = make_notice(target=f"t{number}", zone="z" * 100)
+        if registry.find_room(notice):
+            registry.handle_heartbeat(notice, 0.0)
+    sound = make_notice(target="sound")
+    assert not registry.find_room(make_notice(target="sound", zone="z" * 300))
+    registry.tick(4.5)
+    assert registry.find_room(sound)
+    registry.handle_heartbeat(sound, 4.5)
+    names = {each.notice.target for each in registry.list_changes(0)}
+    assert {"sound", "left"} <= names
+    assert len(msgspec.json.encode(registry.list_changes(0))) <= 20_000
+    registry.tick(500.0)
+    registry.tick(1_000.0)
+    assert registry.list_changes(0) == ()
+    assert registry.size == 0
