No field of a log line is longer than its text may be

Operators: a line that repeats a peer's id of some KB takes the room that all lines of that second share, so that others are left out.

Cause: only the text was cut off, not the fields.

Evidence: test_long_fields_are_truncated fails before and passes now.

--- a/packages/daemon/bramleyspread_daemon/_log_lines.py
+++ b/packages/daemon/bramleyspread_daemon/_log_lines.py
@@ -45,7 +45,7 @@
         fields: dict[str, object] = {
             "at": round(time.time(), 3),
             "level": record["level"].name,
-            **record["extra"],
+            **{name: _truncate(each) for name, each in record["extra"].items()},
             "text": record["message"][:MAX_FIELD_CHARS],
         }
         exception = record["exception"]
@@ -77,3 +77,7 @@
             return os.write(self._descriptor, line) == len(line)
         except OSError:
             return False
+
+
+def _truncate(value: object) -> object:
+    return value[:MAX_FIELD_CHARS] if isinstance(value, str) else value
--- a/packages/daemon/bramleyspread_daemon/tests/test_log_lines.py
+++ b/packages/daemon/bramleyspread_daemon/tests/test_log_lines.py
@@ -7,7 +7,11 @@
 import msgspec
 from loguru import logger
 
-from bramleyspread_daemon._log_lines import MAX_BYTES_PER_SECOND, JsonLineSink
+from bramleyspread_daemon._log_lines import (
+    MAX_BYTES_PER_SECOND,
+    MAX_FIELD_CHARS,
+    JsonLineSink,
+)
 
 
 def _read_lines(descriptor: int) -> list[dict[str, object]]:
@@ -52,3 +56,16 @@
     assert written * 1_000 < 3 * MAX_BYTES_PER_SECOND
     sink.write_line({"text": "failed"}, is_failure=True)
     assert _read_lines(reader)[-1]["text"] == "failed"
+
+
+# Guards against lines that are as long as what a peer has sent, and take the place of
+# all others.
+def test_long_fields_are_truncated() -> None:
+    reader, writer = os.pipe()
+    number = logger.add(JsonLineSink(writer), level="INFO", format="{message}")
+    bound = logger.bind(step="target", peer="i" * 9_000, number=7)
+    bound.bind(zone="\x00" * 9_000).info("x" * 9_000)
+    logger.remove(number)
+    (line,) = _read_lines(reader)
+    assert (line["peer"], line["number"]) == ("i" * MAX_FIELD_CHARS, 7)
+    assert (line["zone"], line["text"]) == ("\x00" * 400, "x" * 400)
