Parts of prompts and versions of software are kept in bounded numbers

Callers: a caller whose prompts name ever new parts, or an engine that starts again with ever new versions, made entry hosts remember them all: parts for nine seconds without a bound, versions for ever.

Cause: above 2,000 parts only expired ones were removed; versions never were.

The newest 2,000 parts of each engine are kept; versions as long as streams may go on that they began, or as long as a target that has left still names them.

--- a/packages/forwarding/bramleyspread_forwarding/_accounts.py
+++ b/packages/forwarding/bramleyspread_forwarding/_accounts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import islice
+
 from bramleyspread_core import find_backoff_s
 from bramleyspread_forwarding._placement_messages import TargetLoad
 from bramleyspread_forwarding._requests import Prompt
@@ -14,7 +16,7 @@
 MAX_BACKOFF_S = 8.0
 #: How long a prompt part is assumed to stay in an engine's cache, in seconds.
 PART_TTL_S = 9.0
-#: Number of parts of one engine above which expired ones are removed.
+#: Maximum number of parts of one engine that are kept.
 MAX_TRACKED_PARTS = 2_000
 
 
@@ -80,15 +82,13 @@
         self.backoff_until = 0.0
 
     def record_parts(self, parts: tuple[str, ...], now: float) -> None:
-        """Record that the target caches these prompt parts."""
+        """Record that the target caches these prompt parts; the newest are kept."""
         for part in parts:
+            self._parts_sent_at.pop(part, None)
             self._parts_sent_at[part] = now
         if len(self._parts_sent_at) > MAX_TRACKED_PARTS:
-            for part in [
-                x
-                for x, sent_at in self._parts_sent_at.items()
-                if now - sent_at > PART_TTL_S
-            ]:
+            excess = len(self._parts_sent_at) - MAX_TRACKED_PARTS
+            for part in tuple(islice(self._parts_sent_at, excess)):
                 del self._parts_sent_at[part]
 
     def count_unread_tokens(self, prompt: Prompt | None, now: float) -> float:
--- a/packages/forwarding/bramleyspread_forwarding/_software_history.py
+++ b/packages/forwarding/bramleyspread_forwarding/_software_history.py
@@ -46,13 +46,29 @@
         for service, versions in self._current.items():
             self._seen_at.setdefault(service, {}).update(dict.fromkeys(versions, now))
         self._current = {}
+        named: set[tuple[str, str]] = set()
         for notice in notices:
             if notice.readiness is Readiness.GONE:
+                named.add((notice.service, notice.software))
                 seen_at = self._seen_at.setdefault(notice.service, {})
                 seen_at.setdefault(notice.software, now)
             else:
                 versions = self._current.setdefault(notice.service, set())
                 versions.add(notice.software)
+        self._forget(named, now)
+
+    def _forget(self, named: set[tuple[str, str]], now: float) -> None:
+        """Forget versions that no stream can have; those named would come back."""
+        for service, seen_at in tuple(self._seen_at.items()):
+            kept = {
+                version: at
+                for version, at in seen_at.items()
+                if now - at <= ORIGIN_RETENTION_S or (service, version) in named
+            }
+            if kept:
+                self._seen_at[service] = kept
+            else:
+                del self._seen_at[service]
 
     def find_sole_version(self, service: str, now: float) -> str | None:
         """Find the only version that the targets of a service had lately.
