Whole numbers of a document that no host can reckon with are refused

Operators and callers: a document with a whole number of hundreds of digits was accepted and in force; hosts that compare it with a share raise, so that each request gets a 500.

Cause: only numbers with a fraction were checked, and only for being finite.

--- a/packages/core/bramleyspread_core/_deployment.py
+++ b/packages/core/bramleyspread_core/_deployment.py
@@ -16,6 +16,9 @@
 
 import msgspec
 
+#: The largest whole number of a document; floats hold all up to it.
+MAX_INTEGER = 2**53
+
 
 class RequestKind(str, Enum):
     """Whether a request may run more than once, and how it is answered.
@@ -183,6 +186,8 @@
     ()
     """
     return (
+        *_find_number_faults("version", deployment),
+        *_find_number_faults("limits", deployment.limits),
         *_find_service_faults(deployment),
         *_find_route_faults(deployment),
         *_find_key_faults(deployment),
@@ -195,15 +200,20 @@
         if count > 1:
             yield f"services: {name!r} stands {count} times"
     for number, service in enumerate(deployment.services):
+        path = f"services[{number}]"
+        yield from _find_number_faults(path, service)
+        if service.engine is not None:
+            yield from _find_number_faults(f"{path}.engine", service.engine)
         if service.pieces is not None:
-            yield from _find_number_faults(f"services[{number}].pieces", service.pieces)
+            yield from _find_number_faults(f"{path}.pieces", service.pieces)
 
 
 def _find_number_faults(path: str, checked: msgspec.Struct) -> Iterator[str]:
-    """Find numbers that aren't finite, which JSON can't hold."""
+    """Find numbers that aren't finite, which JSON can't hold, or that floats can't."""
     for name in checked.__struct_fields__:
         value = getattr(checked, name)
-        if isinstance(value, float) and not math.isfinite(value):
+        is_endless = isinstance(value, float) and not math.isfinite(value)
+        if is_endless or (isinstance(value, int) and abs(value) > MAX_INTEGER):
             yield f"{path}: a number is too large ({name})"
 
 
@@ -240,6 +250,7 @@
     path: str, route: ForwardRoute, services: set[str]
 ) -> Iterator[str]:
     for number, stage in enumerate(route.stages):
+        yield from _find_number_faults(f"{path}.stages[{number}]", stage)
         if stage.service not in services:
             yield f"{path}.stages[{number}]: unknown service {stage.service!r}"
         for earlier in stage.after:
@@ -252,6 +263,7 @@
 def _find_key_faults(deployment: Deployment) -> Iterator[str]:
     owners: dict[str, str] = {}
     for number, holder in enumerate(deployment.holders or ()):
+        yield from _find_number_faults(f"holders[{number}]", holder)
         for key in holder.keys:
             other = owners.setdefault(key, holder.name)
             if other != holder.name:
