--- a/packages/control/bramleyspread_control/_host.py
+++ b/packages/control/bramleyspread_control/_host.py
@@ -13,6 +13,7 @@
 from bramleyspread_control._consensus_state import Role
 from bramleyspread_control._disk import Disk
 from bramleyspread_control._entries import Change, PutDocument, encode_change
+from bramleyspread_control._folder_report import describe_folder
 from bramleyspread_control._peer_protocol import PeerProtocol
 from bramleyspread_control._replica import Replica, SyncedState
 from bramleyspread_control._store import DOCUMENTS_GROUP, Store
@@ -22,6 +23,7 @@
     Claim,
     ClaimKey,
     Command,
+    CommandResult,
     ConfirmDeployment,
     ControlOutput,
     ControlStatus,
@@ -43,7 +45,6 @@
     Settle,
     SubmitDocument,
     Undecided,
-    UnstampedEvent,
     encode_json,
     find_size_fault,
 )
@@ -82,9 +83,10 @@
         self._config = config
         self._store = Store(config, disk, rng, now)
         self._peer_protocol = PeerProtocol(
-            config, self._store, f"{rng.getrandbits(64):016x}"
+            config, self._store, f"{rng.getrandbits(64):016x}", now
         )
         self._pending_commands = PendingCommands()
+        self._events = describe_folder(self._store)
         # By group: the term for which the timers were started, and the timers.
         self._claim_timers: dict[int, tuple[int, ClaimTimers]] = {}
         # By entry host: its last query, and the time at which it arrived.
@@ -132,12 +134,32 @@
         if isinstance(change, Rejected):
             self._pending_commands.add_reply(ticket, change)
             return
+        result = self._find_repeat_result(change, now)
+        if result is not None:
+            self._pending_commands.add_reply(ticket, result)
+            return
+        self._propose_change(ticket, replica, change, now)
+
+    def _find_repeat_result(self, change: Change, now: float) -> CommandResult | None:
+        """Find the result of a deployment document that needs no entry any more."""
+        if isinstance(change, PutDeployment) and self.is_deployment_confirmed(now):
+            return self._store.documents.find_repeat_result(change)
+        return None
+
+    def _propose_change(
+        self, ticket: int, replica: Replica, change: Change, now: float
+    ) -> None:
+        """Append a change, or wait for the entry that has the same document."""
         encoded = encode_change(change)
         fault = find_size_fault(len(memoryview(encoded)))
         if fault:
             self._pending_commands.add_reply(ticket, Rejected((fault,)))
             return
-        index = replica.propose(encoded, now)
+        index = None
+        if isinstance(change, PutDeployment):
+            index = replica.log.find_unapplied(encoded, replica.consensus.term)
+        if index is None:
+            index = replica.propose(encoded, now)
         if index is None:
             self._pending_commands.add_reply(ticket, NotLeader(None))
         else:
@@ -159,7 +181,7 @@
             replica.check_leadership(now)
             replica.replicate(now)
         self._store.write()
-        events: list[UnstampedEvent] = []
+        events, self._events = self._events, []
         for group, replica in replicas.items():
             for applied in replica.mark_synced():
                 self._pending_commands.resolve(group, applied)
