Readers keep nothing of what is passed on while they wait for more

Cause: each reader's frames hold the last bytes read, the last chunk and its events until the next ones come. None of that counts: up to three reads for each stream.

Now bytes are parsed, and events passed on, in calls of their own that end before the reader waits.

--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -317,15 +317,8 @@
     ) -> AttemptEnd:
         splitter = EventSplitter()
         connection.keep(KeptEvents(splitter, self._reply))
-        while chunk := await connection.read_chunk():
-            events = splitter.feed(chunk, MAX_EVENTS_AT_ONCE)
-            while events:
-                self._pass_on(events, head)
-                if len(events) < MAX_EVENTS_AT_ONCE:
-                    break
-                await curio.sleep(0)
-                events = splitter.feed(b"", MAX_EVENTS_AT_ONCE)
-            await self._stages.release()
+        # Nothing is kept here of one chunk while the next one is waited for.
+        while await self._relay_chunk(await connection.read_chunk(), splitter, head):
             connection.record_kept()
             await self._wait_for_caller(connection)
         if not splitter.is_between_events:
@@ -340,6 +333,22 @@
         self._reply.end()
         return Delivered()
 
+    async def _relay_chunk(
+        self, chunk: bytes, splitter: EventSplitter, head: TargetHead
+    ) -> bool:
+        """Pass on the events that a chunk completes; return whether it is one."""
+        if not chunk:
+            return False
+        events = splitter.feed(chunk, MAX_EVENTS_AT_ONCE)
+        while events:
+            self._pass_on(events, head)
+            if len(events) < MAX_EVENTS_AT_ONCE:
+                break
+            await curio.sleep(0)
+            events = splitter.feed(b"", MAX_EVENTS_AT_ONCE)
+        await self._stages.release()
+        return True
+
     async def _check_end(self, connection: UpstreamConnection) -> None:
         """Check that an answer without a length has not broken off.
 
--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -296,17 +296,24 @@
             self.check_room()
             if event is not h11.NEED_DATA:
                 return event
-            data = await self._connection.read()
-            # One that was given up reads as if its peer had closed it.
-            self.check_room()
-            if not data:
-                if self._is_eof:
-                    raise ConnectionClosedError("closed")
-                self._is_eof = True
-                if self._connection.was_reset:
-                    raise ConnectionClosedError("reset")
-            self._http.receive_data(data)
-            self.record_kept()
+            # The task that waits for more keeps no bytes besides those that count.
+            self._receive(await self._connection.read())
+
+    def _receive(self, data: bytes) -> None:
+        """Pass bytes to the parser.
+
+        :raises ConnectionClosedError: if there are none, or the response is given up.
+        """
+        # One that was given up reads as if its peer had closed it.
+        self.check_room()
+        if not data:
+            if self._is_eof:
+                raise ConnectionClosedError("closed")
+            self._is_eof = True
+            if self._connection.was_reset:
+                raise ConnectionClosedError("reset")
+        self._http.receive_data(data)
+        self.record_kept()
 
     def _finish_response(self) -> None:
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_answers_given_up.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_answers_given_up.py
@@ -170,6 +170,40 @@
     run(main)
 
 
+class PassedOnReply(StreamReply):
+    """Reply that counts the events that are passed on, and keeps none."""
+
+    def send_chunk(self, chunk: bytes) -> None:
+        self.chunks.append(b"")
+
+
+# Guards against bytes that readers keep, uncounted, while they wait for more, although
+# all is passed on: hundreds of such streams fill the memory.
+def test_nothing_is_kept_of_what_is_passed_on() -> None:
+    streams, event = 20, b"id: 1\ndata: " + b"x" * 60_000 + b"\n\n"
+
+    async def main() -> None:
+        pool, replies = UpstreamPool(), [PassedOnReply() for _ in range(streams)]
+        start = CHUNKED + b"%x\r\n%b\r\n" % (len(event), event)
+        addresses = [await start_large(start) for _ in replies]
+        tracemalloc.start()
+        tasks = [
+            await curio.spawn(make_stream(pool, address, reply).run)
+            for address, reply in zip(addresses, replies, strict=True)
+        ]
+        while not all(each.chunks for each in replies):
+            await curio.sleep(0.001)
+        for _ in range(10):
+            await curio.sleep(0)
+        kept = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        assert kept < streams * len(event)
+        for task in tasks:
+            await task.cancel()
+
+    run(main)
+
+
 class FailedConnection(FakeConnection):
     """Connection to a target that answers with a large failure."""
 
