--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -9,11 +9,13 @@
 import curio
 from loguru import logger
 
+from bramleyspread_core import Address
 from bramleyspread_daemon._client import ConnectionClosedError, RequestNotSentError
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import Reply
 from bramleyspread_daemon._timeouts import timeout_after
 from bramleyspread_daemon.forward._context import ForwardContext
+from bramleyspread_daemon.forward._kept_parts import KeptEvents
 from bramleyspread_daemon.forward._stage_work import StageWork
 from bramleyspread_daemon.forward._stream_binding import StreamBinding
 from bramleyspread_daemon.forward._stream_times import StreamTimes
@@ -103,6 +105,11 @@
         #: Id of the last event relayed to the caller; None if there is none.
         self.last_event: str | None = None
 
+    @property
+    def address(self) -> Address:
+        """Address of the target."""
+        return self._placed.target.address
+
     async def wait_for_turn(self) -> bool:
         """Wait until the target's rate limit allows the request.
 
@@ -174,7 +181,7 @@
             await self._close_connection()
             end = MayHaveRun(str(error))
             self._log_lost_answer(end, sent_at)
-            if not self._may_have_left(connection):
+            if not (connection.is_given_up or self._may_have_left(connection)):
                 await context.crashes.record_lost_answer(
                     self._placed.target,
                     self._features,
@@ -309,17 +316,11 @@
         self, connection: UpstreamConnection, head: TargetHead
     ) -> AttemptEnd:
         splitter = EventSplitter()
-        while chunk := await connection.read_chunk():
-            events = splitter.feed(chunk, MAX_EVENTS_AT_ONCE)
-            while events:
-                self._pass_on(events, head)
-                if len(events) < MAX_EVENTS_AT_ONCE:
-                    break
-                await curio.sleep(0)
-                events = splitter.feed(b"", MAX_EVENTS_AT_ONCE)
-            await self._stages.release()
-            connection.record_kept(splitter.size + self._reply.unsent_bytes)
-            await self._wait_for_caller()
+        connection.keep(KeptEvents(splitter, self._reply))
+        # Nothing is kept here of one chunk while the next one is waited for.
+        while await self._relay_chunk(await connection.read_chunk(), splitter, head):
+            connection.record_kept()
+            await self._wait_for_caller(connection)
         if not splitter.is_between_events:
             raise ConnectionClosedError("ended in the middle of an event")
         if connection.ends_by_closing and self._first_byte_at is None:
@@ -332,6 +333,22 @@
         self._reply.end()
         return Delivered()
 
+    async def _relay_chunk(
+        self, chunk: bytes, splitter: EventSplitter, head: TargetHead
+    ) -> bool:
+        """Pass on the events that a chunk completes; return whether it is one."""
+        if not chunk:
+            return False
+        events = splitter.feed(chunk, MAX_EVENTS_AT_ONCE)
+        while events:
+            self._pass_on(events, head)
+            if len(events) < MAX_EVENTS_AT_ONCE:
+                break
+            await curio.sleep(0)
+            events = splitter.feed(b"", MAX_EVENTS_AT_ONCE)
+        await self._stages.release()
+        return True
+
     async def _check_end(self, connection: UpstreamConnection) -> None:
         """Check that an answer without a length has not broken off.
 
@@ -340,11 +357,16 @@
         if not connection.ends_by_closing:
             return
         end = UnframedEnd(
-            self._placed.target, self._service, read_monotonic(), self._deadline
+            self._placed.target,
+            self._service,
+            read_monotonic(),
+            self._deadline,
+            connection.check_room,
         )
         why = await self._context.unframed_ends.find_break(end)
         if why:
             raise ConnectionClosedError(why)
+        connection.check_room()
 
     def _begin(self, head: TargetHead) -> None:
         """Pass on the head, unless one went out.
@@ -364,10 +386,14 @@
             self._report_event()
             self._times.record_event()
 
-    async def _wait_for_caller(self) -> None:
-        """Stop reading from the target while the caller is too slow."""
+    async def _wait_for_caller(self, connection: UpstreamConnection) -> None:
+        """Stop reading from the target while the caller is too slow.
+
+        :raises ConnectionClosedError: if the answer is given up meanwhile.
+        """
         while self._reply.unsent_bytes > MAX_UNSENT_BYTES:
             await curio.sleep(CALLER_POLL_INTERVAL_S)
+            connection.check_room()
 
     def _report_first_byte(self) -> None:
         if self._first_byte_at is None:
