--- a/packages/forwarding/bramleyspread_forwarding/_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/_targets.py
@@ -316,8 +316,8 @@
         notices = [
             x.notice for view in self._views.values() for x in view.targets.values()
         ]
-        told = {x.process: x.software for x in notices if x.software is not None}
-        self.software.update(notices, told, now)
+        self.software.update(notices, now)
+        told = self.software.told
         newest: dict[str, TargetHeartbeat] = {}
         fresh_targets: set[str] = set()
         for control, view in self._views.items():
