Heads of answers have a bounded number of lines

An engine whose answers have whole heads within 64 KiB, but of 16,000 lines ("a:"), took a host's time and memory: each head took about 210 ms in one turn (parsed 39 ms, read 64 ms, sent on 109 ms), and what is parsed of it, about 1.7 MB, counted nowhere while the stream went on.

The test fails on the code before.

--- a/packages/daemon/bramleyspread_daemon/forward/_upstream.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_upstream.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Sequence
+import re
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 import curio
@@ -24,6 +25,9 @@
 
 #: Maximum size of a response head.
 MAX_HEAD_BYTES = 65_536
+#: Maximum number of lines of a response head. Each costs far more time and memory than
+#: its bytes.
+MAX_HEAD_LINES = 256
 #: Maximum size of a response body that is read as a whole.
 MAX_RESPONSE_BODY_BYTES = 16_777_216
 #: Statuses of responses that never have a body.
@@ -37,6 +41,9 @@
 #: seconds.
 DEFAULT_KEEP_ALIVE_S = 3.0
 
+_HEAD_END = re.compile(rb"\n\r?\n")
+_PROVISIONAL = re.compile(rb"HTTP/\S+ +1")
+
 
 class UpstreamConnection:
     """Connection to a target that carries one request at a time."""
@@ -318,6 +325,21 @@
                 raise ConnectionClosedError("reset")
         self._http.receive_data(data)
         self.record_kept()
+        self._check_head_lines()
+
+    def _check_head_lines(self) -> None:
+        """Check the lines of a head before they are parsed.
+
+        :raises ConnectionClosedError: if there are too many.
+        """
+        if self._http.their_state is not h11.SEND_RESPONSE:
+            return
+        received = self._http.trailing_data[0]
+        if received.count(b"\n") <= MAX_HEAD_LINES:
+            return
+        # The response begins after provisional ones.
+        if any(x.count(b"\n") >= MAX_HEAD_LINES for x in _split_heads(received)):
+            raise ConnectionClosedError(f"a head of over {MAX_HEAD_LINES} lines")
 
     def _finish_response(self) -> None:
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
@@ -337,6 +359,14 @@
         await self._connection.reset()
 
 
+def _split_heads(received: bytes) -> Iterator[bytes]:
+    """List the heads of provisional responses, and that of the response."""
+    for head in _HEAD_END.split(received, MAX_PROVISIONAL_RESPONSES + 1):
+        yield head
+        if not _PROVISIONAL.match(head):
+            return
+
+
 def _has_end(response: h11.Response, method: str) -> bool:
     """Whether a response says itself where its body ends, or can't have one."""
     if method == "HEAD" or response.status_code in BODILESS_STATUSES:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_endless_responses.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_endless_responses.py
@@ -15,6 +15,7 @@
 from bramleyspread_daemon.forward import _upstream
 from bramleyspread_daemon.forward._upstream import (
     MAX_HEAD_BYTES,
+    MAX_HEAD_LINES,
     MAX_PROVISIONAL_RESPONSES,
     UpstreamConnection,
 )
@@ -122,6 +123,42 @@
     run(main)
 
 
+# Guards against heads within their size limit whose thousands of lines take the host's
+# time and, parsed, a multiple of their size.
+@pytest.mark.parametrize("start", [b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"])
+@pytest.mark.parametrize("line_end", [b"\r\n", b"\n"])
+def test_head_of_too_many_lines_is_given_up(start: bytes, line_end: bytes) -> None:
+    head = b"HTTP/1.1 200 OK" + line_end + (b"a:" + line_end) * 15_000 + line_end
+
+    async def main() -> None:
+        pool = UpstreamPool()
+        connection = await open_endless(start + head, BLOCK, pool)
+        with pytest.raises(ConnectionClosedError, match="lines"):
+            await connection.read_head()
+        await connection.close()
+
+    run(main)
+
+
+# Guards against a sound response that is given up for the lines of its body, which
+# arrive together with its head.
+def test_lines_of_the_body_do_not_count_as_those_of_the_head() -> None:
+    body = b"\n" * (2 * MAX_HEAD_LINES)
+    lines = b"a: 1\r\n" * (MAX_HEAD_LINES - 2)
+    length = b"content-length: %d\r\n\r\n" % len(body)
+    answer = b"HTTP/1.1 200 OK\r\n" + lines + length + body
+
+    async def main() -> bytes:
+        connection = await open_endless(answer, BLOCK, UpstreamPool())
+        head = await connection.read_head()
+        assert len(head.headers) == MAX_HEAD_LINES - 1
+        read = await connection.read_body()
+        await connection.close()
+        return read
+
+    assert run(main) == body
+
+
 # Guards against a body without end, which fills the memory or blocks other requests.
 @pytest.mark.parametrize("name", ENDLESS_BODIES)
 def test_endless_body_is_given_up_within_its_limit(name: str) -> None:
