Bodies larger than any change are refused before they are parsed

A control host parsed and checked a document for its whole size before it found that the change is too large: 1.53 s for 17.4 MB and 0.41 s for 4.7 MB (one measurement each, load of 9), in which it answers nothing and a leader sends no heartbeat. A change contains the document's text, so one whose text alone is over the limit can be refused at once, and now is.

The new test fails on the code before. The test of the change's own size used a body that is over the limit itself; it now uses one at the limit, so that it still tests the size of the change and not only that of the body.

--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -23,6 +23,7 @@
     decode_json,
     encode_json,
     find_command_fault,
+    find_size_fault,
 )
 from bramleyspread_daemon._client import ConnectionClosedError, RequestNotSentError
 from bramleyspread_daemon._clock import read_monotonic
@@ -144,6 +145,10 @@
 
     async def answer_unrouted(self, http: HttpRequest, reply: Reply) -> None:
         """Handle calls from operators and targets."""
+        # Parsing takes long; a change is larger than the text that it contains.
+        if fault := find_size_fault(len(http.body)):
+            _send(reply, self._wire.write_fault(MalformedRequest(413, fault)))
+            return
         call = self._wire.read_call(http)
         now = read_monotonic()
         match call:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_change_size.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_change_size.py
@@ -52,7 +52,7 @@
         node, cast("Any", TextWire()), ConnectionPool(ProcessClock()), ADDRESS, 1.0, "1"
     )
     kept = KeptReply()
-    body = b"x" * (MAX_CHANGE_BYTES + 1)
+    body = b"x" * MAX_CHANGE_BYTES
 
     async def put() -> None:
         call = HttpRequest("POST", "/", "", {}, body)
@@ -64,6 +64,33 @@
     assert str(MAX_CHANGE_BYTES).encode() in kept.response.body
 
 
+# Guards against a leader that parses megabytes for longer than its lease lasts, only to
+# refuse them.
+def test_body_over_the_limit_of_changes_is_refused_before_it_is_parsed() -> None:
+    class UnreadWire(TextWire):
+        def read_call(self, http: HttpRequest) -> PutDeployment:
+            raise AssertionError("parsed")
+
+    control = ForwardControl(
+        DocumentNode(None, (ADDRESS,)),
+        cast("Any", UnreadWire()),
+        ConnectionPool(ProcessClock()),
+        ADDRESS,
+        1.0,
+        "1",
+    )
+    kept = KeptReply()
+    body = b"x" * (MAX_CHANGE_BYTES + 1)
+
+    async def put() -> None:
+        call = HttpRequest("POST", "/", "", {}, body)
+        await control.answer_unrouted(call, Reply(cast("Any", kept)))
+
+    curio.run(put)
+    assert kept.response is not None
+    assert kept.response.status == 413
+
+
 class SlowLeader:
     """Connections to a leader that takes 4 MB/s of what it is sent, or sends.
 
