--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_change_size.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_change_size.py
@@ -44,51 +44,44 @@
         return WireReply(fault.status, fault.why.encode())
 
 
-# Guards against a change that is proposed, or passed on to the leader, although no host
-# can receive it.
-def test_change_over_the_limit_is_refused_at_once() -> None:
-    node = DocumentNode(None, (ADDRESS,))
-    control = ForwardControl(
-        node, cast("Any", TextWire()), ConnectionPool(ProcessClock()), ADDRESS, 1.0, "1"
-    )
+class UnreadWire(TextWire):
+    """Takes no call."""
+
+    def read_call(self, http: HttpRequest) -> PutDeployment:
+        raise AssertionError("parsed")
+
+
+def put(wire: TextWire, size: int) -> Response:
+    """Send a control host a body, and return the answer.
+
+    :param wire: reads the call.
+    :param size: size of the body, in bytes.
+    """
+    node, pool = DocumentNode(None, (ADDRESS,)), ConnectionPool(ProcessClock())
+    control = ForwardControl(node, cast("Any", wire), pool, ADDRESS, 1.0, "1")
     kept = KeptReply()
-    body = b"x" * MAX_CHANGE_BYTES
 
-    async def put() -> None:
-        call = HttpRequest("POST", "/", "", {}, body)
+    async def send() -> None:
+        call = HttpRequest("POST", "/", "", {}, b"x" * size)
         await control.answer_unrouted(call, Reply(cast("Any", kept)))
 
-    curio.run(put)
+    curio.run(send)
     assert kept.response is not None
-    assert kept.response.status == 413
-    assert str(MAX_CHANGE_BYTES).encode() in kept.response.body
+    return kept.response
+
+
+# Guards against a change that is proposed, or passed on to the leader, although no host
+# can receive it.
+def test_change_over_the_limit_is_refused_at_once() -> None:
+    response = put(TextWire(), MAX_CHANGE_BYTES)
+    assert response.status == 413
+    assert str(MAX_CHANGE_BYTES).encode() in response.body
 
 
 # Guards against a leader that parses megabytes for longer than its lease lasts, only to
 # refuse them.
 def test_body_over_the_limit_of_changes_is_refused_before_it_is_parsed() -> None:
-    class UnreadWire(TextWire):
-        def read_call(self, http: HttpRequest) -> PutDeployment:
-            raise AssertionError("parsed")
-
-    control = ForwardControl(
-        DocumentNode(None, (ADDRESS,)),
-        cast("Any", UnreadWire()),
-        ConnectionPool(ProcessClock()),
-        ADDRESS,
-        1.0,
-        "1",
-    )
-    kept = KeptReply()
-    body = b"x" * (MAX_CHANGE_BYTES + 1)
-
-    async def put() -> None:
-        call = HttpRequest("POST", "/", "", {}, body)
-        await control.answer_unrouted(call, Reply(cast("Any", kept)))
-
-    curio.run(put)
-    assert kept.response is not None
-    assert kept.response.status == 413
+    assert put(UnreadWire(), MAX_CHANGE_BYTES + 1).status == 413
 
 
 class SlowLeader:
