--- a/packages/control/bramleyspread_control/tests/_closing.py
+++ b/packages/control/bramleyspread_control/tests/_closing.py
@@ -1,4 +1,4 @@
-"""Hosts that are exchanged, and the worst that is to be borne at the end of a day."""
+"""Hosts that are exchanged, and the worst that is tolerated, at the end of a day."""
 
 from __future__ import annotations
 
@@ -124,10 +124,10 @@
         self._wait(lambda: sending.acknowledged_at is not None, 6.0)
         assert sending.acknowledged_at is not None, (self.describe(), self.log)
 
-    def lose_disks_and_power(self, is_dark: bool = True) -> list[str]:
+    def lose_disks_and_power(self, is_power_lost: bool = True) -> list[str]:
         """Lose as many disks as may be lost, and power of all other hosts.
 
-        :param is_dark: whether the other hosts lose their power at the same time.
+        :param is_power_lost: whether the other hosts lose their power at the same time.
         :returns: the hosts that have lost their disks.
         """
         rng, cluster = self.rng, self.cluster
@@ -135,9 +135,9 @@
         leader = cluster.find_leader()
         if leader is not None and leader not in lost and rng.random() < 0.6:
             lost[0] = leader
-        self.note(f"lost {lost}, led by {leader}, dark {is_dark}")
+        self.note(f"lost {lost}, led by {leader}, power lost {is_power_lost}")
         for name in self.hosts:
-            if is_dark or name in lost:
+            if is_power_lost or name in lost:
                 cluster.kill(name, power_cut=True)
         for name in lost:
             cluster.nodes.pop(name, None)
--- a/packages/control/bramleyspread_control/tests/test_closing.py
+++ b/packages/control/bramleyspread_control/tests/test_closing.py
@@ -23,14 +23,14 @@
         (6, 2, 18),
     ],
 )
-@pytest.mark.parametrize("is_dark", [True, False])
+@pytest.mark.parametrize("is_power_lost", [True, False])
 def test_newest_document_is_read_after_exchanges_and_a_loss_of_disks_and_power(
-    size: int, tolerance: int, seed: int, is_dark: bool
+    size: int, tolerance: int, seed: int, is_power_lost: bool
 ) -> None:
     schedule = ClosingSchedule(seed, size, tolerance)
     schedule.exchange()
     schedule.acknowledge()
-    schedule.lose_disks_and_power(is_dark)
+    schedule.lose_disks_and_power(is_power_lost)
     schedule.check_read()
 
 
