State of zone drains, and the package of capacity decisions

Interfaces on which the following work builds: drained zones in the feed between control and entry hosts, and an empty package for what targets and zones can take. No decision reads them yet.

--- a/packages/core/bramleyspread_core/__init__.py
+++ b/packages/core/bramleyspread_core/__init__.py
@@ -178,6 +178,7 @@
     InvalidFileError,
     load_yaml,
 )
+from bramleyspread_core._zone_drains import ZoneDrain, ZoneDrains
 
 __all__ = [
     "ANSWERED_ONCE",
@@ -315,6 +316,8 @@
     "UnstampedEvent",
     "Usage",
     "VersionText",
+    "ZoneDrain",
+    "ZoneDrains",
     "ZoneName",
     "decode_json",
     "encode_json",
--- a/packages/forwarding/bramleyspread_forwarding/_feed.py
+++ b/packages/forwarding/bramleyspread_forwarding/_feed.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from bramleyspread_containment import CrashNews
-from bramleyspread_core import Address, Deployment
+from bramleyspread_core import Address, Deployment, ZoneDrains
 from bramleyspread_forwarding._heartbeats import TargetChange
 
 
@@ -68,6 +68,8 @@
     #: Version that the control host has told already; it answers once it knows a newer
     #: one. None if the entry host expects the document itself in the page.
     told_version: int | None = None
+    #: Revision of the zone drains that the entry host obeys.
+    drains_revision: int = 0
 
 
 class FeedPage(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -107,6 +109,8 @@
     #: Revision of the entry host's own table up to which the control host knows it; 0
     #: if the query told nothing.
     heard_crash_revision: int = 0
+    #: The zone drains; None if the entry host obeys these or newer ones.
+    zone_drains: ZoneDrains | None = None
 
 
 class KnownEntries(msgspec.Struct, frozen=True):
