Control hosts replicate zone drains

Operators need to drain a zone and to withdraw that, and an acknowledged order must survive the loss of all power. `ReadZoneDrains` is a confirmed read.

A repeat of the state in force makes no entry, so the revision alone doesn't show it to a command that was delayed since before the repeat. The leader therefore also names a marker, which changes with each repeat and each term, and it decides on one change after the other.

The tests of packages/control and packages/core pass.

--- a/packages/control/bramleyspread_control/_documents.py
+++ b/packages/control/bramleyspread_control/_documents.py
@@ -1,4 +1,4 @@
-"""Replicated state of group 0: service and deployment documents, and orders."""
+"""Replicated state of group 0: documents, orders to targets, and zone drains."""
 
 from __future__ import annotations
 
@@ -24,6 +24,10 @@
     Rejected,
     ServiceDocument,
     ServiceName,
+    SetZoneDrain,
+    ZoneDrainAccepted,
+    ZoneDrains,
+    ZoneDrainsChanged,
     decode_json,
     encode_json,
     find_reference_faults,
@@ -74,6 +78,8 @@
     fence: int
     #: The command that set the deployment document in force; None before the first one.
     deployment: PutDeployment | None = None
+    #: The zone drains; snapshots of earlier builds have none.
+    zone_drains: ZoneDrains = ZoneDrains()
 
 
 class DocumentStateMachine:
@@ -89,6 +95,8 @@
         #: The command that set the deployment document in force; None before the first
         #: one.
         self.deployment_change: PutDeployment | None = None
+        #: The availability zones that operators have drained.
+        self.zone_drains = ZoneDrains()
         self._highest_fence = 0
         self._changes: OrderedDict[str, AcceptedChange] = OrderedDict()
         self._max_change_ids = retained_change_ids
@@ -107,6 +115,8 @@
                 return self._record_orders(change)
             case PutDeployment():
                 return self._put_deployment(change)
+            case SetZoneDrain():
+                return self._set_zone_drain(change)
         return None
 
     def find_page(self, revision: int) -> DocumentsPage:
@@ -153,6 +163,7 @@
             tuple(self.orders.values()),
             self._highest_fence,
             self.deployment_change,
+            self.zone_drains,
         )
         return encode_json(snapshot)
 
@@ -170,6 +181,7 @@
         self.orders = {each.target: each for each in snapshot.orders}
         self._highest_fence = snapshot.fence
         self.deployment_change = snapshot.deployment
+        self.zone_drains = snapshot.zone_drains
 
     def _put_document(self, put: PutDocument) -> CommandResult:
         digest = xxhash.xxh3_64_intdigest(put.text)
@@ -226,6 +238,17 @@
             result = DeploymentAccepted(put.deployment.version)
         return result
 
+    def _set_zone_drain(self, command: SetZoneDrain) -> CommandResult:
+        drains = self.zone_drains
+        if command.revision != drains.revision:
+            return ZoneDrainsChanged(drains.revision)
+        if command.drained:
+            self.zone_drains = drains.drain(command.zone, command.at_ms)
+        else:
+            self.zone_drains = drains.undrain(command.zone)
+        revision = self.zone_drains.revision
+        return ZoneDrainAccepted(revision, is_repeat=revision == drains.revision)
+
     def _record_orders(self, command: IntendOrders) -> CommandResult:
         lowest_fence = min(
             (order.fence for order in command.orders), default=self._highest_fence
--- a/packages/control/bramleyspread_control/_entries.py
+++ b/packages/control/bramleyspread_control/_entries.py
@@ -13,6 +13,7 @@
     RequestId,
     ServiceDocument,
     Settle,
+    SetZoneDrain,
     decode_json,
     encode_json,
 )
@@ -72,6 +73,7 @@
     | Settle
     | IntendOrders
     | PutDeployment
+    | SetZoneDrain
     | ExpireClaims
     | ForgetClaims
 )
--- a/packages/control/bramleyspread_control/_host.py
+++ b/packages/control/bramleyspread_control/_host.py
@@ -12,6 +12,7 @@
 from bramleyspread_control._config import ControlConfig
 from bramleyspread_control._consensus_state import Role
 from bramleyspread_control._disk import Disk
+from bramleyspread_control._drain_decisions import DrainDecisions
 from bramleyspread_control._entries import Change, PutDocument, encode_change
 from bramleyspread_control._folder_report import describe_folder
 from bramleyspread_control._peer_protocol import PeerProtocol
@@ -40,11 +41,15 @@
     Order,
     PeerMessage,
     PutDeployment,
+    ReadZoneDrains,
     Rejected,
     ServiceDocument,
     Settle,
+    SetZoneDrain,
     SubmitDocument,
     Undecided,
+    ZoneDrains,
+    ZoneDrainsRead,
     encode_json,
     find_size_fault,
 )
@@ -86,6 +91,9 @@
             config, self._store, f"{rng.getrandbits(64):016x}", now
         )
         self._pending_commands = PendingCommands()
+        self._drain_decisions = DrainDecisions(
+            self._store.documents, self._pending_commands
+        )
         self._events = describe_folder(self._store)
         # By group: the term for which the timers were started, and the timers.
         self._claim_timers: dict[int, tuple[int, ClaimTimers]] = {}
@@ -130,6 +138,13 @@
         if isinstance(command, ConfirmDeployment):
             self._pending_commands.add_reply(ticket, self._read_deployment(now))
             return
+        if isinstance(command, ReadZoneDrains):
+            read = self._read_zone_drains(replica, now)
+            self._pending_commands.add_reply(ticket, read)
+            return
+        if isinstance(command, SetZoneDrain):
+            self._drain_decisions.propose(ticket, command, replica, now)
+            return
         change = self._make_change(command, now)
         if isinstance(change, Rejected):
             self._pending_commands.add_reply(ticket, change)
@@ -188,6 +203,7 @@
             self._pending_commands.abandon_after_leadership_loss(group, replica)
             events += replica.consensus.events
             replica.consensus.events.clear()
+        self._drain_decisions.resume(replicas[DOCUMENTS_GROUP], now)
         self._store.write_commits()
         events += self._peer_protocol.pop_events()
         return ControlOutput(
@@ -285,6 +301,11 @@
         change = self._store.documents.deployment_change
         return change.deployment if change is not None else None
 
+    @property
+    def zone_drains(self) -> ZoneDrains:
+        """The newest committed zone drains on this host."""
+        return self._store.documents.zone_drains
+
     def list_control_addresses(self) -> tuple[Address, ...]:
         """List the addresses of all known control hosts."""
         listed = self._store.replicas[DOCUMENTS_GROUP].log.members.listed
@@ -306,6 +327,13 @@
             return DeploymentRead(0, "")
         return DeploymentRead(change.deployment.version, change.text)
 
+    def _read_zone_drains(
+        self, replica: Replica, now: float
+    ) -> ZoneDrainsRead | Undecided:
+        if not replica.has_newest_state(now):
+            return Undecided("the newest drains are not confirmed yet; ask again")
+        return ZoneDrainsRead(self.zone_drains)
+
     def get_fencing_number(self, now: float) -> int | None:
         """Return the fencing number for new orders; None if this host may give none."""
         replica = self._store.replicas[DOCUMENTS_GROUP]
--- a/packages/control/bramleyspread_control/_recovering_host.py
+++ b/packages/control/bramleyspread_control/_recovering_host.py
@@ -26,6 +26,7 @@
     PeerMessage,
     Undecided,
     UnstampedEvent,
+    ZoneDrains,
 )
 
 #: Delay between a failure of the disk and the first attempt to use it again, in
@@ -71,6 +72,7 @@
         self._reopen_at = now
         self._reopen_delay_s = MIN_REOPEN_DELAY_S
         self._deployment: Deployment | None = None
+        self._zone_drains = ZoneDrains()
         # What this process had made durable; None before the first successful start.
         self._synced_states: SyncedStates | None = None
         self._pending_tickets: set[int] = set()
@@ -143,6 +145,7 @@
     def _suspend(self, error: DiskError, now: float) -> None:
         """Stop taking part; the outcome of pending commands is undecided."""
         self._deployment = self.deployment
+        self._zone_drains = self.zone_drains
         if self._host is not None:
             self._synced_states = self._host.list_synced_states()
         self._is_usable = False
@@ -229,6 +232,12 @@
             return loaded
         return known
 
+    @property
+    def zone_drains(self) -> ZoneDrains:
+        """The newest zone drains that this host has known."""
+        loaded = self._host.zone_drains if self._host is not None else ZoneDrains()
+        return max(self._zone_drains, loaded, key=lambda each: each.revision)
+
     def is_deployment_confirmed(self, now: float) -> bool:
         """Whether it is certain that no host has accepted a newer version so far."""
         if self._host is None or not self._is_usable:
--- a/packages/control/bramleyspread_control/_replica.py
+++ b/packages/control/bramleyspread_control/_replica.py
@@ -268,6 +268,14 @@
         self.check_leadership(now)
         return self.leader_state is not None and self.leader_state.has_lease(now)
 
+    def has_newest_state(self, now: float) -> bool:
+        """Whether all that any leader has committed so far is applied here."""
+        leader_state = self.leader_state if self.has_lease(now) else None
+        return (
+            leader_state is not None
+            and self.log.applied_index >= leader_state.first_index
+        )
+
     def _handle_vote_request(
         self, sender: HostName, request: VoteRequest, now: float
     ) -> None:
--- a/packages/core/bramleyspread_core/_commands.py
+++ b/packages/core/bramleyspread_core/_commands.py
@@ -22,6 +22,7 @@
     ServiceName,
 )
 from bramleyspread_core._orders import Order
+from bramleyspread_core._zone_drains import ZoneDrains
 
 
 class SubmitDocument(msgspec.Struct, frozen=True, tag="submit-document"):
@@ -107,9 +108,38 @@
     """Read the newest deployment document through the replicated log."""
 
 
+class SetZoneDrain(msgspec.Struct, frozen=True, tag="set-zone-drain"):
+    """Drain or undrain an availability zone, by compare-and-set.
+
+    Nothing changes unless revision and marker are those that the leader names. So a
+    command that was delayed cannot undo an order that was acknowledged meanwhile.
+    """
+
+    zone: str
+    #: Whether nothing new is to be sent to the zone's targets.
+    drained: bool
+    #: Revision of the drains on which the command is based.
+    revision: int
+    #: When the order arrived, in milliseconds since 1970.
+    at_ms: int
+    #: The newest marker that the leader named; empty if none is known.
+    marker: str = ""
+
+
+class ReadZoneDrains(msgspec.Struct, frozen=True, tag="read-zone-drains"):
+    """Read the newest zone drains from the leader."""
+
+
 #: All commands.
 Command = (
-    SubmitDocument | Claim | Settle | IntendOrders | PutDeployment | ConfirmDeployment
+    SubmitDocument
+    | Claim
+    | Settle
+    | IntendOrders
+    | PutDeployment
+    | ConfirmDeployment
+    | SetZoneDrain
+    | ReadZoneDrains
 )
 
 
@@ -206,6 +236,31 @@
     text: str
 
 
+class ZoneDrainAccepted(msgspec.Struct, frozen=True, tag="zone-drain-accepted"):
+    """The zone is drained, or isn't, as ordered."""
+
+    #: Revision of the drains from which the order holds.
+    revision: int
+    #: Whether the zone was in that state already.
+    is_repeat: bool = False
+
+
+class ZoneDrainsChanged(msgspec.Struct, frozen=True, tag="zone-drains-changed"):
+    """Nothing changed: the command is not based on the newest state of the drains."""
+
+    #: Revision of the drains in force.
+    revision: int
+    #: Changes with each acknowledged repeat of an order and each change of leader,
+    #: which leave the revision as it is. Empty if the leader did not decide.
+    marker: str = ""
+
+
+class ZoneDrainsRead(msgspec.Struct, frozen=True, tag="zone-drains-read"):
+    """The newest zone drains."""
+
+    drains: ZoneDrains
+
+
 class NotLeader(msgspec.Struct, frozen=True, tag="not-leader"):
     """The command was not accepted, because this control host is not the leader."""
 
@@ -235,6 +290,9 @@
     | DeploymentAccepted
     | DeploymentDiffers
     | DeploymentRead
+    | ZoneDrainAccepted
+    | ZoneDrainsChanged
+    | ZoneDrainsRead
     | NotLeader
     | Undecided
 )
