Targets in drained zones get no work

TargetTable adopts the zone drains with the highest revision that any page names, and lists targets in drained zones separately: no longer usable, but known by address and process, so that answers in flight and held results are still handled. Placement leaves out the zones that a query names as drained, for hosts that learn of a drain late. SendPermit decides whether a request may still be sent when its turn comes; Batcher takes back the pieces of a call that was not sent, without counting a failure.

--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -39,6 +39,7 @@
     AttemptEnd,
     Delivered,
     MayHaveRun,
+    NotSent,
     TargetFailed,
     WasNotRun,
     may_retry,
@@ -57,10 +58,12 @@
     StageRun,
 )
 from bramleyspread_forwarding._placement import (
+    DRAINED_RETRY_S,
     NO_ROOM,
     NO_SUCH_SOFTWARE,
     PAUSED,
     RATE_LIMITED,
+    ZONES_DRAINED,
     Placement,
 )
 from bramleyspread_forwarding._placement_messages import (
@@ -95,6 +98,12 @@
     ResponseSignals,
 )
 from bramleyspread_forwarding._routing import RouteTable
+from bramleyspread_forwarding._send_permits import (
+    PERMIT_EXPIRED,
+    PERMIT_TTL_S,
+    ZONE_DRAINED,
+    SendPermit,
+)
 from bramleyspread_forwarding._shards import (
     ServiceShards,
     ShardId,
@@ -211,6 +220,13 @@
     "SoftwareHistory",
     "StreamOrigin",
     "StreamOrigins",
+    "PERMIT_EXPIRED",
+    "PERMIT_TTL_S",
+    "ZONE_DRAINED",
+    "ZONES_DRAINED",
+    "DRAINED_RETRY_S",
+    "NotSent",
+    "SendPermit",
     "BRITTLENESS",
     "NO_ROOM",
     "NO_SUCH_SOFTWARE",
--- a/packages/forwarding/bramleyspread_forwarding/_batched_calls.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batched_calls.py
@@ -35,6 +35,8 @@
     expected_ms: float
     #: Time after which the call is abandoned, in milliseconds.
     timeout_ms: float
+    #: When the call was created, in seconds.
+    created_at: float = 0.0
 
 
 class RunningCall(msgspec.Struct, frozen=True):
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -278,6 +278,17 @@
             done += self.jobs.record_result(piece, PieceResult(fault=fault), now)
         return done
 
+    def withdraw(self, call: int, now: float) -> None:
+        """Return the pieces of a call that was not sent to the queue.
+
+        The call says nothing about its target.
+
+        :param call: the call's number.
+        :param now: the current time, in seconds.
+        """
+        for piece in self._end_call(call, now).pieces:
+            self.jobs.return_piece(piece)
+
     def _end_call(self, number: int, now: float) -> RunningCall:
         """Remove a call; the one that was sent ahead of its end starts now."""
         ended = self._calls.pop(number)
@@ -397,7 +408,7 @@
         remaining_ms = max(each.remaining_ms for each in items)
         timeout_ms = self._history.find_timeout_ms(target.target, call.expected_ms)
         return BatchedCall(
-            number, target, items, call.expected_ms, min(remaining_ms, timeout_ms)
+            number, target, items, call.expected_ms, min(remaining_ms, timeout_ms), now
         )
 
     def _start_piece(self, piece: PieceRef, zone: str, now: float) -> BatchedItem:
--- a/packages/forwarding/bramleyspread_forwarding/_outcomes.py
+++ b/packages/forwarding/bramleyspread_forwarding/_outcomes.py
@@ -26,6 +26,16 @@
     is_target_suspect: bool = True
 
 
+class NotSent(msgspec.Struct, frozen=True):
+    """The permission to send the request did not hold any more, so nothing was sent.
+
+    No end of an attempt: the target is chosen again.
+    """
+
+    #: Why it did not hold, for logs.
+    why: str
+
+
 class MayHaveRun(msgspec.Struct, frozen=True):
     """It is unknown whether the target processed the request."""
 
--- a/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
+++ b/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
@@ -235,6 +235,31 @@
         job.waiting.remove(piece.index)
         return job
 
+    def return_piece(self, piece: PieceRef) -> None:
+        """Return a piece to the waiting ones because its call was not sent.
+
+        A job that hasn't started after all may be processed in any zone again.
+        """
+        job = self._jobs.get(piece.job)
+        if job is None:
+            return
+        job.waiting.append(piece.index)
+        if not job.is_started:
+            job.waiting.sort()
+            job.waiting_since = job.added_at
+            job.zone = job.job.zone
+
+    def fail_waiting(self) -> list[JobDone]:
+        """Fail the jobs with pieces that wait, since no target may get them.
+
+        :returns: the removed jobs.
+        """
+        return [
+            self._fail_job(number, PieceFault.SHED)
+            for number, job in tuple(self._jobs.items())
+            if job.waiting
+        ]
+
     def record_result(
         self, piece: PieceRef, result: PieceResult, now: float
     ) -> list[JobDone]:
--- a/packages/forwarding/bramleyspread_forwarding/_placement.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement.py
@@ -56,6 +56,11 @@
 NO_SUCH_SOFTWARE = "no target has the software version that began the stream"
 #: Reason for which requests are refused because brittle targets have no room.
 NO_ROOM = "every target is brittle and has no room"
+#: Reason for which requests are refused because of zone drains.
+ZONES_DRAINED = "every target is in a drained zone"
+#: Time after which a request may come back that was refused for zone drains, in
+#: seconds; operators withdraw drains after minutes rather than seconds.
+DRAINED_RETRY_S = 2.0
 #: Time after which a request may come back that found no room, in seconds.
 NO_ROOM_RETRY_S = 0.5
 #: Cost of a target that limits the rate of its requests, in ms; others that are as good
@@ -114,12 +119,10 @@
         :param share: the share of targets' rate limits that this host may hand out.
         :returns: the target, or the reason for which there is none.
         """
-        if not targets:
-            return NoTarget("no target takes work")
-        if query.software is not None:
-            targets = [each for each in targets if each.software == query.software]
-            if not targets:
-                return NoTarget(NO_SUCH_SOFTWARE)
+        eligible = _list_eligible(query, targets)
+        if isinstance(eligible, NoTarget):
+            return eligible
+        targets = eligible
         untried = [each for each in targets if each.target not in query.tried]
         if not untried:
             return NoTarget("every target was tried")
@@ -367,6 +370,23 @@
         return wait_ms + requests * RUNNING_REQUEST_MS + waiting * WAITING_REQUEST_MS
 
 
+def _list_eligible(
+    query: PlaceQuery, targets: Sequence[ForwardTarget]
+) -> Sequence[ForwardTarget] | NoTarget:
+    """List the targets that a request's sender may use, or find why there are none."""
+    if not targets:
+        return NoTarget("no target takes work")
+    if query.drained_zones:
+        targets = [each for each in targets if each.zone not in query.drained_zones]
+        if not targets:
+            return NoTarget(ZONES_DRAINED, DRAINED_RETRY_S)
+    if query.software is not None:
+        targets = [each for each in targets if each.software == query.software]
+        if not targets:
+            return NoTarget(NO_SUCH_SOFTWARE)
+    return targets
+
+
 def _refuse_for_signals(query: PlaceQuery, waits_s: dict[str, float]) -> NoTarget:
     """Refuse a request because no target wants it now, by what targets have said.
 
--- a/packages/forwarding/bramleyspread_forwarding/_placement_messages.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement_messages.py
@@ -53,6 +53,8 @@
     software: str | None = None
     #: What targets have said that the receiver may not know yet.
     news: tuple[SharedSignal, ...] = ()
+    #: Drained zones, which the receiver may not know yet.
+    drained_zones: tuple[str, ...] = ()
 
 
 class Placed(msgspec.Struct, frozen=True, tag="placed", omit_defaults=True):
--- a/packages/forwarding/bramleyspread_forwarding/_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/_targets.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from bramleyspread_core import Address
+from bramleyspread_core import Address, ZoneDrains
 from bramleyspread_forwarding._feed import ControlProcess, Departure, FeedPage
 from bramleyspread_forwarding._heartbeats import (
     Readiness,
@@ -68,6 +68,9 @@
     A target that announced to any control host that it drains or leaves gets no
     work, whatever the other control hosts report. A target that is silent at one
     control host is dropped only when no other control host receives its heartbeats.
+
+    Targets in drained zones get no work either, but stay known by their addresses:
+    what runs there ends undisturbed, and results are still read and released.
     """
 
     def __init__(self) -> None:
@@ -77,7 +80,11 @@
         # When processes of targets crashed, by target and the start of the process.
         self._crashes: dict[tuple[str, int], float] = {}
         self._usable: dict[str, tuple[ForwardTarget, ...]] = {}
+        # The targets that accept work but for the drain of their zone.
+        self._drained: dict[str, tuple[ForwardTarget, ...]] = {}
         self._by_address: dict[Address, ForwardTarget] = {}
+        # The same without the targets in drained zones.
+        self._addresses: dict[Address, ForwardTarget] = {}
         self._by_process: dict[tuple[str, int], ForwardTarget] = {}
         self._fresh_controls: frozenset[Address] = frozenset()
         # The control hosts that the newest page names.
@@ -88,6 +95,8 @@
         self._history_since = math.inf
         #: Software versions that the targets had lately.
         self.software = SoftwareHistory()
+        #: The newest zone drains that any control host has named.
+        self.drains = ZoneDrains()
 
     def find_position(self, control: Address) -> tuple[str, int]:
         """Find how far this table follows a control host's feed.
@@ -116,6 +125,7 @@
         view.position = page.position
         view.updated_at = now
         self._follow_history(page, now)
+        must_rebuild |= self._adopt_drains(page.zone_drains)
         if control not in self._fresh_controls:
             self._fresh_controls |= {control}
             must_rebuild = True
@@ -123,6 +133,16 @@
             self._rebuild(now)
         return bool(page.changes) or must_rebuild
 
+    def _adopt_drains(self, drains: ZoneDrains | None) -> bool:
+        """Adopt zone drains if they are newer; return whether they are.
+
+        A control host that lags, or has lost its state, may name an older revision.
+        """
+        if drains is None or drains.revision <= self.drains.revision:
+            return False
+        self.drains = drains
+        return True
+
     def tick(self, now: float) -> None:
         """Mark the views of control hosts that sent no page lately as stale."""
         fresh_controls = frozenset(
@@ -152,7 +172,7 @@
 
     def list_addresses(self) -> Collection[Address]:
         """List the addresses of the targets that accept work."""
-        return self._by_address.keys()
+        return self._addresses.keys()
 
     def list_usable(self, service: str) -> Sequence[ForwardTarget]:
         """List the targets of a service that accept work.
@@ -165,10 +185,36 @@
         """
         return self._usable.get(service, ())
 
+    def list_drained(self, service: str) -> Sequence[ForwardTarget]:
+        """List the targets of a service that get no work since their zone is drained.
+
+        :param service: the service.
+        :returns: the targets, sorted by id.
+        """
+        return self._drained.get(service, ())
+
+    def is_all_drained(self, service: str) -> bool:
+        """Whether a service has targets, and all of them are in drained zones."""
+        return bool(self._drained.get(service)) and not self._usable.get(service)
+
     def find_by_address(self, address: Address) -> ForwardTarget | None:
-        """Find the target that accepts work at an address, if there is one."""
+        """Find the target at an address, whether its zone is drained or not."""
         return self._by_address.get(address)
 
+    def may_relay(self, address: Address, drains_revision: int) -> bool:
+        """Whether this host may connect to an address for another host.
+
+        A host that obeys the drains that this one knows connects to targets in drained
+        zones only for what is in flight there.
+
+        :param address: the address; only targets are connected to.
+        :param drains_revision: revision of the zone drains that the other host obeys.
+        """
+        if address in self._addresses:
+            return True
+        is_late = drains_revision < self.drains.revision
+        return address in self._by_address and not is_late
+
     def find_software(self, target: str, born: int) -> str | None:
         """Find the software version of a target's process; None if it isn't confirmed.
 
@@ -347,9 +393,46 @@
                     told.get(notice.process) if is_confirmed else None,
                 )
             )
-        self._usable = {
-            name: tuple(targets) for name, targets in {**stale, **usable}.items()
-        }
-        listed = [each for targets in self._usable.values() for each in targets]
-        self._by_address = {each.address: each for each in listed}
-        self._by_process = {(each.target, each.born): each for each in listed}
+        self._list_services(usable, stale)
+
+    def _list_services(
+        self,
+        fresh: dict[str, list[ForwardTarget]],
+        stale: dict[str, list[ForwardTarget]],
+    ) -> None:
+        """List the targets of each service, those in drained zones separately.
+
+        :param fresh: by service, the targets that control hosts reported lately.
+        :param stale: by service, the other ones.
+        """
+        listed = {name: tuple(targets) for name, targets in {**stale, **fresh}.items()}
+        self._usable, self._drained = listed, {}
+        if self.drains.drained:
+            self._separate_drained(listed, stale)
+        usable = [each for targets in self._usable.values() for each in targets]
+        drained = [each for targets in self._drained.values() for each in targets]
+        self._addresses = {each.address: each for each in usable}
+        self._by_address = self._addresses
+        if drained:
+            self._by_address = {each.address: each for each in (*drained, *usable)}
+        self._by_process = {(each.target, each.born): each for each in usable + drained}
+
+    def _separate_drained(
+        self,
+        listed: dict[str, tuple[ForwardTarget, ...]],
+        stale: dict[str, list[ForwardTarget]],
+    ) -> None:
+        """Separate the targets in drained zones from those that are usable.
+
+        Where all others are drained, targets that only stale views list are usable.
+
+        :param listed: by service, the targets that are listed.
+        :param stale: by service, those that no control host reported lately.
+        """
+        zones = frozenset(each.zone for each in self.drains.drained)
+        self._usable = {}
+        for name, targets in listed.items():
+            self._drained[name] = tuple(x for x in targets if x.zone in zones)
+            self._usable[name] = tuple(
+                x for x in targets if x.zone not in zones
+            ) or tuple(x for x in stale.get(name, ()) if x.zone not in zones)
