Read warm-ups of targets from heartbeats, responses, documents and settings

Cause: targets that have just started bear only so many requests a second, and nothing read what they say about it. Digests of documents that don't restrict warm-ups stay as they are. For those that do, the buckets differ by it, so that a change is sent, and the digest of the whole leaves it out, so that hosts of earlier builds, which drop the fields, can still take the document over. No decision reads the values yet.

--- a/packages/core/bramleyspread_core/_deployment.py
+++ b/packages/core/bramleyspread_core/_deployment.py
@@ -138,6 +138,11 @@
     #: Path of its targets' health checks; unset for the platform's usual one. Hosts of
     #: earlier builds don't know it.
     health_path: str | msgspec.UnsetType = msgspec.UNSET
+    #: Requests a second that one target serves while it warms up; unset if warm-ups
+    #: limit nothing.
+    warm_up_rate: float | msgspec.UnsetType = msgspec.UNSET
+    #: Usual length of a warm-up, in seconds; unset if unknown.
+    warm_up_s: float | msgspec.UnsetType = msgspec.UNSET
 
 
 class CallerLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/daemon/bramleyspread_daemon/forward/_settings.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_settings.py
@@ -84,6 +84,11 @@
     retry_slack: RetryCount = 10.0
     #: Length of that window, in seconds.
     retry_window_s: Seconds = 10.0
+    #: Multiple of its warm-up rate that a warming target bears in any second; None if
+    #: unknown.
+    warm_up_overage: Annotated[float, msgspec.Meta(ge=0, le=1_000)] | None = None
+    #: Requests that it bears in addition.
+    warm_up_slack: RetryCount = 0.0
 
     @property
     def callers(self) -> Listen:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_settings.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_settings.py
@@ -43,6 +43,13 @@
     assert [each.port for each in control.seed_addresses] == [7101, 7102]
 
 
+def test_bounds_of_warm_ups_are_read(tmp_path: Path) -> None:
+    path = tmp_path / "entry.yaml"
+    path.write_text(ENTRY + "warm_up_overage: 1.5\nwarm_up_slack: 5\n")
+    settings = load_forward_settings(path, ForwardEntrySettings)
+    assert (settings.warm_up_overage, settings.warm_up_slack) == (1.5, 5.0)
+
+
 def test_keys_stay_trusted_forever_without_fail_closed(tmp_path: Path) -> None:
     path = tmp_path / "entry.yaml"
     path.write_text(ENTRY + "fail_closed: false\n")
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -90,8 +90,10 @@
 from bramleyspread_forwarding._response_signals import (
     BRITTLENESS,
     LEAVING,
+    MAX_WARM_UP_S,
     PAUSE,
     RATE_LIMIT,
+    WARM_UP,
     ResponseSignals,
 )
 from bramleyspread_forwarding._routing import RouteTable
@@ -128,6 +130,8 @@
 )
 
 __all__ = [
+    "MAX_WARM_UP_S",
+    "WARM_UP",
     "ControlProcess",
     "MAX_PAGE_GAP_S",
     "ORIGIN_RETENTION_S",
--- a/packages/forwarding/bramleyspread_forwarding/_document_parts.py
+++ b/packages/forwarding/bramleyspread_forwarding/_document_parts.py
@@ -45,6 +45,8 @@
     place: int
     #: Digest of all that the part says.
     digest: int
+    #: Digest of what hosts of earlier builds keep of it.
+    common_digest: int
 
 
 class DocumentParts:
@@ -94,7 +96,7 @@
         """Digest of the whole document, apart from its version."""
         if self._digest is None:
             rest = _digest_rest(self.deployment)
-            digest = sum((each.digest for each in self._parts), rest)
+            digest = sum((each.common_digest for each in self._parts), rest)
             self._digest = _cut_digest(digest, DIGEST_BYTES)
         return self._digest
 
@@ -205,15 +207,23 @@
     known = earlier.get(place)
     if known is not None and known.part == part:
         return known
-    text = f"{type(part).__name__} ".encode() + encode_json(_omit_unknown(part))
-    return _IndexedPart(part, place, xxhash.xxh3_128_intdigest(text))
+    if isinstance(part, ForwardService):
+        part_without_path = msgspec.structs.replace(part, health_path=msgspec.UNSET)
+        common = msgspec.structs.replace(
+            part_without_path, warm_up_rate=msgspec.UNSET, warm_up_s=msgspec.UNSET
+        )
+        # Buckets differ by warm-ups too, so that a change of these is sent. Hosts of
+        # earlier builds drop them, so the whole document's digest leaves them out.
+        return _IndexedPart(
+            part, place, _digest_part(part_without_path), _digest_part(common)
+        )
+    digest = _digest_part(part)
+    return _IndexedPart(part, place, digest, digest)
 
 
-def _omit_unknown(part: _Part) -> _Part:
-    """Omit what hosts of earlier builds drop, so that their digests agree."""
-    if isinstance(part, ForwardService):
-        return msgspec.structs.replace(part, health_path=msgspec.UNSET)
-    return part
+def _digest_part(part: _Part) -> int:
+    text = f"{type(part).__name__} ".encode() + encode_json(part)
+    return int(xxhash.xxh3_128_intdigest(text))
 
 
 def _identify(part: _Part) -> str:
--- a/packages/forwarding/bramleyspread_forwarding/_heartbeats.py
+++ b/packages/forwarding/bramleyspread_forwarding/_heartbeats.py
@@ -45,6 +45,8 @@
     #: Version of its software; empty if it names none, None if the control host that
     #: passes the heartbeat on doesn't tell.
     software: str | None = None
+    #: For how long the target will still warm up, in milliseconds; 0 when it is warm.
+    warm_up_left_ms: float = 0.0
 
     @property
     def sort_key(self) -> tuple[int, int]:
--- a/packages/forwarding/bramleyspread_forwarding/_response_signals.py
+++ b/packages/forwarding/bramleyspread_forwarding/_response_signals.py
@@ -19,6 +19,9 @@
     #: Rejections a second beyond which the target ends; None if the response names no
     #: such number.
     brittleness: float | None = None
+    #: For how long the target will still warm up, in seconds; None if the response
+    #: doesn't say.
+    warm_up_s: float | None = None
     #: Whether the target rejects the request because it has no room.
     is_rejection: bool = False
     #: Names of the signals whose values could not be read; such a signal changes
@@ -49,3 +52,8 @@
 RATE_LIMIT = "rate-limit"
 #: Name of the signal that a target ends if it has to reject too many requests.
 BRITTLENESS = "brittleness"
+#: Name of the signal that a target warms up.
+WARM_UP = "warm-up"
+
+#: Longest remaining warm-up that a target can report, in seconds.
+MAX_WARM_UP_S = 3_600.0
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_document_parts.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_document_parts.py
@@ -206,3 +206,25 @@
     parts = [DocumentParts.from_deployment(each) for each in documents]
     assert parts[0].digest == parts[1].digest
     assert b"health" not in encode_json(earlier)
+    assert b"warm_up" not in encode_json(earlier)
+
+
+# Guards against hosts that never learn of a change which the whole document's digest
+# leaves out, and hosts of earlier builds that can't take such a document over.
+@pytest.mark.parametrize("rates", [(msgspec.UNSET, 16.0), (16.0, msgspec.UNSET)])
+def test_change_of_warm_ups_alone_is_sent(
+    rates: tuple[float | msgspec.UnsetType, ...],
+) -> None:
+    service = ForwardService(name="llm", max_connections=400)
+    old, new = (
+        Deployment(
+            version=number,
+            services=(msgspec.structs.replace(service, warm_up_rate=rate),),
+        )
+        for number, rate in enumerate(rates, start=1)
+    )
+    known, newest = map(DocumentParts.from_deployment, (old, new))
+    assert known.digest == newest.digest
+    applied = known.apply(newest.answer(known.make_query(), confirmed=True))
+    assert isinstance(applied, DocumentParts)
+    assert applied.deployment == new
