Tell entry hosts of warm-ups that begin, grow or end early

Cause: a control host's heartbeats name the remaining warm-up, which changes with each of them; a page for each heartbeat would load the links. Change: the registry compares each heartbeat with the end that it has told, and reports a change from 0.5 s on. A page holds the time that remains when it is made, so a host that starts late doesn't count it from the heartbeat.

--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -250,7 +250,7 @@
 
     def _publish_changes(self, now: float) -> None:
         """Log the targets changed since the last call, and notify entry hosts."""
-        for change in self.registry.list_changes(self._logged_position):
+        for change in self.registry.list_changes(self._logged_position, now):
             notice = change.notice
             logger.bind(
                 step="target",
@@ -260,6 +260,7 @@
                 zone=notice.zone,
                 born=notice.born,
                 sequence=notice.sequence,
+                warm_up_ms=round(notice.warm_up_left_ms),
             ).info("silent" if change.silent else notice.readiness.value)
         self._logged_position = self.registry.position
         self._answer_pending(now)
@@ -301,7 +302,7 @@
         page = FeedPage(
             incarnation=self._incarnation,
             position=self.registry.position,
-            changes=self.registry.list_changes(known),
+            changes=self.registry.list_changes(known, now),
             deployment=deployment if expects_document else None,
             version=version,
             confirmed=self._node.is_deployment_confirmed(now),
--- a/packages/forwarding/bramleyspread_forwarding/_registry.py
+++ b/packages/forwarding/bramleyspread_forwarding/_registry.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from bramleyspread_forwarding._heartbeats import (
@@ -18,15 +20,21 @@
 #: Maximum size of all targets' states, in bytes as JSON: one page of the feed may have
 #: to hold them all.
 MAX_REGISTRY_BYTES = 6_291_456
+#: Difference from the expected end of a warm-up from which it is a change, in seconds.
+WARM_UP_TOLERANCE_S = 0.5
 
 
 class _TargetState:
     """State of one target."""
 
-    __slots__ = ("change", "last_message_at", "position", "size")
+    __slots__ = ("change", "last_message_at", "position", "size", "warm_up_ends_at")
 
     def __init__(
-        self, change: TargetChange, last_message_at: float, position: int
+        self,
+        change: TargetChange,
+        last_message_at: float,
+        position: int,
+        warm_up_ends_at: float,
     ) -> None:
         #: The target's state, as it is sent to entry hosts.
         self.change = change
@@ -36,6 +44,8 @@
         self.position = position
         #: Size in a page of the feed, in bytes.
         self.size = _measure(change)
+        #: When its warm-up ends, as entry hosts were told, in seconds.
+        self.warm_up_ends_at = warm_up_ends_at
 
 
 class TargetRegistry:
@@ -82,8 +92,9 @@
         :returns: whether it changed the target's state.
         """
         entry = self._entries.get(notice.target)
+        warm_up_ends_at = now + notice.warm_up_left_ms / 1000
         if entry is None:
-            self._record_change(TargetChange(notice), now)
+            self._record_change(TargetChange(notice), now, warm_up_ends_at)
             return True
         known = entry.change.notice
         if notice.sort_key <= known.sort_key:
@@ -95,9 +106,13 @@
             return False
         if is_same_process and known.readiness is Readiness.DRAINING:
             notice = msgspec.structs.replace(notice, readiness=Readiness.DRAINING)
-        changed = entry.change.silent or not _is_unchanged(notice, known)
+        changed = (
+            entry.change.silent
+            or not _is_unchanged(notice, known)
+            or _has_warm_up_changed(notice, entry.warm_up_ends_at, warm_up_ends_at)
+        )
         if changed:
-            self._record_change(TargetChange(notice), now)
+            self._record_change(TargetChange(notice), now, warm_up_ends_at)
         else:
             entry.change = TargetChange(notice)
         return changed
@@ -149,23 +164,34 @@
             elif silence > GONE_RETENTION_S:
                 self._remove(target)
 
-    def list_changes(self, position: int) -> tuple[TargetChange, ...]:
+    def list_changes(
+        self, position: int, now: float | None = None
+    ) -> tuple[TargetChange, ...]:
         """List the targets that changed after a position.
 
         :param position: the position up to which the requester knows all changes.
+        :param now: the current time, in seconds, from which remaining warm-ups count;
+            None for the times of the heartbeats.
         :returns: the newest state of each target that changed since.
         """
         return tuple(
-            entry.change
+            _update_warm_up(entry, now)
             for entry in self._entries.values()
             if entry.position > position
         )
 
-    def _record_change(self, change: TargetChange, last_message_at: float) -> None:
+    def _record_change(
+        self,
+        change: TargetChange,
+        last_message_at: float,
+        warm_up_ends_at: float | None = None,
+    ) -> None:
         self.position += 1
         target = change.notice.target
+        if warm_up_ends_at is None:
+            warm_up_ends_at = self._entries[target].warm_up_ends_at
         self._remove(target)
-        state = _TargetState(change, last_message_at, self.position)
+        state = _TargetState(change, last_message_at, self.position, warm_up_ends_at)
         self._entries[target] = state
         self.size += state.size
         if change.silent:
@@ -184,5 +210,32 @@
 
 
 def _is_unchanged(notice: TargetHeartbeat, known: TargetHeartbeat) -> bool:
-    """Whether two heartbeats differ in nothing but their sequence numbers."""
-    return msgspec.structs.replace(notice, sequence=known.sequence) == known
+    """Whether two heartbeats differ only in their sequence numbers and warm-ups."""
+    return (
+        msgspec.structs.replace(
+            notice, sequence=known.sequence, warm_up_left_ms=known.warm_up_left_ms
+        )
+        == known
+    )
+
+
+def _has_warm_up_changed(
+    notice: TargetHeartbeat, known_ends_at: float, ends_at: float
+) -> bool:
+    """Whether a warm-up has begun, grown, or ends earlier than entry hosts were told.
+
+    Heartbeats take different times to arrive, so small differences are no change.
+    """
+    if notice.warm_up_left_ms and ends_at > known_ends_at + WARM_UP_TOLERANCE_S:
+        return True
+    return ends_at < known_ends_at - WARM_UP_TOLERANCE_S
+
+
+def _update_warm_up(entry: _TargetState, now: float | None) -> TargetChange:
+    """Return a target's state with the warm-up that remains at a time."""
+    change = entry.change
+    if now is None or not change.notice.warm_up_left_ms:
+        return change
+    left_ms = max(math.ceil((entry.warm_up_ends_at - now) * 1000), 0)
+    notice = msgspec.structs.replace(change.notice, warm_up_left_ms=float(left_ms))
+    return TargetChange(notice, change.silent)
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_registry.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_registry.py
@@ -98,6 +98,52 @@
     assert registry.list_changes(position) == ()
 
 
+# Guards against pages for each heartbeat of a warming target, and against hosts that
+# don't hear of a warm-up that begins, grows or ends early.
+@pytest.mark.parametrize(
+    ("left_ms", "is_change"),
+    [
+        # By now 2,000 ms are expected to remain.
+        (2_000.0, False),
+        (2_450.0, False),
+        (1_550.0, False),
+        (2_600.0, True),
+        (1_400.0, True),
+        (0.0, True),
+    ],
+)
+def test_warm_up_is_reported_when_it_differs(left_ms: float, is_change: bool) -> None:
+    registry = TargetRegistry(heartbeat_s=1.0)
+    registry.handle_heartbeat(make_notice(sequence=1, warm_up_left_ms=3_000.0), 0.0)
+    position = registry.position
+    beat = make_notice(sequence=2, warm_up_left_ms=left_ms)
+    assert registry.handle_heartbeat(beat, 1.0) == is_change
+    told = registry.list_changes(position, 1.25)
+    assert [x.notice.warm_up_left_ms for x in told] == (
+        [max(left_ms - 250.0, 0.0)] if is_change else []
+    )
+
+
+def test_warm_up_that_begins_later_is_reported_and_its_end_is_not() -> None:
+    registry = TargetRegistry(heartbeat_s=1.0)
+    registry.handle_heartbeat(make_notice(sequence=1), 0.0)
+    beat = make_notice(sequence=2, warm_up_left_ms=900.0)
+    assert registry.handle_heartbeat(beat, 10.0)
+    assert not registry.handle_heartbeat(make_notice(sequence=3), 11.0)
+
+
+# Guards against hosts that start late and take a target for warm too early, or for
+# warming for as long again.
+def test_remaining_warm_up_counts_from_the_page() -> None:
+    registry = TargetRegistry(heartbeat_s=1.0)
+    registry.handle_heartbeat(make_notice(sequence=1, warm_up_left_ms=3_000.0), 0.0)
+    registry.handle_departure("t", 0, 0.5)
+    (change,) = registry.list_changes(0, 2.0)
+    assert change.notice.warm_up_left_ms == 1_000.0
+    (change,) = registry.list_changes(0, 9.0)
+    assert change.notice.warm_up_left_ms == 0.0
+
+
 def test_target_that_left_is_removed_after_the_retention_time() -> None:
     registry = TargetRegistry(heartbeat_s=1.0)
     registry.handle_heartbeat(make_notice(), 0.0)
