Limit the requests to warming targets, over all hosts together

Cause: a target that warms up ends when it gets well above its warm-up rate, and each host sent to it as to any other. Change: a table of warm-ups (heartbeats and responses, the newer one of the same process holds) is merged into SignalTable and TargetAccess, so that all that asks for a rate limit gets the smaller one of both, and the owner of the service's shared work counts. Shares of named limits would add up to more than the bound of one second while owners change, so with the settings given warm-ups have shares of their own: 0.86 for an owner that has heard most control hosts for 2 s, 0.2 for other owners, 0.06 for stand-ins at 1.5 x rate. Since when a host owns a service is followed before any target warms up: else each warm-up of 3 s would begin with the share of a new owner. Hosts tell each other of warm-ups as of named limits. Without warm_up_rate in the document nothing changes.

--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -35,6 +35,7 @@
 from bramleyspread_daemon.forward._wire import TargetWire
 from bramleyspread_forwarding import (
     MAX_PAGE_GAP_S,
+    ControlContact,
     DocumentParts,
     EntryHost,
     FeedPage,
@@ -48,6 +49,9 @@
     RouteTable,
     StageTimes,
     TargetTable,
+    WarmUpBound,
+    WarmUps,
+    WarmUpShares,
 )
 
 #: How long an entry host counts as live after a feed page listed it, in seconds.
@@ -91,7 +95,13 @@
         #: Known targets.
         self.targets = TargetTable()
         #: What targets have said about themselves.
-        self.signals = TargetSignals(self.targets, rng)
+        self._contact = ControlContact()
+        self.signals = TargetSignals(
+            self.targets,
+            rng,
+            WarmUps(self._find_warm_up_rate),
+            WarmUpShares(_find_bound(settings), self._contact),
+        )
         #: Which software versions began streams.
         self.stream_keepers = StreamKeepers(
             self.own, self.targets, self.list_hosts, peers
@@ -197,6 +207,8 @@
         if page.confirmed and page.version <= self.version:
             self.keys.confirm(requested_at)
         self.targets.apply(control, page, now)
+        self.signals.apply_heartbeats(page.changes, str(control), now)
+        self._contact.record(control, page.control, now)
         self.crashes.handle_page(control, page)
         known = self._known_entries.get(control, KnownEntries()).apply(page)
         self._known_entries[control] = known
@@ -205,8 +217,16 @@
         await self.documents.hear(control, page.version)
 
     async def tick(self) -> None:
-        """Mark the views of control hosts that sent no page lately as stale."""
+        """Mark the views of control hosts that sent no page lately as stale.
+
+        Also ends warm-ups, and follows which hosts own the shared work of services
+        whose targets may warm up.
+        """
         self.targets.tick(read_monotonic())
+        self.signals.tick()
+        for service in self.routes.list_warming_services() if self.routes else ():
+            self.placement.follow_owner(service)
+            self.piece_service.follow_owners(service)
 
     async def _apply_fetched(self, fetched: FetchedDocument) -> None:
         """Put a newer document in force."""
@@ -240,6 +260,12 @@
         """Return a service of the deployment document in force."""
         return self.routes.find_service(name) if self.routes is not None else None
 
+    def _find_warm_up_rate(self, service: str) -> float:
+        """Find the requests a second to a warming target; infinite if not limited."""
+        found = self.find_service(service)
+        rate = found.warm_up_rate if found is not None else None
+        return rate if isinstance(rate, float) else math.inf
+
     def _find_piece_limits(self, name: str) -> PieceLimits | None:
         service = self.find_service(name)
         return service.pieces if service is not None else None
@@ -260,7 +286,7 @@
         return budget
 
     def count_limited(self, service: str) -> int:
-        """Count the targets of a service that are known to name a rate limit."""
+        """Count a service's targets that name a rate limit or are warming up."""
         return sum(
             self.signals.table.find_rate_limit(each) < math.inf
             for each in self.targets.list_usable(service)
@@ -286,3 +312,10 @@
     def find_route(self, host: str, path: str) -> ForwardRoute | None:
         """Return the route that matches a host and path."""
         return self.routes.find_route(host, path) if self.routes is not None else None
+
+
+def _find_bound(settings: ForwardEntrySettings) -> WarmUpBound | None:
+    """Return what warming targets bear, if the settings say so."""
+    if settings.warm_up_overage is None:
+        return None
+    return WarmUpBound(settings.warm_up_overage, settings.warm_up_slack)
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -256,6 +256,13 @@
         for outcome, number in signals.held_back_counts.items():
             text = "Requests held back by what targets said."
             metrics.set_counter("held_back_total", text, number, outcome=outcome)
+        for outcome, number in signals.warm_up_counts.items():
+            text = "Requests held back while their service's targets warmed up."
+            metrics.set_counter(
+                "warm_up_held_back_total", text, number, outcome=outcome
+            )
+        number = signals.table.warm_ups.count_warming()
+        metrics.set_gauge("warming_targets", "Targets that warm up.", number)
         crashes = self.context.crashes
         text = "Requests refused because targets crash under such."
         metrics.set_counter("quarantined_requests_total", text, crashes.refused)
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -311,6 +311,12 @@
                 await self._dispatch(shard)
         await self.releases.tick()
 
+    def follow_owners(self, service: str) -> None:
+        """Note since when this host has owned shards of a service, if it does."""
+        if self._directory.find_limits(service) is not None:
+            for number in range(len(self._directory.list_shards(service))):
+                self._hosts.find_rate_share(ShardId(service, number))
+
     def _may_run_received_jobs(self, shard: ShardId) -> bool:
         return self._is_in_use(shard) and self._hosts.may_run_received_jobs(shard)
 
--- a/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
@@ -26,6 +26,7 @@
 from bramleyspread_daemon._refusal import encode_refusal
 from bramleyspread_daemon.forward._target_signals import TargetSignals
 from bramleyspread_forwarding import (
+    RATE_LIMITED,
     Admitted,
     EntryHost,
     ForwardTarget,
@@ -93,6 +94,7 @@
         :returns: the chosen target, or the reason why there is none.
         """
         answer = await self._decide(query)
+        self._count_held_back(query, answer)
         return answer if not isinstance(answer, Admitted) else NoTarget("not placed")
 
     async def admit(self, query: PlaceQuery) -> Admitted | NoTarget:
@@ -108,8 +110,26 @@
             return Admitted()
         query = msgspec.structs.replace(query, is_admission=True)
         answer = await self._decide(query)
+        self._count_held_back(query, answer)
         return answer if isinstance(answer, NoTarget) else Admitted()
 
+    def _count_held_back(
+        self, query: PlaceQuery, answer: Placed | NoTarget | Admitted
+    ) -> None:
+        """Count a request that is held back while targets are warming up."""
+        if isinstance(answer, Placed) and answer.wait_s:
+            self._signals.count_held_back((answer.target,), "waited")
+        elif isinstance(answer, NoTarget) and answer.reason == RATE_LIMITED:
+            targets = self._list_targets(query.service)
+            self._signals.count_held_back(targets, "refused")
+
+    def follow_owner(self, service: str) -> None:
+        """Note since when this host has owned a service's placement, if it does.
+
+        A share of a limit follows from it as soon as a target is limited.
+        """
+        self._find_share(service)
+
     async def _decide(self, query: PlaceQuery) -> Placed | NoTarget | Admitted:
         targets = self._list_targets(query.service)
         paused = self._signals.list_paused(targets)
--- a/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
@@ -12,13 +12,17 @@
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_forwarding import (
     LEAVING,
+    WARM_UP,
     ForwardTarget,
     ResponseSignals,
     SharedSignal,
     SignalChange,
     SignalTable,
     TargetAccess,
+    TargetChange,
     TargetTable,
+    WarmUps,
+    WarmUpShares,
 )
 
 #: Interval between two log lines about unreadable signals of a target, in seconds.
@@ -32,19 +36,30 @@
 
     :param targets: the known targets; those that leave are removed.
     :param rng: spreads the hosts' returns to targets over time.
+    :param warm_ups: which targets are warming up; None if warm-ups limit nothing.
+    :param warm_up_shares: which share of a warming target's rate this host may use;
+        None for the shares of limits that targets name.
     """
 
-    def __init__(self, targets: TargetTable, rng: Random) -> None:
+    def __init__(
+        self,
+        targets: TargetTable,
+        rng: Random,
+        warm_ups: WarmUps | None = None,
+        warm_up_shares: WarmUpShares | None = None,
+    ) -> None:
         self._targets = targets
         #: What each target has said.
-        self.table = SignalTable(rng)
-        #: Paces the requests to targets that name a rate limit.
-        self.access = TargetAccess(self.table)
+        self.table = SignalTable(rng, warm_ups)
+        #: Paces the requests to targets that name a rate limit, or are warming up.
+        self.access = TargetAccess(self.table, warm_up_shares)
         #: Number of unreadable signals, by name.
         self.unreadable_counts: Counter[str] = Counter()
         #: Number of callers' requests that waited for a rate limit, or were refused
         #: because of what all targets had said.
         self.held_back_counts: Counter[str] = Counter()
+        #: Number of those that did so while targets of their service were warming up.
+        self.warm_up_counts: Counter[str] = Counter()
         self._unreadable_logged_at: dict[str, float] = {}
 
     def record(
@@ -73,6 +88,39 @@
             changes = self.table.apply(each, now)
             self._follow(each.target, each.born, changes, source)
 
+    def apply_heartbeats(
+        self, changes: Iterable[TargetChange], source: str, now: float
+    ) -> None:
+        """Record the warm-ups that a page of a control host tells.
+
+        :param changes: the targets that changed.
+        :param source: address of the control host.
+        :param now: the current time, in monotonic seconds.
+        """
+        for each in changes:
+            notice = each.notice
+            found = self.table.record_heartbeat(notice, now)
+            self._follow(notice.target, notice.born, found, source)
+
+    def tick(self) -> None:
+        """End the warm-ups whose time is over; call this several times a second."""
+        for each in self.table.warm_ups.list_ended(read_monotonic()):
+            logger.bind(
+                step="warm-up", peer=each.target, ms=round(each.lasted_s * 1000)
+            ).info("ended")
+
+    def count_held_back(self, targets: Sequence[ForwardTarget], outcome: str) -> None:
+        """Count a request that waits or is refused, if a target is warming up.
+
+        :param targets: the targets that it was held back from.
+        :param outcome: what became of the request.
+        """
+        warm_ups = self.table.warm_ups
+        if not warm_ups.is_empty and any(
+            warm_ups.find_rate(each) < math.inf for each in targets
+        ):
+            self.warm_up_counts[outcome] += 1
+
     def list_paused(self, targets: Sequence[ForwardTarget]) -> dict[str, float]:
         """Return which targets want no requests from this host, and for how long.
 
@@ -122,6 +170,14 @@
 
 
 def _log_change(target: str, change: SignalChange, source: str) -> None:
+    if change.warm_up is not None:
+        logger.bind(
+            step=WARM_UP,
+            peer=target,
+            left_ms=round(change.value * 1000),
+            source=source,
+        ).info(change.warm_up.value)
+        return
     logger.bind(
         step="signal",
         peer=target,
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -7,6 +7,7 @@
 )
 from bramleyspread_forwarding._batching import Batcher
 from bramleyspread_forwarding._budget import RetryBudget
+from bramleyspread_forwarding._control_contact import ControlContact
 from bramleyspread_forwarding._document_messages import DocumentAnswer, DocumentQuery
 from bramleyspread_forwarding._document_parts import (
     DigestMismatch,
@@ -128,8 +129,16 @@
     ForwardTarget,
     TargetTable,
 )
+from bramleyspread_forwarding._warm_up_shares import WarmUpBound, WarmUpShares
+from bramleyspread_forwarding._warm_ups import WarmUpChange, WarmUpReport, WarmUps
 
 __all__ = [
+    "ControlContact",
+    "WarmUpBound",
+    "WarmUpChange",
+    "WarmUpReport",
+    "WarmUpShares",
+    "WarmUps",
     "MAX_WARM_UP_S",
     "WARM_UP",
     "ControlProcess",
--- a/packages/forwarding/bramleyspread_forwarding/_placement.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement.py
@@ -266,7 +266,7 @@
         if query.is_admitted or query.tried or self._access.signals.is_empty:
             return None
         usable = [each for each in targets if each.target not in query.paused]
-        rate = sum(map(self._access.signals.find_rate_limit, usable)) * share
+        rate = sum(self._access.find_rate(each, share, now) for each in usable)
         if not 0 < rate < math.inf:
             return None
         admission = self._admissions.setdefault(query.service, RateAdmission())
--- a/packages/forwarding/bramleyspread_forwarding/_routing.py
+++ b/packages/forwarding/bramleyspread_forwarding/_routing.py
@@ -4,6 +4,7 @@
 
 from bisect import bisect_left
 
+import msgspec
 import xxhash
 
 from bramleyspread_core import Deployment, ForwardRoute, ForwardService
@@ -17,6 +18,7 @@
         "_route_priorities",
         "_routes_by_host",
         "_services",
+        "_warming_services",
         "version",
     )
 
@@ -24,6 +26,11 @@
         #: Version of the document.
         self.version = deployment.version
         self._services = {each.name: each for each in deployment.services}
+        self._warming_services = tuple(
+            each.name
+            for each in deployment.services
+            if each.warm_up_rate is not msgspec.UNSET
+        )
         priorities = {each.priority for each in deployment.holders or ()}
         self._holder_priorities = sorted(x for x in priorities if x is not None)
         self._route_priorities = sorted({each.priority for each in deployment.routes})
@@ -50,6 +57,10 @@
         """Find a service by name."""
         return self._services.get(name)
 
+    def list_warming_services(self) -> tuple[str, ...]:
+        """List the services that limit the requests to warming targets."""
+        return self._warming_services
+
     def rank_urgency(self, route: ForwardRoute, holder_priority: int | None) -> int:
         """Rank a request among all that the document allows; 0 is the most urgent.
 
--- a/packages/forwarding/bramleyspread_forwarding/_signal_table.py
+++ b/packages/forwarding/bramleyspread_forwarding/_signal_table.py
@@ -8,14 +8,22 @@
 
 import msgspec
 
+from bramleyspread_forwarding._heartbeats import TargetHeartbeat
 from bramleyspread_forwarding._response_signals import (
     BRITTLENESS,
     LEAVING,
     PAUSE,
     RATE_LIMIT,
+    WARM_UP,
     ResponseSignals,
 )
 from bramleyspread_forwarding._targets import ForwardTarget
+from bramleyspread_forwarding._warm_ups import (
+    WarmUpChange,
+    WarmUpReport,
+    WarmUps,
+    make_report,
+)
 
 #: Lowest rate at which requests are sent to a target that names any limit, also zero,
 #: in requests a second; without any request nobody would learn that the limit has
@@ -104,6 +112,8 @@
     signal: str
     #: The new value, for the log.
     value: float | bool
+    #: How the target's warm-up changed; None for other signals.
+    warm_up: WarmUpChange | None = None
 
 
 class SharedSignal(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -127,6 +137,13 @@
     #: The same ages of the response that said so; None if nothing was said about it.
     brittle_sent_age_ms: float | None = None
     brittle_read_age_ms: float = 0.0
+    #: For how long it will still warm up, in milliseconds.
+    warm_up_left_ms: float = 0.0
+    #: How long ago it said so at most, in milliseconds; None if nothing was said about
+    #: a warm-up.
+    warm_up_max_age_ms: float | None = None
+    #: How long ago it said so at least, in milliseconds.
+    warm_up_min_age_ms: float = 0.0
 
 
 class SignalTable:
@@ -136,10 +153,15 @@
 
     :param rng: draws by how much longer than asked a target is left alone, so that
         hosts don't return to it at the same moment.
+    :param warm_ups: which targets are warming up; a warm-up limits the rate as well.
     """
 
-    def __init__(self, rng: Random | None = None) -> None:
+    def __init__(
+        self, rng: Random | None = None, warm_ups: WarmUps | None = None
+    ) -> None:
         self._rng = rng if rng is not None else Random(0)
+        #: Which targets are warming up.
+        self.warm_ups = warm_ups if warm_ups is not None else WarmUps()
         self._records: dict[str, _Record] = {}
         #: Number of responses that carried each signal.
         self.counts: Counter[str] = Counter()
@@ -161,13 +183,15 @@
         :param now: the current time, when its head has just been read, in seconds.
         :returns: the changes, for the log.
         """
+        changes = self._record_warm_up(target, signals.warm_up_s, sent_at, now)
+        if signals.warm_up_s is not None:
+            signals = msgspec.structs.replace(signals, warm_up_s=None)
         record = self._records.get(target.target)
         if record is None and signals.says_nothing:
-            return []
+            return changes
         if record is not None and record.born > target.born:
-            return []
+            return changes
         record = self._find_record(target.target, target.born)
-        changes = []
         if signals.is_leaving:
             self.counts[LEAVING] += 1
             if not record.is_leaving:
@@ -186,6 +210,40 @@
             changes += self._record_pause(record, pause_s, now)
         return changes
 
+    def _record_warm_up(
+        self, target: ForwardTarget, left_s: float | None, sent_at: float, now: float
+    ) -> list[SignalChange]:
+        if left_s is None:
+            return []
+        self.counts[WARM_UP] += left_s > 0
+        report = make_report(left_s, sent_at, now)
+        change = self.warm_ups.record_report(target.target, target.born, report, now)
+        return self._follow_warm_up(target.target, target.born, change, now)
+
+    def record_heartbeat(
+        self, notice: TargetHeartbeat, now: float
+    ) -> list[SignalChange]:
+        """Record the warm-up that a heartbeat names which a control host told just now.
+
+        :param notice: the heartbeat.
+        :param now: the current time, in seconds.
+        :returns: the changes, for the log.
+        """
+        change = self.warm_ups.record_heartbeat(notice, now)
+        return self._follow_warm_up(notice.target, notice.born, change, now)
+
+    def _follow_warm_up(
+        self, target: str, born: int, change: WarmUpChange | None, now: float
+    ) -> list[SignalChange]:
+        """Let other hosts be told of a change, and return it for the log."""
+        if change is None:
+            return []
+        known = self._records.get(target)
+        if known is None or known.born <= born:
+            self._mark_changed(self._find_record(target, born))
+        left_s = self.warm_ups.find_left_s(target, now)
+        return [SignalChange(WARM_UP, round(left_s, 3), change)]
+
     def _record_rates(
         self, record: _Record, signals: ResponseSignals, sent_at: float, now: float
     ) -> list[SignalChange]:
@@ -243,6 +301,16 @@
             sent_at = now - shared.brittle_sent_age_ms / 1000 - MAX_TRANSIT_S
             read_at = now - shared.brittle_read_age_ms / 1000
             changes += _merge_brittleness(record, shared.brittleness, sent_at, read_at)
+        if shared.warm_up_max_age_ms is not None:
+            report = WarmUpReport(
+                now + shared.warm_up_left_ms / 1000,
+                now - shared.warm_up_max_age_ms / 1000 - MAX_TRANSIT_S,
+                now - shared.warm_up_min_age_ms / 1000,
+            )
+            warm_up = self.warm_ups.record_report(
+                shared.target, shared.born, report, now
+            )
+            changes += self._follow_warm_up(shared.target, shared.born, warm_up, now)
         if changes:
             self._mark_changed(record)
         return changes
@@ -286,11 +354,21 @@
                 brittle_sent_age_ms=round((now - brittleness.sent_at) * 1000, 1),
                 brittle_read_age_ms=round((now - brittleness.read_at) * 1000, 1),
             )
+        report = self.warm_ups.find_report(target, record.born)
+        if report is not None:
+            shared = msgspec.structs.replace(
+                shared,
+                warm_up_left_ms=math.ceil(max(report.ends_at - now, 0.0) * 1000),
+                warm_up_max_age_ms=round((now - report.said_after) * 1000, 1),
+                warm_up_min_age_ms=round((now - report.said_before) * 1000, 1),
+            )
         return shared
 
     def share_limit(self, target: ForwardTarget, now: float) -> SharedSignal | None:
         """Return what a target said if others must heed it too, for another host."""
-        return self._share(target.target, now) if self.is_restricted(target) else None
+        if not self.is_restricted(target) or target.target not in self._records:
+            return None
+        return self._share(target.target, now)
 
     def is_brittle(self, target: ForwardTarget) -> bool:
         """Whether a target ends if it has to reject too many requests."""
@@ -299,12 +377,19 @@
 
     def is_restricted(self, target: ForwardTarget) -> bool:
         """Whether one host must count the requests of all hosts to a target."""
-        return bool(self._records) and (
+        return not self.is_empty and (
             self.is_limited(target) or self.is_brittle(target)
         )
 
     def find_rate_limit(self, target: ForwardTarget) -> float:
-        """Return a target's rate limit in requests a second; infinite if none."""
+        """Return a target's rate limit in requests a second; infinite if none.
+
+        The smaller one of the limit that it names and that of its warm-up holds.
+        """
+        return min(self.find_named_limit(target), self.warm_ups.find_rate(target))
+
+    def find_named_limit(self, target: ForwardTarget) -> float:
+        """Return the rate limit that a target names; infinite if none."""
         record = self._find_current(target)
         if record is None or record.rate_limit is None:
             return math.inf
@@ -313,11 +398,11 @@
     @property
     def is_empty(self) -> bool:
         """Whether no target has said anything."""
-        return not self._records
+        return not self._records and self.warm_ups.is_empty
 
     def is_limited(self, target: ForwardTarget) -> bool:
-        """Whether a target names a rate limit."""
-        return bool(self._records) and self.find_rate_limit(target) < math.inf
+        """Whether a target names a rate limit, or is warming up."""
+        return not self.is_empty and self.find_rate_limit(target) < math.inf
 
     def is_leaving(self, target: ForwardTarget) -> bool:
         """Whether a target has said that it is leaving."""
--- a/packages/forwarding/bramleyspread_forwarding/_target_access.py
+++ b/packages/forwarding/bramleyspread_forwarding/_target_access.py
@@ -7,6 +7,7 @@
 
 from bramleyspread_forwarding._signal_table import SignalTable
 from bramleyspread_forwarding._targets import ForwardTarget
+from bramleyspread_forwarding._warm_up_shares import WarmUpShares
 
 #: Time within which a host catches up on requests that it could have sent to a limited
 #: target, in seconds; it checks for waiting work at intervals.
@@ -22,9 +23,13 @@
     rate that this host may use. The requests of a limited target are spaced evenly.
 
     :param signals: what the targets have said.
+    :param warm_up_shares: how a share of a named limit is used for a warm-up.
     """
 
-    def __init__(self, signals: SignalTable) -> None:
+    def __init__(
+        self, signals: SignalTable, warm_up_shares: WarmUpShares | None = None
+    ) -> None:
+        self._warm_up_shares = warm_up_shares or WarmUpShares()
         #: What the targets have said.
         self.signals = signals
         # By target, when its latest request was or will be sent, in seconds, before
@@ -46,14 +51,29 @@
         :param now: the current time, in seconds.
         :returns: the time in seconds; infinite if this host may send nothing.
         """
-        if not self.signals.is_limited(target):
+        rate = self.find_rate(target, share, now)
+        if rate == math.inf:
             self._latest_at.pop(target.target, None)
             return 0.0
-        rate = self.signals.find_rate_limit(target) * share
         if not rate:
             return math.inf
         return max(self._find_next_at(target, rate, now) - now, 0.0)
 
+    def find_rate(self, target: ForwardTarget, share: float, now: float) -> float:
+        """Find the rate at which this host may use a target.
+
+        :param target: the target.
+        :param share: this host's share of the rate limit that the target names.
+        :param now: the current time, in seconds.
+        :returns: requests a second; infinite if nothing limits them.
+        """
+        named_rate = self.signals.find_named_limit(target)
+        rate = named_rate * share if named_rate < math.inf else math.inf
+        warm_up_rate = self.signals.warm_ups.find_rate(target)
+        if warm_up_rate == math.inf:
+            return rate
+        return min(rate, warm_up_rate * self._warm_up_shares.convert(share, now))
+
     def _find_next_at(self, target: ForwardTarget, rate: float, now: float) -> float:
         interval_s = 1 / rate
         latest_at = self._latest_at.get(target.target)
@@ -70,13 +90,22 @@
         :param now: the current time, in seconds.
         :returns: how long the request must wait, in seconds.
         """
-        if not self.signals.is_limited(target):
+        rate = self.find_rate(target, share, now)
+        if rate == math.inf:
             return 0.0
-        rate = self.signals.find_rate_limit(target) * share
-        sent_at = max(self._find_next_at(target, rate, now), now - CATCH_UP_S)
+        if not rate:
+            return math.inf
+        catch_up_s = self._find_catch_up_s(target)
+        sent_at = max(self._find_next_at(target, rate, now), now - catch_up_s)
         self._latest_at[target.target] = sent_at
         return max(sent_at - now, 0.0)
 
+    def _find_catch_up_s(self, target: ForwardTarget) -> float:
+        warm_up_rate = self.signals.warm_ups.find_rate(target)
+        if warm_up_rate == math.inf:
+            return CATCH_UP_S
+        return min(self._warm_up_shares.find_catch_up_s(warm_up_rate), CATCH_UP_S)
+
     def is_ready(self, target: ForwardTarget, share: float, now: float) -> bool:
         """Whether this host itself may send a request to a target now."""
         if self.signals.is_empty:
@@ -110,6 +139,5 @@
     ) -> float:
         if self.signals.find_pause_s(target, now) > call_s:
             return 0.0
-        if not self.signals.is_limited(target):
-            return 1.0
-        return min(self.signals.find_rate_limit(target) * share * call_s, 1.0)
+        rate = self.find_rate(target, share, now)
+        return min(rate * call_s, 1.0) if rate < math.inf else 1.0
--- /dev/null
+++ b/packages/forwarding/bramleyspread_forwarding/_warm_up_shares.py
@@ -0,0 +1,92 @@
+"""Which share of a warming target's rate one host may use."""
+
+from __future__ import annotations
+
+import msgspec
+
+from bramleyspread_forwarding._control_contact import ControlContact
+from bramleyspread_forwarding._rate_shares import NEW_OWNER_SHARE, OWNER_SHARE
+
+#: Share of the owner of the shared work. At least 0.8 of the rate has to be used, and
+#: some of it is lost between two requests.
+FULL_SHARE = 0.86
+#: Part of what the bound leaves beside the owner that an owner gets which is new, or
+#: doesn't hear most control hosts. There may be two such owners, one on each side of a
+#: partition, and four stand-ins: 2 x 5 / 16 + 4 x 3 / 32 = 1.
+NEW_OWNER_PART = 5 / 16
+#: Part of it that a stand-in gets.
+STAND_IN_PART = 3 / 32
+#: Time for which an owner must have heard most control hosts, in seconds. Others learn
+#: sooner that it has come back.
+MIN_CONTACT_S = 2.0
+#: Part of the slack that an owner may use to catch up.
+CATCH_UP_PART = 0.3
+
+
+class WarmUpBound(msgspec.Struct, frozen=True):
+    """How many requests a warming target bears in any second.
+
+    >>> WarmUpBound(1.5, 5.0).count_allowed(16.0)
+    29.0
+    """
+
+    #: Multiple of the warm-up rate.
+    overage: float
+    #: Requests in addition.
+    slack: float
+
+    def count_allowed(self, rate: float) -> float:
+        """Return the number of requests, for a warm-up rate."""
+        return rate * self.overage + self.slack
+
+
+class WarmUpShares:
+    """Turns shares of the rates that targets name into shares of warm-up rates.
+
+    A named limit is measured over several seconds, a warm-up over each one. So the
+    shares of all hosts that may count at the same time stay within the overage, and
+    the slack is left for requests that come late or at the same time.
+
+    :param bound: what a warming target bears; None if unknown, then the shares are
+        those of named limits.
+    :param contact: the contact to the control hosts, without which an owner may have
+        been replaced; None if owners aren't replaced.
+
+    >>> shares = WarmUpShares(WarmUpBound(1.5, 5.0))
+    >>> full, new, stand_in = (shares.convert(x, 0.0) for x in (0.9, 0.5, 0.25))
+    >>> [round(x, 3) for x in (full, new, stand_in, full + 2 * new + 4 * stand_in)]
+    [0.86, 0.2, 0.06, 1.5]
+    """
+
+    def __init__(
+        self, bound: WarmUpBound | None = None, contact: ControlContact | None = None
+    ) -> None:
+        self._bound = bound
+        self._contact = contact
+
+    def convert(self, share: float, now: float) -> float:
+        """Return this host's share of a warm-up rate.
+
+        :param share: its share of a named limit.
+        :param now: the current time, in seconds.
+        """
+        if self._bound is None or share <= 0:
+            return share
+        full_share = min(FULL_SHARE, self._bound.overage)
+        if share >= OWNER_SHARE and self._is_in_contact(now):
+            return full_share
+        spare = self._bound.overage - full_share
+        part = NEW_OWNER_PART if share >= NEW_OWNER_SHARE else STAND_IN_PART
+        return min(spare * part, share)
+
+    def find_catch_up_s(self, rate: float) -> float:
+        """Find the time for which an owner may catch up.
+
+        :param rate: the warm-up rate, above 0.
+        """
+        if self._bound is None:
+            return 1.0
+        return CATCH_UP_PART * self._bound.slack / rate
+
+    def _is_in_contact(self, now: float) -> bool:
+        return self._contact is None or self._contact.measure_s(now) >= MIN_CONTACT_S
