--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -7,6 +7,7 @@
 )
 from bramleyspread_forwarding._batching import Batcher
 from bramleyspread_forwarding._budget import RetryBudget
+from bramleyspread_forwarding._control_contact import ControlContact
 from bramleyspread_forwarding._document_messages import DocumentAnswer, DocumentQuery
 from bramleyspread_forwarding._document_parts import (
     DigestMismatch,
@@ -93,8 +94,10 @@
 from bramleyspread_forwarding._response_signals import (
     BRITTLENESS,
     LEAVING,
+    MAX_WARM_UP_S,
     PAUSE,
     RATE_LIMIT,
+    WARM_UP,
     ResponseSignals,
 )
 from bramleyspread_forwarding._routing import RouteTable
@@ -135,8 +138,18 @@
     ForwardTarget,
     TargetTable,
 )
+from bramleyspread_forwarding._warm_up_shares import WarmUpBound, WarmUpShares
+from bramleyspread_forwarding._warm_ups import WarmUpChange, WarmUpReport, WarmUps
 
 __all__ = [
+    "ControlContact",
+    "WarmUpBound",
+    "WarmUpChange",
+    "WarmUpReport",
+    "WarmUpShares",
+    "WarmUps",
+    "MAX_WARM_UP_S",
+    "WARM_UP",
     "ControlProcess",
     "MAX_PAGE_GAP_S",
     "ORIGIN_RETENTION_S",
