--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -75,6 +75,7 @@
     PlaceReport,
     PlaceStep,
     TargetLoad,
+    bound_slowdown,
 )
 from bramleyspread_forwarding._prompt_affinity import (
     estimate_reading_ms,
@@ -229,6 +230,7 @@
     "TargetTable",
     "WasNotRun",
     "build_document",
+    "bound_slowdown",
     "choose_shard",
     "SoftwareHistory",
     "StreamOrigin",
