--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -26,6 +26,7 @@
 from bramleyspread_forwarding import (
     BatchedCall,
     Batcher,
+    ForwardTarget,
     JobDone,
     PieceFault,
     PieceJob,
@@ -34,6 +35,7 @@
     PieceResults,
     ShardId,
     TargetAccess,
+    TargetLoad,
     choose_shard,
     estimate_call_ms,
     find_call_lead_s,
@@ -75,6 +77,7 @@
         self._directory = directory
         self._access = access
         self._targets = targets
+        targets.on_load = self._record_load
         self._batchers: dict[ShardId, Batcher] = {}
         self._jobs: dict[tuple[ShardId, int], _PendingJob] = {}
         self._hosts = BatchingHosts(host, directory.list_hosts, peers)
@@ -277,6 +280,12 @@
         await self._release_unwanted(shard)
         await self._dispatch(shard)
 
+    def _record_load(self, target: ForwardTarget, load: TargetLoad) -> None:
+        """Pass on the load of a target to the batchers that send it calls."""
+        now = read_monotonic()
+        for batcher in self._batchers.values():
+            batcher.record_load(target.target, load, now)
+
     def _log_failure(self, call: BatchedCall, why: str) -> None:
         peer = call.target.target
         logger.bind(step="batch", peer=peer).warning(
@@ -311,6 +320,12 @@
                 await self._dispatch(shard)
         await self.releases.tick()
 
+    def follow_owners(self, service: str) -> None:
+        """Note since when this host has owned shards of a service, if it does."""
+        if self._directory.find_limits(service) is not None:
+            for number in range(len(self._directory.list_shards(service))):
+                self._hosts.find_rate_share(ShardId(service, number))
+
     def _may_run_received_jobs(self, shard: ShardId) -> bool:
         return self._is_in_use(shard) and self._hosts.may_run_received_jobs(shard)
 
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -7,6 +7,7 @@
 )
 from bramleyspread_forwarding._batching import Batcher
 from bramleyspread_forwarding._budget import RetryBudget
+from bramleyspread_forwarding._control_contact import ControlContact
 from bramleyspread_forwarding._document_messages import DocumentAnswer, DocumentQuery
 from bramleyspread_forwarding._document_parts import (
     DigestMismatch,
@@ -39,6 +40,7 @@
     AttemptEnd,
     Delivered,
     MayHaveRun,
+    NotSent,
     TargetFailed,
     WasNotRun,
     may_retry,
@@ -57,10 +59,12 @@
     StageRun,
 )
 from bramleyspread_forwarding._placement import (
+    DRAINED_RETRY_S,
     NO_ROOM,
     NO_SUCH_SOFTWARE,
     PAUSED,
     RATE_LIMITED,
+    ZONES_DRAINED,
     Placement,
 )
 from bramleyspread_forwarding._placement_messages import (
@@ -71,6 +75,7 @@
     PlaceReport,
     PlaceStep,
     TargetLoad,
+    bound_slowdown,
 )
 from bramleyspread_forwarding._prompt_affinity import (
     estimate_reading_ms,
@@ -90,11 +95,19 @@
 from bramleyspread_forwarding._response_signals import (
     BRITTLENESS,
     LEAVING,
+    MAX_WARM_UP_S,
     PAUSE,
     RATE_LIMIT,
+    WARM_UP,
     ResponseSignals,
 )
 from bramleyspread_forwarding._routing import RouteTable
+from bramleyspread_forwarding._send_permits import (
+    PERMIT_EXPIRED,
+    PERMIT_TTL_S,
+    ZONE_DRAINED,
+    SendPermit,
+)
 from bramleyspread_forwarding._shards import (
     ServiceShards,
     ShardId,
@@ -126,8 +139,18 @@
     ForwardTarget,
     TargetTable,
 )
+from bramleyspread_forwarding._warm_up_shares import WarmUpBound, WarmUpShares
+from bramleyspread_forwarding._warm_ups import WarmUpChange, WarmUpReport, WarmUps
 
 __all__ = [
+    "ControlContact",
+    "WarmUpBound",
+    "WarmUpChange",
+    "WarmUpReport",
+    "WarmUpShares",
+    "WarmUps",
+    "MAX_WARM_UP_S",
+    "WARM_UP",
     "ControlProcess",
     "MAX_PAGE_GAP_S",
     "ORIGIN_RETENTION_S",
@@ -207,10 +230,18 @@
     "TargetTable",
     "WasNotRun",
     "build_document",
+    "bound_slowdown",
     "choose_shard",
     "SoftwareHistory",
     "StreamOrigin",
     "StreamOrigins",
+    "PERMIT_EXPIRED",
+    "PERMIT_TTL_S",
+    "ZONE_DRAINED",
+    "ZONES_DRAINED",
+    "DRAINED_RETRY_S",
+    "NotSent",
+    "SendPermit",
     "BRITTLENESS",
     "NO_ROOM",
     "NO_SUCH_SOFTWARE",
--- a/packages/forwarding/bramleyspread_forwarding/_placement.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement.py
@@ -19,6 +19,7 @@
     PlaceStep,
 )
 from bramleyspread_forwarding._prompt_affinity import (
+    FIRST_TOKEN_MS,
     PREFILL_TOKENS_PER_MS,
     find_preferred_engine,
     list_shared_parts,
@@ -56,6 +57,11 @@
 NO_SUCH_SOFTWARE = "no target has the software version that began the stream"
 #: Reason for which requests are refused because brittle targets have no room.
 NO_ROOM = "every target is brittle and has no room"
+#: Reason for which requests are refused because of zone drains.
+ZONES_DRAINED = "every target is in a drained zone"
+#: Time after which a request may come back that was refused for zone drains, in
+#: seconds; operators withdraw drains after minutes rather than seconds.
+DRAINED_RETRY_S = 2.0
 #: Time after which a request may come back that found no room, in seconds.
 NO_ROOM_RETRY_S = 0.5
 #: Cost of a target that limits the rate of its requests, in ms; others that are as good
@@ -114,12 +120,10 @@
         :param share: the share of targets' rate limits that this host may hand out.
         :returns: the target, or the reason for which there is none.
         """
-        if not targets:
-            return NoTarget("no target takes work")
-        if query.software is not None:
-            targets = [each for each in targets if each.software == query.software]
-            if not targets:
-                return NoTarget(NO_SUCH_SOFTWARE)
+        eligible = _list_eligible(query, targets)
+        if isinstance(eligible, NoTarget):
+            return eligible
+        targets = eligible
         untried = [each for each in targets if each.target not in query.tried]
         if not untried:
             return NoTarget("every target was tried")
@@ -266,7 +270,7 @@
         if query.is_admitted or query.tried or self._access.signals.is_empty:
             return None
         usable = [each for each in targets if each.target not in query.paused]
-        rate = sum(map(self._access.signals.find_rate_limit, usable)) * share
+        rate = sum(self._access.find_rate(each, share, now) for each in usable)
         if not 0 < rate < math.inf:
             return None
         admission = self._admissions.setdefault(query.service, RateAdmission())
@@ -359,12 +363,35 @@
         unread_tokens: float,
         now: float,
     ) -> float:
+        """Estimate by how much a request waits longer than at an idle target, in ms.
+
+        All of its time to first token is longer at a target that reports a slowdown.
+        """
         requests = tracker.count_requests(now)
         wait_ms = (tracker.unread_tokens + unread_tokens) / PREFILL_TOKENS_PER_MS
         if target.slots < MIN_BATCHING_SLOTS:
             wait_ms += FULL_TARGET_MS * requests / target.slots
         waiting = tracker.count_waiting(target.slots, now)
-        return wait_ms + requests * RUNNING_REQUEST_MS + waiting * WAITING_REQUEST_MS
+        wait_ms += requests * RUNNING_REQUEST_MS + waiting * WAITING_REQUEST_MS
+        slowdown = tracker.find_slowdown(now)
+        return wait_ms * slowdown + FIRST_TOKEN_MS * (slowdown - 1.0)
+
+
+def _list_eligible(
+    query: PlaceQuery, targets: Sequence[ForwardTarget]
+) -> Sequence[ForwardTarget] | NoTarget:
+    """List the targets that a request's sender may use, or find why there are none."""
+    if not targets:
+        return NoTarget("no target takes work")
+    if query.drained_zones:
+        targets = [each for each in targets if each.zone not in query.drained_zones]
+        if not targets:
+            return NoTarget(ZONES_DRAINED, DRAINED_RETRY_S)
+    if query.software is not None:
+        targets = [each for each in targets if each.software == query.software]
+        if not targets:
+            return NoTarget(NO_SUCH_SOFTWARE)
+    return targets
 
 
 def _refuse_for_signals(query: PlaceQuery, waits_s: dict[str, float]) -> NoTarget:
