Control hosts take operators' orders to drain zones

`POST /evacuate/ZONE/start|stop` (wire) and `POST /v1/control/zone-drains` (product) reach any control host, which has the order decided by the leader and tries again after a mismatch, but only within 0.9 s of its arrival. An order that waited in a suspended host's buffers counts as having arrived when the suspension began. Names are checked (400), and zones that the new setting `zones` doesn't list are refused with 404. At most 16 orders are decided at once and 2,000 wait.

Pages of the feed contain newer drains, held queries are answered when the revision rises, and `LiveHosts` keeps the revision that each entry host obeys.

--- a/packages/daemon/bramleyspread_daemon/_clock.py
+++ b/packages/daemon/bramleyspread_daemon/_clock.py
@@ -34,7 +34,7 @@
 
     def tick(self) -> Stamp:
         """Return the stamp for an event of this process."""
-        return self._hybrid.tick(_read_wall_ms())
+        return self._hybrid.tick(read_wall_ms())
 
     def tick_text(self) -> str:
         """Return the stamp for an outgoing message, as the value of its header."""
@@ -51,10 +51,11 @@
             return
         if not (count.isascii() and count.isdigit() and len(count) < 16):
             return
-        now = _read_wall_ms()
+        now = read_wall_ms()
         if int(wall) <= now + MAX_AHEAD_MS:
             self._hybrid.merge(Stamp(int(wall), int(count)), now)
 
 
-def _read_wall_ms() -> int:
+def read_wall_ms() -> int:
+    """Return the time of day, in milliseconds since 1970."""
     return time.time_ns() // 1_000_000
--- a/packages/daemon/bramleyspread_daemon/forward/_build_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_build_control.py
@@ -60,6 +60,7 @@
         settings.heartbeat_ms / 1000,
         f"{settings.listen.address}/{process.incarnation}",
         is_first_start=is_first_start,
+        zones=settings.zones,
     )
     reconciler = Reconciler.from_config(ReconcilerConfig(), rng)
     control = ControlProcess(process, settings, node, reconciler, forward)
--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from typing import Protocol
 
 import curio
@@ -19,7 +19,11 @@
     MessageError,
     NotLeader,
     PutDeployment,
+    Rejected,
     Undecided,
+    ZoneDrains,
+    ZoneDrainsReport,
+    ZoneOrder,
     decode_json,
     encode_json,
     find_command_fault,
@@ -42,6 +46,7 @@
     TargetLeft,
     WireReply,
 )
+from bramleyspread_daemon.forward._zone_orders import OrderResult, ZoneOrders
 from bramleyspread_forwarding import (
     ORIGIN_RETENTION_S,
     Departure,
@@ -70,6 +75,8 @@
 RESULT_POLL_INTERVAL_S = 0.004
 #: Maximum number of control hosts to which a command is relayed in turn.
 MAX_RELAYS = 2
+#: Path at which operators read and order zone drains.
+ZONE_DRAINS_PATH = "/v1/control/zone-drains"
 
 
 #: Proposes a command to the replicas, and passes the result to the callback.
@@ -79,6 +86,10 @@
 class DeploymentNode(DeploymentSource, Protocol):
     """The parts of the control host's replicated state that forwarding uses."""
 
+    @property
+    def zone_drains(self) -> ZoneDrains:
+        """The newest committed zone drains known here."""
+
     def list_control_addresses(self) -> tuple[Address, ...]:
         """Return the addresses of the control hosts."""
 
@@ -107,6 +118,7 @@
         incarnation: str,
         *,
         is_first_start: bool = False,
+        zones: Collection[str] = (),
     ) -> None:
         # Before the first start there were no targets to know.
         self._knows_targets_since = -math.inf if is_first_start else read_monotonic()
@@ -122,6 +134,7 @@
             lambda: node.is_deployment_confirmed(read_monotonic()),
         )
         self._propose: Propose = _refuse_all
+        self._zone_orders = ZoneOrders(node, zones, self._decide)
         self._logged_position = 0
         #: Registry of the targets that report to this host.
         self.registry = TargetRegistry(heartbeat_s)
@@ -140,6 +153,8 @@
         return {
             ("POST", FEED_PATH): self._handle_query,
             ("POST", DOCUMENT_PATH): self._documents.serve,
+            ("GET", ZONE_DRAINS_PATH): self._handle_drains_query,
+            ("POST", ZONE_DRAINS_PATH): self._handle_zone_order,
             **self.origins.list_routes(),
         }
 
@@ -173,6 +188,8 @@
                 await curio.spawn(
                     self._decide_and_reply, ConfirmDeployment(), reply, daemon=True
                 )
+            case ZoneOrder():
+                await curio.spawn(self._order_by_wire, call, reply, daemon=True)
             case _:
                 _send(reply, self._wire.write_fault(call))
 
@@ -218,6 +235,45 @@
             return Undecided(f"the leader did not answer: {error}")
         return result
 
+    async def _order_by_wire(self, order: ZoneOrder, reply: Reply) -> None:
+        result = await self._run_order(order, reply)
+        if isinstance(result, MalformedRequest):
+            _send(reply, self._wire.write_fault(result))
+        else:
+            _send(reply, self._wire.write_result(result))
+
+    async def _run_order(self, order: ZoneOrder, reply: Reply) -> OrderResult:
+        result = await self._zone_orders.run(order, reply)
+        self._answer_pending(read_monotonic())
+        return result
+
+    async def _handle_zone_order(self, http: HttpRequest, reply: Reply) -> None:
+        try:
+            order: ZoneOrder = decode_json(http.body, ZoneOrder)
+        except MessageError as error:
+            reply.send(400, encode_refusal(400, str(error)))
+            return
+        await curio.spawn(self._order_by_tool, order, reply, daemon=True)
+
+    async def _order_by_tool(self, order: ZoneOrder, reply: Reply) -> None:
+        result = await self._run_order(order, reply)
+        if isinstance(result, MalformedRequest):
+            reply.send_json(Rejected((result.why,)))
+        else:
+            reply.send_json(result)
+
+    async def _handle_drains_query(self, _: HttpRequest, reply: Reply) -> None:
+        await curio.spawn(self._report_drains, reply, daemon=True)
+
+    async def _report_drains(self, reply: Reply) -> None:
+        drains = await self._zone_orders.read()
+        if drains is None:
+            why = "no leader confirms the newest zone drains; ask again"
+            reply.send(503, encode_refusal(503, why))
+            return
+        hosts = self._live_hosts.list_obeyed(read_monotonic())
+        reply.send_json(ZoneDrainsReport(drains, hosts))
+
     async def _handle_query(self, http: HttpRequest, reply: Reply) -> None:
         try:
             query: FeedQuery = decode_json(http.body, FeedQuery)
@@ -225,7 +281,7 @@
             reply.send(400, encode_refusal(400, str(error)))
             return
         now = read_monotonic()
-        self._live_hosts.record(query.asker, now)
+        self._live_hosts.record(query.asker, now, query.drains_revision)
         self._record_departures(query.departures, now)
         if query.crash_news is not None:
             self.crashes.apply(query.crash_news, now)
@@ -241,6 +297,7 @@
         Call this about every 20 ms.
         """
         now = read_monotonic()
+        self._zone_orders.observe(now)
         self.registry.tick(now)
         if now >= self._expire_at:
             self._expire_at = now + EXPIRY_INTERVAL_S
@@ -280,6 +337,7 @@
             query.incarnation != self._incarnation
             or query.position < self.registry.position
             or query.crash_revision < self.crashes.revision
+            or query.drains_revision < self._node.zone_drains.revision
         ):
             return True
         deployment = self._node.deployment
@@ -296,6 +354,7 @@
         known_revision = query.entries_revision if is_same_process else 0
         known_crashes = query.crash_revision if is_same_process else 0
         told = query.crash_news
+        drains = self._node.zone_drains
         entries = self._live_hosts.list_live(now)
         host_changes = self._live_hosts.list_changes(known_revision)
         page = FeedPage(
@@ -317,6 +376,7 @@
                 else None
             ),
             heard_crash_revision=told.revision if told is not None else 0,
+            zone_drains=drains if query.drains_revision < drains.revision else None,
             history_s=0 if is_same_process else self._find_history_s(now),
         )
         pending.reply.send_json(page)
--- a/packages/daemon/bramleyspread_daemon/forward/_settings.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_settings.py
@@ -10,7 +10,13 @@
 
 import msgspec
 
-from bramleyspread_core import Address, InvalidFileError, Name, load_yaml
+from bramleyspread_core import (
+    Address,
+    InvalidFileError,
+    Name,
+    find_zone_fault,
+    load_yaml,
+)
 from bramleyspread_daemon._settings import (
     HostSettings,
     Limits,
@@ -128,6 +134,8 @@
     election_s: tuple[ElectionSeconds, ElectionSeconds] = (0.6, 1.1)
     #: Interval between two heartbeats of a target, in milliseconds.
     heartbeat_ms: Annotated[float, msgspec.Meta(gt=0)] = 1_000.0
+    #: Names of the availability zones that operators may drain; empty for any.
+    zones: tuple[str, ...] = ()
 
     @property
     def control_hosts(self) -> tuple[HostSettings, ...]:
@@ -164,8 +172,8 @@
     if isinstance(settings, ForwardEntrySettings):
         named.append(("callers_at", settings.callers_at))
         named.append(("ready_at", settings.ready_at))
-    elif not settings.data:
-        yield "data: expected a folder, got an empty string"
+    else:
+        yield from _find_control_faults(settings)
     named += [(f"seeds[{at}]", each) for at, each in enumerate(settings.seeds)]
     if not settings.seeds:
         yield "seeds: expected at least one control host"
@@ -176,6 +184,14 @@
             yield f"{name}: {error}"
 
 
+def _find_control_faults(settings: ForwardControlSettings) -> Iterator[str]:
+    if not settings.data:
+        yield "data: expected a folder, got an empty string"
+    for at, zone in enumerate(settings.zones):
+        if fault := find_zone_fault(zone):
+            yield f"zones[{at}]: {fault}"
+
+
 def _read_listen(text: str) -> Listen:
     address = Address.from_text(text)
     return Listen(ip=address.ip, port=address.port)
--- a/packages/daemon/bramleyspread_daemon/forward/_wire.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_wire.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from bramleyspread_core import CommandResult, PutDeployment
+from bramleyspread_core import CommandResult, PutDeployment, ZoneOrder
 from bramleyspread_daemon._exchange import HttpRequest
 from bramleyspread_forwarding import (
     BatchedCall,
@@ -169,6 +169,7 @@
     | GetDeployment
     | TargetHeartbeat
     | TargetLeft
+    | ZoneOrder
     | MalformedRequest
     | UnknownCall
 )
--- a/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/crashing_site.py
@@ -19,6 +19,7 @@
     ForwardRoute,
     ForwardService,
     OrganisationKeys,
+    ZoneDrains,
     decode_json,
     encode_json,
 )
@@ -184,6 +185,7 @@
 
     def __init__(self, deployment: Deployment, controls: tuple[Address, ...]) -> None:
         self.deployment = deployment
+        self.zone_drains = ZoneDrains()
         self._controls = controls
 
     def list_control_addresses(self) -> tuple[Address, ...]:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/document_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/document_site.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from bramleyspread_core import Address, Deployment
+from bramleyspread_core import Address, Deployment, ZoneDrains
 from bramleyspread_daemon._client import (
     ConnectionClosedError,
     RequestNotSentError,
@@ -29,6 +29,7 @@
     ) -> None:
         self.deployment = deployment
         self.is_confirmed = True
+        self.zone_drains = ZoneDrains()
         self._controls = controls
 
     def list_control_addresses(self) -> tuple[Address, ...]:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_feed.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_feed.py
@@ -9,7 +9,7 @@
 import curio
 import pytest
 
-from bramleyspread_core import Address, decode_json, encode_json
+from bramleyspread_core import Address, ZoneDrains, decode_json, encode_json
 from bramleyspread_daemon._clock import ProcessClock, read_monotonic
 from bramleyspread_daemon._exchange import Headers, HttpRequest, Reply
 from bramleyspread_daemon._pool import ConnectionPool
@@ -34,6 +34,7 @@
     """Replicated state without a document."""
 
     deployment = None
+    zone_drains = ZoneDrains()
 
     def list_control_addresses(self) -> tuple[Address, ...]:
         return tuple(Address(f"10.{at}.0.200", 8628) for at in range(CONTROL_HOSTS))
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_settings.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_settings.py
@@ -71,6 +71,19 @@
     assert setting in str(error.value)
 
 
+def test_zones_that_may_be_drained(tmp_path: Path) -> None:
+    path = tmp_path / "control.yaml"
+    path.write_text(CONTROL)
+    assert load_forward_settings(path, ForwardControlSettings).zones == ()
+    path.write_text(CONTROL + 'zones: ["north", "B\u00ecnh 1"]\n')
+    settings = load_forward_settings(path, ForwardControlSettings)
+    assert settings.zones == ("north", "B\u00ecnh 1")
+    path.write_text(CONTROL + 'zones: ["north", ""]\n')
+    with pytest.raises(InvalidFileError) as raised:
+        load_forward_settings(path, ForwardControlSettings)
+    assert raised.value.faults == ("zones[1]: zone: the name is empty",)
+
+
 def test_changed_file_is_detected_and_invalid_one_is_rejected(
     tmp_path: Path,
 ) -> None:
--- a/packages/forwarding/bramleyspread_forwarding/_live_hosts.py
+++ b/packages/forwarding/bramleyspread_forwarding/_live_hosts.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from bramleyspread_core import ObeyedDrains
 from bramleyspread_forwarding._feed import EntryHost
 
 #: Number of removed hosts that are remembered for lists of changes.
@@ -29,6 +30,8 @@
     recorded_at: float
     #: Revision of the list at which this process of the host was added.
     added_revision: int
+    #: Revision of the zone drains that this process obeys.
+    drains_revision: int = 0
 
 
 class LiveHosts:
@@ -64,15 +67,23 @@
         #: Number of changes of the list so far.
         self.revision = 0
 
-    def record(self, host: EntryHost, now: float) -> None:
-        """Record that a host is live; an older process of a known host is ignored."""
+    def record(self, host: EntryHost, now: float, drains_revision: int = 0) -> None:
+        """Record that a host is live; an older process of a known host is ignored.
+
+        :param host: the host.
+        :param now: monotonic seconds.
+        :param drains_revision: revision of the zone drains that the host obeys.
+        """
         known = self._hosts.get(host.host)
         if known is not None and known.host == host:
             # The same object each time makes lists of hosts cheap to compare.
             known.recorded_at = now
+            known.drains_revision = max(known.drains_revision, drains_revision)
         elif known is None or known.host.started <= host.started:
             self.revision += 1
-            self._hosts[host.host] = _LiveHost(host, now, self.revision)
+            self._hosts[host.host] = _LiveHost(
+                host, now, self.revision, drains_revision
+            )
             self._removed.pop(host.host, None)
             self._live = None
 
@@ -84,6 +95,13 @@
             self._live = tuple(self._hosts[name].host for name in sorted(self._hosts))
         return self._live
 
+    def list_obeyed(self, now: float) -> tuple[ObeyedDrains, ...]:
+        """List which zone drains each live host obeys, sorted by name."""
+        return tuple(
+            ObeyedDrains(each.host, each.zone, self._hosts[each.host].drains_revision)
+            for each in self.list_live(now)
+        )
+
     def _remove_expired(self, now: float) -> None:
         expired_before = now - self._ttl_s
         oldest = now
