--- a/packages/tool/bramleyspread_tool/_arguments.py
+++ b/packages/tool/bramleyspread_tool/_arguments.py
@@ -64,6 +64,7 @@
         help="grouping of the rows (default %(default)s)",
     )
     _add_host_options(cost)
+    _add_zone_commands(commands)
     return parser
 
 
@@ -87,6 +88,29 @@
     _add_host_options(submit)
 
 
+def _add_zone_commands(
+    commands: argparse._SubParsersAction[argparse.ArgumentParser],
+) -> None:
+    zone = commands.add_parser(
+        "zone",
+        help="drain availability zones",
+        epilog=EXIT_HELP,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    actions = zone.add_subparsers(dest="action", required=True, metavar="ACTION")
+    for name, text in (
+        ("drain", "send nothing more to the targets of a zone"),
+        ("undrain", "send to the targets of a zone again"),
+    ):
+        action = _add_command(actions, name, text)
+        action.add_argument("name", help="name of the zone")
+        _add_host_options(action)
+    listed = _add_command(
+        actions, "list", "show drained zones, and entry hosts that don't obey yet"
+    )
+    _add_host_options(listed)
+
+
 def _add_command(
     commands: argparse._SubParsersAction[argparse.ArgumentParser],
     name: str,
--- a/packages/tool/bramleyspread_tool/_control.py
+++ b/packages/tool/bramleyspread_tool/_control.py
@@ -17,6 +17,8 @@
     NotLeader,
     Reason,
     Undecided,
+    ZoneDrainsReport,
+    ZoneOrder,
     decode_json,
     encode_json,
 )
@@ -28,6 +30,8 @@
 COMMAND_TIMEOUT_S = 10.0
 #: Pause between two rounds over the control hosts, in seconds.
 RETRY_PAUSE_S = 0.2
+#: Path at which the control hosts read and take orders to drain zones.
+ZONE_DRAINS_PATH = "/v1/control/zone-drains"
 HTTP_OK = 200
 
 #: Sends one HTTP request and returns the reply; replaced in tests.
@@ -63,16 +67,24 @@
         :returns: the result; a fault if it is certain that no host received the
             command; ``Undecided`` if a host may have received it.
         """
-        body = encode_json(command)
+        return self._run("/v1/control/commands", encode_json(command))
+
+    def order_zone(self, order: ZoneOrder) -> CommandResult | Fault:
+        """Give an order to drain or undrain a zone, and retry as for commands.
+
+        :param order: the order; giving it again is harmless.
+        :returns: as :meth:`run_command`.
+        """
+        return self._run(ZONE_DRAINS_PATH, encode_json(order))
+
+    def _run(self, path: str, body: bytes) -> CommandResult | Fault:
         deadline = self._clock() + COMMAND_TIMEOUT_S
         may_have_arrived = False
         leader: Address | None = None
         fault = Fault(Reason.CONNECT, "command", "-", "no control host")
         while True:
             for address in (leader, *self._addresses) if leader else self._addresses:
-                answer = self._post(
-                    address, "/v1/control/commands", body, CommandResult
-                )
+                answer = self._post(address, path, body, CommandResult)
                 if isinstance(answer, NotLeader):
                     leader = answer.leader
                     continue
@@ -118,6 +130,16 @@
             for address in self._addresses
         )
 
+    def list_drain_reports(self) -> tuple[ZoneDrainsReport | Fault, ...]:
+        """Fetch the zone drains from every control host.
+
+        :returns: a report or a fault for each host, in the configured order.
+        """
+        return tuple(
+            self._get(address, ZONE_DRAINS_PATH, ZoneDrainsReport)
+            for address in self._addresses
+        )
+
     def _get(self, address: Address, path: str, kind: type[T]) -> T | Fault:
         return self._decode_reply(
             address, path, self._exchange(address, "GET", path, b""), kind
--- a/packages/tool/bramleyspread_tool/_exit.py
+++ b/packages/tool/bramleyspread_tool/_exit.py
@@ -14,9 +14,10 @@
     INVALID = 2
     #: Another change was accepted first; nothing was changed.
     CONFLICT = 3
-    #: The control hosts refused the document; nothing was changed.
+    #: The control hosts refused the document or order; nothing was changed.
     REJECTED = 4
-    #: It is unknown whether the change was accepted; submit the same file again.
+    #: It is unknown whether the change was accepted; submit the same file, or give the
+    #: same order, again.
     UNKNOWN = 5
     #: No control or entry host answered; nothing was changed.
     UNREACHABLE = 6
@@ -30,7 +31,8 @@
   2  files, settings or arguments are wrong; nothing was changed
   3  conflict: another change came first; nothing was changed
   4  refused by the control hosts; nothing was changed
-  5  unknown whether the change was accepted; submit the same file again
+  5  unknown whether the change was accepted; submit the same file, or give the same
+     order, again
   6  no host answered; nothing was changed
   7  accepted, but not in force on every host within the wait
 """
--- a/packages/tool/bramleyspread_tool/_main.py
+++ b/packages/tool/bramleyspread_tool/_main.py
@@ -10,7 +10,9 @@
     Fault,
     InvalidFileError,
     ServiceDocument,
+    ZoneOrder,
     encode_json,
+    find_zone_fault,
 )
 from bramleyspread_tool._arguments import build_parser
 from bramleyspread_tool._causes import count_causes, format_causes
@@ -25,6 +27,11 @@
 from bramleyspread_tool._submit import submit_document, wait_in_force
 from bramleyspread_tool._timeline import format_event, merge_events, read_events
 from bramleyspread_tool._versions import count_versions, format_versions
+from bramleyspread_tool._zones import (
+    format_drains,
+    make_zone_report,
+    merge_drain_reports,
+)
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -158,6 +165,39 @@
     return ExitCode.DONE
 
 
+def _run_zone(arguments: Namespace) -> int:
+    if arguments.action == "list":
+        return _list_zone_drains(arguments)
+    order = ZoneOrder(arguments.name, arguments.action == "drain")
+    if fault := find_zone_fault(order.zone):
+        raise InvalidFileError("arguments", (fault,))
+    settings = ToolSettings.from_arguments(arguments)
+    client = ControlClient(settings.parse_control_hosts())
+    report = make_zone_report(order, client.order_zone(order))
+    if arguments.json:
+        _print_json(report)
+    elif report.code is ExitCode.DONE:
+        _print_lines(report.lines)
+    else:
+        _print_errors(report.lines)
+    return report.code
+
+
+def _list_zone_drains(arguments: Namespace) -> int:
+    settings = ToolSettings.from_arguments(arguments)
+    answers = ControlClient(settings.parse_control_hosts()).list_drain_reports()
+    reports = [each for each in answers if not isinstance(each, Fault)]
+    if not reports:
+        _print_errors(f"not listed: {each}" for each in answers)
+        return ExitCode.UNREACHABLE
+    report = merge_drain_reports(reports)
+    if arguments.json:
+        _print_json(report)
+    else:
+        _print_lines(format_drains(report))
+    return ExitCode.DONE
+
+
 def _print_errors(lines: Iterable[str]) -> None:
     for line in lines:
         print(line, file=sys.stderr)
@@ -182,4 +222,5 @@
     "causes": _run_causes,
     "versions": _run_versions,
     "cost": _run_cost,
+    "zone": _run_zone,
 }
