Feed: entry hosts of earlier builds don't query in a loop after a drain

A host that never confirms the drains got an answer to each query at once, and asked again at once, as soon as there was a drain. Control hosts now remember which revision they sent to a host, and hold its further queries as usual; each answer still contains the newer drains.

The test fails without the change. Tests of the feed and of orders pass.

--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -337,13 +337,23 @@
             query.incarnation != self._incarnation
             or query.position < self.registry.position
             or query.crash_revision < self.crashes.revision
-            or query.drains_revision < self._node.zone_drains.revision
+            or self._has_untold_drains(query)
         ):
             return True
         deployment = self._node.deployment
         known = max(query.version, query.told_version or 0)
         return deployment is not None and deployment.version > known
 
+    def _has_untold_drains(self, query: FeedQuery) -> bool:
+        """Whether there are drains that weren't sent to the asking host yet.
+
+        A host of an earlier build doesn't confirm them, and would otherwise get an
+        answer at once to each query.
+        """
+        told = self._live_hosts.find_told(query.asker.host)
+        known = max(query.drains_revision, told)
+        return known < self._node.zone_drains.revision
+
     def _answer(self, pending: _PendingQuery, now: float) -> None:
         query = pending.query
         known = query.position if query.incarnation == self._incarnation else 0
@@ -379,6 +389,7 @@
             zone_drains=drains if query.drains_revision < drains.revision else None,
             history_s=0 if is_same_process else self._find_history_s(now),
         )
+        self._live_hosts.record_told(query.asker.host, drains.revision)
         pending.reply.send_json(page)
 
     def _find_history_s(self, now: float) -> int:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_zone_orders.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_zone_orders.py
@@ -29,7 +29,11 @@
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon.forward._arrival_times import ArrivalTimes
-from bramleyspread_daemon.forward._control import ZONE_DRAINS_PATH, ForwardControl
+from bramleyspread_daemon.forward._control import (
+    FEED_HOLD_S,
+    ZONE_DRAINS_PATH,
+    ForwardControl,
+)
 from bramleyspread_daemon.forward._feed_link import FEED_PATH
 from bramleyspread_daemon.forward._zone_orders import (
     MAX_DECIDED_ORDERS,
@@ -353,12 +357,32 @@
         accepted: CommandResult = decode_json(reply.response.body, CommandResult)
         assert accepted == ZoneDrainAccepted(1)
         assert read_page(held).zone_drains == site.leader.drains
-        assert read_page(await site.query(0)).zone_drains == site.leader.drains
+        assert read_page(await site.query(0, "f")).zone_drains == site.leader.drains
         assert (await site.query(1)).response is None
 
     run(monkeypatch, main)
 
 
+# Guards against an endless loop of queries and answers with an entry host of an earlier
+# build, which never names the revision that it was told.
+def test_host_that_does_not_confirm_drains_is_answered_at_once_only_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> None:
+        site = Site()
+        site.node.zone_drains = ZoneDrains().drain("north", 5)
+        assert read_page(await site.query(0)).zone_drains == site.node.zone_drains
+        held = await site.query(0)
+        assert held.response is None
+        await curio.sleep(FEED_HOLD_S)
+        await site.control.tick()
+        assert read_page(held).zone_drains == site.node.zone_drains
+        site.node.zone_drains = site.node.zone_drains.undrain("north")
+        assert read_page(await site.query(0)).zone_drains == site.node.zone_drains
+
+    run(monkeypatch, main)
+
+
 def test_report_lists_the_revision_that_each_host_obeys(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/packages/forwarding/bramleyspread_forwarding/_live_hosts.py
+++ b/packages/forwarding/bramleyspread_forwarding/_live_hosts.py
@@ -32,6 +32,8 @@
     added_revision: int
     #: Revision of the zone drains that this process obeys.
     drains_revision: int = 0
+    #: Revision of the zone drains that was sent to the host.
+    told_drains_revision: int = 0
 
 
 class LiveHosts:
@@ -95,6 +97,17 @@
             self._live = tuple(self._hosts[name].host for name in sorted(self._hosts))
         return self._live
 
+    def record_told(self, host: str, drains_revision: int) -> None:
+        """Record which zone drains were sent to a host."""
+        known = self._hosts.get(host)
+        if known is not None:
+            known.told_drains_revision = drains_revision
+
+    def find_told(self, host: str) -> int:
+        """Find the revision of the zone drains that was sent to a host; 0 for none."""
+        known = self._hosts.get(host)
+        return known.told_drains_revision if known is not None else 0
+
     def list_obeyed(self, now: float) -> tuple[ObeyedDrains, ...]:
         """List which zone drains each live host obeys, sorted by name."""
         return tuple(
