Every way to a target obeys zone drains

A host that learned of a drain between choosing a target and sending went on to send; one that was suspended in between sent what a rate limit had allowed seconds ago. Now SendPermit is checked before connecting and again directly before the bytes go out. If it doesn't hold, the target is chosen again: no attempt and no retry budget is used, the reservation ends, and the request's deadline bounds it. Pieces of such a call return to the queue, and the target doesn't count as failing.

Placement queries name the drained zones, so that a host that learns late hands out none of them; the choice of an earlier build that ignores them is replaced by an own one. Requests to relay carry the revision that the asker obeys: a host refuses new connections to drained zones to those that know less than it does, and goes on for the others, whose in-flight answers and results need them.

The stand-in for the private function that asks for a relay takes the new argument.

--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -31,8 +31,10 @@
     EventSplitter,
     ForwardRequest,
     MayHaveRun,
+    NotSent,
     Placed,
     PlaceStep,
+    SendPermit,
     StreamEvent,
     StreamOrigin,
     TargetFailed,
@@ -81,7 +83,13 @@
         placed: Placed,
         features: RequestFeatures,
         binding: StreamBinding,
+        asked_at: float,
     ) -> None:
+        self._permit = SendPermit(
+            placed.target,
+            asked_at + placed.wait_s,
+            is_paced=placed.limit is not None or placed.wait_s > 0,
+        )
         self._features = features
         self._binding = binding
         self._context = context
@@ -120,14 +128,16 @@
         await curio.sleep(self._placed.wait_s)
         return self._context.signals.accepts_requests(self._placed.target)
 
-    async def run(self, metadata: CallMetadata, max_idle_s: float) -> AttemptEnd:
+    async def run(
+        self, metadata: CallMetadata, max_idle_s: float
+    ) -> AttemptEnd | NotSent:
         """Send the request, and relay its answer.
 
         :param metadata: metadata sent to the target with the request.
         :param max_idle_s: how long a reused connection may have been idle, in seconds.
-        :returns: how the attempt ended.
+        :returns: how the attempt ended, or that the target has to be chosen again.
         """
-        end: AttemptEnd | None = None
+        end: AttemptEnd | NotSent | None = None
         self._after_event = metadata.last_event_id
         self._deadline = read_monotonic() + metadata.remaining_ms / 1000
         try:
@@ -141,7 +151,7 @@
         self._report_end(None)
         await self._close_connection()
 
-    def _report_end(self, end: AttemptEnd | None) -> None:
+    def _report_end(self, end: AttemptEnd | NotSent | None) -> None:
         """Report the end of the attempt, and whether it succeeded, to the placement."""
         if self._is_end_reported:
             return
@@ -153,11 +163,19 @@
             succeeded = None if _is_target_innocent(end) else False
         self._report(self._build_step(ended=True, succeeded=succeeded))
 
-    async def _send(self, metadata: CallMetadata, max_idle_s: float) -> AttemptEnd:
+    async def _send(
+        self, metadata: CallMetadata, max_idle_s: float
+    ) -> AttemptEnd | NotSent:
         context, request = self._context, self._request
+        withdrawal = context.signals.find_withdrawal(self._permit)
+        if withdrawal:
+            return NotSent(withdrawal)
         try:
             connection = await self._connect(max_idle_s)
         except RequestNotSentError as error:
+            withdrawal = context.signals.find_withdrawal(self._permit)
+            if withdrawal:
+                return NotSent(withdrawal)
             return WasNotRun(
                 str(error),
                 may_have_reached_target=False,
@@ -165,6 +183,10 @@
             )
         self._connection = connection
         headers = context.wire.write_head(request, metadata)
+        withdrawal = context.signals.find_withdrawal(self._permit)
+        if withdrawal:
+            await self._close_connection()
+            return NotSent(withdrawal)
         try:
             await connection.send(
                 request.method, request.path_and_query, headers, request.body
@@ -174,6 +196,7 @@
             return WasNotRun(str(error), may_have_reached_target=False)
         self.was_sent = self.is_in_flight = True
         sent_at = read_monotonic()
+        end: AttemptEnd
         try:
             head = await self._read_own_head(connection)
             end = await self._handle_answer(connection, head, sent_at)
@@ -468,8 +491,10 @@
         raise ConnectionClosedError(f"no end within {timeout_s:.1f} s") from None
 
 
-def _is_target_innocent(end: AttemptEnd) -> bool:
+def _is_target_innocent(end: AttemptEnd | NotSent) -> bool:
     """Whether an attempt failed by no fault of the target."""
+    if isinstance(end, NotSent):
+        return True
     if not isinstance(end, WasNotRun):
         return False
     return end.inputs_gone or not end.is_target_suspect
--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -130,6 +130,7 @@
                 self._find_piece_limits,
                 self.list_hosts,
                 settings.link_mbps,
+                self.targets.is_all_drained,
             ),
             PieceCalls(wire, self.upstream, self.signals, self.targets.find_by_address),
             peers,
@@ -144,7 +145,9 @@
         self, pool: UpstreamPool
     ) -> TargetConnector[UpstreamConnection]:
         async def open_through(host: EntryHost, address: Address) -> UpstreamConnection:
-            connection = await open_relayed(host.address, address)
+            connection = await open_relayed(
+                host.address, address, self.targets.drains.revision
+            )
             return pool.wrap_relayed(connection, address)
 
         return TargetConnector(
@@ -183,6 +186,7 @@
             crash_revision=self.crashes.find_known_revision(control, incarnation),
             crash_news=self.crashes.list_news(control, incarnation),
             told_version=self.documents.find_told_version(control),
+            drains_revision=self.targets.drains.revision,
         )
 
     async def handle_page(
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -110,10 +110,9 @@
         connector = self.context.upstream.connector
         assert connector is not None
         self._connector = connector
-        addresses = self.context.targets.list_addresses
         #: Relays connections of other hosts to targets.
         self.relays = RelayService(
-            connector, lambda x: x in addresses(), lambda: process.is_stopping
+            connector, self.context.targets.may_relay, lambda: process.is_stopping
         )
         routes[("GET", RELAY_PATH)] = self.relays.serve
         limits, clock = settings.limits, process.clock
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_calls.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_calls.py
@@ -23,7 +23,13 @@
     WireCall,
     WireReply,
 )
-from bramleyspread_forwarding import BatchedCall, ForwardTarget, PieceResult
+from bramleyspread_forwarding import (
+    BatchedCall,
+    ForwardTarget,
+    NotSent,
+    PieceResult,
+    SendPermit,
+)
 
 #: Timeout for connecting to a target, in seconds.
 CONNECT_TIMEOUT_S = 0.25
@@ -42,8 +48,12 @@
     why: str
 
 
+class _WithdrawnError(Exception):
+    """The permission to send a call doesn't hold any more."""
+
+
 #: Outcome of one call.
-CallOutcome = tuple[PieceResult, ...] | PiecesRejected | OutcomeUnknown
+CallOutcome = tuple[PieceResult, ...] | PiecesRejected | OutcomeUnknown | NotSent
 
 
 Outcome = TypeVar("Outcome")
@@ -81,8 +91,11 @@
                 self._wire.write_pieces(call),
                 call.target,
                 partial(self._read_results, call),
+                self._make_permit(call),
             )
             return results
+        except _WithdrawnError as error:
+            return NotSent(str(error))
         except RequestNotSentError as error:
             return PiecesRejected(str(error))
         except (ConnectionClosedError, MessageError) as error:
@@ -91,6 +104,15 @@
             await self._pool.close_idle_to(call.target.address)
             return OutcomeUnknown(f"no answer within {timeout_s:.3f} s")
 
+    def _make_permit(self, call: BatchedCall) -> SendPermit:
+        is_paced = self._signals.table.is_limited(call.target)
+        return SendPermit(call.target, call.created_at, is_paced)
+
+    def _check_permit(self, permit: SendPermit | None) -> None:
+        withdrawal = self._signals.find_withdrawal(permit) if permit else ""
+        if withdrawal:
+            raise _WithdrawnError(withdrawal)
+
     def _read_results(
         self, call: BatchedCall, reply: WireReply, connection: UpstreamConnection
     ) -> tuple[PieceResult, ...] | PiecesRejected:
@@ -158,13 +180,18 @@
         call: WireCall,
         target: ForwardTarget | None,
         read: Callable[[WireReply, UpstreamConnection], Outcome],
+        permit: SendPermit | None = None,
     ) -> Outcome:
         """Send a call on a connection, which is kept only if the answer is a success.
 
         An answer may belong to an earlier call on the connection. If the connection
         were kept, the answer that is still due would be taken for that to the next
         call.
+
+        :raises _WithdrawnError: if the permission to send the call, where it needs one,
+            doesn't hold any more.
         """
+        self._check_permit(permit)
         connection = await self._pool.acquire(address, CONNECT_TIMEOUT_S)
         is_complete = False
         keep_alive_s: float | None = None
@@ -174,6 +201,7 @@
                 *call.headers,
                 (b"Content-Length", str(len(call.body)).encode()),
             ]
+            self._check_permit(permit)
             sent_at = read_monotonic()
             await connection.send("POST", call.path, headers, call.body)
             raw = await connection.read_head()
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -27,6 +27,7 @@
     BatchedCall,
     Batcher,
     JobDone,
+    NotSent,
     PieceFault,
     PieceJob,
     PieceRelease,
@@ -82,7 +83,7 @@
         self.releases = ResultReleases(
             directory, targets, self._hosts, self._handle_released
         )
-        #: Number of batched calls sent to targets.
+        #: Number of batched calls sent to targets that have ended.
         self.calls = 0
         #: Number of pieces in those calls.
         self.pieces = 0
@@ -93,6 +94,8 @@
         :param job: the job.
         :returns: the results, in the order of the job's pieces.
         """
+        if self._directory.is_all_drained(job.service):
+            return _fail_all(job, PieceFault.SHED)
         results = await self._run_with_fallback(job)
         limits = self._directory.find_limits(job.service)
         if limits is not None:
@@ -234,8 +237,6 @@
         share = self._hosts.find_rate_share(shard)
         now = read_monotonic()
         for call in batcher.dispatch(targets, limits, now, lead_s, share):
-            self.calls += 1
-            self.pieces += len(call.items)
             await curio.spawn(self._run_call, shard, call, daemon=True)
             if lead_s:
                 delay_s = call.expected_ms / 1000 - lead_s
@@ -251,6 +252,11 @@
         started_at = read_monotonic()
         answer = await self._targets.send(call)
         now = read_monotonic()
+        if isinstance(answer, NotSent):
+            await self._withdraw(shard, call, answer)
+            return
+        self.calls += 1
+        self.pieces += len(call.items)
         if isinstance(answer, OutcomeUnknown):
             self._log_failure(call, answer.why)
             done = batcher.fail(call.call, now)
@@ -277,6 +283,22 @@
         await self._release_unwanted(shard)
         await self._dispatch(shard)
 
+    async def _withdraw(
+        self, shard: ShardId, call: BatchedCall, answer: NotSent
+    ) -> None:
+        """Queue the pieces of a call that was not sent again."""
+        batcher = self._batchers[shard]
+        batcher.withdraw(call.call, read_monotonic())
+        logger.bind(
+            step="batch",
+            peer=call.target.target,
+            service=shard.service,
+            shard=shard.number,
+            pieces=len(call.items),
+            zone=call.target.zone,
+        ).info(f"not sent: {answer.why}")
+        await self._dispatch(shard)
+
     def _log_failure(self, call: BatchedCall, why: str) -> None:
         peer = call.target.target
         logger.bind(step="batch", peer=peer).warning(
@@ -305,6 +327,8 @@
                 await self._finish_jobs(shard, batcher.jobs.expire(now))
             else:
                 await self._finish_jobs(shard, batcher.expire_and_shed(limits, now))
+            if self._directory.is_all_drained(shard.service):
+                await self._finish_jobs(shard, batcher.jobs.fail_waiting())
             if not self._may_run_received_jobs(shard):
                 await self._finish_jobs(shard, batcher.jobs.fail_unstarted())
             if batcher.jobs.waiting_pieces:
--- a/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
@@ -26,6 +26,8 @@
 from bramleyspread_daemon._refusal import encode_refusal
 from bramleyspread_daemon.forward._target_signals import TargetSignals
 from bramleyspread_forwarding import (
+    DRAINED_RETRY_S,
+    ZONES_DRAINED,
     Admitted,
     EntryHost,
     ForwardTarget,
@@ -111,9 +113,16 @@
         return answer if isinstance(answer, NoTarget) else Admitted()
 
     async def _decide(self, query: PlaceQuery) -> Placed | NoTarget | Admitted:
+        if self._signals.targets.is_all_drained(query.service):
+            return NoTarget(ZONES_DRAINED, DRAINED_RETRY_S)
         targets = self._list_targets(query.service)
         paused = self._signals.list_paused(targets)
-        query = msgspec.structs.replace(query, paused=paused)
+        drains = self._signals.targets.drains
+        query = msgspec.structs.replace(
+            query,
+            paused=paused,
+            drained_zones=tuple(each.zone for each in drains.drained),
+        )
         if targets and len(paused) == len(targets):
             return self._decide_locally(query)
         for _ in range(MAX_HOSTS_TRIED):
@@ -121,6 +130,10 @@
             if placement_host is None:
                 return self._decide_locally(query, self._find_share(query.service))
             answer = await self._request_placement(placement_host, query)
+            if isinstance(answer, Placed) and drains.is_drained(answer.target.zone):
+                # The placement host is older than drains, and can't be told of them.
+                self.report(_end(answer))
+                return self._decide_locally(query)
             if answer is not None:
                 return answer
             self._owners.start_backoff(placement_host, read_monotonic())
@@ -172,6 +185,8 @@
     def _decide_locally(
         self, query: PlaceQuery, share: float = 0.0
     ) -> Placed | NoTarget | Admitted:
+        if self._signals.targets.is_all_drained(query.service):
+            return NoTarget(ZONES_DRAINED, DRAINED_RETRY_S)
         targets = self._list_targets(query.service)
         limits = self._find_limits(query.service)
         if query.is_admission:
@@ -262,3 +277,8 @@
         """Forget what hosts were told that no longer run."""
         if len(self._told_revisions) > MAX_TOLD_HOSTS:
             self._told_revisions.clear()
+
+
+def _end(placed: Placed) -> PlaceStep:
+    """Build the step that ends a reservation of which no use was made."""
+    return PlaceStep(ticket=placed.ticket, target=placed.target.target, ended=True)
--- a/packages/daemon/bramleyspread_daemon/forward/_relay.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_relay.py
@@ -52,8 +52,12 @@
 MAX_RELAYED = 512
 #: Maximum size of the head of an answer, in bytes.
 MAX_HEAD_BYTES = 16_384
+#: Header with the revision of the zone drains that the asker obeys; 0 without it.
+DRAINS_HEADER = "x-zone-drains"
 #: Status with which a host answers that the target refuses connections.
 REFUSED_STATUS = 502
+#: Maximum number of digits of that revision.
+MAX_REVISION_DIGITS = 18
 #: Status with which a host answers that the target can't be reached.
 UNREACHED_STATUS = 504
 
@@ -62,8 +66,8 @@
     """Relays connections of other hosts to targets.
 
     :param connector: opens the connections to targets.
-    :param is_known: whether a target is known at an address; no other address is
-        connected to.
+    :param may_relay: whether an address may be connected to for a host that obeys the
+        zone drains of a revision.
     :param is_stopping: whether this host is about to stop, so that it relays no new
         connections.
     """
@@ -71,11 +75,11 @@
     def __init__(
         self,
         connector: TargetConnector[UpstreamConnection],
-        is_known: Callable[[Address], bool],
+        may_relay: Callable[[Address, int], bool],
         is_stopping: Callable[[], bool],
     ) -> None:
         self._connector = connector
-        self._is_known = is_known
+        self._may_relay = may_relay
         self._is_stopping = is_stopping
         self._groups: set[curio.TaskGroup] = set()
         #: Number of connections that are relayed now.
@@ -89,7 +93,8 @@
             reply.send(400, encode_refusal(400, str(error)))
             return
         is_full = self.open >= MAX_RELAYED
-        if is_full or self._is_stopping() or not self._is_known(address):
+        revision = _read_revision(http.headers)
+        if is_full or self._is_stopping() or not self._may_relay(address, revision):
             reply.send(503, encode_refusal(503, "not relayed"))
             return
         try:
@@ -186,23 +191,35 @@
             await sink.send_all(data)
 
 
+def _read_revision(headers: Mapping[str, str]) -> int:
+    """Read the revision of the zone drains that the asker obeys."""
+    text = headers.get(DRAINS_HEADER, "")
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_REVISION_DIGITS
+    return int(text) if is_number else 0
+
+
 def _list_protocols(headers: Mapping[str, str]) -> list[str]:
     """List the protocols that a peer offers to switch to, the preferred one first."""
     return [each.strip() for each in headers.get("upgrade", "").split(",")]
 
 
-async def open_relayed(relay: Address, target: Address) -> Connection:
+async def open_relayed(
+    relay: Address, target: Address, drains_revision: int = 0
+) -> Connection:
     """Connect to a target through another host.
 
     :param relay: address of the host.
     :param target: address of the target.
+    :param drains_revision: revision of the zone drains that this host obeys.
     :returns: a connection whose peer is the target.
     :raises TargetRefusedError: if the target refuses connections there.
     :raises RelayUnavailableError: if that host does not relay, or doesn't answer.
     :raises RequestNotSentError: if that host doesn't reach the target.
     """
     try:
-        connection: Connection = await timeout_after(ASK_TIMEOUT_S, _ask, relay, target)
+        connection: Connection = await timeout_after(
+            ASK_TIMEOUT_S, _ask, relay, target, drains_revision
+        )
     except curio.TaskTimeout:
         raise RelayUnavailableError("no answer from the relay") from None
     except (OSError, h11.RemoteProtocolError) as error:
@@ -211,12 +228,12 @@
     return connection
 
 
-async def _ask(relay: Address, target: Address) -> Connection:
+async def _ask(relay: Address, target: Address, drains_revision: int) -> Connection:
     connection = await Connection.open(relay)
     switched: RelayedConnection | None = None
     try:
         http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        answer = await _request_switch(connection, http, relay, target)
+        answer = await _request_switch(connection, http, relay, target, drains_revision)
         if answer.status_code == 101:
             headers = {k.decode(): v.decode("latin-1") for k, v in answer.headers}
             switched = RelayedConnection(
@@ -238,13 +255,18 @@
 
 
 async def _request_switch(
-    connection: Connection, http: h11.Connection, relay: Address, target: Address
+    connection: Connection,
+    http: h11.Connection,
+    relay: Address,
+    target: Address,
+    drains_revision: int,
 ) -> h11.InformationalResponse | h11.Response:
     """Ask to relay, and return the head of the answer."""
     headers = [
         ("host", str(relay)),
         ("connection", "upgrade"),
         ("upgrade", f"{RELAY_PROTOCOL}, {UNFRAMED_PROTOCOL}"),
+        (DRAINS_HEADER, str(drains_revision)),
     ]
     head = h11.Request(method="GET", target=f"{RELAY_PATH}?{target}", headers=headers)
     await connection.send_all(
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -21,7 +21,11 @@
     Unresumable,
 )
 from bramleyspread_daemon.forward._stream_times import StreamTimes
-from bramleyspread_daemon.forward._target_choice import choose_target, log_choice
+from bramleyspread_daemon.forward._target_choice import (
+    choose_target,
+    log_choice,
+    log_withdrawal,
+)
 from bramleyspread_daemon.forward._target_crashes import RequestFeatures
 from bramleyspread_daemon.forward._unsent_answer import count_unsent
 from bramleyspread_daemon.forward._wire import (
@@ -30,14 +34,17 @@
     Refusal,
 )
 from bramleyspread_forwarding import (
+    DRAINED_RETRY_S,
     NO_ROOM,
     PAUSED,
     RATE_LIMITED,
+    ZONES_DRAINED,
     AttemptEnd,
     Delivered,
     ForwardRequest,
     MayHaveRun,
     NoTarget,
+    NotSent,
     Placed,
     PlaceQuery,
     RetryBudget,
@@ -188,7 +195,8 @@
         if self._is_quarantined():
             return self._refuse(503, QUARANTINED, None)
         service = await self._binding.find_service(service)
-        refused = self._refuse_unresumable() or await self._run_stages(service)
+        refused = self._refuse_unresumable() or self._refuse_drained(service)
+        refused = refused or await self._run_stages(service)
         if refused:
             return refused
         if self._is_quarantined():
@@ -202,6 +210,10 @@
             end = await self._run_attempt(service)
             if isinstance(end, Delivered):
                 return "delivered"
+            if isinstance(end, NotSent):
+                if self._is_quarantined():
+                    return self._conclude(WasNotRun(QUARANTINED))
+                continue
             is_retryable = may_retry(self._route, end, self._attempts)
             if (
                 not is_retryable
@@ -243,6 +255,21 @@
             return ""
         return self._conclude(self._describe_unresumable(unresumable))
 
+    def _refuse_drained(self, service: str) -> str:
+        """Refuse a request if all targets of a service that it needs are drained.
+
+        :param service: the service that gets the request after its stages.
+        :returns: how the request ended, or empty if it didn't.
+        """
+        targets = self._context.targets
+        if not targets.drains.drained:
+            return ""
+        services = (service, *self._stages.list_services())
+        if not any(map(targets.is_all_drained, services)):
+            return ""
+        refusal = NoTarget(ZONES_DRAINED, DRAINED_RETRY_S)
+        return self._conclude(self._describe_refusal(refusal))
+
     async def _run_stages(self, service: str) -> str:
         """Run the stages; return how the request ended, or empty if they succeeded."""
         if not self._route.stages:
@@ -278,12 +305,13 @@
             return True
         return budget.try_acquire(read_monotonic(), len(self._context.list_hosts()))
 
-    async def _run_attempt(self, service: str) -> AttemptEnd:
+    async def _run_attempt(self, service: str) -> AttemptEnd | NotSent:
         binding = self._binding.find()
         if isinstance(binding, Unresumable):
             self._attempts = self._route.attempts
             return self._describe_unresumable(binding)
         query = self._build_query(service)
+        asked_at = read_monotonic()
         placed = await choose_target(self._context.placement, query, binding)
         limited = self._context.count_limited(service)
         log_choice(self._request.request_id, query, placed, limited)
@@ -303,6 +331,7 @@
             placed,
             self._features,
             self._binding,
+            asked_at,
         )
         if not await attempt.wait_for_turn():
             await attempt.close()
@@ -310,6 +339,10 @@
                 "wants no requests any more", may_have_reached_target=False
             )
         end = await attempt.run(self._build_metadata(placed), self._find_max_idle_s())
+        if isinstance(end, NotSent):
+            self._tried_targets.pop()
+            log_withdrawal(self._request.request_id, placed, end)
+            return end
         self._attempts += attempt.was_sent
         self._last_event_id = attempt.last_event or self._last_event_id
         ran = attempt.was_sent and not isinstance(end, WasNotRun)
--- a/packages/daemon/bramleyspread_daemon/forward/_service_directory.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_service_directory.py
@@ -23,6 +23,7 @@
         find_limits: Callable[[str], PieceLimits | None],
         list_hosts: Callable[[], Sequence[EntryHost]],
         link_mbps: float = 0.0,
+        is_all_drained: Callable[[str], bool] = lambda _: False,
     ) -> None:
         #: Returns the targets of a service that accept work.
         self.list_targets = list_targets
@@ -30,6 +31,8 @@
         self.find_limits = find_limits
         #: Returns the live entry hosts, including this one.
         self.list_hosts = list_hosts
+        #: Returns whether a service's targets get no work because of zone drains.
+        self.is_all_drained = is_all_drained
         #: Rate of an entry host's link, in Mbit/s; 0 if unknown.
         self.link_mbps = link_mbps
         self._shards = ServiceShards(link_mbps)
--- a/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
@@ -69,6 +69,11 @@
         """Return the megabytes of the request's inputs, by zone."""
         return self._run.sum_input_mb() if self._run is not None else {}
 
+    def list_services(self) -> tuple[str, ...]:
+        """Return the services of the stages that have pieces for this request."""
+        planned = zip(self._route.stages, self._request.pieces, strict=False)
+        return tuple(stage.service for stage, pieces in planned if pieces)
+
     def list_inputs(self) -> tuple[str, ...] | None:
         """Return the handles of the request's inputs; None if there are no stages."""
         if self._run is None:
--- a/packages/daemon/bramleyspread_daemon/forward/_target_choice.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_choice.py
@@ -10,6 +10,7 @@
 from bramleyspread_forwarding import (
     NO_SUCH_SOFTWARE,
     NoTarget,
+    NotSent,
     Placed,
     PlaceQuery,
     PlaceStep,
@@ -73,3 +74,16 @@
         ahead=placed.requests_ahead,
         crossing_mb=round(crossing_mb, 3),
     ).info("placed")
+
+
+def log_withdrawal(request: str, placed: Placed, end: NotSent) -> None:
+    """Log that a request was not sent to the target that was chosen for it.
+
+    :param request: id of the request.
+    :param placed: the choice.
+    :param end: why the request was not sent.
+    """
+    target = placed.target
+    logger.bind(
+        step="place", peer=target.target, request=request, zone=target.zone
+    ).info(f"not sent: {end.why}")
--- a/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
@@ -14,6 +14,7 @@
     LEAVING,
     ForwardTarget,
     ResponseSignals,
+    SendPermit,
     SharedSignal,
     SignalChange,
     SignalTable,
@@ -35,7 +36,8 @@
     """
 
     def __init__(self, targets: TargetTable, rng: Random) -> None:
-        self._targets = targets
+        #: The known targets.
+        self.targets = targets
         #: What each target has said.
         self.table = SignalTable(rng)
         #: Paces the requests to targets that name a rate limit.
@@ -45,6 +47,8 @@
         #: Number of callers' requests that waited for a rate limit, or were refused
         #: because of what all targets had said.
         self.held_back_counts: Counter[str] = Counter()
+        #: Number of requests and calls that were not sent to their target, by reason.
+        self.withdrawal_counts: Counter[str] = Counter()
         self._unreadable_logged_at: dict[str, float] = {}
 
     def record(
@@ -99,13 +103,25 @@
             return False
         return not self.table.find_pause_s(target, read_monotonic())
 
+    def find_withdrawal(self, permit: SendPermit) -> str:
+        """Find why a request may not be sent any more; empty if it may.
+
+        Called directly before the request is sent, without a wait in between.
+
+        :param permit: its permission.
+        """
+        why = permit.find_withdrawal(self.targets.drains, read_monotonic())
+        if why:
+            self.withdrawal_counts[why] += 1
+        return why
+
     def _follow(
         self, target: str, born: int, changes: Sequence[SignalChange], source: str
     ) -> None:
         for change in changes:
             _log_change(target, change, source)
             if change.signal == LEAVING:
-                self._targets.record_departure(target, born, read_monotonic())
+                self.targets.record_departure(target, born, read_monotonic())
 
     def _log_unreadable(
         self, target: ForwardTarget, names: tuple[str, ...], now: float
--- a/packages/daemon/bramleyspread_daemon/forward/tests/forwarding_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/forwarding_site.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import Counter
+from collections.abc import Sequence
 from random import Random
 from types import SimpleNamespace
 from typing import Any, cast
@@ -20,6 +21,7 @@
     PieceLimits,
     RequestKind,
     ServiceShare,
+    ZoneDrains,
 )
 from bramleyspread_daemon._client import (
     ConnectionClosedError,
@@ -183,6 +185,8 @@
     async def acquire(
         self, address: Address, timeout: float, *, max_idle_s: float = math.inf
     ) -> _Connection:
+        if self._site.connect_s:
+            await curio.sleep(self._site.connect_s)
         target = self._site.targets[address]
         if not target.is_running(read_monotonic()):
             raise TargetRefusedError("not connected: Connection refused")
@@ -223,6 +227,7 @@
     :param slots: number of requests that a target runs at once.
     :param pieces: limits of the targets if they compute pieces; None for others.
     :param seed: seed of the traffic and of the hosts' choices.
+    :param zones: zones of the targets, by turns.
     """
 
     service = "llm"
@@ -237,8 +242,15 @@
         slots: int = 64,
         pieces: PieceLimits | None = None,
         seed: int = 1,
+        zones: Sequence[str] = ("z",),
     ) -> None:
         self.rng = Random(seed)
+        self.zones = zones
+        #: The zone drains that control hosts name, but not to these hosts.
+        self.drains = ZoneDrains()
+        self.late: set[Address] = set()
+        #: How long a connection to a target takes, in seconds.
+        self.connect_s = 0.0
         self._pieces = pieces
         self._slots = slots
         self._engine = engine
@@ -282,6 +294,10 @@
         """List the hosts that run, by name."""
         return tuple(each.own for each in self.contexts.values())
 
+    def find_zone(self, target: Address) -> str:
+        """Find the zone of a target."""
+        return self.zones[list(self.targets).index(target) % len(self.zones)]
+
     def _make_page(self) -> FeedPage:
         targets = [
             TargetHeartbeat(
@@ -289,7 +305,7 @@
                 sequence=1,
                 service=self.service,
                 address=each.address,
-                zone="z",
+                zone=self.find_zone(each.address),
                 slots=self._slots,
                 readiness=Readiness.READY,
             )
@@ -323,9 +339,11 @@
             if self.has_control and now >= next_page_at:
                 next_page_at = now + PAGE_INTERVAL_S
                 page = self._make_page()
-                for address, context in self.contexts.items():
+                newest = msgspec.structs.replace(page, zone_drains=self.drains)
+                for address, context in tuple(self.contexts.items()):
                     if address not in self.silent:
-                        await context.handle_page(control, page, now)
+                        shown = page if address in self.late else newest
+                        await context.handle_page(control, shown, now)
             for context in self.contexts.values():
                 await curio.spawn(self._tick, context, daemon=True)
             await curio.sleep(TICK_S)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/signalling_target.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/signalling_target.py
@@ -37,6 +37,9 @@
         self.status: Callable[[float], int] = lambda _: 200
         #: When each request arrived, and from which host.
         self.arrivals: list[tuple[float, str]] = []
+        #: When each call for pieces arrived; other requests to stage targets release
+        #: results.
+        self.calls: list[float] = []
         #: When each host first read a response that named a limit.
         self.told_at: dict[str, float] = {}
         #: When each host first read a response that said that the target is leaving.
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_limited_stages.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_limited_stages.py
@@ -95,6 +95,7 @@
         self._target.arrivals.append((read_monotonic(), self._host))
         pieces = int(body)
         if pieces:
+            self._target.calls.append(read_monotonic())
             self._run_s = (LIMITS.call_ms + pieces * LIMITS.piece_ms) / 1000
 
     async def read_head(self) -> SimpleNamespace:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_relay.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_relay.py
@@ -56,8 +56,12 @@
         self.relay = UpstreamPool(None, lambda pool: self._connect(pool, ()))
         assert self.relay.connector is not None
         self.is_stopping = False
+        #: Revisions of the zone drains that both hosts obey; the targets are drained.
+        self.relay_revision = self.asker_revision = 0
         self.service = RelayService(
-            self.relay.connector, lambda x: x in self.known, lambda: self.is_stopping
+            self.relay.connector,
+            lambda x, revision: (x in self.known and revision >= self.relay_revision),
+            lambda: self.is_stopping,
         )
 
     async def start(self, *others: EntryHost) -> UpstreamPool:
@@ -79,7 +83,7 @@
             return await pool.open_directly(address, timeout)
 
         async def open_through(host: EntryHost, address: Address) -> UpstreamConnection:
-            connection = await open_relayed(host.address, address)
+            connection = await open_relayed(host.address, address, self.asker_revision)
             return pool.wrap_relayed(connection, address)
 
         return TargetConnector(
@@ -117,6 +121,30 @@
     return body
 
 
+# Guards against new connections to a drained zone for a host that learns of the drain
+# late, and against one that knows it and can't end what is in flight there.
+@pytest.mark.parametrize("asker_revision", [0, 1, 2, 3])
+def test_only_hosts_that_know_of_a_drain_are_relayed_to_its_zone(
+    asker_revision: int,
+) -> None:
+    requests: list[bytes] = []
+
+    async def serve(connected: Any) -> None:  # noqa: ANN401
+        requests.append(await read_request(connected))
+        await connected.sendall(write_answer(ANSWER))
+
+    async def action(site: Site, pool: UpstreamPool, target: Address) -> None:
+        site.relay_revision, site.asker_revision = 2, asker_revision
+        if asker_revision >= 2:
+            assert await fetch(pool, target) == ANSWER
+        else:
+            with pytest.raises(RequestNotSentError):
+                await fetch(pool, target)
+
+    run_relayed(serve, action)
+    assert len(requests) == (asker_revision >= 2)
+
+
 def test_answers_are_relayed_whole_on_one_connection() -> None:
     requests: list[bytes] = []
 
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_relay_builds.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_relay_builds.py
@@ -37,7 +37,7 @@
     monkeypatch.setattr(relay, "_ask", _ask_unframed)
 
 
-async def _ask_unframed(host: Address, target: Address) -> Connection:
+async def _ask_unframed(host: Address, target: Address, _: int) -> Connection:
     connection = await Connection.open(host)
     head = f"GET {RELAY_PATH}?{target} HTTP/1.1\r\nhost: h\r\nconnection: upgrade\r\n"
     head += f"upgrade: {UNFRAMED_PROTOCOL}\r\n\r\n"
