Zones whose drain was withdrawn are ramped up

A zone with a third of the targets had its whole share again in the first second after its drain was withdrawn: 0.29 and 0.30 of 160 requests a second in virtual time, with engines and with plain targets. SlowStarts now ramps it up over 5 s: requests take the zone into account in turns, as many as its share allows, and calls for pieces go to that share of its targets. A request that finds no target outside the zone uses it.

--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -46,6 +46,7 @@
     RelayChoice,
     RetryBudget,
     RouteTable,
+    SlowStarts,
     StageTimes,
     TargetTable,
 )
@@ -90,6 +91,8 @@
         self.documents = DocumentLink(peers, self._apply_fetched)
         #: Known targets.
         self.targets = TargetTable()
+        #: Ramps up the work of zones whose drain was withdrawn.
+        self.slow_starts = SlowStarts()
         #: What targets have said about themselves.
         self.signals = TargetSignals(self.targets, rng)
         #: Which software versions began streams.
@@ -106,6 +109,7 @@
             self.list_hosts,
             peers,
             self.stream_keepers.tables.record,
+            self.slow_starts,
         )
         #: Recent durations of stages.
         self.stage_times = StageTimes()
@@ -131,6 +135,7 @@
                 self.list_hosts,
                 settings.link_mbps,
                 self.targets.is_all_drained,
+                self.slow_starts,
             ),
             PieceCalls(wire, self.upstream, self.signals, self.targets.find_by_address),
             peers,
@@ -201,6 +206,8 @@
         if page.confirmed and page.version <= self.version:
             self.keys.confirm(requested_at)
         self.targets.apply(control, page, now)
+        drained = [each.zone for each in self.targets.drains.drained]
+        self.slow_starts.follow_drains(drained, now)
         self.crashes.handle_page(control, page)
         known = self._known_entries.get(control, KnownEntries()).apply(page)
         self._known_entries[control] = known
--- a/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
@@ -40,6 +40,7 @@
     RateShares,
     ServiceOwners,
     SharedSignal,
+    SlowStarts,
     StreamOrigin,
 )
 
@@ -73,7 +74,9 @@
         list_hosts: Callable[[], Sequence[EntryHost]],
         peers: ConnectionPool,
         record_origin: Callable[[StreamOrigin], None],
+        slow_starts: SlowStarts | None = None,
     ) -> None:
+        self._slow_starts = slow_starts if slow_starts is not None else SlowStarts()
         self._record_origin = record_origin
         self._placement = placement
         self._signals = signals
@@ -193,7 +196,13 @@
             return self._placement.admit(
                 query, targets, limits, read_monotonic(), share
             )
-        return self._placement.choose(query, targets, limits, read_monotonic(), share)
+        now = read_monotonic()
+        choose = self._placement.choose
+        open_targets = self._slow_starts.choose(query.service, targets, now)
+        placed = choose(query, open_targets, limits, now, share)
+        if isinstance(placed, NoTarget) and len(open_targets) < len(targets):
+            return choose(query, targets, limits, now, share)
+        return placed
 
     def _find_limits(self, service: str) -> EngineLimits | None:
         found = self._find_service(service)
--- a/packages/daemon/bramleyspread_daemon/forward/_service_directory.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_service_directory.py
@@ -5,12 +5,14 @@
 from collections.abc import Callable, Sequence
 
 from bramleyspread_core import PieceLimits
+from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_forwarding import (
     EntryHost,
     ForwardTarget,
     ServiceShards,
     ShardId,
     Shards,
+    SlowStarts,
 )
 
 
@@ -24,7 +26,9 @@
         list_hosts: Callable[[], Sequence[EntryHost]],
         link_mbps: float = 0.0,
         is_all_drained: Callable[[str], bool] = lambda _: False,
+        slow_starts: SlowStarts | None = None,
     ) -> None:
+        self._slow_starts = slow_starts if slow_starts is not None else SlowStarts()
         #: Returns the targets of a service that accept work.
         self.list_targets = list_targets
         #: Returns the limits under which the targets of a service process pieces.
@@ -44,12 +48,15 @@
         )
 
     def list_shard_targets(self, shard: ShardId) -> Sequence[ForwardTarget]:
-        """Return the targets of a shard.
+        """Return the targets of a shard that may get calls now.
 
-        A shard that is no longer used has all targets of the service, so that what it
-        has started can end.
+        Of zones that have just come back, only some may. A shard that is no longer used
+        has all targets of the service, so that what it has started can end.
         """
         shards = self.list_shards(shard.service)
+        targets: Sequence[ForwardTarget]
         if shard.number < len(shards):
-            return shards[shard.number]
-        return self.list_targets(shard.service)
+            targets = shards[shard.number]
+        else:
+            targets = self.list_targets(shard.service)
+        return self._slow_starts.list_open(shard.service, targets, read_monotonic())
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_zone_drains.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_zone_drains.py
@@ -43,6 +43,7 @@
     FeedPage,
     PieceFault,
     ResponseSignals,
+    SlowStarts,
     TargetChange,
     TargetTable,
     rank_owners,
@@ -129,6 +130,37 @@
     assert set(site.ends) == {200}
 
 
+# Guards against a zone that gets its whole share in the moment in which its drain ends
+# (0.3 of all requests in the first second without a ramp), or that stays behind.
+@pytest.mark.parametrize("engine", [ENGINE, None])
+def test_undrained_zone_is_ramped_up_to_its_share(
+    monkeypatch: pytest.MonkeyPatch, engine: EngineLimits | None
+) -> None:
+    site, per_s = make_site(engine), 4 * PER_S
+
+    async def main() -> float:
+        await curio.spawn(site.run_hosts, daemon=True)
+        site.drains = NORTH_DRAINED
+        await site.send_traffic(per_s, 8.0)
+        site.drains = NORTH_DRAINED.undrain("north")
+        undrained_at = read_monotonic()
+        await site.send_traffic(per_s, 12.0)
+        await curio.sleep(1.0)
+        return undrained_at
+
+    undrained_at = run_in_virtual_time(monkeypatch, main)
+    arrivals = [at - undrained_at for at, _ in list_arrivals(site, ["north"], 0.0)]
+    share = [
+        sum(second <= at < second + 1 for at in arrivals) / per_s
+        for second in range(12)
+    ]
+    assert share[0] <= 0.08
+    assert share[1] <= 0.16
+    assert max(share) <= 0.45
+    assert sum(share[8:]) / 4 >= 0.28
+    assert set(site.ends) == {200}
+
+
 # Guards against requests that are held, or whose callers return at once, while all
 # targets are drained.
 @pytest.mark.parametrize("engine", [ENGINE, None])
@@ -297,6 +329,8 @@
 
     def __init__(self) -> None:
         self.tables: dict[str, TargetTable] = {}
+        #: Ramps up zones at all hosts.
+        self.slow_starts = SlowStarts()
         #: How long a connection to a target takes, in seconds.
         self.connect_s = 0.0
         super().__init__()
@@ -309,6 +343,7 @@
             lambda: self.hosts,
             self.stated_mbps,
             lambda _: all(table.drains.is_drained(x.zone) for x in self.targets),
+            self.slow_starts,
         )
         signals = TargetSignals(table, Random(1))
         by_address = {each.address: each for each in self.targets}
@@ -455,6 +490,33 @@
     assert sent == []
 
 
+# Guards against calls to all targets of a zone in the moment at which its drain ends.
+def test_undrained_zone_gets_calls_for_pieces_one_target_after_another(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = DrainedStages()
+    first, *others = site.targets
+    site.targets = (
+        *(msgspec.structs.replace(each, zone="zone-0") for each in others),
+        msgspec.structs.replace(first, zone="zone-1"),
+    )
+
+    async def main() -> list[int]:
+        await curio.spawn(site.run_ticks, daemon=True)
+        site.slow_starts.follow_drains(["zone-0"], read_monotonic())
+        await curio.sleep(10.0)
+        site.slow_starts.follow_drains([], read_monotonic())
+        used = []
+        for _ in range(3):
+            await site.send_jobs(Random(3), 12.0, 2.0)
+            used.append(sum(bool(x.calls) for x in site.signalling.values()))
+        return used
+
+    # The ramp lasts for 5 s: of the zone's two targets, the second gets its first call
+    # after half of it.
+    assert run_in_virtual_time(monkeypatch, main) == [2, 3, 3]
+
+
 # Guards against jobs that are held until their deadline once all zones are drained.
 def test_jobs_are_refused_at_once_while_all_zones_are_drained(
     monkeypatch: pytest.MonkeyPatch,
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -119,6 +119,7 @@
     SignalChange,
     SignalTable,
 )
+from bramleyspread_forwarding._slow_starts import SlowStarts
 from bramleyspread_forwarding._software_history import SoftwareHistory
 from bramleyspread_forwarding._stage_times import StageTimes
 from bramleyspread_forwarding._stream_origins import (
@@ -217,6 +218,7 @@
     "WasNotRun",
     "build_document",
     "choose_shard",
+    "SlowStarts",
     "SoftwareHistory",
     "StreamOrigin",
     "StreamOrigins",
