Capacity of services by zone, and what drains do, in metrics, logs and explain

What restricts targets was spread over five tables, so that nobody could say how much a zone can take. ZoneCapacity (package capacity, depends on core only) sums it by service and zone, each target counted once: usable, or under the first of leaving, drained, paused, in backoff, warming up, rate limited, brittle.

Each host logs when it begins to keep requests from a zone, with the last request that it sent there, and the first one that it kept. Metrics count targets, calls and what is held back by zone. explain names the drained zones of refusals and overloads; causes counts refusals for drains under their own text. A request whose stage fails because all zones were drained meanwhile is refused for that reason, with a time to come back.

Nothing reports warming up yet; the state is there for the warm-ups of targets.

--- a/packages/capacity/bramleyspread_capacity/__init__.py
+++ b/packages/capacity/bramleyspread_capacity/__init__.py
@@ -1,3 +1,10 @@
 """How much work targets and availability zones can take, and what limits it."""
 
-__all__: list[str] = []
+from bramleyspread_capacity._zone_capacity import (
+    Restriction,
+    TargetCapacity,
+    ZoneCapacity,
+    sum_by_zone,
+)
+
+__all__ = ["Restriction", "TargetCapacity", "ZoneCapacity", "sum_by_zone"]
--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -187,6 +187,7 @@
         if withdrawal:
             await self._close_connection()
             return NotSent(withdrawal)
+        context.signals.drains.record_sent(self._placed.target, request.request_id)
         try:
             await connection.send(
                 request.method, request.path_and_query, headers, request.body
--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -33,12 +33,14 @@
 from bramleyspread_daemon.forward._upstream import UpstreamConnection
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward._wire import TargetWire
+from bramleyspread_daemon.forward._zone_capacities import ZoneCapacities
 from bramleyspread_forwarding import (
     MAX_PAGE_GAP_S,
     DocumentParts,
     EntryHost,
     FeedPage,
     FeedQuery,
+    ForwardTarget,
     KeyRing,
     KnownEntries,
     LiveHosts,
@@ -141,6 +143,8 @@
             peers,
             self.signals.access,
         )
+        #: Capacity of services by zone.
+        self.capacities = ZoneCapacities(self.signals, self._is_in_backoff)
         #: Number of finished requests, by how they ended.
         self.end_counts: Counter[str] = Counter()
         #: Number of requests in flight.
@@ -208,6 +212,7 @@
         self.targets.apply(control, page, now)
         drained = [each.zone for each in self.targets.drains.drained]
         self.slow_starts.follow_drains(drained, now)
+        self.signals.drains.follow(self.capacities.measure)
         self.crashes.handle_page(control, page)
         known = self._known_entries.get(control, KnownEntries()).apply(page)
         self._known_entries[control] = known
@@ -260,6 +265,11 @@
         path = service.health_path if service is not None else None
         return path if isinstance(path, str) else None
 
+    def _is_in_backoff(self, service: str, target: ForwardTarget) -> bool:
+        return self.placement.is_in_backoff(
+            target.target
+        ) or self.piece_service.is_in_backoff(service, target.target)
+
     def get_retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         budget = self._budgets.get(service)
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -49,6 +49,7 @@
     TargetWire,
     WireReply,
 )
+from bramleyspread_daemon.forward._zone_metrics import fill_zone_metrics
 from bramleyspread_forwarding import (
     ForwardRequest,
     KeysUnconfirmed,
@@ -255,6 +256,7 @@
         for outcome, number in signals.held_back_counts.items():
             text = "Requests held back by what targets said."
             metrics.set_counter("held_back_total", text, number, outcome=outcome)
+        fill_zone_metrics(metrics, self.context)
         crashes = self.context.crashes
         text = "Requests refused because targets crash under such."
         metrics.set_counter("quarantined_requests_total", text, crashes.refused)
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_calls.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_calls.py
@@ -92,6 +92,7 @@
                 call.target,
                 partial(self._read_results, call),
                 self._make_permit(call),
+                call.items[0].item.request,
             )
             return results
         except _WithdrawnError as error:
@@ -181,6 +182,7 @@
         target: ForwardTarget | None,
         read: Callable[[WireReply, UpstreamConnection], Outcome],
         permit: SendPermit | None = None,
+        request: str = "",
     ) -> Outcome:
         """Send a call on a connection, which is kept only if the answer is a success.
 
@@ -202,6 +204,8 @@
                 (b"Content-Length", str(len(call.body)).encode()),
             ]
             self._check_permit(permit)
+            if permit is not None:
+                self._signals.drains.record_sent(permit.target, request)
             sent_at = read_monotonic()
             await connection.send("POST", call.path, headers, call.body)
             raw = await connection.read_head()
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -349,6 +349,15 @@
             if shard.service == service
         )
 
+    def is_in_backoff(self, service: str, target: str) -> bool:
+        """Return whether a target gets no calls from this host, since it failed."""
+        now = read_monotonic()
+        return any(
+            batcher.is_in_backoff(target, now)
+            for shard, batcher in self._batchers.items()
+            if shard.service == service
+        )
+
     async def _release_unwanted(self, shard: ShardId) -> None:
         unwanted = self._batchers[shard].jobs.take_unwanted_handles()
         if unwanted:
--- a/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
@@ -100,6 +100,10 @@
         answer = await self._decide(query)
         return answer if not isinstance(answer, Admitted) else NoTarget("not placed")
 
+    def is_in_backoff(self, target: str) -> bool:
+        """Return whether a target failed lately, as far as this host knows."""
+        return self._placement.is_in_backoff(target, read_monotonic())
+
     async def admit(self, query: PlaceQuery) -> Admitted | NoTarget:
         """Decide whether a request can be served, before its stages are run.
 
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -265,8 +265,12 @@
         if not targets.drains.drained:
             return ""
         services = (service, *self._stages.list_services())
-        if not any(map(targets.is_all_drained, services)):
+        drained = [each for each in services if targets.is_all_drained(each)]
+        if not drained:
             return ""
+        for each in drained:
+            reports = self._context.signals.drains
+            reports.record_choice(each, self._request.request_id)
         refusal = NoTarget(ZONES_DRAINED, DRAINED_RETRY_S)
         return self._conclude(self._describe_refusal(refusal))
 
@@ -285,7 +289,9 @@
             return self._refuse(503, why, retry_after_s)
         fault = await self._stages.run()
         if fault is not None:
-            return self._refuse(503, f"stage: {fault.value}", RETRY_AFTER_S)
+            why = f"stage: {fault.value}"
+            drained = self._refuse_drained(service)
+            return drained or self._refuse(503, why, RETRY_AFTER_S)
         return ""
 
     async def _ensure_inputs(self, end: AttemptEnd) -> bool:
@@ -313,8 +319,10 @@
         query = self._build_query(service)
         asked_at = read_monotonic()
         placed = await choose_target(self._context.placement, query, binding)
+        request_id = self._request.request_id
+        self._context.signals.drains.record_choice(service, request_id)
         limited = self._context.count_limited(service)
-        log_choice(self._request.request_id, query, placed, limited)
+        log_choice(request_id, query, placed, limited)
         if isinstance(placed, NoTarget):
             # Without a target left, no further attempt may follow.
             self._attempts = self._route.attempts
--- a/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
@@ -146,6 +146,7 @@
             zone=zone,
             crossing_bytes=crossing_bytes,
         )
+        self._context.signals.drains.record_choice(service, job.request)
         results = await self._context.piece_service.run_job(job)
         self._log_stage(job, results, now)
         if goal_remaining_ms > 0 and all(each.handle for each in results):
--- a/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon.forward._drain_reports import DrainReports
 from bramleyspread_forwarding import (
     LEAVING,
     ForwardTarget,
@@ -47,6 +48,8 @@
         #: Number of callers' requests that waited for a rate limit, or were refused
         #: because of what all targets had said.
         self.held_back_counts: Counter[str] = Counter()
+        #: Reports what is kept from drained zones.
+        self.drains = DrainReports(targets)
         #: Number of requests and calls that were not sent to their target, by reason.
         self.withdrawal_counts: Counter[str] = Counter()
         self._unreadable_logged_at: dict[str, float] = {}
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -315,6 +315,10 @@
         """Remove results that are no longer needed from the storage usage."""
         self._storage.release(handles)
 
+    def is_in_backoff(self, target: str, now: float) -> bool:
+        """Whether a target gets no calls now, since one failed or had no storage."""
+        return not self._history.is_available(target, now)
+
     def count_stored_bytes(self, target: str) -> int:
         """Count the bytes of results known to be stored at a target."""
         return self._storage.count_bytes(target)
--- a/packages/forwarding/bramleyspread_forwarding/_placement.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement.py
@@ -293,6 +293,11 @@
         elif step.good is False:
             tracker.record_failure(now)
 
+    def is_in_backoff(self, target: str, now: float) -> bool:
+        """Whether a target failed lately, and gets work only if no other one can."""
+        tracker = self._trackers.get(target)
+        return tracker is not None and tracker.backoff_until > now
+
     def expire(self, now: float) -> None:
         """Remove the reservations of requests whose end was not reported in time."""
         for ticket, reservation in tuple(self._reservations.items()):
--- a/packages/forwarding/bramleyspread_forwarding/_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/_targets.py
@@ -193,6 +193,27 @@
         """
         return self._drained.get(service, ())
 
+    def list_services(self) -> Collection[str]:
+        """List the services with targets that accept work, or would but for drains."""
+        return self._usable.keys()
+
+    def list_leaving(self) -> tuple[TargetHeartbeat, ...]:
+        """List the last heartbeats of targets that leave and are still there.
+
+        They are looked up in the views, so that rebuilding doesn't have to list them.
+        """
+        listed = {each.target for each in self._by_process.values()}
+        leaving: dict[str, TargetHeartbeat] = {}
+        for control in self._fresh_controls:
+            for target, change in self._views[control].targets.items():
+                notice = change.notice
+                if target in listed or notice.readiness is Readiness.GONE:
+                    continue
+                known = leaving.get(target)
+                if known is None or known.sort_key < notice.sort_key:
+                    leaving[target] = notice
+        return tuple(notice for _, notice in sorted(leaving.items()))
+
     def is_all_drained(self, service: str) -> bool:
         """Whether a service has targets, and all of them are in drained zones."""
         return bool(self._drained.get(service)) and not self._usable.get(service)
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_targets.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_targets.py
@@ -110,6 +110,22 @@
     assert (list_usable_ids(told), list_usable_ids(other)) == (["t"], ["t"])
 
 
+# Guards against a target that is counted as leaving while a new process serves under
+# its id, or once it is gone.
+def test_leaving_targets_are_listed_until_they_return_or_are_gone() -> None:
+    table = TargetTable()
+    draining = make_notice(born=1, sequence=2, readiness=Readiness.DRAINING)
+    table.apply(CONTROL_A, make_page(draining), 0.0)
+    table.apply(CONTROL_B, make_page(make_notice(born=1)), 0.1)
+    assert table.list_leaving() == (draining,)
+    table.apply(CONTROL_B, make_page(make_notice(born=2)), 0.2)
+    assert table.list_leaving() == ()
+    gone = make_notice(born=2, readiness=Readiness.GONE)
+    table.apply(CONTROL_B, make_page(gone), 0.3)
+    table.apply(CONTROL_A, make_page(gone), 0.3)
+    assert table.list_leaving() == ()
+
+
 # Guards against a target that had left and is in use again after some minutes, or after
 # a restart of the control hosts.
 def test_departed_target_stays_away_while_its_heartbeats_say_it_is_ready() -> None:
--- a/packages/tool/bramleyspread_tool/_explain.py
+++ b/packages/tool/bramleyspread_tool/_explain.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bramleyspread_tool._explain_crashes import find_crashes
+from bramleyspread_tool._explain_drains import describe_drains, find_drains
 from bramleyspread_tool._explain_paths import find_lost_paths
 from bramleyspread_tool._explain_signals import find_signals
 from bramleyspread_tool._explain_streams import find_bound_stream
@@ -18,7 +19,17 @@
 CONTEXT_S = 3.0
 #: Steps whose lines report a change of a host's state rather than a request.
 HOST_STATE_STEPS = frozenset(
-    {"start", "stop", "document", "feed", "path", "target", "reload", "watch"}
+    {
+        "start",
+        "stop",
+        "document",
+        "drain",
+        "feed",
+        "path",
+        "target",
+        "reload",
+        "watch",
+    }
 )
 
 
@@ -201,10 +212,11 @@
         _find_refusal,
         find_bound_stream,
         find_lost_paths,
+        find_drains,
         find_signals,
         find_crashes,
         _find_lost_answer,
-        _find_overload,
+        _find_overload_while_drained,
     ):
         cause = find(end, entry_host, lines, logs)
         if cause:
@@ -268,6 +280,17 @@
     )
 
 
+def _find_overload_while_drained(
+    end: LogLine | None, entry_host: str, lines: Sequence[LogLine], logs: LogFiles
+) -> str:
+    """Find an overload, and which zones were drained then."""
+    cause = _find_overload(end, entry_host, lines, logs)
+    if not cause or end is None:
+        return cause
+    drains = describe_drains(logs.by_host[entry_host], end.at)
+    return f"{cause}; drained: {drains}" if drains else cause
+
+
 def _find_overload(
     end: LogLine | None, entry_host: str, lines: Sequence[LogLine], logs: LogFiles
 ) -> str:
--- a/packages/tool/bramleyspread_tool/tests/test_explain.py
+++ b/packages/tool/bramleyspread_tool/tests/test_explain.py
@@ -200,6 +200,45 @@
     )
 
 
+def make_drain_line(at: float, zone: str, change: str, revision: int) -> Any:
+    return make_line(at, "drain", change, zone=zone, revision=revision)
+
+
+# Guards against a drain that is taken for what targets say, or that is named after it
+# was withdrawn.
+def test_refusal_for_drains_names_the_zones_drained_then(tmp_path: Path) -> None:
+    refusal = "refused with 503: every target is in a drained zone"
+    entry_log = write_log(
+        tmp_path / "a",
+        "a",
+        make_drain_line(1.0, "west", "drained", 1),
+        make_drain_line(2.0, "north", "drained", 2),
+        make_drain_line(3.0, "west", "undrained", 3),
+        make_drain_line(4.0, "north", "first request kept from the zone", 3),
+        make_line(10.0, "admit", "taken", request="r", version=3),
+        make_line(10.0, "end", refusal, request="r", ms=0),
+        make_drain_line(11.0, "south", "drained", 4),
+    )
+    assert explain_request("r", entry_log).cause == (
+        "operators had drained all zones with targets that it needed: "
+        "north since 8.0 s before (revision 2)"
+    )
+
+
+def test_overload_names_the_zones_drained_then(tmp_path: Path) -> None:
+    entry_log = write_log(
+        tmp_path / "a",
+        "a",
+        make_drain_line(2.0, "north", "drained", 2),
+        make_line(10.0, "admit", "taken", request="r", version=3),
+        make_overload_line(11.0),
+        make_line(12.0, "end", "refused with 503: stage: late", request="r", ms=2_000),
+    )
+    cause = explain_request("r", entry_log).cause
+    assert cause.startswith("6 pieces for photos waited")
+    assert cause.endswith("; drained: north since 10.0 s before (revision 2)")
+
+
 def test_refusal_for_crashes_names_them_and_who_saw_them(tmp_path: Path) -> None:
     entry_log = write_log(
         tmp_path / "a",
