--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -33,6 +33,7 @@
 from bramleyspread_daemon.forward._upstream import UpstreamConnection
 from bramleyspread_daemon.forward._upstream_pool import UpstreamPool
 from bramleyspread_daemon.forward._wire import TargetWire
+from bramleyspread_daemon.forward._zone_capacities import ZoneCapacities
 from bramleyspread_forwarding import (
     MAX_PAGE_GAP_S,
     ControlContact,
@@ -40,6 +41,7 @@
     EntryHost,
     FeedPage,
     FeedQuery,
+    ForwardTarget,
     KeyRing,
     KnownEntries,
     LiveHosts,
@@ -47,6 +49,7 @@
     RelayChoice,
     RetryBudget,
     RouteTable,
+    SlowStarts,
     StageTimes,
     TargetTable,
     WarmUpBound,
@@ -94,6 +97,8 @@
         self.documents = DocumentLink(peers, self._apply_fetched)
         #: Known targets.
         self.targets = TargetTable()
+        #: Ramps up the work of zones whose drain was withdrawn.
+        self.slow_starts = SlowStarts()
         #: What targets have said about themselves.
         self._contact = ControlContact()
         self.signals = TargetSignals(
@@ -116,6 +121,7 @@
             self.list_hosts,
             peers,
             self.stream_keepers.tables.record,
+            self.slow_starts,
         )
         #: Recent durations of stages.
         self.stage_times = StageTimes()
@@ -140,11 +146,15 @@
                 self._find_piece_limits,
                 self.list_hosts,
                 settings.link_mbps,
+                self.targets.is_all_drained,
+                self.slow_starts,
             ),
             PieceCalls(wire, self.upstream, self.signals, self.targets.find_by_address),
             peers,
             self.signals.access,
         )
+        #: Capacity of services by zone.
+        self.capacities = ZoneCapacities(self.signals, self._is_in_backoff)
         #: Number of finished requests, by how they ended.
         self.end_counts: Counter[str] = Counter()
         #: Number of requests in flight.
@@ -154,7 +164,9 @@
         self, pool: UpstreamPool
     ) -> TargetConnector[UpstreamConnection]:
         async def open_through(host: EntryHost, address: Address) -> UpstreamConnection:
-            connection = await open_relayed(host.address, address)
+            connection = await open_relayed(
+                host.address, address, self.targets.drains.revision
+            )
             return pool.wrap_relayed(connection, address)
 
         return TargetConnector(
@@ -193,6 +205,7 @@
             crash_revision=self.crashes.find_known_revision(control, incarnation),
             crash_news=self.crashes.list_news(control, incarnation),
             told_version=self.documents.find_told_version(control),
+            drains_revision=self.targets.drains.revision,
         )
 
     async def handle_page(
@@ -209,6 +222,9 @@
         self.targets.apply(control, page, now)
         self.signals.apply_heartbeats(page.changes, str(control), now)
         self._contact.record(control, page.control, now)
+        drained = [each.zone for each in self.targets.drains.drained]
+        self.slow_starts.follow_drains(drained, now)
+        self.signals.drains.follow(self.capacities.measure)
         self.crashes.handle_page(control, page)
         known = self._known_entries.get(control, KnownEntries()).apply(page)
         self._known_entries[control] = known
@@ -275,6 +291,11 @@
         path = service.health_path if service is not None else None
         return path if isinstance(path, str) else None
 
+    def _is_in_backoff(self, service: str, target: ForwardTarget) -> bool:
+        return self.placement.is_in_backoff(
+            target.target
+        ) or self.piece_service.is_in_backoff(service, target.target)
+
     def get_retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         budget = self._budgets.get(service)
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -49,6 +49,7 @@
     TargetWire,
     WireReply,
 )
+from bramleyspread_daemon.forward._zone_metrics import fill_zone_metrics
 from bramleyspread_forwarding import (
     ForwardRequest,
     KeysUnconfirmed,
@@ -110,10 +111,9 @@
         connector = self.context.upstream.connector
         assert connector is not None
         self._connector = connector
-        addresses = self.context.targets.list_addresses
         #: Relays connections of other hosts to targets.
         self.relays = RelayService(
-            connector, lambda x: x in addresses(), lambda: process.is_stopping
+            connector, self.context.targets.may_relay, lambda: process.is_stopping
         )
         routes[("GET", RELAY_PATH)] = self.relays.serve
         limits, clock = settings.limits, process.clock
@@ -263,6 +263,7 @@
             )
         number = signals.table.warm_ups.count_warming()
         metrics.set_gauge("warming_targets", "Targets that warm up.", number)
+        fill_zone_metrics(metrics, self.context)
         crashes = self.context.crashes
         text = "Requests refused because targets crash under such."
         metrics.set_counter("quarantined_requests_total", text, crashes.refused)
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_calls.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_calls.py
@@ -26,7 +26,9 @@
 from bramleyspread_forwarding import (
     BatchedCall,
     ForwardTarget,
+    NotSent,
     PieceResult,
+    SendPermit,
     TargetLoad,
 )
 
@@ -47,8 +49,12 @@
     why: str
 
 
+class _WithdrawnError(Exception):
+    """The permission to send a call doesn't hold any more."""
+
+
 #: Outcome of one call.
-CallOutcome = tuple[PieceResult, ...] | PiecesRejected | OutcomeUnknown
+CallOutcome = tuple[PieceResult, ...] | PiecesRejected | OutcomeUnknown | NotSent
 
 
 Outcome = TypeVar("Outcome")
@@ -88,8 +94,12 @@
                 self._wire.write_pieces(call),
                 call.target,
                 partial(self._read_results, call),
+                self._make_permit(call),
+                call.items[0].item.request,
             )
             return results
+        except _WithdrawnError as error:
+            return NotSent(str(error))
         except RequestNotSentError as error:
             return PiecesRejected(str(error))
         except (ConnectionClosedError, MessageError) as error:
@@ -98,6 +108,15 @@
             await self._pool.close_idle_to(call.target.address)
             return OutcomeUnknown(f"no answer within {timeout_s:.3f} s")
 
+    def _make_permit(self, call: BatchedCall) -> SendPermit:
+        is_paced = self._signals.table.is_limited(call.target)
+        return SendPermit(call.target, call.created_at, is_paced)
+
+    def _check_permit(self, permit: SendPermit | None) -> None:
+        withdrawal = self._signals.find_withdrawal(permit) if permit else ""
+        if withdrawal:
+            raise _WithdrawnError(withdrawal)
+
     def _read_results(
         self, call: BatchedCall, reply: WireReply, connection: UpstreamConnection
     ) -> tuple[PieceResult, ...] | PiecesRejected:
@@ -165,13 +184,19 @@
         call: WireCall,
         target: ForwardTarget | None,
         read: Callable[[WireReply, UpstreamConnection], Outcome],
+        permit: SendPermit | None = None,
+        request: str = "",
     ) -> Outcome:
         """Send a call on a connection, which is kept only if the answer is a success.
 
         An answer may belong to an earlier call on the connection. If the connection
         were kept, the answer that is still due would be taken for that to the next
         call.
+
+        :raises _WithdrawnError: if the permission to send the call, where it needs one,
+            doesn't hold any more.
         """
+        self._check_permit(permit)
         connection = await self._pool.acquire(address, CONNECT_TIMEOUT_S)
         is_complete = False
         keep_alive_s: float | None = None
@@ -181,6 +206,9 @@
                 *call.headers,
                 (b"Content-Length", str(len(call.body)).encode()),
             ]
+            self._check_permit(permit)
+            if permit is not None:
+                self._signals.drains.record_sent(permit.target, request)
             sent_at = read_monotonic()
             await connection.send("POST", call.path, headers, call.body)
             raw = await connection.read_head()
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -28,6 +28,7 @@
     Batcher,
     ForwardTarget,
     JobDone,
+    NotSent,
     PieceFault,
     PieceJob,
     PieceRelease,
@@ -85,7 +86,7 @@
         self.releases = ResultReleases(
             directory, targets, self._hosts, self._handle_released
         )
-        #: Number of batched calls sent to targets.
+        #: Number of batched calls sent to targets that have ended.
         self.calls = 0
         #: Number of pieces in those calls.
         self.pieces = 0
@@ -96,6 +97,8 @@
         :param job: the job.
         :returns: the results, in the order of the job's pieces.
         """
+        if self._directory.is_all_drained(job.service):
+            return _fail_all(job, PieceFault.SHED)
         results = await self._run_with_fallback(job)
         limits = self._directory.find_limits(job.service)
         if limits is not None:
@@ -237,8 +240,6 @@
         share = self._hosts.find_rate_share(shard)
         now = read_monotonic()
         for call in batcher.dispatch(targets, limits, now, lead_s, share):
-            self.calls += 1
-            self.pieces += len(call.items)
             await curio.spawn(self._run_call, shard, call, daemon=True)
             if lead_s:
                 delay_s = call.expected_ms / 1000 - lead_s
@@ -254,6 +255,11 @@
         started_at = read_monotonic()
         answer = await self._targets.send(call)
         now = read_monotonic()
+        if isinstance(answer, NotSent):
+            await self._withdraw(shard, call, answer)
+            return
+        self.calls += 1
+        self.pieces += len(call.items)
         if isinstance(answer, OutcomeUnknown):
             self._log_failure(call, answer.why)
             done = batcher.fail(call.call, now)
@@ -286,6 +292,22 @@
         for batcher in self._batchers.values():
             batcher.record_load(target.target, load, now)
 
+    async def _withdraw(
+        self, shard: ShardId, call: BatchedCall, answer: NotSent
+    ) -> None:
+        """Queue the pieces of a call that was not sent again."""
+        batcher = self._batchers[shard]
+        batcher.withdraw(call.call, read_monotonic())
+        logger.bind(
+            step="batch",
+            peer=call.target.target,
+            service=shard.service,
+            shard=shard.number,
+            pieces=len(call.items),
+            zone=call.target.zone,
+        ).info(f"not sent: {answer.why}")
+        await self._dispatch(shard)
+
     def _log_failure(self, call: BatchedCall, why: str) -> None:
         peer = call.target.target
         logger.bind(step="batch", peer=peer).warning(
@@ -314,6 +336,8 @@
                 await self._finish_jobs(shard, batcher.jobs.expire(now))
             else:
                 await self._finish_jobs(shard, batcher.expire_and_shed(limits, now))
+            if self._directory.is_all_drained(shard.service):
+                await self._finish_jobs(shard, batcher.jobs.fail_waiting())
             if not self._may_run_received_jobs(shard):
                 await self._finish_jobs(shard, batcher.jobs.fail_unstarted())
             if batcher.jobs.waiting_pieces:
@@ -340,6 +364,15 @@
             if shard.service == service
         )
 
+    def is_in_backoff(self, service: str, target: str) -> bool:
+        """Return whether a target gets no calls from this host, since it failed."""
+        now = read_monotonic()
+        return any(
+            batcher.is_in_backoff(target, now)
+            for shard, batcher in self._batchers.items()
+            if shard.service == service
+        )
+
     async def _release_unwanted(self, shard: ShardId) -> None:
         unwanted = self._batchers[shard].jobs.take_unwanted_handles()
         if unwanted:
--- a/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
@@ -26,7 +26,9 @@
 from bramleyspread_daemon._refusal import encode_refusal
 from bramleyspread_daemon.forward._target_signals import TargetSignals
 from bramleyspread_forwarding import (
+    DRAINED_RETRY_S,
     RATE_LIMITED,
+    ZONES_DRAINED,
     Admitted,
     EntryHost,
     ForwardTarget,
@@ -39,6 +41,7 @@
     RateShares,
     ServiceOwners,
     SharedSignal,
+    SlowStarts,
     StreamOrigin,
 )
 
@@ -72,7 +75,9 @@
         list_hosts: Callable[[], Sequence[EntryHost]],
         peers: ConnectionPool,
         record_origin: Callable[[StreamOrigin], None],
+        slow_starts: SlowStarts | None = None,
     ) -> None:
+        self._slow_starts = slow_starts if slow_starts is not None else SlowStarts()
         self._record_origin = record_origin
         self._placement = placement
         self._signals = signals
@@ -97,6 +102,10 @@
         self._count_held_back(query, answer)
         return answer if not isinstance(answer, Admitted) else NoTarget("not placed")
 
+    def is_in_backoff(self, target: str) -> bool:
+        """Return whether a target failed lately, as far as this host knows."""
+        return self._placement.is_in_backoff(target, read_monotonic())
+
     async def admit(self, query: PlaceQuery) -> Admitted | NoTarget:
         """Decide whether a request can be served, before its stages are run.
 
@@ -131,9 +140,16 @@
         self._find_share(service)
 
     async def _decide(self, query: PlaceQuery) -> Placed | NoTarget | Admitted:
+        if self._signals.targets.is_all_drained(query.service):
+            return NoTarget(ZONES_DRAINED, DRAINED_RETRY_S)
         targets = self._list_targets(query.service)
         paused = self._signals.list_paused(targets)
-        query = msgspec.structs.replace(query, paused=paused)
+        drains = self._signals.targets.drains
+        query = msgspec.structs.replace(
+            query,
+            paused=paused,
+            drained_zones=tuple(each.zone for each in drains.drained),
+        )
         if targets and len(paused) == len(targets):
             return self._decide_locally(query)
         for _ in range(MAX_HOSTS_TRIED):
@@ -141,6 +157,10 @@
             if placement_host is None:
                 return self._decide_locally(query, self._find_share(query.service))
             answer = await self._request_placement(placement_host, query)
+            if isinstance(answer, Placed) and drains.is_drained(answer.target.zone):
+                # The placement host is older than drains, and can't be told of them.
+                self.report(_end(answer))
+                return self._decide_locally(query)
             if answer is not None:
                 return answer
             self._owners.start_backoff(placement_host, read_monotonic())
@@ -192,13 +212,21 @@
     def _decide_locally(
         self, query: PlaceQuery, share: float = 0.0
     ) -> Placed | NoTarget | Admitted:
+        if self._signals.targets.is_all_drained(query.service):
+            return NoTarget(ZONES_DRAINED, DRAINED_RETRY_S)
         targets = self._list_targets(query.service)
         limits = self._find_limits(query.service)
         if query.is_admission:
             return self._placement.admit(
                 query, targets, limits, read_monotonic(), share
             )
-        return self._placement.choose(query, targets, limits, read_monotonic(), share)
+        now = read_monotonic()
+        choose = self._placement.choose
+        open_targets = self._slow_starts.choose(query.service, targets, now)
+        placed = choose(query, open_targets, limits, now, share)
+        if isinstance(placed, NoTarget) and len(open_targets) < len(targets):
+            return choose(query, targets, limits, now, share)
+        return placed
 
     def _find_limits(self, service: str) -> EngineLimits | None:
         found = self._find_service(service)
@@ -282,3 +310,8 @@
         """Forget what hosts were told that no longer run."""
         if len(self._told_revisions) > MAX_TOLD_HOSTS:
             self._told_revisions.clear()
+
+
+def _end(placed: Placed) -> PlaceStep:
+    """Build the step that ends a reservation of which no use was made."""
+    return PlaceStep(ticket=placed.ticket, target=placed.target.target, ended=True)
--- a/packages/daemon/bramleyspread_daemon/forward/_service_directory.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_service_directory.py
@@ -5,12 +5,14 @@
 from collections.abc import Callable, Sequence
 
 from bramleyspread_core import PieceLimits
+from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_forwarding import (
     EntryHost,
     ForwardTarget,
     ServiceShards,
     ShardId,
     Shards,
+    SlowStarts,
 )
 
 
@@ -23,13 +25,18 @@
         find_limits: Callable[[str], PieceLimits | None],
         list_hosts: Callable[[], Sequence[EntryHost]],
         link_mbps: float = 0.0,
+        is_all_drained: Callable[[str], bool] = lambda _: False,
+        slow_starts: SlowStarts | None = None,
     ) -> None:
+        self._slow_starts = slow_starts if slow_starts is not None else SlowStarts()
         #: Returns the targets of a service that accept work.
         self.list_targets = list_targets
         #: Returns the limits under which the targets of a service process pieces.
         self.find_limits = find_limits
         #: Returns the live entry hosts, including this one.
         self.list_hosts = list_hosts
+        #: Returns whether a service's targets get no work because of zone drains.
+        self.is_all_drained = is_all_drained
         #: Rate of an entry host's link, in Mbit/s; 0 if unknown.
         self.link_mbps = link_mbps
         self._shards = ServiceShards(link_mbps)
@@ -41,12 +48,15 @@
         )
 
     def list_shard_targets(self, shard: ShardId) -> Sequence[ForwardTarget]:
-        """Return the targets of a shard.
+        """Return the targets of a shard that may get calls now.
 
-        A shard that is no longer used has all targets of the service, so that what it
-        has started can end.
+        Of zones that have just come back, only some may. A shard that is no longer used
+        has all targets of the service, so that what it has started can end.
         """
         shards = self.list_shards(shard.service)
+        targets: Sequence[ForwardTarget]
         if shard.number < len(shards):
-            return shards[shard.number]
-        return self.list_targets(shard.service)
+            targets = shards[shard.number]
+        else:
+            targets = self.list_targets(shard.service)
+        return self._slow_starts.list_open(shard.service, targets, read_monotonic())
--- a/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
@@ -10,11 +10,13 @@
 from loguru import logger
 
 from bramleyspread_daemon._clock import read_monotonic
+from bramleyspread_daemon.forward._drain_reports import DrainReports
 from bramleyspread_forwarding import (
     LEAVING,
     WARM_UP,
     ForwardTarget,
     ResponseSignals,
+    SendPermit,
     SharedSignal,
     SignalChange,
     SignalTable,
@@ -48,7 +50,8 @@
         warm_ups: WarmUps | None = None,
         warm_up_shares: WarmUpShares | None = None,
     ) -> None:
-        self._targets = targets
+        #: The known targets.
+        self.targets = targets
         #: What each target has said.
         self.table = SignalTable(rng, warm_ups)
         #: Paces the requests to targets that name a rate limit, or are warming up.
@@ -60,6 +63,10 @@
         self.held_back_counts: Counter[str] = Counter()
         #: Number of those that did so while targets of their service were warming up.
         self.warm_up_counts: Counter[str] = Counter()
+        #: Reports what is kept from drained zones.
+        self.drains = DrainReports(targets)
+        #: Number of requests and calls that were not sent to their target, by reason.
+        self.withdrawal_counts: Counter[str] = Counter()
         self._unreadable_logged_at: dict[str, float] = {}
 
     def record(
@@ -147,13 +154,25 @@
             return False
         return not self.table.find_pause_s(target, read_monotonic())
 
+    def find_withdrawal(self, permit: SendPermit) -> str:
+        """Find why a request may not be sent any more; empty if it may.
+
+        Called directly before the request is sent, without a wait in between.
+
+        :param permit: its permission.
+        """
+        why = permit.find_withdrawal(self.targets.drains, read_monotonic())
+        if why:
+            self.withdrawal_counts[why] += 1
+        return why
+
     def _follow(
         self, target: str, born: int, changes: Sequence[SignalChange], source: str
     ) -> None:
         for change in changes:
             _log_change(target, change, source)
             if change.signal == LEAVING:
-                self._targets.record_departure(target, born, read_monotonic())
+                self.targets.record_departure(target, born, read_monotonic())
 
     def _log_unreadable(
         self, target: ForwardTarget, names: tuple[str, ...], now: float
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -123,6 +123,7 @@
     SignalChange,
     SignalTable,
 )
+from bramleyspread_forwarding._slow_starts import SlowStarts
 from bramleyspread_forwarding._software_history import SoftwareHistory
 from bramleyspread_forwarding._stage_times import StageTimes
 from bramleyspread_forwarding._stream_origins import (
@@ -232,6 +233,7 @@
     "build_document",
     "bound_slowdown",
     "choose_shard",
+    "SlowStarts",
     "SoftwareHistory",
     "StreamOrigin",
     "StreamOrigins",
