Take a crashed target for warming up until it is heard again

Cause: a target that crashes and is back under its id accepts requests before its first heartbeat names the new start; until then hosts sent to it as to a warm one. Change: a crash, which hosts tell each other already, counts as a warm-up of 10 s of the process in whose place another one may answer; the next start's heartbeat, or a response, ends that. An owner that hears most control hosts has its full share at once, whether it is new or not: a former owner has lost contact before.

--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -126,7 +126,7 @@
         #: Under which requests targets crash.
         self.crashes = TargetCrashes(
             lambda address: self.upstream.is_refused(address),
-            self.targets.record_crash,
+            self._record_crash,
         )
         #: Whether answers without a length are whole.
         self.unframed_ends = UnframedEnds(
@@ -260,6 +260,11 @@
         """Return a service of the deployment document in force."""
         return self.routes.find_service(name) if self.routes is not None else None
 
+    def _record_crash(self, target: str, born: int, now: float) -> None:
+        """Record that a target's process has crashed."""
+        self.targets.record_crash(target, born, now)
+        self.signals.record_crash(target, born, now)
+
     def _find_warm_up_rate(self, service: str) -> float:
         """Find the requests a second to a warming target; infinite if not limited."""
         found = self.find_service(service)
--- a/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
@@ -102,6 +102,15 @@
             found = self.table.record_heartbeat(notice, now)
             self._follow(notice.target, notice.born, found, source)
 
+    def record_crash(self, target: str, born: int, now: float) -> None:
+        """Record that a target's process has crashed, so that its next one warms up.
+
+        :param target: the target.
+        :param born: when the process started, in milliseconds since 1970; 0 if unknown.
+        :param now: the current time, in monotonic seconds.
+        """
+        self._follow(target, born, self.table.record_crash(target, born, now), "crash")
+
     def tick(self) -> None:
         """End the warm-ups whose time is over; call this several times a second."""
         for each in self.table.warm_ups.list_ended(read_monotonic()):
--- a/packages/forwarding/bramleyspread_forwarding/_signal_table.py
+++ b/packages/forwarding/bramleyspread_forwarding/_signal_table.py
@@ -232,6 +232,17 @@
         change = self.warm_ups.record_heartbeat(notice, now)
         return self._follow_warm_up(notice.target, notice.born, change, now)
 
+    def record_crash(self, target: str, born: int, now: float) -> list[SignalChange]:
+        """Record that a target's process has crashed, so that its next one warms up.
+
+        :param target: the target.
+        :param born: when the process started, in milliseconds since 1970; 0 if unknown.
+        :param now: the current time, in seconds.
+        :returns: the changes, for the log.
+        """
+        change = self.warm_ups.record_crash(target, born, now)
+        return self._follow_warm_up(target, born, change, now)
+
     def _follow_warm_up(
         self, target: str, born: int, change: WarmUpChange | None, now: float
     ) -> list[SignalChange]:
--- a/packages/forwarding/bramleyspread_forwarding/_warm_up_shares.py
+++ b/packages/forwarding/bramleyspread_forwarding/_warm_up_shares.py
@@ -5,19 +5,19 @@
 import msgspec
 
 from bramleyspread_forwarding._control_contact import ControlContact
-from bramleyspread_forwarding._rate_shares import NEW_OWNER_SHARE, OWNER_SHARE
+from bramleyspread_forwarding._rate_shares import NEW_OWNER_SHARE
 
 #: Share of the owner of the shared work. At least 0.8 of the rate has to be used, and
 #: some of it is lost between two requests.
 FULL_SHARE = 0.86
-#: Part of what the bound leaves beside the owner that an owner gets which is new, or
-#: doesn't hear most control hosts. There may be two such owners, one on each side of a
-#: partition, and four stand-ins: 2 x 5 / 16 + 4 x 3 / 32 = 1.
-NEW_OWNER_PART = 5 / 16
+#: Part of what the bound leaves beside the owner that an owner gets which may have been
+#: replaced. There may be two such owners, one on each side of a partition, and four
+#: stand-ins: 2 x 5 / 16 + 4 x 3 / 32 = 1.
+DOUBTFUL_OWNER_PART = 5 / 16
 #: Part of it that a stand-in gets.
 STAND_IN_PART = 3 / 32
-#: Time for which an owner must have heard most control hosts, in seconds. Others learn
-#: sooner that it has come back.
+#: Time for which an owner must have heard most control hosts, in seconds. A former
+#: owner learns of it within 1 s, or hears most control hosts no more.
 MIN_CONTACT_S = 2.0
 #: Part of the slack that an owner may use to catch up.
 CATCH_UP_PART = 0.3
@@ -47,15 +47,23 @@
     shares of all hosts that may count at the same time stay within the overage, and
     the slack is left for requests that come late or at the same time.
 
+    An owner needs contact to most control hosts, not the time since it became the
+    owner: of two hosts in contact only one takes itself for the owner, and one that was
+    replaced has lost contact before.
+
     :param bound: what a warming target bears; None if unknown, then the shares are
         those of named limits.
     :param contact: the contact to the control hosts, without which an owner may have
         been replaced; None if owners aren't replaced.
 
-    >>> shares = WarmUpShares(WarmUpBound(1.5, 5.0))
-    >>> full, new, stand_in = (shares.convert(x, 0.0) for x in (0.9, 0.5, 0.25))
-    >>> [round(x, 3) for x in (full, new, stand_in, full + 2 * new + 4 * stand_in)]
-    [0.86, 0.2, 0.06, 1.5]
+    >>> bound, contact = WarmUpBound(1.5, 5.0), ControlContact()
+    >>> full = WarmUpShares(bound).convert(0.9, 0.0)
+    >>> doubtful = WarmUpShares(bound, contact).convert(0.9, 0.0)
+    >>> stand_in = WarmUpShares(bound, contact).convert(0.25, 0.0)
+    >>> [round(x, 3) for x in (full, doubtful, stand_in)]
+    [0.86, 0.2, 0.06]
+    >>> round(full + 2 * doubtful + 4 * stand_in, 3)
+    1.5
     """
 
     def __init__(
@@ -73,10 +81,11 @@
         if self._bound is None or share <= 0:
             return share
         full_share = min(FULL_SHARE, self._bound.overage)
-        if share >= OWNER_SHARE and self._is_in_contact(now):
+        is_owner = share >= NEW_OWNER_SHARE
+        if is_owner and self._is_in_contact(now):
             return full_share
         spare = self._bound.overage - full_share
-        part = NEW_OWNER_PART if share >= NEW_OWNER_SHARE else STAND_IN_PART
+        part = DOUBTFUL_OWNER_PART if is_owner else STAND_IN_PART
         return min(spare * part, share)
 
     def find_catch_up_s(self, rate: float) -> float:
--- a/packages/forwarding/bramleyspread_forwarding/_warm_ups.py
+++ b/packages/forwarding/bramleyspread_forwarding/_warm_ups.py
@@ -17,6 +17,9 @@
 #: Maximum age of a heartbeat that a control host tells, in seconds. Control hosts
 #: report a target as silent sooner.
 MAX_HEARTBEAT_AGE_S = 5.0
+#: Time after a crash for which the process that answers in a target's place counts as
+#: warming up, in seconds, unless its heartbeats or responses say otherwise.
+RESTART_S = 10.0
 #: Number of targets whose reports are kept; those heard of first are dropped.
 MAX_TARGETS = 20_000
 
@@ -76,11 +79,21 @@
 class _Record:
     """The reports of one process of a target."""
 
-    __slots__ = ("begun_at", "born", "from_heartbeat", "report", "sequence", "service")
+    __slots__ = (
+        "begun_at",
+        "born",
+        "from_heartbeat",
+        "has_crashed",
+        "report",
+        "sequence",
+        "service",
+    )
 
     def __init__(self, born: int, service: str) -> None:
         self.born = born
         self.service = service
+        #: Whether the process has crashed.
+        self.has_crashed = False
         #: When the warm-up became known, in seconds.
         self.begun_at = 0.0
         #: What holds by all reports; None without any.
@@ -120,6 +133,9 @@
         record = self._warming.get(target.target)
         if record is None or record.born < target.born:
             return math.inf
+        return self._find_limit(record)
+
+    def _find_limit(self, record: _Record) -> float:
         if self._find_service_rate is None:
             return math.inf
         return self._find_service_rate(record.service)
@@ -182,6 +198,26 @@
             return None
         return self._merge(target, record, report, now)
 
+    def record_crash(self, target: str, born: int, now: float) -> WarmUpChange | None:
+        """Record that a target's process has crashed.
+
+        What accepts connections in its place has just started, and the hosts may hear
+        of that start only with its heartbeat.
+
+        :param target: the target.
+        :param born: when the process started, in milliseconds since 1970; 0 if unknown.
+        :param now: the current time, in seconds.
+        :returns: how it changes what is known; None if it doesn't.
+        """
+        record = self._records.get(target)
+        if record is None or record.born != born or record.has_crashed:
+            return None
+        record.has_crashed = True
+        if self._find_limit(record) == math.inf:
+            return None
+        report = WarmUpReport(now + RESTART_S, said_after=now, said_before=now)
+        return self._merge(target, record, report, now)
+
     def list_ended(self, now: float) -> list[EndedWarmUp]:
         """List the warm-ups that have ended, and forget them."""
         ended = [
