--- a/packages/tool/bramleyspread_tool/_explain_signals.py
+++ b/packages/tool/bramleyspread_tool/_explain_signals.py
@@ -8,6 +8,8 @@
 
 #: How refusals begin that follow from what targets say.
 REFUSED_FOR_SIGNALS = "every target "
+#: Step of the lines about targets that warm up.
+WARM_UP = "warm-up"
 #: Maximum number of targets that are named.
 MAX_NAMED = 5
 
@@ -38,8 +40,10 @@
     """List the latest line about each signal of each target, oldest first."""
     latest: dict[tuple[str, object], LogLine] = {}
     for line in lines:
-        if line.step == "signal" and "signal" in line.fields and line.at <= before:
-            key = (line.peer, line.fields["signal"])
+        signal = WARM_UP if line.step == WARM_UP else line.fields.get("signal")
+        is_signal = line.step in ("signal", WARM_UP) and signal is not None
+        if is_signal and line.at <= before:
+            key = (line.peer, signal)
             latest.pop(key, None)
             latest[key] = line
     yield from latest.values()
@@ -47,9 +51,11 @@
 
 def _describe(line: LogLine, now: float) -> str:
     """Describe what a target had said; empty if it no longer held."""
-    signal, value = line.fields["signal"], line.fields.get("value")
+    signal, value = line.fields.get("signal"), line.fields.get("value")
     age_s = now - line.at
     since = f"{line.peer}, {age_s:.1f} s before"
+    if line.step == WARM_UP:
+        return "" if line.text == "ended" else f"{since}, was warming up"
     if signal == "rate-limit" and value is not None:
         return f"{since}, named {value} requests a second"
     if signal == "pause" and isinstance(value, int | float) and age_s < value:
