--- a/packages/capacity/bramleyspread_capacity/__init__.py
+++ b/packages/capacity/bramleyspread_capacity/__init__.py
@@ -1,3 +1,9 @@
 """How much work targets and availability zones can take, and what limits it."""
 
-__all__: list[str] = []
+from bramleyspread_capacity._engine_speed import (
+    EngineSpeed,
+    EngineSpeeds,
+    ReadingSample,
+)
+
+__all__ = ["EngineSpeed", "EngineSpeeds", "ReadingSample"]
--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -7,8 +7,10 @@
 from typing import TypeVar
 
 import curio
+import msgspec
 from loguru import logger
 
+from bramleyspread_capacity import ReadingSample
 from bramleyspread_core import Address
 from bramleyspread_daemon._client import ConnectionClosedError, RequestNotSentError
 from bramleyspread_daemon._clock import read_monotonic
@@ -94,6 +96,7 @@
         self._connection: UpstreamConnection | None = None
         self._is_end_reported = False
         self._first_byte_at: float | None = None
+        self._sent_at = 0.0
         # Id of the last event that the caller had before; empty if it had none.
         self._after_event = ""
         # When the time of the request is over; known once it is sent.
@@ -173,7 +176,7 @@
             await self._close_connection()
             return WasNotRun(str(error), may_have_reached_target=False)
         self.was_sent = self.is_in_flight = True
-        sent_at = read_monotonic()
+        sent_at = self._sent_at = read_monotonic()
         try:
             head = await self._read_own_head(connection)
             end = await self._handle_answer(connection, head, sent_at)
@@ -409,7 +412,29 @@
             return
         origin = self._binding.record_event(self._placed.target)
         if is_first or origin is not None:
-            self._report(self._build_step(began=is_first, origin=origin))
+            sample = self._measure_reading() if is_first else None
+            step = self._build_step(began=is_first, origin=origin)
+            self._report(msgspec.structs.replace(step, sample=sample))
+
+    def _measure_reading(self) -> ReadingSample | None:
+        """Measure the time to the first event, if the target had only to read for it.
+
+        If all its slots were occupied, the request waited for one, and a stream that
+        goes on may not begin with the first event that the target writes.
+        """
+        placed = self._placed
+        is_full = placed.requests_ahead >= placed.target.slots
+        is_said = self._request.prompt is not None and placed.tokens_ahead >= 0
+        if not is_said or is_full or self._after_event:
+            return None
+        elapsed_ms = (read_monotonic() - self._sent_at) * 1000
+        return ReadingSample(
+            self._service,
+            placed.unread_tokens,
+            placed.tokens_ahead,
+            placed.requests_ahead,
+            elapsed_ms,
+        )
 
     def _build_step(
         self,
--- a/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
@@ -12,6 +12,7 @@
 import msgspec
 from loguru import logger
 
+from bramleyspread_capacity import EngineSpeed
 from bramleyspread_core import (
     EngineLimits,
     ForwardService,
@@ -133,6 +134,10 @@
         """Find the share of targets' rate limits that this host may hand out."""
         return self._shares.find_share(service, self._list_hosts(), read_monotonic())
 
+    def find_speed(self, service: str) -> EngineSpeed:
+        """Find how fast the engines of a service read prompts."""
+        return self._placement.speeds.find(service)
+
     def report(self, step: PlaceStep) -> None:
         """Record a request's progress, and queue it for the host that placed it."""
         self._placement.record_step(step, read_monotonic())
--- a/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
@@ -222,7 +222,9 @@
 
     def _estimate_target_ms(self) -> float:
         """Estimate the time from the last stage to the first event, in ms."""
-        target_ms = estimate_reading_ms(self._request.prompt)
+        service = self._context.choose_service(self._route, self._request.request_id)
+        speed = self._context.placement.find_speed(service)
+        target_ms = estimate_reading_ms(self._request.prompt, speed)
         return min(target_ms, self._route.aim_ms * MAX_TARGET_SHARE)
 
     def _estimate_stage_ms(self, number: int) -> float:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
@@ -41,6 +41,8 @@
     NoTarget,
     Placed,
     PlaceQuery,
+    PlaceStep,
+    Prompt,
     RetryBudget,
     StageTimes,
     TargetTable,
@@ -196,15 +198,16 @@
 
     def __init__(self) -> None:
         self.queries: list[PlaceQuery] = []
+        self.steps: list[PlaceStep] = []
 
     async def choose(self, query: PlaceQuery) -> Placed | NoTarget:
         self.queries.append(query)
         name = f"t{len(self.queries)}"
         target = ForwardTarget(name, Address("127.0.0.1", 1), "z", 1)
-        return Placed(target=target, ticket=len(self.queries))
+        return Placed(target=target, ticket=len(self.queries), tokens_ahead=700.0)
 
-    def report(self, step: object) -> None:
-        pass
+    def report(self, step: PlaceStep) -> None:
+        self.steps.append(step)
 
 
 async def answer_connections(_: Address) -> bool:
@@ -298,6 +301,34 @@
     assert context.placement.queries[1].tried == ("t1",)
 
 
+# Guards against speeds learnt from streams that go on: a target may write events again
+# before the first one that counts.
+def test_time_to_the_first_event_of_a_stream_is_reported_unless_it_goes_on() -> None:
+    wire, reply = FakeWire(), StreamReply()
+    context = make_context(
+        wire,
+        FakeConnection(b"id: 1\ndata: a\n\n", breaks=True),
+        FakeConnection(b"id: 2\ndata: b\n\n"),
+    )
+    prompt = Prompt(tokens_in=10, tokens_out=1)
+    request = msgspec.structs.replace(REQUEST, prompt=prompt)
+    run(
+        RequestForwarder(
+            cast("Any", context),
+            cast("Any", wire),
+            request,
+            STREAM,
+            None,
+            cast("Any", reply),
+        ).run
+    )
+    samples = [(x.target, x.sample) for x in context.placement.steps if x.began]
+    assert [target for target, _ in samples] == ["t1", "t2"]
+    assert samples[0][1].tokens_ahead == 700.0
+    assert 0 < samples[0][1].elapsed_ms < 1_000
+    assert samples[1][1] is None
+
+
 def test_non_resumable_stream_is_cut_off_on_target_failure() -> None:
     wire, reply = FakeWire(), StreamReply()
     route = msgspec.structs.replace(STREAM, resumable=False)
--- a/packages/forwarding/bramleyspread_forwarding/_placement.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bramleyspread_capacity import EngineSpeed, EngineSpeeds
 from bramleyspread_core import EngineLimits
 from bramleyspread_forwarding._accounts import TargetTracker
 from bramleyspread_forwarding._placement_messages import (
@@ -19,8 +20,6 @@
     PlaceStep,
 )
 from bramleyspread_forwarding._prompt_affinity import (
-    FIRST_TOKEN_MS,
-    PREFILL_TOKENS_PER_MS,
     find_preferred_engine,
     list_shared_parts,
 )
@@ -30,15 +29,13 @@
 from bramleyspread_forwarding._target_access import TargetAccess
 from bramleyspread_forwarding._targets import ForwardTarget
 
-#: Time that each other request at the target adds to the time to first token, in ms.
-RUNNING_REQUEST_MS = 0.5
 #: Additional time to first token for each request waiting at the target, in ms.
 WAITING_REQUEST_MS = 60.0
-#: Targets with fewer slots than this process each request separately, not batched.
-MIN_BATCHING_SLOTS = 16
-#: Cost of a target with fewer slots when all are occupied, compared with an idle one,
-#: in ms.
+#: Cost of a target other than an engine when all its slots are occupied, compared with
+#: an idle one, in ms. Engines batch what they run at once, other targets don't.
 FULL_TARGET_MS = 100.0
+#: Speed that is assumed of a target of which nothing is known.
+INITIAL_SPEED = EngineSpeed()
 #: Cost of a call to another availability zone, in ms.
 OTHER_ZONE_MS = 4.0
 #: Cost of moving a megabyte of inputs to another zone, in ms.
@@ -88,10 +85,18 @@
 
     :param rng: breaks ties.
     :param access: paces the requests of limited targets.
+    :param speeds: what is known of the speeds of engines.
     """
 
-    def __init__(self, rng: Random, access: TargetAccess | None = None) -> None:
+    def __init__(
+        self,
+        rng: Random,
+        access: TargetAccess | None = None,
+        speeds: EngineSpeeds | None = None,
+    ) -> None:
         self._rng = rng
+        #: What is known of the speeds of engines.
+        self.speeds = speeds if speeds is not None else EngineSpeeds()
         self._access = access if access is not None else TargetAccess(SignalTable())
         self._admissions: dict[str, RateAdmission] = {}
         self._trackers: dict[str, TargetTracker] = {}
@@ -151,6 +156,7 @@
             round(tracker.count_requests(now)),
             self._access.acquire(best, share, now) if waits_s else 0.0,
             self._access.signals.share_limit(best, now),
+            tracker.unread_tokens,
         )
         self._reserve(placed, list_shared_parts(query.prompt), now)
         return placed
@@ -283,6 +289,9 @@
         tracker = self._trackers.setdefault(step.target, TargetTracker())
         if step.load is not None:
             tracker.record_load(step.load, now)
+        if step.sample is not None:
+            slowdown = tracker.find_slowdown(now)
+            self.speeds.record(step.target, step.sample, slowdown)
         reservation = self._reservations.get(step.ticket)
         if reservation is not None:
             self._update_reservation(reservation, step, tracker)
@@ -334,7 +343,11 @@
         """Estimate the cost of sending a request to a target, in ms."""
         tracker = self._find_tracker(target)
         unread_tokens = tracker.count_unread_tokens(query.prompt, now)
-        wait_ms = self._estimate_wait_ms(target, tracker, unread_tokens, now)
+        if limits is not None:
+            speed = self.speeds.find(query.service, target.target)
+        else:
+            speed = _describe_unbatched(target)
+        wait_ms = _estimate_wait_ms(target, tracker, unread_tokens, speed, now)
         cost = wait_ms + self._rng.random()
         if waits_s and target.target in waits_s:
             cost += LIMITED_MS + waits_s[target.target] * 1000
@@ -353,25 +366,35 @@
                 cost += size_mb * INPUT_MS_PER_MB
         return cost
 
-    def _estimate_wait_ms(
-        self,
-        target: ForwardTarget,
-        tracker: TargetTracker,
-        unread_tokens: float,
-        now: float,
-    ) -> float:
-        """Estimate by how much a request waits longer than at an idle target, in ms.
 
-        All of its time to first token is longer at a target that reports a slowdown.
-        """
-        requests = tracker.count_requests(now)
-        wait_ms = (tracker.unread_tokens + unread_tokens) / PREFILL_TOKENS_PER_MS
-        if target.slots < MIN_BATCHING_SLOTS:
-            wait_ms += FULL_TARGET_MS * requests / target.slots
-        waiting = tracker.count_waiting(target.slots, now)
-        wait_ms += requests * RUNNING_REQUEST_MS + waiting * WAITING_REQUEST_MS
-        slowdown = tracker.find_slowdown(now)
-        return wait_ms * slowdown + FIRST_TOKEN_MS * (slowdown - 1.0)
+def _describe_unbatched(target: ForwardTarget) -> EngineSpeed:
+    """Describe a target that isn't an engine as one that doesn't batch."""
+    request_ms = FULL_TARGET_MS / max(target.slots, 1)
+    return EngineSpeed(request_ms=INITIAL_SPEED.request_ms + request_ms)
+
+
+def _estimate_wait_ms(
+    target: ForwardTarget,
+    tracker: TargetTracker,
+    unread_tokens: float,
+    speed: EngineSpeed,
+    now: float,
+) -> float:
+    """Estimate by how much a request waits longer than at an idle target, in ms.
+
+    That is an idle target of the initial estimate. All of the time to first token is
+    longer at a target that reports a slowdown.
+
+    :param target: the target.
+    :param tracker: its load.
+    :param unread_tokens: number of the request's tokens that it would have to read.
+    :param speed: how fast it is without the slowdown.
+    :param now: the current time, in seconds.
+    """
+    tokens = tracker.unread_tokens + unread_tokens
+    wait_ms = speed.estimate_ms(tokens, tracker.count_requests(now))
+    wait_ms += tracker.count_waiting(target.slots, now) * WAITING_REQUEST_MS
+    return wait_ms * tracker.find_slowdown(now) - INITIAL_SPEED.first_event_ms
 
 
 def _refuse_for_signals(query: PlaceQuery, waits_s: dict[str, float]) -> NoTarget:
--- a/packages/forwarding/bramleyspread_forwarding/_placement_messages.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement_messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bramleyspread_capacity import ReadingSample
 from bramleyspread_forwarding._requests import Prompt
 from bramleyspread_forwarding._signal_table import SharedSignal
 from bramleyspread_forwarding._stream_origins import StreamOrigin
@@ -86,6 +87,9 @@
     wait_s: float = 0.0
     #: The target's rate limit; None if it has none.
     limit: SharedSignal | None = None
+    #: Estimated number of tokens of other prompts that the target has yet to read;
+    #: negative if the placement host doesn't say.
+    tokens_ahead: float = msgspec.field(name="reading_ahead", default=-1.0)
 
 
 class Admitted(msgspec.Struct, frozen=True, tag="admitted"):
@@ -119,6 +123,9 @@
     #: Which software version has begun the stream; None if it hasn't begun with this
     #: step, or can't be taken up again.
     origin: StreamOrigin | None = None
+    #: How long it took to begin; None if it hasn't begun with this step, or if the time
+    #: says nothing about the target's speed.
+    sample: ReadingSample | None = None
 
 
 class PlaceReport(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/forwarding/bramleyspread_forwarding/_prompt_affinity.py
+++ b/packages/forwarding/bramleyspread_forwarding/_prompt_affinity.py
@@ -7,14 +7,10 @@
 
 import xxhash
 
+from bramleyspread_capacity import EngineSpeed
 from bramleyspread_forwarding._requests import Prompt
 from bramleyspread_forwarding._targets import ForwardTarget
 
-#: Approximate number of prompt tokens that an engine reads per millisecond alongside
-#: its other work.
-PREFILL_TOKENS_PER_MS = 30.0
-#: Approximate time to first token besides the reading of the prompt, in ms.
-FIRST_TOKEN_MS = 150.0
 #: Share of all engines among which prompts with the same first part are distributed.
 AFFINITY_SHARE = 1 / 3
 
@@ -42,21 +38,22 @@
     return max(targets, key=lambda x: _hash_weight(shared_parts[-1], x))
 
 
-def estimate_reading_ms(prompt: Prompt | None) -> float:
+def estimate_reading_ms(prompt: Prompt | None, speed: EngineSpeed) -> float:
     """Estimate the time to first token of a prompt at its preferred engine, in ms.
 
     :param prompt: the prompt; its shared parts are expected in the engine's cache.
+    :param speed: the speed of the service's engines.
 
     >>> from bramleyspread_forwarding._requests import PromptPart
     >>> own = PromptPart("own", 6_000)
     >>> prompt = Prompt(
     ...     tokens_in=20_000, tokens_out=9, parts=(PromptPart("a", 14_000), own)
     ... )
-    >>> estimate_reading_ms(prompt)
+    >>> estimate_reading_ms(prompt, EngineSpeed())
     350.0
     """
     own_tokens = prompt.parts[-1].tokens if prompt is not None and prompt.parts else 0
-    return FIRST_TOKEN_MS + own_tokens / PREFILL_TOKENS_PER_MS
+    return speed.estimate_ms(own_tokens, 0)
 
 
 def list_shared_parts(prompt: Prompt | None) -> tuple[str, ...]:
