Fair shares of stage work in overload, with early refusals

Cause: stage services offer less than callers want for seconds at a time. Strict priority gave the least urgent kind nothing, and requests were refused only after 1.7 s, when their first stages had been run for nothing.

With the setting `overload: fair` of the entry role: - A batching host measures demand by priority and its capacity, and tells the hosts that ask in its answers which share of each priority to admit, and how long the overload is expected to go on. Shares are nearly proportional to demand. - Entry hosts refuse at arrival, by the fullest of the later stages.

`priority`, as before, is the default; the calls of a whole burst are the same, by digest.

--- a/packages/daemon/bramleyspread_daemon/forward/_batching_hosts.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_batching_hosts.py
@@ -23,6 +23,7 @@
     RateShares,
     ServiceOwners,
     ShardId,
+    StageLoad,
 )
 
 #: Path on which entry hosts ask each other to compute pieces.
@@ -49,6 +50,7 @@
         "_list_hosts",
         "_owners",
         "_peers",
+        "_record_load",
         "_shares",
         "_watch",
     )
@@ -58,8 +60,10 @@
         host: str,
         list_hosts: Callable[[], Sequence[EntryHost]],
         peers: ConnectionPool,
+        record_load: Callable[[ShardId, StageLoad], None],
     ) -> None:
         self._host = host
+        self._record_load = record_load
         self._list_hosts = list_hosts
         self._peers = peers
         self._owners = ServiceOwners(host)
@@ -149,6 +153,7 @@
                 return None
             answer: PieceResults = decode_json(response.body, PieceResults)
             results = answer.unpack()
+            self._record_load(ShardId(job.service, job.shard), answer.load)
         except (RequestNotSentError, ConnectionClosedError, MessageError):
             return None
         return results if len(results) == job.pieces else None
--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -48,6 +48,7 @@
     RouteTable,
     StageTimes,
     TargetTable,
+    find_return_s,
 )
 
 #: How long an entry host counts as live after a feed page listed it, in seconds.
@@ -134,6 +135,7 @@
             PieceCalls(wire, self.upstream, self.signals, self.targets.find_by_address),
             peers,
             self.signals.access,
+            is_fair=settings.overload == "fair",
         )
         #: Number of finished requests, by how they ended.
         self.end_counts: Counter[str] = Counter()
@@ -273,6 +275,14 @@
         """
         return delay_s * (1 + RETRY_JITTER * self._rng.random())
 
+    def draw_return_s(self, ends_in_s: float, left_s: float) -> float:
+        """Draw the time after which a caller may return after an overload, in seconds.
+
+        :param ends_in_s: time for which the overload is expected to go on, in seconds.
+        :param left_s: time until the caller can't be served any more, in seconds.
+        """
+        return find_return_s(ends_in_s, left_s, self._rng.random())
+
     def choose_service(self, route: ForwardRoute, request: str) -> str:
         """Choose the service for a request; empty if no document is in force."""
         return self.routes.choose_service(route, request) if self.routes else ""
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -231,6 +231,9 @@
         service = self.context.piece_service
         metrics.set_counter("piece_calls_total", "Calls for pieces.", service.calls)
         metrics.set_counter("pieces_total", "Pieces in them.", service.pieces)
+        for name, number in service.admission.refused_counts.items():
+            text = "Requests refused at arrival, by the stage that is full."
+            metrics.set_counter("stage_refusals_total", text, number, service=name)
         upstream = self.context.upstream
         metrics.set_counter("target_connections_total", "Opened.", upstream.opened)
         metrics.set_counter("target_reuses_total", "Used again.", upstream.reused)
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -24,6 +24,7 @@
 from bramleyspread_daemon.forward._service_directory import ServiceDirectory
 from bramleyspread_daemon.forward._wire import PiecesRejected
 from bramleyspread_forwarding import (
+    NO_LOAD,
     BatchedCall,
     Batcher,
     JobDone,
@@ -33,6 +34,8 @@
     PieceResult,
     PieceResults,
     ShardId,
+    StageAdmission,
+    StageLoad,
     TargetAccess,
     choose_shard,
     estimate_call_ms,
@@ -62,7 +65,10 @@
 
 
 class PieceService:
-    """Computes pieces for the requests of this host and of other entry hosts."""
+    """Computes pieces for the requests of this host and of other entry hosts.
+
+    :param is_fair: whether each priority gets its share in overload.
+    """
 
     def __init__(
         self,
@@ -71,13 +77,20 @@
         targets: PieceCalls,
         peers: ConnectionPool,
         access: TargetAccess,
+        *,
+        is_fair: bool = False,
     ) -> None:
+        self._is_fair = is_fair
         self._directory = directory
         self._access = access
         self._targets = targets
         self._batchers: dict[ShardId, Batcher] = {}
         self._jobs: dict[tuple[ShardId, int], _PendingJob] = {}
-        self._hosts = BatchingHosts(host, directory.list_hosts, peers)
+        self._hosts = BatchingHosts(
+            host, directory.list_hosts, peers, self._record_load
+        )
+        #: Admits requests by the load of later stages.
+        self.admission = StageAdmission()
         #: Releases results at the targets that store them.
         self.releases = ResultReleases(
             directory, targets, self._hosts, self._handle_released
@@ -87,6 +100,10 @@
         #: Number of pieces in those calls.
         self.pieces = 0
 
+    def _record_load(self, shard: ShardId, load: StageLoad) -> None:
+        if self._is_fair:
+            self.admission.record(shard, load, read_monotonic())
+
     async def run_job(self, job: PieceJob) -> tuple[PieceResult, ...]:
         """Compute all pieces of a job.
 
@@ -157,7 +174,9 @@
         shard = ShardId(job.service, job.shard)
         is_local = self._hosts.is_stand_in(shard, job.unreachable)
         results = await self._run_locally(job, is_local=is_local)
-        reply.send_json(PieceResults.pack(results))
+        batcher = self._batchers.get(shard)
+        load = batcher.load if batcher is not None else NO_LOAD
+        reply.send_json(PieceResults.pack(results, load))
 
     async def _run_locally(
         self, job: PieceJob, *, is_local: bool = False
@@ -168,7 +187,10 @@
         shard = ShardId(job.service, job.shard)
         if not self._is_in_use(shard):
             return _fail_all(job, PieceFault.MOVED)
-        batcher = self._batchers.setdefault(shard, Batcher(self._access))
+        batcher = self._batchers.get(shard)
+        if batcher is None:
+            batcher = Batcher(self._access, is_fair=self._is_fair)
+            self._batchers[shard] = batcher
         now = read_monotonic()
         targets = self._access.count_capacity(
             self._directory.list_shard_targets(shard),
@@ -180,6 +202,7 @@
         number = batcher.add(job, limits, targets, now, is_local=is_local)
         if isinstance(number, PieceFault):
             self._log_failed_job(job, number, now)
+            self._record_load(shard, batcher.load)
             return _fail_all(job, number)
         pending = self._jobs[shard, number] = _PendingJob()
         try:
@@ -192,6 +215,7 @@
         finally:
             batcher.jobs.cancel(number)
             self._jobs.pop((shard, number), None)
+            self._record_load(shard, batcher.load)
             await self._release_unwanted(shard)
 
     def _log_failed_job(
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -256,11 +256,22 @@
             why = f"stages would take {needed_ms:.0f} ms"
             retry_after_s = max(RETRY_AFTER_S, needed_ms / 1000 * RETRY_AFTER_SHARE)
             return self._refuse(503, why, retry_after_s)
+        full = self._stages.admit()
+        if full is not None:
+            why = f"stage full: {full.service}"
+            return self._refuse(503, why, self._draw_return_s(full.ends_in_s))
         fault = await self._stages.run()
         if fault is not None:
-            return self._refuse(503, f"stage: {fault.value}", RETRY_AFTER_S)
+            ends_in_s = self._stages.find_overload_end_s()
+            return_s = self._draw_return_s(ends_in_s) if ends_in_s else RETRY_AFTER_S
+            return self._refuse(503, f"stage: {fault.value}", return_s)
         return ""
 
+    def _draw_return_s(self, ends_in_s: float) -> float:
+        """Draw the time after which the caller may come back, in seconds."""
+        left_s = self._deadline - read_monotonic() - self._route.aim_ms / 1000
+        return self._context.draw_return_s(ends_in_s, left_s)
+
     async def _ensure_inputs(self, end: AttemptEnd) -> bool:
         """Return whether the inputs exist, after running the stages again if needed."""
         gone = isinstance(end, WasNotRun) and end.inputs_gone
--- a/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import curio
@@ -18,6 +18,7 @@
     PieceRelease,
     PieceResult,
     ReadyStage,
+    RefusedRequest,
     StageRun,
     estimate_reading_ms,
     find_preferred_engine,
@@ -55,6 +56,9 @@
         self._started_at = started_at
         self._deadline = deadline
         self._run: StageRun | None = None
+        self._runs = 0
+        self._weights: Mapping[str, float] = {}
+        self._fault_service = ""
         #: Whether the results were released.
         self.is_released = False
         #: Duration of the last run, in milliseconds.
@@ -75,12 +79,54 @@
             return None
         return tuple(each.handle for each in self._run.inputs)
 
+    def admit(self) -> RefusedRequest | None:
+        """Decide by the load of later stages whether the request's stages may run.
+
+        :returns: None if they may, otherwise the stage that is full.
+        """
+        admitted = self._context.piece_service.admission.decide(
+            self._list_later_services(),
+            self._priority,
+            self._request.request_id,
+            read_monotonic(),
+        )
+        if isinstance(admitted, RefusedRequest):
+            self._log_refusal(admitted)
+            return admitted
+        self._weights = admitted.weights
+        return None
+
+    def _list_later_services(self) -> list[str]:
+        """List the services of the stages that follow the first ones."""
+        return [
+            stage.service
+            for number, stage in enumerate(self._route.stages)
+            if stage.after and any(self._request.pieces[number : number + 1])
+        ]
+
+    def _log_refusal(self, refused: RefusedRequest) -> None:
+        logger.bind(
+            step="stage",
+            peer="-",
+            request=self._request.request_id,
+            service=refused.service,
+            priority=self._priority,
+            wait_ms=round(refused.wait_ms),
+            ends_in_ms=round(refused.ends_in_s * 1000),
+        ).info("refused at arrival: stage full")
+
+    def find_overload_end_s(self) -> float:
+        """Find how long the overload is expected to go on that ended the last run."""
+        admission = self._context.piece_service.admission
+        return admission.find_end_s(self._fault_service, read_monotonic())
+
     async def run(self) -> PieceFault | None:
         """Run all stages from the start.
 
         :returns: None if all stages succeeded, otherwise the fault.
         """
         started_at = read_monotonic()
+        self._runs += 1
         self.is_released = False
         self._run = run = StageRun(
             self._route.stages,
@@ -110,6 +156,7 @@
                 stages.record_results(number, results)
                 fault = next((x.fault for x in results if x.fault is not None), None)
                 if fault is not None:
+                    self._fault_service = self._route.stages[number].service
                     return fault
         finally:
             for _, task in tasks:
@@ -140,6 +187,8 @@
             result_bytes=self._route.stages[number].result_bytes,
             zone=zone,
             crossing_bytes=crossing_bytes,
+            is_begun=stages.has_results or self._runs > 1,
+            weight=self._weights.get(service, 1.0),
         )
         results = await self._context.piece_service.run_job(job)
         self._log_stage(job, results, now)
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -111,6 +111,13 @@
     SignalTable,
 )
 from bramleyspread_forwarding._software_history import SoftwareHistory
+from bramleyspread_forwarding._stage_admission import (
+    AdmittedRequest,
+    RefusedRequest,
+    StageAdmission,
+    find_return_s,
+)
+from bramleyspread_forwarding._stage_load import NO_LOAD, StageLoad
 from bramleyspread_forwarding._stage_times import StageTimes
 from bramleyspread_forwarding._stream_origins import (
     ORIGIN_RETENTION_S,
@@ -196,8 +203,14 @@
     "ServiceShards",
     "ShardId",
     "Shards",
+    "AdmittedRequest",
+    "RefusedRequest",
+    "StageAdmission",
+    "StageLoad",
+    "NO_LOAD",
     "StageRun",
     "StageTimes",
+    "find_return_s",
     "StreamEvent",
     "TargetChange",
     "TargetFailed",
--- a/packages/forwarding/bramleyspread_forwarding/_batched_calls.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batched_calls.py
@@ -84,3 +84,13 @@
     130.0
     """
     return limits.call_ms + pieces * limits.piece_ms
+
+
+def find_nominal_rate(targets: float, limits: PieceLimits) -> float:
+    """Find how many pieces per second targets process in full calls.
+
+    :param targets: number of targets.
+    :param limits: their limits.
+    """
+    full_call_s = estimate_call_ms(limits.batch, limits) / 1000
+    return targets * limits.slots * limits.batch / full_call_s
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -19,6 +19,7 @@
     BatchedItem,
     RunningCall,
     estimate_call_ms,
+    find_nominal_rate,
 )
 from bramleyspread_forwarding._call_history import CallHistory
 from bramleyspread_forwarding._dispatch import Allocation, DispatchRound
@@ -31,6 +32,7 @@
 )
 from bramleyspread_forwarding._rooms import StorageUsage
 from bramleyspread_forwarding._signal_table import SignalTable
+from bramleyspread_forwarding._stage_load import NO_LOAD, LoadMeter, StageLoad
 from bramleyspread_forwarding._target_access import TargetAccess
 from bramleyspread_forwarding._targets import ForwardTarget
 from bramleyspread_forwarding._zone_waits import ZoneTarget
@@ -39,6 +41,8 @@
 #: passed since the last moment at which it could start and still meet its latency goal;
 #: by then every target has started other work twice.
 LATE_WAIT_CALLS = 3
+#: Backlog up to which any job is added, in durations of a full call.
+FREE_BACKLOG_CALLS = 0.5
 #: Slowdown that is assumed of a target whose latest call failed.
 FAILING_SLOWDOWN = 6.0
 
@@ -53,13 +57,17 @@
     a while, gets none before its time.
 
     :param access: paces the calls to each target.
+    :param is_fair: whether each priority gets its share in overload.
     """
 
-    def __init__(self, access: TargetAccess | None = None) -> None:
+    def __init__(
+        self, access: TargetAccess | None = None, *, is_fair: bool = False
+    ) -> None:
         self._access = access if access is not None else TargetAccess(SignalTable())
         self._call_numbers = count(1)
         #: The jobs that have not ended.
-        self.jobs = PieceQueue()
+        self.jobs = PieceQueue(is_fair=is_fair)
+        self._meter = LoadMeter() if is_fair else None
         self._calls: dict[int, RunningCall] = {}
         # By target, the approximate bytes that its calls in flight will store.
         self._expected_bytes: Counter[str] = Counter()
@@ -98,10 +106,37 @@
         if targets <= unavailable and self.jobs.waiting_pieces:
             return PieceFault.SHED
         working = max(targets - unavailable, min(targets, 1.0))
-        if self._estimate_job_ms(job, limits, working) > job.remaining_ms:
+        if self._meter is not None:
+            self._meter.nominal_rate = find_nominal_rate(working, limits)
+            self._meter.record_demand(job.priority, job.pieces * job.weight, now)
+            if not self._may_meet_goal(job, limits, self._meter, now):
+                return PieceFault.SHED
+        elif self._estimate_job_ms(job, limits, working) > job.remaining_ms:
             return PieceFault.SHED
         return self.jobs.add(job, now, is_local=is_local)
 
+    def _may_meet_goal(
+        self, job: PieceJob, limits: PieceLimits, meter: LoadMeter, now: float
+    ) -> bool:
+        """Whether a job may be added while on-time jobs fill the targets.
+
+        Any job may be added while there is little waiting. Beyond that, a job of a new
+        request must meet its goal with the part of the capacity that is its
+        priority's.
+        """
+        own_call_s = estimate_call_ms(min(job.pieces, limits.batch), limits) / 1000
+        waiting = self.jobs.count_timely(now + own_call_s)
+        capacity = max(meter.capacity, 1e-9)
+        if job.is_begun or job.inputs:
+            backlog_s = waiting.total() / capacity
+            return own_call_s + backlog_s <= job.remaining_ms / 1000
+        full_call_s = estimate_call_ms(limits.batch, limits) / 1000
+        if waiting.total() / capacity <= FREE_BACKLOG_CALLS * full_call_s:
+            return own_call_s <= job.remaining_ms / 1000
+        budget_s = job.aim_ms / 1000 - own_call_s
+        rate = meter.find_guaranteed_rate(job.priority, now)
+        return waiting[job.priority] + job.pieces <= rate * budget_s
+
     def _estimate_job_ms(
         self, job: PieceJob, limits: PieceLimits, targets: float
     ) -> float:
@@ -114,6 +149,11 @@
         full_calls = (pieces_ahead + max(0, job.pieces - limits.batch)) / limits.batch
         return own_call_ms + full_calls * full_call_ms / (targets * limits.slots)
 
+    @property
+    def load(self) -> StageLoad:
+        """The load that hosts are told; empty unless each priority gets its share."""
+        return self._meter.load if self._meter is not None else NO_LOAD
+
     def expire_and_shed(self, limits: PieceLimits, now: float) -> list[JobDone]:
         """Expire jobs past their deadline and shed late jobs that have not started.
 
@@ -124,6 +164,9 @@
         full_call_s = estimate_call_ms(limits.batch, limits) / 1000
         # A job meets its goal if its call starts at least one duration before the goal.
         late_before = now - (LATE_WAIT_CALLS - 1) * full_call_s
+        if self._meter is not None:
+            timely = self.jobs.count_timely(now + full_call_s)
+            self._meter.sample(timely.total(), limits.batch, now)
         return [*self.jobs.expire(now), *self.jobs.shed(late_before)]
 
     def dispatch(
@@ -156,6 +199,8 @@
         ]
         if not free:
             return []
+        if self._meter is not None:
+            self._meter.nominal_rate = find_nominal_rate(len(targets), limits)
         calls = []
         self._storage.expire(now)
         target_ids = [each.target for each in targets]
@@ -392,6 +437,8 @@
             target, pieces, limits, now, result_bytes, is_ahead=is_ahead
         )
         self._calls[number] = call
+        if self._meter is not None:
+            self._meter.record_started(len(pieces))
         self._expected_bytes[target.target] += result_bytes
         items = tuple(self._start_piece(piece, target.zone, now) for piece in pieces)
         remaining_ms = max(each.remaining_ms for each in items)
--- a/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
+++ b/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from itertools import count
 
 import msgspec
@@ -10,6 +11,8 @@
 
 #: Maximum number of retries of a job, for each of its pieces on average.
 MAX_RETRIES_PER_PIECE = 3
+#: Time by which jobs of other zones come later than their goal says, in seconds.
+REMOTE_DELAY_S = 0.1
 
 
 class JobDone(msgspec.Struct, frozen=True):
@@ -37,6 +40,7 @@
         "added_at",
         "deadline",
         "goal_at",
+        "is_begun",
         "is_local",
         "job",
         "missing_results",
@@ -49,6 +53,9 @@
 
     def __init__(self, job: PieceJob, now: float, is_local: bool) -> None:
         self.job = job
+        #: Whether another stage of the request has results already. Hosts of earlier
+        #: builds don't say so of jobs that read such results.
+        self.is_begun = job.is_begun or bool(job.inputs)
         #: Whether the job stays here when another host becomes the batching host.
         self.is_local = is_local
         #: When the job expires, in seconds.
@@ -78,9 +85,14 @@
 
 
 class PieceQueue:
-    """Jobs by number; a job stays until all its pieces have results, or it fails."""
+    """Jobs by number; a job stays until all its pieces have results, or it fails.
 
-    def __init__(self) -> None:
+    :param is_fair: whether jobs go by their goals instead of their priority, because
+        it was decided when they were added how much each priority gets.
+    """
+
+    def __init__(self, *, is_fair: bool = False) -> None:
+        self._is_fair = is_fair
         self._numbers = count(1)
         self._jobs: dict[int, QueuedJob] = {}
         self._unwanted_handles: list[str] = []
@@ -169,6 +181,8 @@
         :param call_end: when a call that starts now would end, in seconds.
         :returns: the jobs with their numbers.
         """
+        if self._is_fair:
+            return self._list_fairly(zone, call_end)
 
         def rank(
             numbered: tuple[int, QueuedJob],
@@ -187,6 +201,38 @@
         waiting = [(number, job) for number, job in self._jobs.items() if job.waiting]
         return sorted(waiting, key=rank)
 
+    def _list_fairly(self, zone: str, call_end: float) -> list[tuple[int, QueuedJob]]:
+        """List the jobs from which a target may get pieces, best choice first.
+
+        Started jobs go first, then jobs that can still meet their latency goal, then
+        jobs of requests that have results of other stages, then those with the
+        earliest goal.
+        """
+
+        def rank(numbered: tuple[int, QueuedJob]) -> tuple[bool, bool, bool, float]:
+            job = numbered[1]
+            is_remote = job.zone not in ("", zone)
+            return (
+                not job.is_started,
+                job.goal_at < call_end,
+                not job.is_begun,
+                job.goal_at + REMOTE_DELAY_S * is_remote,
+            )
+
+        waiting = [(number, job) for number, job in self._jobs.items() if job.waiting]
+        return sorted(waiting, key=rank)
+
+    def count_timely(self, call_end: float) -> Counter[int]:
+        """Count the waiting pieces that can meet their latency goal, by priority.
+
+        :param call_end: when a call that starts now would end, in seconds.
+        """
+        counts: Counter[int] = Counter()
+        for job in self._jobs.values():
+            if job.waiting and job.goal_at >= call_end:
+                counts[job.job.priority] += len(job.waiting)
+        return counts
+
     def count_ahead(self, priority: int) -> int:
         """Count the waiting pieces of jobs that are at least as urgent."""
         return sum(
--- a/packages/forwarding/bramleyspread_forwarding/_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_pieces.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from bramleyspread_core import MessageError, StagePlan
+from bramleyspread_forwarding._stage_load import NO_LOAD, StageLoad
 
 
 class PieceFault(str, Enum):
@@ -96,6 +97,11 @@
     held: tuple[HeldResult, ...] = ()
     #: Hosts that didn't answer the sending host lately, so that it asks another one.
     unreachable: tuple[str, ...] = ()
+    #: Whether another stage of the request has results already.
+    is_begun: bool = False
+    #: Number of offered requests for which the request stands, if the sending host
+    #: admits only a share of them.
+    weight: float = 1.0
 
     def make_item(self, piece: int) -> PieceItem:
         """Return the identity of one of its pieces."""
@@ -133,12 +139,17 @@
     made_by: tuple[int, ...]
     #: Why there is no result, by number of the piece.
     faults: dict[int, PieceFault] = {}
+    #: Load of the shard. Hosts of earlier builds neither send nor read it.
+    load: StageLoad = NO_LOAD
 
     @classmethod
-    def pack(cls, results: Sequence[PieceResult]) -> PieceResults:
+    def pack(
+        cls, results: Sequence[PieceResult], load: StageLoad = NO_LOAD
+    ) -> PieceResults:
         """Build the message.
 
         :param results: the results.
+        :param load: load of the shard.
         """
         makers = tuple(dict.fromkeys((each.maker, each.zone) for each in results))
         numbers = {maker: number for number, maker in enumerate(makers)}
@@ -147,6 +158,7 @@
             makers,
             tuple(numbers[each.maker, each.zone] for each in results),
             {at: each.fault for at, each in enumerate(results) if each.fault},
+            load,
         )
 
     def unpack(self) -> tuple[PieceResult, ...]:
@@ -315,6 +327,11 @@
         size = float(self._stages[number].result_bytes)
         return size * self._piece_counts[number] * readers
 
+    @property
+    def has_results(self) -> bool:
+        """Whether any stage with pieces has results."""
+        return any(self._results.values())
+
     def start_ready_stages(self) -> list[ReadyStage]:
         """Start the stages that can start now.
 
--- a/packages/forwarding/bramleyspread_forwarding/tests/overload_site.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/overload_site.py
@@ -2,7 +2,7 @@
 
 Prints the figures of all bursts, or of those whose names contain one of its arguments:
 
-    python -m bramleyspread_forwarding.tests.overload_site "1 medium"
+    python -m bramleyspread_forwarding.tests.overload_site fair "1 medium"
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 import heapq
 import sys
 from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from itertools import count
 from random import Random
 from typing import Any
@@ -26,9 +26,13 @@
     PieceFault,
     PieceJob,
     PieceResult,
+    RefusedRequest,
+    ShardId,
+    StageAdmission,
     StageRun,
     StageTimes,
     estimate_call_ms,
+    find_return_s,
 )
 from bramleyspread_forwarding.tests.builders import make_targets
 from bramleyspread_forwarding.tests.overload_loads import (
@@ -86,7 +90,7 @@
     ) -> None:
         self._site, self.name, self.limits = site, name, limits
         self.targets = self.all_targets = _make_zone_targets(name, size)
-        self.batcher = site.make_batcher()
+        self.batcher = Batcher(is_fair=site.is_fair)
         self.waiting: dict[int, Callable[[tuple[PieceResult, ...]], None]] = {}
         self.calls = self.pieces = 0
         self.busy_s = 0.0
@@ -122,6 +126,8 @@
     def dispatch(self) -> None:
         for call in self.batcher.dispatch(self.targets, self.limits, self._site.now):
             self._running[call.call] = call
+            requests = tuple(each.item.request for each in call.items)
+            self._site.calls.append((self._site.now, call.target.target, requests))
             work = sum(self._site.find_work(x.item.request) for x in call.items)
             took_s = (self.limits.call_ms + work * self.limits.piece_ms) / 1000
             self.calls, self.pieces = self.calls + 1, self.pieces + len(call.items)
@@ -169,6 +175,7 @@
     def __init__(self, number: int) -> None:
         self.zone = f"z{number % 3}"
         self.times = StageTimes()
+        self.admission = StageAdmission()
 
 
 class Attempt:
@@ -184,6 +191,7 @@
         self._is_ended = False
         self._zone = f"z{site.rng.randrange(3)}"
         self._used: list[str] = []
+        self._weights: Mapping[str, float] = {}
 
     def start(self) -> None:
         site = self._site
@@ -192,6 +200,20 @@
         if needed_ms > (self._caller.deadline - site.now) * 1000:
             self._refuse(max(RETRY_S, needed_ms / 1000 * RETRY_SHARE))
             return
+        if site.is_fair:
+            later = [
+                stage.service
+                for at, stage in enumerate(self._route.stages)
+                if stage.after and self._caller.pieces[at]
+            ]
+            admitted = self._host.admission.decide(
+                later, self._route.priority, self.name, site.now
+            )
+            if isinstance(admitted, RefusedRequest):
+                site.faults["arrival " + admitted.service] += 1
+                self._refuse(self._find_return_s(admitted.ends_in_s))
+                return
+            self._weights = admitted.weights
         self._start_stages()
 
     def _start_stages(self) -> None:
@@ -229,6 +251,8 @@
             result_bytes=stage.result_bytes,
             zone=zone,
             crossing_bytes=round(max(input_bytes, read_bytes)),
+            is_begun=self._run.has_results,
+            weight=self._weights.get(ready.service, 1.0),
         )
         site.work[job.request] = (
             SMALL_WORK if stage.result_bytes == SMALL_BYTES else 1.0
@@ -252,16 +276,21 @@
         started_at: float,
         is_timely: bool,
     ) -> None:
+        service = self._route.stages[number].service
+        load = self._site.services[service].batcher.load
+        self._host.admission.record(ShardId(service, 0), load, self._site.now)
         self._used += [x.handle for x in results if x.handle]
         self._run.record_results(number, results)
         if self._is_ended:
             self._release()
             return
         if any(each.fault for each in results):
-            self._site.faults[self._route.stages[number].service] += 1
-            self._refuse(RETRY_S)
+            self._site.faults[service] += 1
+            retry_s = RETRY_S
+            if self._site.is_fair:
+                retry_s = self._find_return_s(load.ends_in_ms / 1000)
+            self._refuse(retry_s)
             return
-        service = self._route.stages[number].service
         now = self._site.now
         if is_timely:
             elapsed_ms = (now - started_at) * 1000
@@ -300,6 +329,10 @@
         if caller.attempts < 2 and self._site.now + retry_s < caller.deadline:
             self._site.schedule(retry_s, self._site.send, caller)
 
+    def _find_return_s(self, ends_in_s: float) -> float:
+        left_s = self._caller.deadline - self._site.now - self._route.aim_ms / 1000
+        return find_return_s(ends_in_s, left_s, self._site.rng.random())
+
     def _stage_ms(self, number: int) -> float:
         stage = self._route.stages[number]
         pieces = self._caller.pieces[number]
@@ -334,11 +367,12 @@
         load: Load,
         burst: Burst,
         seed: int = 1,
-        make_batcher: Callable[[], Batcher] = Batcher,
+        *,
+        is_fair: bool = False,
     ) -> None:
         self.rng = Random(seed)
         self.now = 0.0
-        self.make_batcher = make_batcher
+        self.is_fair = is_fair
         self.numbers = count()
         self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._load, self._burst = load, burst
@@ -353,6 +387,8 @@
         self.wasted_s = 0.0
         self.waited_s: list[float] = []
         self.faults: Counter[str] = Counter()
+        #: Time, target and pieces of each call.
+        self.calls: list[tuple[float, str, tuple[str, ...]]] = []
 
     def find_work(self, request: str) -> float:
         return self.work[request]
@@ -434,11 +470,13 @@
 
 
 def main() -> None:
-    """Print the figures of all bursts."""
+    """Print the figures of bursts."""
+    is_fair = "fair" in sys.argv[1:]
+    names = [each for each in sys.argv[1:] if each not in ("fair", "priority")]
     for name, (load, burst) in BURSTS.items():
-        if len(sys.argv) > 1 and not any(x in name for x in sys.argv[1:]):
+        if names and not any(each in name for each in names):
             continue
-        site = OverloadSite(load, burst)
+        site = OverloadSite(load, burst, is_fair=is_fair)
         site.run()
         print(f"{name:16}", site.describe(), flush=True)
 
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_overload.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_overload.py
@@ -2,12 +2,62 @@
 
 from __future__ import annotations
 
+import hashlib
+from collections import Counter
+
+import pytest
+
 from bramleyspread_forwarding.tests.overload_loads import BURSTS
-from bramleyspread_forwarding.tests.overload_site import OverloadSite
+from bramleyspread_forwarding.tests.overload_site import Caller, OverloadSite
 
+#: Digest of all calls of a burst before shares were introduced.
+PRIORITY_DIGEST = "a4f2344129fac8a0910c85d976ebb3a60635d7d045182c739a336215b66e6269"
 
-# Guards against a driver whose load is not that of a calm day.
-def test_all_requests_are_on_time_in_a_calm_period() -> None:
-    site = OverloadSite(*BURSTS["1 calm"])
+
+def run_burst(name: str, *, is_fair: bool) -> OverloadSite:
+    load, burst = BURSTS[name]
+    site = OverloadSite(load, burst, is_fair=is_fair)
     site.run()
-    assert {each.outcome for each in site.list_burst_callers()} == {"on time"}
+    return site
+
+
+def find_timely_shares(callers: list[Caller]) -> dict[str, float]:
+    """Find the share of callers that were served on time, by kind."""
+    sent = Counter(each.kind.name for each in callers)
+    timely = Counter(x.kind.name for x in callers if x.outcome == "on time")
+    return {name: timely[name] / number for name, number in sent.items()}
+
+
+# Guards against a driver whose load is not that of a calm day, and against refusals
+# while there is capacity for all.
+@pytest.mark.parametrize("is_fair", [False, True])
+def test_all_requests_are_on_time_in_a_calm_period(is_fair: bool) -> None:
+    site = run_burst("1 calm", is_fair=is_fair)
+    assert {each.outcome for each in site.callers} == {"on time"}
+
+
+# Guards against a change of what deployments get that don't set ``overload: fair``.
+def test_decisions_by_priority_are_unchanged() -> None:
+    site = run_burst("1 medium x 3", is_fair=False)
+    assert hashlib.sha256(repr(site.calls).encode()).hexdigest() == PRIORITY_DIGEST
+
+
+# Guards against the least urgent kind yielding to all others: it got .01.
+def test_no_kind_falls_below_a_quarter_of_the_average_share() -> None:
+    site = run_burst("1 medium x 3", is_fair=True)
+    callers = site.list_burst_callers()
+    shares = find_timely_shares(callers)
+    average = sum(x.outcome == "on time" for x in callers) / len(callers)
+    assert min(shares.values()) > average / 4
+    assert shares["medium"] >= shares["small"]
+
+
+# Guards against work on requests that are refused later, and against refusals only
+# after 1.7 s: both stages that follow the first one are full here.
+def test_requests_are_refused_before_their_first_piece_if_later_stages_are_full() -> (
+    None
+):
+    site = run_burst("1 medium x 3", is_fair=True)
+    assert sum(site.waited_s) / len(site.waited_s) < 0.2
+    busy_s = sum(each.busy_s for each in site.services.values())
+    assert site.wasted_s < 0.02 * busy_s
