--- a/packages/daemon/bramleyspread_daemon/forward/_settings.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_settings.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Annotated, TypeVar
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 
@@ -95,6 +95,9 @@
     warm_up_overage: Annotated[float, msgspec.Meta(ge=0, le=1_000)] | None = None
     #: Requests that it bears in addition.
     warm_up_slack: RetryCount = 0.0
+    #: How stage work is divided when it exceeds the capacity: strictly by priority, or
+    #: in shares, with early refusals.
+    overload: Literal["priority", "fair"] = "priority"
 
     @property
     def callers(self) -> Listen:
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -125,6 +125,13 @@
 )
 from bramleyspread_forwarding._slow_starts import SlowStarts
 from bramleyspread_forwarding._software_history import SoftwareHistory
+from bramleyspread_forwarding._stage_admission import (
+    AdmittedRequest,
+    RefusedRequest,
+    StageAdmission,
+    find_return_s,
+)
+from bramleyspread_forwarding._stage_load import NO_LOAD, StageLoad
 from bramleyspread_forwarding._stage_times import StageTimes
 from bramleyspread_forwarding._stream_origins import (
     ORIGIN_RETENTION_S,
@@ -220,8 +227,14 @@
     "ServiceShards",
     "ShardId",
     "Shards",
+    "AdmittedRequest",
+    "RefusedRequest",
+    "StageAdmission",
+    "StageLoad",
+    "NO_LOAD",
     "StageRun",
     "StageTimes",
+    "find_return_s",
     "StreamEvent",
     "TargetChange",
     "TargetFailed",
