--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -87,7 +87,7 @@
         self._directory = directory
         self._access = access
         self._targets = targets
-        targets.on_load = self._record_load
+        targets.on_load = self._record_target_load
         self._batchers: dict[ShardId, Batcher] = {}
         self._jobs: dict[tuple[ShardId, int], _PendingJob] = {}
         self._hosts = BatchingHosts(
@@ -310,7 +310,7 @@
         await self._release_unwanted(shard)
         await self._dispatch(shard)
 
-    def _record_load(self, target: ForwardTarget, load: TargetLoad) -> None:
+    def _record_target_load(self, target: ForwardTarget, load: TargetLoad) -> None:
         """Pass on the load of a target to the batchers that send it calls."""
         now = read_monotonic()
         for batcher in self._batchers.values():
