Give stand-ins for a lost owner more of a warming target's rate

Cause: after the loss of an owner warming targets got 1 request a second for 3 s, which is a whole warm-up. Change: stand-ins that hear most control hosts get 0.2 of the rate in place of 0.06, owners that don't 0.12 in place of 0.2, and stand-ins that don't nothing; the sum stays at 1.5. Messages to a host of the simulated site that ends meanwhile fail instead of crashing the sender's task.

--- a/packages/daemon/bramleyspread_daemon/forward/tests/connected_hosts.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/connected_hosts.py
@@ -70,6 +70,8 @@
             raise RequestNotSentError("no such host")
         site.message_bytes[path] += len(body)
         await curio.sleep(DELAY_S)
+        if address not in site.contexts and address not in site.controls:
+            raise ConnectionClosedError("the host has ended")
         connection = KeptReply()
         reply = Reply(cast("Any", connection))
         handle = self._find_handler(address, method, path)
--- a/packages/forwarding/bramleyspread_forwarding/_warm_up_shares.py
+++ b/packages/forwarding/bramleyspread_forwarding/_warm_up_shares.py
@@ -10,12 +10,12 @@
 #: Share of the owner of the shared work. At least 0.8 of the rate has to be used, and
 #: some of it is lost between two requests.
 FULL_SHARE = 0.86
-#: Part of what the bound leaves beside the owner that an owner gets which may have been
-#: replaced. There may be two such owners, one on each side of a partition, and four
-#: stand-ins: 2 x 5 / 16 + 4 x 3 / 32 = 1.
-DOUBTFUL_OWNER_PART = 5 / 16
-#: Part of it that a stand-in gets.
-STAND_IN_PART = 3 / 32
+#: Part of what the bound leaves beside the owner that each of two stand-ins gets. They
+#: are all that is left for 3 s after the loss of an owner.
+STAND_IN_PART = 5 / 16
+#: Part of it that an owner gets which may have been replaced. There may be two such
+#: owners, each on a side of a partition: 2 x 5 / 16 + 2 x 3 / 16 = 1.
+DOUBTFUL_OWNER_PART = 3 / 16
 #: Time for which an owner must have heard most control hosts, in seconds. A former
 #: owner learns of it within 1 s, or hears most control hosts no more.
 MIN_CONTACT_S = 2.0
@@ -49,7 +49,7 @@
 
     An owner needs contact to most control hosts, not the time since it became the
     owner: of two hosts in contact only one takes itself for the owner, and one that was
-    replaced has lost contact before.
+    replaced has lost contact before. A stand-in without contact sends nothing.
 
     :param bound: what a warming target bears; None if unknown, then the shares are
         those of named limits.
@@ -59,10 +59,10 @@
     >>> bound, contact = WarmUpBound(1.5, 5.0), ControlContact()
     >>> full = WarmUpShares(bound).convert(0.9, 0.0)
     >>> doubtful = WarmUpShares(bound, contact).convert(0.9, 0.0)
-    >>> stand_in = WarmUpShares(bound, contact).convert(0.25, 0.0)
-    >>> [round(x, 3) for x in (full, doubtful, stand_in)]
-    [0.86, 0.2, 0.06]
-    >>> round(full + 2 * doubtful + 4 * stand_in, 3)
+    >>> stand_in = WarmUpShares(bound).convert(0.25, 0.0)
+    >>> [round(x, 3) for x in (full, stand_in, doubtful)]
+    [0.86, 0.2, 0.12]
+    >>> round(full + 2 * stand_in + 2 * doubtful, 3)
     1.5
     """
 
@@ -81,12 +81,11 @@
         if self._bound is None or share <= 0:
             return share
         full_share = min(FULL_SHARE, self._bound.overage)
-        is_owner = share >= NEW_OWNER_SHARE
-        if is_owner and self._is_in_contact(now):
-            return full_share
         spare = self._bound.overage - full_share
-        part = DOUBTFUL_OWNER_PART if is_owner else STAND_IN_PART
-        return min(spare * part, share)
+        is_owner = share >= NEW_OWNER_SHARE
+        if self._is_in_contact(now):
+            return full_share if is_owner else spare * STAND_IN_PART
+        return spare * DOUBTFUL_OWNER_PART if is_owner else 0.0
 
     def find_catch_up_s(self, rate: float) -> float:
         """Find the time for which an owner may catch up.
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_warm_ups.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_warm_ups.py
@@ -159,7 +159,12 @@
 ) -> None:
     bound, lost = WarmUpBound(overage, slack), ControlContact()
     sent: list[float] = []
-    for share, contact, hosts in ((0.9, None, 1), (0.9, lost, 2), (0.25, lost, 4)):
+    for share, contact, hosts in (
+        (0.9, None, 1),
+        (0.25, None, 2),
+        (0.9, lost, 2),
+        (0.25, lost, 4),
+    ):
         for number in range(hosts):
             table = SignalTable(warm_ups=WarmUps(lambda service: rate))
             beat = make_notice(born=5, warm_up_left_ms=60_000.0)
