Tell an owner of a warm-up only if it doesn't know it

Cause: each host told the owner of all warm-ups that it had heard of by heartbeats; when a zone's targets start together that is some kilobytes from each of 71 hosts in the same second, on the owner's link, and nothing new to it. Change: warm-ups of heartbeats aren't told between hosts, as control hosts tell all. If an owner chooses a target without naming the warm-up that the asker knows, the asker tells it and asks once more.

--- a/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
@@ -141,6 +141,8 @@
             if placement_host is None:
                 return self._decide_locally(query, self._find_share(query.service))
             answer = await self._request_placement(placement_host, query)
+            if self._must_tell_warm_up(answer):
+                answer = await self._request_placement(placement_host, query)
             if answer is not None:
                 return answer
             self._owners.start_backoff(placement_host, read_monotonic())
@@ -149,6 +151,20 @@
             )
         return self._decide_locally(query)
 
+    def _must_tell_warm_up(self, answer: Placed | NoTarget | Admitted | None) -> bool:
+        """Whether a placement host has chosen a target whose warm-up it doesn't know.
+
+        The reservation then ends, and the next query tells the host.
+        """
+        if not isinstance(answer, Placed):
+            return False
+        target = answer.target
+        now = read_monotonic()
+        if not self._signals.table.tell_warm_up(target, answer.limit, now):
+            return False
+        self.report(PlaceStep(ticket=answer.ticket, target=target.target, ended=True))
+        return True
+
     def _find_share(self, service: str) -> float:
         """Find the share of targets' rate limits that this host may hand out."""
         return self._shares.find_share(service, self._list_hosts(), read_monotonic())
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_warm_ups.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_warm_ups.py
@@ -14,6 +14,7 @@
     FAULTS,
     Fault,
     kill_owner,
+    list_owners,
     lose_control,
     run_seed,
     run_warm_up,
@@ -25,6 +26,7 @@
     WarmingTarget,
 )
 from bramleyspread_daemon.tests.virtual_time import run_in_virtual_time
+from bramleyspread_forwarding import ResponseSignals
 
 #: Requests that a warming target bears in any second.
 ALLOWED = BOUND.count_allowed(RATE)
@@ -105,6 +107,33 @@
     assert 0 < target.find_largest_second() <= ALLOWED
 
 
+# Guards against an owner that hands out a warming target without a limit, since it
+# doesn't hear the control host that the target's heartbeats reach.
+@pytest.mark.parametrize("hosts", [8, 71])
+def test_owner_is_told_of_a_warm_up_by_those_who_ask(
+    monkeypatch: pytest.MonkeyPatch, hosts: int
+) -> None:
+    site = WarmingSite(hosts, 3, engine=ENGINE)
+
+    async def main() -> WarmingTarget:
+        await start_warm(site, 6.0)
+        target = site.warming[0]
+        target.warm_ups.clear()
+        # Only heartbeats tell of the warm-up.
+        target.respond = lambda now: ResponseSignals()  # type: ignore[method-assign]
+        (owner,) = list_owners(site, 1)
+        control = site.simulated_controls[target.control]
+        await curio.spawn(site.send_traffic, 240.0, 6.0, daemon=True)
+        await curio.sleep(1.0)
+        site.unheard.add((owner.address, control.address))
+        target.warm_up(read_monotonic(), HEARD_WITHIN_S)
+        await curio.sleep(4.0)
+        return target
+
+    target = run_in_virtual_time(monkeypatch, main)
+    assert 0 < target.find_largest_second() <= ALLOWED
+
+
 # Guards against a target that gets no more after its warm-up than during it.
 def test_warm_target_gets_its_share(monkeypatch: pytest.MonkeyPatch) -> None:
     site = WarmingSite(8, 3)
--- a/packages/forwarding/bramleyspread_forwarding/_signal_table.py
+++ b/packages/forwarding/bramleyspread_forwarding/_signal_table.py
@@ -41,6 +41,9 @@
 MAX_TRANSIT_S = 0.25
 #: Maximum number of targets that one message tells about.
 MAX_NEWS = 100
+#: Minimum remaining warm-up of which a host is told that doesn't know it, in seconds.
+#: Hosts' estimates of its end differ by less.
+MIN_TOLD_S = 1.0
 #: Number of targets whose signals are kept; those heard of first are dropped.
 MAX_TARGETS = 20_000
 
@@ -218,13 +221,18 @@
         self.counts[WARM_UP] += left_s > 0
         report = make_report(left_s, sent_at, now)
         change = self.warm_ups.record_report(target.target, target.born, report, now)
-        return self._follow_warm_up(target.target, target.born, change, now)
+        changes = self._follow_warm_up(target.target, target.born, change, now)
+        if changes and self.warm_ups.find_rate(target) < math.inf:
+            self._mark_changed(self._find_record(target.target, target.born))
+        return changes
 
     def record_heartbeat(
         self, notice: TargetHeartbeat, now: float
     ) -> list[SignalChange]:
         """Record the warm-up that a heartbeat names which a control host told just now.
 
+        Other hosts aren't told, as control hosts tell them.
+
         :param notice: the heartbeat.
         :param now: the current time, in seconds.
         :returns: the changes, for the log.
@@ -246,12 +254,12 @@
     def _follow_warm_up(
         self, target: str, born: int, change: WarmUpChange | None, now: float
     ) -> list[SignalChange]:
-        """Let other hosts be told of a change, and return it for the log."""
+        """Let answers to other hosts name a warm-up, and return its change."""
         if change is None:
             return []
         known = self._records.get(target)
-        if known is None or known.born <= born:
-            self._mark_changed(self._find_record(target, born))
+        if known is None or known.born < born:
+            self._find_record(target, born)
         left_s = self.warm_ups.find_left_s(target, now)
         return [SignalChange(WARM_UP, round(left_s, 3), change)]
 
@@ -381,6 +389,28 @@
             return None
         return self._share(target.target, now)
 
+    def tell_warm_up(
+        self, target: ForwardTarget, told: SharedSignal | None, now: float
+    ) -> bool:
+        """Let other hosts be told of a warm-up that one of them hasn't heard of.
+
+        :param target: the target that the other host has chosen.
+        :param told: what it knows that the target said; None if nothing.
+        :param now: the current time, in seconds.
+        :returns: whether this host knows of a warm-up, and the other one doesn't.
+        """
+        if self.warm_ups.find_rate(target) == math.inf:
+            return False
+        if told is not None and told.warm_up_left_ms:
+            return False
+        if self.warm_ups.find_left_s(target.target, now) < MIN_TOLD_S:
+            return False
+        record = self._records.get(target.target)
+        if record is None or record.born < target.born:
+            return False
+        self._mark_changed(record)
+        return True
+
     def is_brittle(self, target: ForwardTarget) -> bool:
         """Whether a target ends if it has to reject too many requests."""
         record = self._find_current(target)
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_warm_ups.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_warm_ups.py
@@ -99,13 +99,18 @@
 def test_warm_ups_are_told_to_other_hosts() -> None:
     asker, owner = make_table(), make_table()
     asker.record_heartbeat(make_notice(born=5, warm_up_left_ms=3_000.0), 10.0)
-    _, news = asker.list_news(0, 10.1)
+    # Control hosts tell all hosts; so many messages to one owner would fill its link.
+    assert asker.list_news(0, 10.1) == (0, ())
     owner.record_heartbeat(make_notice(born=4), 9.0)
+    assert asker.tell_warm_up(TARGET, owner.share_limit(TARGET, 50.0), 10.1)
+    _, news = asker.list_news(0, 10.1)
     for each in news:
         owner.apply(each, 50.0)
     shared = owner.share_limit(TARGET, 51.0)
     assert shared is not None
     assert 2_000 <= shared.warm_up_left_ms <= 2_500
+    assert not asker.tell_warm_up(TARGET, shared, 10.1)
+    assert not asker.tell_warm_up(TARGET, None, 12.6)
     assert is_warming(owner, 52.9)
     assert not is_warming(owner, 53.7)
 
