Earlier stages leave slack to later ones, and late new jobs are refused

Cause: a full first stage used up all the slack of requests with three stages, so that most of those it admitted were late at the second one. Jobs of new requests that had become late waited .9 s for a refusal.

With `overload: fair` a stage's goal keeps half of the later stages' part of the slack for them, and new jobs that have missed their goal without being started are refused at once while on-time jobs fill the targets.

--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -65,10 +65,7 @@
 
 
 class PieceService:
-    """Computes pieces for the requests of this host and of other entry hosts.
-
-    :param is_fair: whether each priority gets its share in overload.
-    """
+    """Computes pieces for the requests of this host and of other entry hosts."""
 
     def __init__(
         self,
@@ -80,7 +77,8 @@
         *,
         is_fair: bool = False,
     ) -> None:
-        self._is_fair = is_fair
+        #: Whether each priority gets its share in overload.
+        self.is_fair = is_fair
         self._directory = directory
         self._access = access
         self._targets = targets
@@ -101,7 +99,7 @@
         self.pieces = 0
 
     def _record_load(self, shard: ShardId, load: StageLoad) -> None:
-        if self._is_fair:
+        if self.is_fair:
             self.admission.record(shard, load, read_monotonic())
 
     async def run_job(self, job: PieceJob) -> tuple[PieceResult, ...]:
@@ -189,7 +187,7 @@
             return _fail_all(job, PieceFault.MOVED)
         batcher = self._batchers.get(shard)
         if batcher is None:
-            batcher = Batcher(self._access, is_fair=self._is_fair)
+            batcher = Batcher(self._access, is_fair=self.is_fair)
             self._batchers[shard] = batcher
         now = read_monotonic()
         targets = self._access.count_capacity(
--- a/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
@@ -22,6 +22,7 @@
     StageRun,
     estimate_reading_ms,
     find_preferred_engine,
+    find_stage_goal_ms,
 )
 
 #: Share of the latency goal that a long prompt may take at most in estimates, so that
@@ -173,6 +174,12 @@
         goal_remaining_ms = (
             (self._started_at - now) * 1000 + self._route.aim_ms - downstream_ms
         )
+        if self._context.piece_service.is_fair:
+            goal_remaining_ms = find_stage_goal_ms(
+                goal_remaining_ms,
+                self._estimate_stage_ms(number),
+                stages.count_stages_left(number),
+            )
         remaining_ms = (self._find_first_event_deadline() - now) * 1000 - downstream_ms
         job = PieceJob(
             service=service,
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -118,7 +118,7 @@
     find_return_s,
 )
 from bramleyspread_forwarding._stage_load import NO_LOAD, StageLoad
-from bramleyspread_forwarding._stage_times import StageTimes
+from bramleyspread_forwarding._stage_times import StageTimes, find_stage_goal_ms
 from bramleyspread_forwarding._stream_origins import (
     ORIGIN_RETENTION_S,
     StreamOrigin,
@@ -211,6 +211,7 @@
     "StageRun",
     "StageTimes",
     "find_return_s",
+    "find_stage_goal_ms",
     "StreamEvent",
     "TargetChange",
     "TargetFailed",
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -133,6 +133,7 @@
         full_call_s = estimate_call_ms(limits.batch, limits) / 1000
         if waiting.total() / capacity <= FREE_BACKLOG_CALLS * full_call_s:
             return own_call_s <= job.remaining_ms / 1000
+        # While the targets are filled, the job's pieces share full calls.
         budget_s = job.aim_ms / 1000 - own_call_s
         rate = meter.find_guaranteed_rate(job.priority, now)
         return waiting[job.priority] + job.pieces <= rate * budget_s
@@ -164,10 +165,13 @@
         full_call_s = estimate_call_ms(limits.batch, limits) / 1000
         # A job meets its goal if its call starts at least one duration before the goal.
         late_before = now - (LATE_WAIT_CALLS - 1) * full_call_s
+        removed = [*self.jobs.expire(now), *self.jobs.shed(late_before)]
         if self._meter is not None:
-            timely = self.jobs.count_timely(now + full_call_s)
-            self._meter.sample(timely.total(), limits.batch, now)
-        return [*self.jobs.expire(now), *self.jobs.shed(late_before)]
+            timely = self.jobs.count_timely(now + full_call_s).total()
+            self._meter.sample(timely, limits.batch, now)
+            if timely > self._meter.capacity * FREE_BACKLOG_CALLS * full_call_s:
+                removed += self.jobs.shed_new(now)
+        return removed
 
     def dispatch(
         self,
--- a/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
+++ b/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
@@ -170,6 +170,18 @@
         ]
         return [self._fail_job(number, PieceFault.SHED) for number in late]
 
+    def shed_new(self, call_end: float) -> list[JobDone]:
+        """Fail unstarted jobs of new requests that can't meet their latency goal.
+
+        :param call_end: when a call that starts now would end, in seconds.
+        """
+        late = [
+            number
+            for number, job in self._jobs.items()
+            if job.goal_at < call_end and not job.is_started and not job.is_begun
+        ]
+        return [self._fail_job(number, PieceFault.SHED) for number in late]
+
     def list_waiting(self, zone: str, call_end: float) -> list[tuple[int, QueuedJob]]:
         """List the jobs from which a target may get pieces, best choice first.
 
--- a/packages/forwarding/bramleyspread_forwarding/_pieces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_pieces.py
@@ -310,6 +310,10 @@
         """Whether the request itself reads a stage's results."""
         return number not in self._find_required_stages()
 
+    def count_stages_left(self, number: int) -> int:
+        """Count the stages of the longest chain that begins with a stage."""
+        return self._depths[number]
+
     def find_read_bytes(self, number: int) -> float:
         """Find how many bytes of a stage's results will be read.
 
--- a/packages/forwarding/bramleyspread_forwarding/_stage_times.py
+++ b/packages/forwarding/bramleyspread_forwarding/_stage_times.py
@@ -6,6 +6,29 @@
 SMOOTHING = 0.25
 #: Time after which a smoothed duration has half its weight, in seconds.
 HALF_LIFE_S = 1.0
+#: Share of the later stages' part of a request's slack that earlier stages leave to
+#: them. With none, the first of several full stages left all requests late for the
+#: second one; with all of it, the first one refused more than it had to.
+KEPT_SLACK_SHARE = 0.5
+
+
+def find_stage_goal_ms(goal_ms: float, own_ms: float, stages_left: int) -> float:
+    """Find the time within which a stage should end, so that later ones may wait too.
+
+    :param goal_ms: time left for the stage if those after it don't wait, in ms.
+    :param own_ms: time that it is expected to take, in ms.
+    :param stages_left: number of stages in a row from this one on, itself included.
+    :returns: the time, in ms; at most ``goal_ms``.
+
+    >>> find_stage_goal_ms(900.0, 300.0, 1)
+    900.0
+    >>> find_stage_goal_ms(900.0, 300.0, 3)
+    700.0
+    >>> find_stage_goal_ms(100.0, 300.0, 3)
+    100.0
+    """
+    slack_ms = max(goal_ms - own_ms, 0.0)
+    return goal_ms - slack_ms * KEPT_SLACK_SHARE * (1 - 1 / stages_left)
 
 
 class StageTimes:
--- a/packages/forwarding/bramleyspread_forwarding/tests/overload_site.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/overload_site.py
@@ -33,6 +33,7 @@
     StageTimes,
     estimate_call_ms,
     find_return_s,
+    find_stage_goal_ms,
 )
 from bramleyspread_forwarding.tests.builders import make_targets
 from bramleyspread_forwarding.tests.overload_loads import (
@@ -238,6 +239,9 @@
             remaining_ms = min(remaining_ms, 4_000.0 * LIFETIME_SHARE)
         elapsed_ms = (now - self._started_at) * 1000
         aim_ms = self._route.aim_ms - elapsed_ms - downstream_ms
+        if site.is_fair:
+            left = self._run.count_stages_left(number)
+            aim_ms = find_stage_goal_ms(aim_ms, self._stage_ms(number), left)
         job = PieceJob(
             service=ready.service,
             request=f"{self.name}/{number}",
