A plan decides which work goes to other availability zones

Cause: constants for each request and job decide when work crosses zones. They let it cross in calm periods, and in a burst in one zone let it wait at home for two calls before it crosses.

Change: package capacity, ZonePlan: from demand, capacity and backlog by zone, and the cost of crossing, the shares of arriving work that go elsewhere: what exceeds the zone's own capacity, as far as it fits. The batching host of a shard and the placement host of a service of engines plan four times a second (setting zone_overflow: planned). A zone that isn't full by the plan keeps small jobs up to a call longer. New owners, hosts that stand in and gaps of 2 s: as without a plan, which stays the default. Log step overflow, metric zone_share.

--- a/packages/capacity/bramleyspread_capacity/__init__.py
+++ b/packages/capacity/bramleyspread_capacity/__init__.py
@@ -5,5 +5,19 @@
     EngineSpeeds,
     ReadingSample,
 )
+from bramleyspread_capacity._zone_plan import (
+    ArrivalRates,
+    ZoneDemand,
+    ZonePlan,
+    ZoneShare,
+)
 
-__all__ = ["EngineSpeed", "EngineSpeeds", "ReadingSample"]
+__all__ = [
+    "ArrivalRates",
+    "EngineSpeed",
+    "EngineSpeeds",
+    "ReadingSample",
+    "ZoneDemand",
+    "ZonePlan",
+    "ZoneShare",
+]
--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -99,7 +99,11 @@
         #: Chooses the targets of requests.
         self.placement = PlacementService(
             self.own,
-            Placement(rng, self.signals.access),
+            Placement(
+                rng,
+                self.signals.access,
+                is_planned=settings.zone_overflow == "planned",
+            ),
             self.signals,
             self.targets.list_usable,
             self.find_service,
@@ -134,6 +138,7 @@
             PieceCalls(wire, self.upstream, self.signals, self.targets.find_by_address),
             peers,
             self.signals.access,
+            is_planned=settings.zone_overflow == "planned",
         )
         #: Number of finished requests, by how they ended.
         self.end_counts: Counter[str] = Counter()
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -256,6 +256,17 @@
         for outcome, number in signals.held_back_counts.items():
             text = "Requests held back by what targets said."
             metrics.set_counter("held_back_total", text, number, outcome=outcome)
+        for report in (self.context.placement.overflow, service.overflow):
+            for shard, each in report.list_shares():
+                metrics.set_gauge(
+                    "zone_share",
+                    "Share of a zone's work that a plan sends to another one.",
+                    each.share,
+                    service=shard.service,
+                    shard=str(shard.number),
+                    zone=each.source,
+                    to=each.target,
+                )
         crashes = self.context.crashes
         text = "Requests refused because targets crash under such."
         metrics.set_counter("quarantined_requests_total", text, crashes.refused)
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -15,6 +15,7 @@
 from bramleyspread_daemon._pool import ConnectionPool
 from bramleyspread_daemon._refusal import encode_refusal
 from bramleyspread_daemon.forward._batching_hosts import BatchingHosts
+from bramleyspread_daemon.forward._overflow_report import OverflowReport
 from bramleyspread_daemon.forward._piece_calls import (
     CallOutcome,
     OutcomeUnknown,
@@ -73,7 +74,12 @@
         targets: PieceCalls,
         peers: ConnectionPool,
         access: TargetAccess,
+        *,
+        is_planned: bool = False,
     ) -> None:
+        self._is_planned = is_planned
+        #: What a plan sends to other zones.
+        self.overflow = OverflowReport()
         self._directory = directory
         self._access = access
         self._targets = targets
@@ -171,7 +177,10 @@
         shard = ShardId(job.service, job.shard)
         if not self._is_in_use(shard):
             return _fail_all(job, PieceFault.MOVED)
-        batcher = self._batchers.setdefault(shard, Batcher(self._access))
+        batcher = self._batchers.get(shard)
+        if batcher is None:
+            batcher = Batcher(self._access, is_planned=self._is_planned)
+            self._batchers[shard] = batcher
         now = read_monotonic()
         targets = self._access.count_capacity(
             self._directory.list_shard_targets(shard),
@@ -318,6 +327,8 @@
                 await self._finish_jobs(shard, batcher.jobs.fail_unstarted())
             if batcher.jobs.waiting_pieces:
                 await self._dispatch(shard)
+            if batcher.overflow is not None:
+                self.overflow.update(shard, batcher.overflow.list_shares(now), now)
         await self.releases.tick()
 
     def _may_run_received_jobs(self, shard: ShardId) -> bool:
--- a/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
@@ -25,6 +25,7 @@
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._pool import ConnectionPool
 from bramleyspread_daemon._refusal import encode_refusal
+from bramleyspread_daemon.forward._overflow_report import OverflowReport
 from bramleyspread_daemon.forward._target_signals import TargetSignals
 from bramleyspread_forwarding import (
     Admitted,
@@ -38,6 +39,7 @@
     PlaceStep,
     RateShares,
     ServiceOwners,
+    ShardId,
     SharedSignal,
     StreamOrigin,
 )
@@ -73,6 +75,8 @@
         peers: ConnectionPool,
         record_origin: Callable[[StreamOrigin], None],
     ) -> None:
+        #: What a plan sends to other zones.
+        self.overflow = OverflowReport()
         self._record_origin = record_origin
         self._placement = placement
         self._signals = signals
@@ -245,6 +249,8 @@
         """Report the progress of requests to the hosts that placed them."""
         now = read_monotonic()
         self._placement.expire(now)
+        for service, overflow in self._placement.overflows.items():
+            self.overflow.update(ShardId(service, 0), overflow.list_shares(now), now)
         if self._shares.check(now):
             self._signals.access.restart()
         self._forget_hosts()
--- a/packages/daemon/bramleyspread_daemon/forward/_settings.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_settings.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Annotated, TypeVar
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 
@@ -84,6 +84,9 @@
     retry_slack: RetryCount = 10.0
     #: Length of that window, in seconds.
     retry_window_s: Seconds = 10.0
+    #: What decides which work is sent to another availability zone: a plan of the host
+    #: that sees all demand, or the cost of each request and job.
+    zone_overflow: Literal["planned", "cost"] = "cost"
 
     @property
     def callers(self) -> Listen:
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -34,6 +34,7 @@
 from bramleyspread_forwarding._signal_table import SignalTable
 from bramleyspread_forwarding._target_access import TargetAccess
 from bramleyspread_forwarding._targets import ForwardTarget
+from bramleyspread_forwarding._zone_overflow import PieceOverflow
 from bramleyspread_forwarding._zone_waits import ZoneTarget
 
 #: A job that has not started is shed when this many durations of a full call have
@@ -58,9 +59,12 @@
     a while, gets none before its time.
 
     :param access: paces the calls to each target.
+    :param is_planned: whether a plan decides what is sent to other zones.
     """
 
-    def __init__(self, access: TargetAccess | None = None) -> None:
+    def __init__(
+        self, access: TargetAccess | None = None, *, is_planned: bool = False
+    ) -> None:
         self._access = access if access is not None else TargetAccess(SignalTable())
         self._call_numbers = count(1)
         #: The jobs that have not ended.
@@ -70,6 +74,8 @@
         self._expected_bytes: Counter[str] = Counter()
         self._storage = StorageUsage()
         self._history = CallHistory()
+        #: Plans what is sent to other zones; None if the cost of each job decides.
+        self.overflow = PieceOverflow() if is_planned else None
 
     @property
     def calls_in_flight(self) -> int:
@@ -99,13 +105,16 @@
             becomes the batching host of the service.
         :returns: the job's number, or the reason for which it is refused.
         """
+        zone = None
+        if self.overflow is not None and not is_local:
+            zone = self.overflow.choose_zone(job, now)
         unavailable = self._history.count_unavailable()
         if targets <= unavailable and self.jobs.waiting_pieces:
             return PieceFault.SHED
         working = max(targets - unavailable, min(targets, 1.0))
         if self._estimate_job_ms(job, limits, working) > job.remaining_ms:
             return PieceFault.SHED
-        return self.jobs.add(job, now, is_local=is_local)
+        return self.jobs.add(job, now, is_local=is_local, zone=zone)
 
     def _estimate_job_ms(
         self, job: PieceJob, limits: PieceLimits, targets: float
@@ -159,13 +168,18 @@
             and self._history.is_available(each.target, now)
             and self._access.is_ready(each, share, now)
         ]
-        if not free:
+        is_round_due = self.overflow is not None and self.overflow.is_due(now)
+        if not free and not is_round_due:
             return []
-        calls = []
-        self._storage.expire(now)
         target_ids = [each.target for each in targets]
         self._history.remove_unlisted(target_ids)
         relative_slowdowns = self._find_relative_slowdowns(target_ids)
+        if is_round_due:
+            self._plan_overflow(targets, relative_slowdowns, limits, now)
+        if not free:
+            return []
+        calls = []
+        self._storage.expire(now)
         fast_targets = [x for x in targets if relative_slowdowns[x.target] == 1.0]
         dispatch_round = DispatchRound(
             self.jobs,
@@ -173,6 +187,11 @@
             now,
             self._find_spare_bytes(targets, limits),
             self._describe_zone_targets(fast_targets, limits, now),
+            full_zones=(
+                self.overflow.find_full_zones(now)
+                if self.overflow is not None
+                else None
+            ),
         )
         reported = {
             each: self._history.slowdowns.find_reported(each, now)
@@ -195,6 +214,23 @@
             dispatch_round.record_call(target, self._calls[call.call].result_bytes)
         return calls
 
+    def _plan_overflow(
+        self,
+        targets: Sequence[ForwardTarget],
+        relative_slowdowns: dict[str, float],
+        limits: PieceLimits,
+        now: float,
+    ) -> None:
+        """Plan what is sent to other zones, by the targets that aren't in backoff."""
+        if self.overflow is None:
+            return
+        slowdowns = {
+            target: max(factor, self._history.slowdowns.find_reported(target, now))
+            for target, factor in relative_slowdowns.items()
+        }
+        available = [x for x in targets if self._history.is_available(x.target, now)]
+        self.overflow.update(available, slowdowns, limits, self.jobs, now)
+
     def _find_relative_slowdowns(self, targets: Sequence[str]) -> dict[str, float]:
         """Compare each target with its peers; 1 for those that are not slow.
 
@@ -405,7 +441,8 @@
         calls = [call for call in self._calls.values() if call.target == target]
         if len(calls) < limits.slots:
             return 0.0
-        call_s = [each.expected_ms / 1000 for each in calls]
+        slowdown = max(1.0, self._history.slowdowns.find_reported(target.target, now))
+        call_s = [each.expected_ms * slowdown / 1000 for each in calls]
         ends_at = [each.started_at + x for each, x in zip(calls, call_s, strict=True)]
         free_in_s = min(ends_at) - now
         if free_in_s < -min(call_s):
--- a/packages/forwarding/bramleyspread_forwarding/_dispatch.py
+++ b/packages/forwarding/bramleyspread_forwarding/_dispatch.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 import msgspec
 
 from bramleyspread_core import PieceLimits
@@ -31,10 +33,13 @@
     :param spare_bytes: storage at all targets beyond what started jobs will need;
         infinite if any job may start.
     :param zone_targets: by id, the targets for which pieces may wait.
+    :param full_zones: the zones whose capacity is exceeded by the plan in force; None
+        without a plan.
     """
 
     __slots__ = (
         "_call_s",
+        "_full_zones",
         "_jobs",
         "_largest_unstarted_bytes",
         "_limits",
@@ -50,7 +55,10 @@
         now: float,
         spare_bytes: float,
         zone_targets: dict[str, ZoneTarget],
+        *,
+        full_zones: Collection[str] | None = None,
     ) -> None:
+        self._full_zones = full_zones
         self._jobs = jobs
         self._limits = limits
         self._now = now
@@ -115,6 +123,7 @@
             self._limits,
             self._now,
             is_storage_short=self._largest_unstarted_bytes > self._spare_bytes,
+            full_zones=self._full_zones,
         )
 
     def _reserve(self, job: QueuedJob) -> bool:
--- a/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
+++ b/packages/forwarding/bramleyspread_forwarding/_piece_queue.py
@@ -90,17 +90,35 @@
         """Number of pieces that wait to be put into a call."""
         return sum(len(job.waiting) for job in self._jobs.values())
 
-    def add(self, job: PieceJob, now: float, *, is_local: bool = False) -> int:
+    def count_waiting_by_zone(self) -> dict[str, int]:
+        """Count the waiting pieces by zone; those for any zone under an empty name."""
+        waiting: dict[str, int] = {}
+        for job in self._jobs.values():
+            waiting[job.zone] = waiting.get(job.zone, 0) + len(job.waiting)
+        return waiting
+
+    def add(
+        self,
+        job: PieceJob,
+        now: float,
+        *,
+        is_local: bool = False,
+        zone: str | None = None,
+    ) -> int:
         """Enqueue a job.
 
         :param job: the job.
         :param now: the current time, in seconds.
         :param is_local: whether the job stays here when another host becomes the
             batching host.
+        :param zone: availability zone where the pieces should be processed, if another
+            one than the job names.
         :returns: the job's number.
         """
         number = next(self._numbers)
-        self._jobs[number] = QueuedJob(job, now, is_local)
+        self._jobs[number] = queued = QueuedJob(job, now, is_local)
+        if zone is not None:
+            queued.zone = zone
         return number
 
     def cancel(self, number: int) -> None:
--- a/packages/forwarding/bramleyspread_forwarding/_placement.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement.py
@@ -24,10 +24,11 @@
     list_shared_parts,
 )
 from bramleyspread_forwarding._rate_admission import RateAdmission
-from bramleyspread_forwarding._rate_shares import OWNER_SHARE
+from bramleyspread_forwarding._rate_shares import OWNER_SHARE, STAND_IN_SHARE
 from bramleyspread_forwarding._signal_table import SignalTable
 from bramleyspread_forwarding._target_access import TargetAccess
 from bramleyspread_forwarding._targets import ForwardTarget
+from bramleyspread_forwarding._zone_overflow import RequestOverflow
 
 #: Additional time to first token for each request waiting at the target, in ms.
 WAITING_REQUEST_MS = 60.0
@@ -40,6 +41,9 @@
 OTHER_ZONE_MS = 4.0
 #: Cost of moving a megabyte of inputs to another zone, in ms.
 INPUT_MS_PER_MB = 13.5
+#: Cost of a zone that a plan doesn't name, besides that of crossing, in ms: more than
+#: what moving the inputs of most requests costs, less than being late.
+OUT_OF_PLAN_MS = 150.0
 #: Cost of reading a token again that another engine has in its cache, in ms.
 CACHE_MISS_MS_PER_TOKEN = 0.05
 #: Cost of missing the latency goal, in ms.
@@ -65,6 +69,17 @@
 RESERVATION_TTL_S = 40.0
 
 
+class _ZoneChoice(msgspec.Struct, frozen=True):
+    """Zone that should get a request."""
+
+    #: The plan that counts the request; None if the cost of each request decides.
+    overflow: RequestOverflow | None = None
+    #: The zone that would get it without a plan.
+    home: str = ""
+    #: The planned zone; None while no plan is in force.
+    zone: str | None = None
+
+
 class _Reservation(msgspec.Struct, frozen=True):
     """The load of a placed request, counted at its target."""
 
@@ -73,6 +88,8 @@
     placed_at: float
     #: Whether the target has read the request's prompt.
     is_read: bool = False
+    #: The zone for which it was planned.
+    plan: _ZoneChoice = _ZoneChoice()
 
 
 class Placement:
@@ -86,6 +103,8 @@
     :param rng: breaks ties.
     :param access: paces the requests of limited targets.
     :param speeds: what is known of the speeds of engines.
+    :param is_planned: whether a plan decides what is sent to other zones; else the cost
+        of each request does.
     """
 
     def __init__(
@@ -93,7 +112,12 @@
         rng: Random,
         access: TargetAccess | None = None,
         speeds: EngineSpeeds | None = None,
+        *,
+        is_planned: bool = False,
     ) -> None:
+        self._is_planned = is_planned
+        #: By service, the plan of what is sent to other zones.
+        self.overflows: dict[str, RequestOverflow] = {}
         self._rng = rng
         #: What is known of the speeds of engines.
         self.speeds = speeds if speeds is not None else EngineSpeeds()
@@ -146,7 +170,10 @@
         accepting = self._list_with_room(accepting, memory_tokens, limits, share, now)
         if not accepting:
             return NoTarget(NO_ROOM, NO_ROOM_RETRY_S)
-        best = self._find_best(query, targets, accepting, limits, now, waits_s)
+        plan = self._choose_zone(query, targets, limits, share, now)
+        best = self._find_best(
+            query, targets, accepting, limits, now, waits_s, plan.zone
+        )
         tracker = self._find_tracker(best)
         placed = Placed(
             next(self._tickets),
@@ -158,9 +185,30 @@
             self._access.signals.share_limit(best, now),
             tracker.unread_tokens,
         )
-        self._reserve(placed, list_shared_parts(query.prompt), now)
+        self._reserve(placed, query, plan, now)
         return placed
 
+    def _choose_zone(
+        self,
+        query: PlaceQuery,
+        targets: Sequence[ForwardTarget],
+        limits: EngineLimits | None,
+        share: float,
+        now: float,
+    ) -> _ZoneChoice:
+        """Choose the zone that should get a request, by the requests of all zones.
+
+        Only the host that places for a service of engines knows them.
+        """
+        if not self._is_planned or limits is None or share <= STAND_IN_SHARE:
+            return _ZoneChoice()
+        overflow = self.overflows.setdefault(query.service, RequestOverflow())
+        overflow.update(targets, self._trackers, now)
+        home = _find_home(query, find_preferred_engine(query.prompt, targets))
+        if not overflow.is_in_force(now):
+            return _ZoneChoice(overflow, home)
+        return _ZoneChoice(overflow, home, overflow.choose_zone(home, now))
+
     def _list_with_room(
         self,
         targets: Sequence[ForwardTarget],
@@ -200,17 +248,22 @@
         limits: EngineLimits | None,
         now: float,
         waits_s: dict[str, float],
+        zone: str | None,
     ) -> ForwardTarget:
         """Find the target at which a request costs least.
 
-        Targets in backoff are considered only if all are.
+        Targets in backoff are considered only if all are. What is planned for another
+        zone than that of its preferred engine prefers an engine there.
         """
         available = [x for x in accepting if self._find_tracker(x).backoff_until <= now]
         preferred = find_preferred_engine(query.prompt, targets)
+        if zone is not None and preferred is not None and preferred.zone != zone:
+            inside = [each for each in targets if each.zone == zone]
+            preferred = find_preferred_engine(query.prompt, inside)
         return min(
             available or accepting,
             key=lambda each: self._estimate_cost_ms(
-                query, each, each == preferred, limits, now, waits_s
+                query, each, each == preferred, limits, now, waits_s, zone
             ),
         )
 
@@ -317,19 +370,30 @@
         if step.ended:
             tracker.remove_request(placed.tokens)
             del self._reservations[placed.ticket]
+            if reservation.plan.overflow is not None:
+                reservation.plan.overflow.remove(reservation.plan.home)
         elif step.began:
-            self._reservations[placed.ticket] = _Reservation(
-                placed, reservation.placed_at, is_read=True
+            self._reservations[placed.ticket] = msgspec.structs.replace(
+                reservation, is_read=True
             )
 
     def _find_tracker(self, target: ForwardTarget) -> TargetTracker:
         return self._trackers.setdefault(target.target, TargetTracker())
 
-    def _reserve(self, placed: Placed, parts: tuple[str, ...], now: float) -> None:
+    def _reserve(
+        self,
+        placed: Placed,
+        query: PlaceQuery,
+        plan: _ZoneChoice,
+        now: float,
+    ) -> None:
         tracker = self._find_tracker(placed.target)
-        tracker.record_parts(parts, now)
+        tracker.record_parts(list_shared_parts(query.prompt), now)
         tracker.add_request(placed.unread_tokens, placed.tokens)
-        self._reservations[placed.ticket] = _Reservation(placed, now)
+        self._reservations[placed.ticket] = _Reservation(placed, now, plan=plan)
+        if plan.overflow is not None:
+            crossing_ms = _estimate_crossing_ms(query, plan.home, is_other=True)
+            plan.overflow.add(plan.home, crossing_ms / 1000)
 
     def _estimate_cost_ms(
         self,
@@ -339,6 +403,7 @@
         limits: EngineLimits | None,
         now: float,
         waits_s: dict[str, float],
+        zone: str | None,
     ) -> float:
         """Estimate the cost of sending a request to a target, in ms."""
         tracker = self._find_tracker(target)
@@ -359,12 +424,45 @@
             memory_tokens = tracker.memory_tokens + query.prompt.memory_tokens
             if memory_tokens > limits.memory_tokens * USABLE_MEMORY_SHARE:
                 cost += MEMORY_EXCEEDED_MS
-        if target.zone != query.zone:
-            cost += OTHER_ZONE_MS
-        for zone, size_mb in query.input_mb.items():
-            if zone != target.zone:
-                cost += size_mb * INPUT_MS_PER_MB
-        return cost
+        if zone is None:
+            return cost + _estimate_crossing_ms(query, target.zone)
+        if target.zone == zone:
+            return cost
+        return cost + _estimate_crossing_ms(query, target.zone) + OUT_OF_PLAN_MS
+
+
+def _estimate_crossing_ms(
+    query: PlaceQuery, zone: str, *, is_other: bool = False
+) -> float:
+    """Estimate the cost of what crosses zones if a request goes to a zone, in ms.
+
+    :param query: the request.
+    :param zone: the zone.
+    :param is_other: whether it goes to any other zone instead.
+    """
+    sizes_mb = [mb for at, mb in query.input_mb.items() if (at == zone) == is_other]
+    moved_ms = sum(sizes_mb) * INPUT_MS_PER_MB
+    return moved_ms + (OTHER_ZONE_MS if (zone == query.zone) == is_other else 0.0)
+
+
+def _find_home(query: PlaceQuery, preferred: ForwardTarget | None) -> str:
+    """Find the zone where a request costs least, apart from load.
+
+    :param query: the request.
+    :param preferred: the engine that has its prompt's shared parts, if there is one.
+    """
+    zones = {query.zone, *query.input_mb}
+    shared_ms = 0.0
+    if preferred is not None and query.prompt is not None:
+        zones.add(preferred.zone)
+        shared_ms = query.prompt.tokens_in * CACHE_MISS_MS_PER_TOKEN
+
+    def estimate_ms(zone: str) -> float:
+        is_preferred = preferred is None or preferred.zone == zone
+        missed_ms = 0.0 if is_preferred else shared_ms
+        return _estimate_crossing_ms(query, zone) + missed_ms
+
+    return min(sorted(zones), key=estimate_ms)
 
 
 def _describe_unbatched(target: ForwardTarget) -> EngineSpeed:
--- a/packages/forwarding/bramleyspread_forwarding/_zone_waits.py
+++ b/packages/forwarding/bramleyspread_forwarding/_zone_waits.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import msgspec
 
@@ -17,6 +17,9 @@
 WAIT_S_PER_MB = 0.3
 #: Maximum time that a piece waits, in durations of a full call.
 MAX_WAIT_CALLS = 2.0
+#: Time for which a piece may wait, however few bytes would cross, for a zone that has
+#: capacity for its work by a plan, in durations of a full call.
+PLANNED_WAIT_CALLS = 1.0
 #: Time that must be left before the latency goal after the expected end of the call,
 #: in durations of a full call.
 GOAL_MARGIN_CALLS = 0.5
@@ -43,12 +46,15 @@
     :param targets: targets that accept calls and are not slow.
     :param limits: the capacity limits of the service's targets.
     :param is_storage_short: whether a job can't start for want of storage.
+    :param full_zones: the zones whose capacity is exceeded by the plan in force; None
+        without a plan.
     :param now: the current time, in seconds.
     """
 
     __slots__ = (
         "_by_zone",
         "_full_call_s",
+        "_full_zones",
         "_is_storage_short",
         "_limits",
         "_now",
@@ -62,7 +68,9 @@
         now: float,
         *,
         is_storage_short: bool,
+        full_zones: Collection[str] | None = None,
     ) -> None:
+        self._full_zones = full_zones
         self._is_storage_short = is_storage_short
         self._limits = limits
         self._now = now
@@ -80,7 +88,9 @@
         :param job: the job.
         :param zone: availability zone of the free target.
         """
-        if job.zone in ("", zone) or not job.job.crossing_bytes:
+        if zone in (job.zone, job.job.zone):
+            return False
+        if not job.zone or not job.job.crossing_bytes:
             return False
         if job.is_started and self._is_storage_short:
             return False
@@ -102,13 +112,17 @@
         return free_in_s[position] + rounds * self._full_call_s
 
     def _is_worthwhile(self, job: QueuedJob, start_in_s: float) -> bool:
-        crossing_mb = job.job.crossing_bytes / 1e6 * len(job.waiting) / job.job.pieces
-        max_wait_s = min(
-            crossing_mb * WAIT_S_PER_MB, MAX_WAIT_CALLS * self._full_call_s
-        )
-        if self._now - job.waiting_since + start_in_s > max_wait_s:
+        if self._now - job.waiting_since + start_in_s > self._find_max_wait_s(job):
             return False
         call_end = self._now + self._full_call_s
         is_late = job.goal_at < call_end
         margin_s = GOAL_MARGIN_CALLS * self._full_call_s
         return is_late or call_end + start_in_s + margin_s <= job.goal_at
+
+    def _find_max_wait_s(self, job: QueuedJob) -> float:
+        """Find how long a job may wait so that its bytes need not cross zones."""
+        crossing_mb = job.job.crossing_bytes / 1e6 * len(job.waiting) / job.job.pieces
+        wait_s = crossing_mb * WAIT_S_PER_MB
+        if self._full_zones is not None and job.zone not in self._full_zones:
+            wait_s = max(wait_s, PLANNED_WAIT_CALLS * self._full_call_s)
+        return min(wait_s, MAX_WAIT_CALLS * self._full_call_s)
