--- a/packages/capacity/bramleyspread_capacity/__init__.py
+++ b/packages/capacity/bramleyspread_capacity/__init__.py
@@ -11,13 +11,23 @@
     ZoneCapacity,
     sum_by_zone,
 )
+from bramleyspread_capacity._zone_plan import (
+    ArrivalRates,
+    ZoneDemand,
+    ZonePlan,
+    ZoneShare,
+)
 
 __all__ = [
+    "ArrivalRates",
     "EngineSpeed",
     "EngineSpeeds",
     "ReadingSample",
     "Restriction",
     "TargetCapacity",
     "ZoneCapacity",
+    "ZoneDemand",
+    "ZonePlan",
+    "ZoneShare",
     "sum_by_zone",
 ]
--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -115,7 +115,11 @@
         #: Chooses the targets of requests.
         self.placement = PlacementService(
             self.own,
-            Placement(rng, self.signals.access),
+            Placement(
+                rng,
+                self.signals.access,
+                is_planned=settings.zone_overflow == "planned",
+            ),
             self.signals,
             self.targets.list_usable,
             self.find_service,
@@ -154,6 +158,7 @@
             peers,
             self.signals.access,
             is_fair=settings.overload == "fair",
+            is_planned=settings.zone_overflow == "planned",
         )
         #: Capacity of services by zone.
         self.capacities = ZoneCapacities(self.signals, self._is_in_backoff)
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -267,6 +267,17 @@
         number = signals.table.warm_ups.count_warming()
         metrics.set_gauge("warming_targets", "Targets that warm up.", number)
         fill_zone_metrics(metrics, self.context)
+        for report in (self.context.placement.overflow, service.overflow):
+            for shard, each in report.list_shares():
+                metrics.set_gauge(
+                    "zone_share",
+                    "Share of a zone's work that a plan sends to another one.",
+                    each.share,
+                    service=shard.service,
+                    shard=str(shard.number),
+                    zone=each.source,
+                    to=each.target,
+                )
         crashes = self.context.crashes
         text = "Requests refused because targets crash under such."
         metrics.set_counter("quarantined_requests_total", text, crashes.refused)
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -15,6 +15,7 @@
 from bramleyspread_daemon._pool import ConnectionPool
 from bramleyspread_daemon._refusal import encode_refusal
 from bramleyspread_daemon.forward._batching_hosts import BatchingHosts
+from bramleyspread_daemon.forward._overflow_report import OverflowReport
 from bramleyspread_daemon.forward._piece_calls import (
     CallOutcome,
     OutcomeUnknown,
@@ -79,9 +80,13 @@
         access: TargetAccess,
         *,
         is_fair: bool = False,
+        is_planned: bool = False,
     ) -> None:
         #: Whether each priority gets its share in overload.
         self.is_fair = is_fair
+        self._is_planned = is_planned
+        #: What a plan sends to other zones.
+        self.overflow = OverflowReport()
         self._directory = directory
         self._access = access
         self._targets = targets
@@ -193,7 +198,9 @@
             return _fail_all(job, PieceFault.MOVED)
         batcher = self._batchers.get(shard)
         if batcher is None:
-            batcher = Batcher(self._access, is_fair=self.is_fair)
+            batcher = Batcher(
+                self._access, is_fair=self.is_fair, is_planned=self._is_planned
+            )
             self._batchers[shard] = batcher
         now = read_monotonic()
         targets = self._access.count_capacity(
@@ -364,6 +371,8 @@
                 await self._finish_jobs(shard, batcher.jobs.fail_unstarted())
             if batcher.jobs.waiting_pieces:
                 await self._dispatch(shard)
+            if batcher.overflow is not None:
+                self.overflow.update(shard, batcher.overflow.list_shares(now), now)
         await self.releases.tick()
 
     def follow_owners(self, service: str) -> None:
--- a/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
@@ -25,6 +25,7 @@
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._pool import ConnectionPool
 from bramleyspread_daemon._refusal import encode_refusal
+from bramleyspread_daemon.forward._overflow_report import OverflowReport
 from bramleyspread_daemon.forward._target_signals import TargetSignals
 from bramleyspread_forwarding import (
     DRAINED_RETRY_S,
@@ -41,6 +42,7 @@
     PlaceStep,
     RateShares,
     ServiceOwners,
+    ShardId,
     SharedSignal,
     SlowStarts,
     StreamOrigin,
@@ -79,6 +81,8 @@
         slow_starts: SlowStarts | None = None,
     ) -> None:
         self._slow_starts = slow_starts if slow_starts is not None else SlowStarts()
+        #: What a plan sends to other zones.
+        self.overflow = OverflowReport()
         self._record_origin = record_origin
         self._placement = placement
         self._signals = signals
@@ -309,6 +313,8 @@
         """Report the progress of requests to the hosts that placed them."""
         now = read_monotonic()
         self._placement.expire(now)
+        for service, overflow in self._placement.overflows.items():
+            self.overflow.update(ShardId(service, 0), overflow.list_shares(now), now)
         if self._shares.check(now):
             self._signals.access.restart()
         self._forget_hosts()
--- a/packages/daemon/bramleyspread_daemon/forward/_settings.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_settings.py
@@ -98,6 +98,9 @@
     #: How stage work is divided when it exceeds the capacity: strictly by priority, or
     #: in shares, with early refusals.
     overload: Literal["priority", "fair"] = "priority"
+    #: What decides which work is sent to another availability zone: a plan of the host
+    #: that sees all demand, or the cost of each request and job.
+    zone_overflow: Literal["planned", "cost"] = "cost"
 
     @property
     def callers(self) -> Listen:
