No drains are replicated while a control host runs an earlier build

An earlier build refuses an append request with an unknown change, and with it all entries behind it, so one order during an upgrade could have stopped all changes. Replicas now say in their responses that they can read drains; a leader in contact with one that doesn't answers orders for a change as undecided (503).

All tests of packages/control pass, as do those of orders and of control processes.

--- a/packages/control/bramleyspread_control/_drain_decisions.py
+++ b/packages/control/bramleyspread_control/_drain_decisions.py
@@ -119,4 +119,7 @@
         marker = f"{replica.consensus.term}.{self._repeats[counter]}"
         if (command.revision, command.marker) != (drains.revision, marker):
             return ZoneDrainsChanged(drains.revision, marker)
+        leader_state = replica.leader_state
+        if leader_state is not None and leader_state.has_earlier_build(now):
+            return Undecided("a control host runs a build without zone drains")
         return None
--- a/packages/control/bramleyspread_control/_following.py
+++ b/packages/control/bramleyspread_control/_following.py
@@ -210,6 +210,7 @@
                 index,
                 sent_at,
                 consensus.sync_s,
+                knows_drains=True,
             ),
         )
 
--- a/packages/control/bramleyspread_control/_leading.py
+++ b/packages/control/bramleyspread_control/_leading.py
@@ -165,6 +165,18 @@
         ]
         return sum(is_faster) >= self._consensus.log.members.quorum
 
+    def has_earlier_build(self, now: float) -> bool:
+        """Whether a replica in contact refuses entries with zone drains.
+
+        A majority of such replicas would refuse all later entries, too.
+        """
+        contact_since = now - self._consensus.timings.election_timeout_min_s
+        others = [self._get_progress(each) for each in self._list_other_members()]
+        return any(
+            each.last_contact_at >= contact_since and not each.knows_drains
+            for each in others
+        )
+
     def handle_append_response(
         self, sender: HostName, response: AppendResponse, now: float
     ) -> None:
@@ -174,6 +186,7 @@
             return
         progress.last_contact_at = max(progress.last_contact_at, response.sent_at)
         progress.sync_s = response.sync_s
+        progress.knows_drains = response.knows_drains
         if response.matched:
             progress.match_index = max(progress.match_index, response.index)
             if response.index + 1 > progress.next_index:
--- a/packages/control/bramleyspread_control/_messages.py
+++ b/packages/control/bramleyspread_control/_messages.py
@@ -113,6 +113,8 @@
     sent_at: float
     #: Smoothed duration of the replica's syncs, in seconds; 0 if unknown.
     sync_s: float = 0.0
+    #: Whether the replica's build can read entries with zone drains.
+    knows_drains: bool = False
 
 
 class SnapshotChunk(_Message, frozen=True, tag="snapshot-piece"):
--- a/packages/control/bramleyspread_control/_progress.py
+++ b/packages/control/bramleyspread_control/_progress.py
@@ -70,6 +70,7 @@
     """How far a replica's log matches the leader's, and its last response."""
 
     __slots__ = (
+        "knows_drains",
         "last_contact_at",
         "match_index",
         "next_index",
@@ -89,6 +90,8 @@
         self.last_contact_at = -math.inf
         #: Smoothed duration of the replica's syncs, in seconds; 0 if unknown.
         self.sync_s = 0.0
+        #: Whether its build can read entries with zone drains, by its last response.
+        self.knows_drains = False
         #: Time at which unanswered entries are sent again; 0 when none are in flight.
         self.retransmit_due_at = 0.0
         #: The snapshot that is being sent, if any.
--- a/packages/control/bramleyspread_control/tests/test_zone_drains.py
+++ b/packages/control/bramleyspread_control/tests/test_zone_drains.py
@@ -9,15 +9,27 @@
 
 from bramleyspread_control import MemoryDisk
 from bramleyspread_control._documents import DocumentStateMachine
-from bramleyspread_control._drain_decisions import MAX_WAITING_COMMANDS
+from bramleyspread_control._drain_decisions import (
+    MAX_WAITING_COMMANDS,
+    DrainDecisions,
+)
+from bramleyspread_control._messages import AppendResponse
+from bramleyspread_control._tickets import PendingCommands
 from bramleyspread_control.tests._chaos_drains import DrainChaos, order
 from bramleyspread_control.tests._cluster import Cluster, SuspendingCluster, submit
 from bramleyspread_control.tests.test_deployment import make_put
+from bramleyspread_control.tests.test_leader_state import (
+    acknowledge,
+    elect,
+    make_replica,
+)
 from bramleyspread_core import (
     MAX_DRAINED_ZONES,
     Accepted,
     Command,
+    CommandResult,
     DeploymentAccepted,
+    HostName,
     NotLeader,
     ReadZoneDrains,
     Rejected,
@@ -297,6 +309,30 @@
     assert restored.deployment_change == make_put(3)
 
 
+# Guards against an entry that hosts of an earlier build refuse, with all entries behind
+# it, while hosts are being upgraded.
+def test_drains_wait_until_all_hosts_in_contact_can_read_them() -> None:
+    replica, pending = make_replica(), PendingCommands()
+    decisions = DrainDecisions(DocumentStateMachine(10), pending)
+    elect(replica)
+    acknowledge(replica, HostName("b"), 1)
+    replica.mark_synced()
+
+    def propose() -> CommandResult | None:
+        command = SetZoneDrain("north", True, 0, 0, f"{replica.consensus.term}.0")
+        decisions.propose(1, command, replica, 5.0)
+        return next((each.result for each in pending.pop_replies()), None)
+
+    assert isinstance(propose(), Undecided)
+    assert replica.log.last_index == 1
+    response = AppendResponse(
+        0, replica.consensus.term, True, 1, 5.0, knows_drains=True
+    )
+    replica.receive(HostName("b"), response, 5.0, True)
+    assert propose() is None
+    assert replica.log.last_index == 2
+
+
 def test_host_that_lost_its_disk_gets_the_drains_back() -> None:
     cluster, leader = start_cluster()
     order(cluster, "north", True, leader)
--- a/packages/daemon/bramleyspread_daemon/forward/_zone_orders.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_zone_orders.py
@@ -124,7 +124,7 @@
         retry_until = arrived_at + RETRY_S
         at_ms = read_wall_ms()
         revision, marker = self._source.zone_drains.revision, ""
-        result: CommandResult = Undecided("the order is too old")
+        result: CommandResult = Undecided("the order arrived too long ago")
         while read_monotonic() < retry_until:
             if reply.caller_disconnected:
                 return Undecided("the caller has left")
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_zone_orders.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_zone_orders.py
@@ -202,7 +202,7 @@
         return [*results, await orders.run(DRAIN, make_reply())]
 
     late, fresh = run(monkeypatch, main)
-    assert late == Undecided("the order is too old")
+    assert late == Undecided("the order arrived too long ago")
     assert fresh == ZoneDrainAccepted(1)
 
 
