Fair shares: cheaper additions, bounds on what hosts say, tests

- Shares, weights and times from other hosts are limited to sensible values; priorities without demand are forgotten; a suspension of the batching host doesn't count as lost capacity; without a target all new jobs are refused.
- A request is refused for a full stage before it takes part in a rate limit.
- Tests of shares, admission, order, messages of the previous build, sizes and zones.

--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -247,6 +247,10 @@
         """Run the stages; return how the request ended, or empty if they succeeded."""
         if not self._route.stages:
             return ""
+        full = self._stages.admit()
+        if full is not None:
+            why = f"stage full: {full.service}"
+            return self._refuse(503, why, self._draw_return_s(full.ends_in_s))
         admitted = await self._context.placement.admit(self._build_query(service))
         if isinstance(admitted, NoTarget):
             return self._conclude(self._describe_refusal(admitted))
@@ -256,10 +260,6 @@
             why = f"stages would take {needed_ms:.0f} ms"
             retry_after_s = max(RETRY_AFTER_S, needed_ms / 1000 * RETRY_AFTER_SHARE)
             return self._refuse(503, why, retry_after_s)
-        full = self._stages.admit()
-        if full is not None:
-            why = f"stage full: {full.service}"
-            return self._refuse(503, why, self._draw_return_s(full.ends_in_s))
         fault = await self._stages.run()
         if fault is not None:
             ends_in_s = self._stages.find_overload_end_s()
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_piece_service.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from bramleyspread_core import Address, PieceLimits
-from bramleyspread_daemon._clock import ProcessClock
+from bramleyspread_daemon._clock import ProcessClock, read_monotonic
 from bramleyspread_daemon._exchange import HttpRequest, Reply
 from bramleyspread_daemon._pool import ConnectionPool
 from bramleyspread_daemon.forward._batching_hosts import PIECES_PATH, RELEASE_PATH
@@ -109,12 +109,14 @@
     )
 
 
-def make_service(own: str, hosts: list[EntryHost], target: Address) -> PieceService:
+def make_service(
+    own: str, hosts: list[EntryHost], target: Address, *, is_fair: bool = False
+) -> PieceService:
     targets = (ForwardTarget("t", target, "z", 1),)
     directory = ServiceDirectory(lambda _: targets, lambda _: LIMITS, lambda: hosts)
     pool = ConnectionPool(ProcessClock())
     calls = make_calls()
-    return PieceService(own, directory, calls, pool, make_access())
+    return PieceService(own, directory, calls, pool, make_access(), is_fair=is_fair)
 
 
 def test_pieces_are_computed_locally_on_the_batching_host() -> None:
@@ -278,3 +280,28 @@
         assert batcher.calls > 0
 
     run(main)
+
+
+# Guards against hosts that go on admitting requests for a stage which is full: what its
+# batching host says must reach them with the answers to their jobs.
+def test_batching_host_tells_its_load_with_each_answer() -> None:
+    async def main() -> None:
+        _, address = await start_scripted_server(serve_pieces)
+        hosts: list[EntryHost] = []
+        batcher = make_service("other", hosts, address, is_fair=True)
+        _, peer = await start_server(("POST", PIECES_PATH, batcher.serve))
+        hosts.append(EntryHost("other", "z", peer))
+        requester = make_service("own", hosts, address, is_fair=True)
+        unaware = make_service("own", hosts, address)
+        for number in range(40):
+            # Of the jobs that are offered, 99 in 100 are refused elsewhere.
+            job = msgspec.structs.replace(JOB, request=f"r{number}", weight=50.0)
+            for service in (requester, unaware):
+                results = await service.run_job(job)
+                assert all(each.handle for each in results)
+            await batcher.tick()
+        now = read_monotonic()
+        assert requester.admission.find_share("photos", 0, now) < 0.5
+        assert unaware.admission.find_share("photos", 0, now) == 1.0
+
+    run(main)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_request_forwarder.py
@@ -18,6 +18,7 @@
     StagePlan,
 )
 from bramleyspread_daemon._client import ConnectionClosedError
+from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon.forward._attempt import MAX_UNSENT_BYTES
 from bramleyspread_daemon.forward._held_bytes import HeldBytes
 from bramleyspread_daemon.forward._request_forwarder import RequestForwarder
@@ -42,8 +43,12 @@
     Placed,
     PlaceQuery,
     RetryBudget,
+    ShardId,
+    StageAdmission,
+    StageLoad,
     StageTimes,
     TargetTable,
+    find_return_s,
 )
 
 ROUTE = ForwardRoute(
@@ -234,6 +239,7 @@
         count_limited=lambda _: 0,
         placement=FakePlacement(),
         upstream=FakePool(*targets),
+        piece_service=SimpleNamespace(admission=StageAdmission()),
         wire=wire,
     )
     pool = cast("Any", CurrentPool(context))
@@ -244,12 +250,16 @@
 
 
 def make_forwarder(
-    route: ForwardRoute, context: SimpleNamespace, wire: FakeWire, reply: RecordingReply
+    route: ForwardRoute,
+    context: SimpleNamespace,
+    wire: FakeWire,
+    reply: RecordingReply,
+    request: ForwardRequest = REQUEST,
 ) -> RequestForwarder:
     return RequestForwarder(
         cast("Any", context),
         cast("Any", wire),
-        REQUEST,
+        request,
         route,
         None,
         cast("Any", reply),
@@ -456,3 +466,32 @@
     run(make_forwarder(route, context, wire, reply).run)
     assert reply.statuses == [503]
     assert [each.retry_after_s for each in wire.refusals] == [3.0]
+
+
+# Guards against first stages that are run for requests whose later stages are full, and
+# against callers that all come back during the same overload.
+def test_request_is_refused_before_its_stages_if_a_later_one_is_full() -> None:
+    wire, reply = FakeWire(), RecordingReply()
+    stages = tuple(
+        StagePlan(service=name, after=after, result_bytes=10)
+        for name, after in (("photos", ()), ("mail", (0,)))
+    )
+    route = msgspec.structs.replace(ROUTE, stages=stages)
+    # There is nothing in the context that could run a stage.
+    context = make_context(wire)
+    context.draw_return_s = find_return_s_evenly
+    admission = context.piece_service.admission
+    now = read_monotonic()
+    admission.record(ShardId("mail", 0), StageLoad({0: 0}, 900, 3_000), now)
+    request = msgspec.structs.replace(REQUEST, pieces=(1, 4))
+    run(make_forwarder(route, context, wire, reply, request).run)
+    assert reply.statuses == [503]
+    (refusal,) = wire.refusals
+    assert refusal.why == "stage full: mail"
+    assert refusal.retry_after_s is not None
+    assert refusal.retry_after_s >= 0.5
+    assert admission.refused_counts == {"mail": 1}
+
+
+def find_return_s_evenly(ends_in_s: float, left_s: float) -> float:
+    return find_return_s(ends_in_s, left_s, 0.5)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_settings.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_settings.py
@@ -38,6 +38,7 @@
     entry = load_forward_settings(path, ForwardEntrySettings)
     assert entry.callers.port == 7002
     assert entry.key_trust_s == 3.0
+    assert entry.overload == "priority"
     path.write_text(CONTROL)
     control = load_forward_settings(path, ForwardControlSettings)
     assert [each.port for each in control.seed_addresses] == [7101, 7102]
@@ -58,6 +59,7 @@
         ('seeds: ["127.0.0.1:7101"]', "seeds: []", "seeds"),
         ('seeds: ["127.0.0.1:7101"]', "seeds: [x]", "seeds[0]"),
         ("revoke_ms: 4000", "revoke_ms: soon", "revoke_ms"),
+        ("revoke_ms: 4000", "overload: faire", "overload"),
         ("zone: z\n", "", "zone"),
     ],
 )
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -108,14 +108,15 @@
         working = max(targets - unavailable, min(targets, 1.0))
         if self._meter is not None:
             self._meter.nominal_rate = find_nominal_rate(working, limits)
-            self._meter.record_demand(job.priority, job.pieces * job.weight, now)
-            if not self._may_meet_goal(job, limits, self._meter, now):
+            self._meter.record_demand(job.priority, job.pieces, job.weight, now)
+            if not working or not self._may_be_on_time(job, limits, self._meter, now):
                 return PieceFault.SHED
+            self._meter.record_added(job.priority, job.pieces)
         elif self._estimate_job_ms(job, limits, working) > job.remaining_ms:
             return PieceFault.SHED
         return self.jobs.add(job, now, is_local=is_local)
 
-    def _may_meet_goal(
+    def _may_be_on_time(
         self, job: PieceJob, limits: PieceLimits, meter: LoadMeter, now: float
     ) -> bool:
         """Whether a job may be added while on-time jobs fill the targets.
@@ -125,18 +126,16 @@
         priority's.
         """
         own_call_s = estimate_call_ms(min(job.pieces, limits.batch), limits) / 1000
-        waiting = self.jobs.count_timely(now + own_call_s)
-        capacity = max(meter.capacity, 1e-9)
+        backlog_s = meter.timely.total() / max(meter.capacity, 1e-9)
         if job.is_begun or job.inputs:
-            backlog_s = waiting.total() / capacity
             return own_call_s + backlog_s <= job.remaining_ms / 1000
         full_call_s = estimate_call_ms(limits.batch, limits) / 1000
-        if waiting.total() / capacity <= FREE_BACKLOG_CALLS * full_call_s:
+        if backlog_s <= FREE_BACKLOG_CALLS * full_call_s:
             return own_call_s <= job.remaining_ms / 1000
         # While the targets are filled, the job's pieces share full calls.
         budget_s = job.aim_ms / 1000 - own_call_s
         rate = meter.find_guaranteed_rate(job.priority, now)
-        return waiting[job.priority] + job.pieces <= rate * budget_s
+        return meter.timely[job.priority] + job.pieces <= rate * budget_s
 
     def _estimate_job_ms(
         self, job: PieceJob, limits: PieceLimits, targets: float
@@ -167,9 +166,9 @@
         late_before = now - (LATE_WAIT_CALLS - 1) * full_call_s
         removed = [*self.jobs.expire(now), *self.jobs.shed(late_before)]
         if self._meter is not None:
-            timely = self.jobs.count_timely(now + full_call_s).total()
+            timely = self.jobs.count_timely(now + limits.call_ms / 1000)
             self._meter.sample(timely, limits.batch, now)
-            if timely > self._meter.capacity * FREE_BACKLOG_CALLS * full_call_s:
+            if timely.total() > self._meter.capacity * FREE_BACKLOG_CALLS * full_call_s:
                 removed += self.jobs.shed_new(now)
         return removed
 
@@ -203,8 +202,6 @@
         ]
         if not free:
             return []
-        if self._meter is not None:
-            self._meter.nominal_rate = find_nominal_rate(len(targets), limits)
         calls = []
         self._storage.expire(now)
         target_ids = [each.target for each in targets]
@@ -441,8 +438,6 @@
             target, pieces, limits, now, result_bytes, is_ahead=is_ahead
         )
         self._calls[number] = call
-        if self._meter is not None:
-            self._meter.record_started(len(pieces))
         self._expected_bytes[target.target] += result_bytes
         items = tuple(self._start_piece(piece, target.zone, now) for piece in pieces)
         remaining_ms = max(each.remaining_ms for each in items)
@@ -453,6 +448,8 @@
 
     def _start_piece(self, piece: PieceRef, zone: str, now: float) -> BatchedItem:
         job = self.jobs.start_piece(piece, zone, now)
+        if self._meter is not None:
+            self._meter.record_started(job.job.priority)
         return BatchedItem(
             job.job.make_item(piece.index),
             (job.deadline - now) * 1000,
--- a/packages/forwarding/bramleyspread_forwarding/_fair_shares.py
+++ b/packages/forwarding/bramleyspread_forwarding/_fair_shares.py
@@ -41,11 +41,13 @@
     weights = find_weights(demand)
     left = max(capacity, 0.0)
     weighted_demand = sum(demand[each] * weights[each] for each in demand)
-    shares = {}
+    shares: dict[int, float] = {}
+    # No priority gets more than a more urgent one, also not by rounding.
+    most = 1.0
     # The largest weight is the first to reach 1, so one pass in this order is enough.
     for priority in sorted(demand):
         level = left / weighted_demand if weighted_demand > 0 else 1.0
-        share = shares[priority] = min(level * weights[priority], 1.0)
+        most = share = shares[priority] = min(level * weights[priority], most)
         left = max(left - share * demand[priority], 0.0)
         weighted_demand -= demand[priority] * weights[priority]
     return shares
--- a/packages/forwarding/bramleyspread_forwarding/_stage_admission.py
+++ b/packages/forwarding/bramleyspread_forwarding/_stage_admission.py
@@ -9,7 +9,7 @@
 import xxhash
 
 from bramleyspread_forwarding._shards import ShardId
-from bramleyspread_forwarding._stage_load import StageLoad
+from bramleyspread_forwarding._stage_load import MAX_OVERLOAD_S, MIN_ADMITTED, StageLoad
 
 #: Time after which a load that a batching host told has half its weight, in seconds.
 HALF_LIFE_S = 0.5
@@ -83,7 +83,7 @@
         if not loads:
             return 1.0
         refused = sum(
-            (1 - load.admitted.get(priority, 100) / 100)
+            (1 - min(max(load.admitted.get(priority, 100) / 100, MIN_ADMITTED), 1))
             * 0.5 ** ((now - told_at) / HALF_LIFE_S)
             for load, told_at in loads.values()
         )
@@ -93,7 +93,7 @@
         """Find for how long the overload of a service is expected to go on."""
         loads = self._loads.get(service, {}).values()
         ends_in_s = [x.ends_in_ms / 1000 - (now - told_at) for x, told_at in loads]
-        return max(0.0, *ends_in_s) if ends_in_s else 0.0
+        return min(max(0.0, *ends_in_s), MAX_OVERLOAD_S) if ends_in_s else 0.0
 
     def decide(
         self, services: Iterable[str], priority: int, request: str, now: float
--- a/packages/forwarding/bramleyspread_forwarding/_stage_load.py
+++ b/packages/forwarding/bramleyspread_forwarding/_stage_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Mapping
 
 import msgspec
@@ -22,6 +23,18 @@
 CORRECTION_S = 1.0
 #: Minimum share of requests that are admitted, so that hosts hear of a service's load.
 MIN_ADMITTED = 0.02
+#: Maximum number of offered requests for which an admitted one may stand.
+MAX_WEIGHT = 1 / MIN_ADMITTED
+#: Time between two samples after which the measurement begins anew, in seconds; the
+#: host was suspended.
+MAX_SAMPLE_GAP_S = 0.5
+#: Least measured capacity, as a share of the nominal one, so that a service whose
+#: targets didn't answer for a while gets work again.
+MIN_EFFICIENCY = 0.1
+#: Rate of pieces per second below which a priority has no demand.
+MIN_DEMAND = 0.001
+#: Longest wait that is told, in seconds.
+MAX_WAIT_S = 60.0
 #: Shortest and longest time that an overload is expected to go on, in seconds.
 MIN_OVERLOAD_S, MAX_OVERLOAD_S = 2.0, 4.0
 #: Time without overload after which the next one is another one, in seconds.
@@ -79,6 +92,7 @@
         "_was_full",
         "load",
         "nominal_rate",
+        "timely",
     )
 
     def __init__(self) -> None:
@@ -91,6 +105,9 @@
         self._overloaded_since = self._overload_ended_at = -math.inf
         #: Capacity according to the service's limits, in pieces per second.
         self.nominal_rate = 0.0
+        #: Number of waiting pieces that could be on time at the latest sample, by
+        #: priority, with those added and without those started since.
+        self.timely: Counter[int] = Counter()
         #: The load at the latest sample.
         self.load = NO_LOAD
 
@@ -99,13 +116,27 @@
         """Pieces per second that the targets process in full calls."""
         return self.nominal_rate * self._efficiency
 
-    def record_demand(self, priority: int, pieces: float, now: float) -> None:
-        """Record pieces that are asked for, whether they are refused or not."""
-        self._demand.setdefault(priority, _Rate()).add(pieces, now)
+    def record_demand(
+        self, priority: int, pieces: int, weight: float, now: float
+    ) -> None:
+        """Record pieces that are asked for, whether they are refused or not.
 
-    def record_started(self, pieces: int) -> None:
-        """Record pieces that were put into calls."""
-        self._started += pieces
+        :param priority: their priority.
+        :param pieces: their number.
+        :param weight: number of offered requests for which theirs stands.
+        :param now: the current time, in seconds.
+        """
+        weight = min(max(weight, 1.0), MAX_WEIGHT)
+        self._demand.setdefault(priority, _Rate()).add(pieces * weight, now)
+
+    def record_added(self, priority: int, pieces: int) -> None:
+        """Record the pieces of a job that waits from now on."""
+        self.timely[priority] += pieces
+
+    def record_started(self, priority: int) -> None:
+        """Record a piece that was put into a call."""
+        self._started += 1
+        self.timely[priority] = max(self.timely[priority] - 1, 0)
 
     def find_guaranteed_rate(self, priority: int, now: float) -> float:
         """Find the part of the capacity that a priority has for itself.
@@ -117,24 +148,27 @@
         demand = self._list_demand(now)
         weights = find_weights(demand)
         total = sum(demand[each] * weights[each] for each in demand)
-        if total <= 0:
+        if priority not in demand:
             return self.capacity
         return self.capacity * demand[priority] * weights[priority] / total
 
-    def sample(self, waiting: float, batch: int, now: float) -> None:
+    def sample(self, timely: Counter[int], batch: int, now: float) -> None:
         """Update the capacity and the load.
 
-        :param waiting: number of waiting pieces that can be on time.
+        :param timely: number of waiting pieces that can be on time, by priority.
         :param batch: number of pieces in a full call.
         :param now: the current time, in seconds.
         """
+        self.timely = timely
+        waiting = timely.total()
         self._update_efficiency(waiting >= batch, now)
-        if self.nominal_rate <= 0:
-            return
         capacity = max(self.capacity, 1e-9)
-        backlog_s = waiting / capacity
+        backlog_s = min(waiting / capacity, MAX_WAIT_S)
         correction = 1 + (USUAL_BACKLOG_S - backlog_s) / CORRECTION_S
-        shares = divide_capacity(self._list_demand(now), capacity * correction)
+        demand = self._list_demand(now)
+        for idle in self._demand.keys() - demand.keys():
+            del self._demand[idle]
+        shares = divide_capacity(demand, capacity * correction)
         admitted = {
             priority: round(max(share, MIN_ADMITTED) * 100)
             for priority, share in shares.items()
@@ -148,13 +182,15 @@
 
     def _update_efficiency(self, is_full: bool, now: float) -> None:
         elapsed_s = now - self._sampled_at
-        if elapsed_s <= 0 or self.nominal_rate <= 0:
+        if elapsed_s <= 0:
             return
         measured = 1.0
-        if is_full and self._was_full:
+        if is_full and self._was_full and self.nominal_rate > 0:
             measured = self._started / elapsed_s / self.nominal_rate
-        weight = 1 - math.exp(-elapsed_s / CAPACITY_AVERAGED_S)
-        self._efficiency += weight * (measured - self._efficiency)
+        if elapsed_s <= MAX_SAMPLE_GAP_S:
+            weight = 1 - math.exp(-elapsed_s / CAPACITY_AVERAGED_S)
+            measured = self._efficiency + weight * (measured - self._efficiency)
+            self._efficiency = max(measured, MIN_EFFICIENCY)
         self._started, self._sampled_at, self._was_full = 0, now, is_full
 
     def _expect_end_s(self, is_overloaded: bool, now: float) -> float:
@@ -167,4 +203,5 @@
         return min(max(now - self._overloaded_since, MIN_OVERLOAD_S), MAX_OVERLOAD_S)
 
     def _list_demand(self, now: float) -> Mapping[int, float]:
-        return {priority: rate.find(now) for priority, rate in self._demand.items()}
+        rates = {priority: rate.find(now) for priority, rate in self._demand.items()}
+        return {priority: x for priority, x in rates.items() if x >= MIN_DEMAND}
--- a/packages/forwarding/bramleyspread_forwarding/tests/overload_loads.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/overload_loads.py
@@ -158,6 +158,9 @@
     factors: dict[str, float] = {}
     #: Service that loses 30 % of its targets.
     lost: str = ""
+    #: Share of the requests whose results are needed in the first zone; 0 if they are
+    #: spread evenly.
+    crowded_share: float = 0.0
 
 
 def _make_all(factor: float) -> dict[str, float]:
@@ -174,6 +177,10 @@
     "1 B lost": (FIRST, Burst(5.0, lost="b")),
     "1 all x 2.1, A lost": (FIRST, Burst(5.0, _make_all(2.1), "a")),
     "1 medium x 3, B lost": (FIRST, Burst(5.0, {"medium": 3.0}, "b")),
+    "1 all x 2.1, A lost, crowded zone": (
+        FIRST,
+        Burst(5.0, _make_all(2.1), "a", 0.7),
+    ),
     "2 calm": (SECOND, Burst(6.0)),
     "2 long x 2.3": (SECOND, Burst(6.0, {"long": 2.3})),
     "2 medium x 2.4": (SECOND, Burst(6.0, {"medium": 2.4})),
--- a/packages/forwarding/bramleyspread_forwarding/tests/overload_site.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/overload_site.py
@@ -70,6 +70,8 @@
         self.sent_at = now
         self.deadline = now + kind.timeout_ms / 1000
         self.attempts = 0
+        #: Availability zone of the engine that its last attempt was meant for.
+        self.zone = ""
         #: How long it took, in seconds; None if it was refused for good.
         self.took_s: float | None = None
         #: How long its last attempt took, in seconds.
@@ -190,7 +192,8 @@
         self.name = f"r{next(site.numbers)}"
         self._jobs: dict[int, tuple[Service, int | None]] = {}
         self._is_ended = False
-        self._zone = f"z{site.rng.randrange(3)}"
+        zone = site.rng.randrange(3)
+        self._zone = caller.zone = f"z{site.draw_crowded(zone)}"
         self._used: list[str] = []
         self._weights: Mapping[str, float] = {}
 
@@ -375,6 +378,7 @@
         is_fair: bool = False,
     ) -> None:
         self.rng = Random(seed)
+        self._crowd = Random(seed + 1)
         self.now = 0.0
         self.is_fair = is_fair
         self.numbers = count()
@@ -397,6 +401,13 @@
     def find_work(self, request: str) -> float:
         return self.work[request]
 
+    def draw_crowded(self, zone: int) -> int:
+        """Draw a zone instead of one drawn evenly, if a zone is crowded."""
+        share = self._burst.crowded_share
+        if not share:
+            return zone
+        return 0 if self._crowd.random() < share else self._crowd.randrange(1, 3)
+
     def schedule(self, delay_s: float, event: Callable[..., None], *args: Any) -> None:
         heapq.heappush(
             self._events, (self.now + delay_s, next(self.numbers), event, args)
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_overload.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_overload.py
@@ -52,6 +52,23 @@
     assert shares["medium"] >= shares["small"]
 
 
+# Guards against starvation by what a request needs: jobs of many pieces find storage
+# later than small ones, and zones have different numbers of requests and targets.
+def test_no_size_and_no_zone_falls_below_a_quarter_of_the_average_share() -> None:
+    callers = run_burst(
+        "1 all x 2.1, A lost, crowded zone", is_fair=True
+    ).list_burst_callers()
+    large = sorted(
+        (x for x in callers if x.kind.name == "long"), key=lambda x: x.pieces
+    )
+    tenth, fifth = len(large) // 10, len(large) // 5
+    groups = [large[-tenth:], large[-tenth - fifth : -tenth]]
+    groups += [[x for x in callers if x.zone == zone] for zone in ("z0", "z1", "z2")]
+    shares = [sum(x.outcome == "on time" for x in each) / len(each) for each in groups]
+    average = sum(x.outcome == "on time" for x in callers) / len(callers)
+    assert min(shares) > average / 4
+
+
 # Guards against work on requests that are refused later, and against refusals only
 # after 1.7 s: both stages that follow the first one are full here.
 def test_requests_are_refused_before_their_first_piece_if_later_stages_are_full() -> (
