A host that was suspended hears of drains before it sends

A host that wakes up after a drain finds requests that it had chosen targets for, and others that came meanwhile; it sent them before its next page could tell of the drain. ControlContact notices a second without a tick, also before the first tick after it. Nothing is sent then until a page comes that was asked for since, for 0.3 s at most: a control host that knows newer drains answers at once, and a host that is cut off goes on with what it knows. Choices made before the suspension are made again.

The three new cases fail without the detection.

--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -138,6 +138,7 @@
                 settings.link_mbps,
                 self.targets.is_all_drained,
                 self.slow_starts,
+                lambda: self.signals.contact.find_wait_s(read_monotonic()) > 0,
             ),
             PieceCalls(wire, self.upstream, self.signals, self.targets.find_by_address),
             peers,
@@ -210,6 +211,7 @@
         if page.confirmed and page.version <= self.version:
             self.keys.confirm(requested_at)
         self.targets.apply(control, page, now)
+        self.signals.contact.record_page(requested_at, now)
         drained = [each.zone for each in self.targets.drains.drained]
         self.slow_starts.follow_drains(drained, now)
         self.signals.drains.follow(self.capacities.measure)
@@ -222,7 +224,9 @@
 
     async def tick(self) -> None:
         """Mark the views of control hosts that sent no page lately as stale."""
-        self.targets.tick(read_monotonic())
+        now = read_monotonic()
+        self.signals.contact.tick(now)
+        self.targets.tick(now)
 
     async def _apply_fetched(self, fetched: FetchedDocument) -> None:
         """Put a newer document in force."""
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -226,7 +226,7 @@
 
     async def _dispatch(self, shard: ShardId) -> None:
         limits = self._directory.find_limits(shard.service)
-        if limits is None:
+        if limits is None or self._directory.must_wait():
             return
         batcher = self._batchers[shard]
         targets = self._directory.list_shard_targets(shard)
--- a/packages/daemon/bramleyspread_daemon/forward/_service_directory.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_service_directory.py
@@ -27,6 +27,7 @@
         link_mbps: float = 0.0,
         is_all_drained: Callable[[str], bool] = lambda _: False,
         slow_starts: SlowStarts | None = None,
+        must_wait: Callable[[], bool] = lambda: False,
     ) -> None:
         self._slow_starts = slow_starts if slow_starts is not None else SlowStarts()
         #: Returns the targets of a service that accept work.
@@ -37,6 +38,8 @@
         self.list_hosts = list_hosts
         #: Returns whether a service's targets get no work because of zone drains.
         self.is_all_drained = is_all_drained
+        #: Returns whether no call may be sent now, after this host was suspended.
+        self.must_wait = must_wait
         #: Rate of an entry host's link, in Mbit/s; 0 if unknown.
         self.link_mbps = link_mbps
         self._shards = ServiceShards(link_mbps)
--- a/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
@@ -7,12 +7,15 @@
 from collections.abc import Iterable, Sequence
 from random import Random
 
+import curio
 from loguru import logger
 
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_daemon.forward._drain_reports import DrainReports
 from bramleyspread_forwarding import (
     LEAVING,
+    SUSPENDED,
+    ControlContact,
     ForwardTarget,
     ResponseSignals,
     SendPermit,
@@ -25,6 +28,9 @@
 
 #: Interval between two log lines about unreadable signals of a target, in seconds.
 UNREADABLE_LOG_INTERVAL_S = 10.0
+#: Interval at which it is checked whether a host that was suspended has heard of the
+#: present, in seconds.
+NEWS_POLL_INTERVAL_S = 0.01
 #: Number of targets for which the time of the last such line is kept.
 MAX_LOGGED_TARGETS = 1_000
 
@@ -48,6 +54,8 @@
         #: Number of callers' requests that waited for a rate limit, or were refused
         #: because of what all targets had said.
         self.held_back_counts: Counter[str] = Counter()
+        #: Whether this host knows the present again after it was suspended.
+        self.contact = ControlContact()
         #: Reports what is kept from drained zones.
         self.drains = DrainReports(targets)
         #: Number of requests and calls that were not sent to their target, by reason.
@@ -113,11 +121,19 @@
 
         :param permit: its permission.
         """
-        why = permit.find_withdrawal(self.targets.drains, read_monotonic())
+        now = read_monotonic()
+        why = permit.find_withdrawal(self.targets.drains, now)
+        if not why and self.contact.find_wait_s(now):
+            why = SUSPENDED
         if why:
             self.withdrawal_counts[why] += 1
         return why
 
+    async def wait_for_news(self) -> None:
+        """Wait until a host that was suspended knows the present again."""
+        while self.contact.find_wait_s(read_monotonic()):
+            await curio.sleep(NEWS_POLL_INTERVAL_S)
+
     def _follow(
         self, target: str, born: int, changes: Sequence[SignalChange], source: str
     ) -> None:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_withdrawn_permits.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_withdrawn_permits.py
@@ -27,6 +27,7 @@
 )
 from bramleyspread_daemon.tests.loopback import run
 from bramleyspread_forwarding import (
+    SUSPENDED,
     ForwardTarget,
     NoTarget,
     Placed,
@@ -275,6 +276,41 @@
     assert outcome.pool.connected == [2]
 
 
+# Guards against a host that wakes up and sends what it had chosen before it hears that
+# the zone was drained meanwhile; and one that goes on waiting though nobody answers.
+@pytest.mark.parametrize("hears", [True, False])
+def test_host_that_was_suspended_hears_of_drains_before_it_sends(
+    monkeypatch: pytest.MonkeyPatch, hears: bool
+) -> None:
+    suspension = Suspension(monkeypatch)
+    placement = _Placement("north", "south" if hears else "north")
+    first, second = _Sent(ANSWER), _Sent(ANSWER)
+
+    def suspend(_: SimpleNamespace, connection: int) -> None:
+        if connection == 1:
+            suspension.lost_s += 8.0
+
+    route = msgspec.structs.replace(ONE_ATTEMPT, timeout_ms=20_000)
+    outcome = Outcome(placement, first, second, on_connect=suspend, route=route)
+    signals, table = outcome.context.signals, outcome.context.targets
+
+    async def main() -> None:
+        signals.contact.tick(_clock.read_monotonic())
+        task = await curio.spawn(outcome.forwarder.run)
+        await curio.sleep(0.05)
+        assert len(placement.queries) == 1
+        if hears:
+            asked_at = _clock.read_monotonic()
+            table.drains = NORTH_DRAINED
+            signals.contact.record_page(asked_at, asked_at)
+        await task.join()
+
+    run(main)
+    assert outcome.reply.ended == "whole"
+    assert (first.requests, second.requests) == (0, 1)
+    assert signals.withdrawal_counts == {SUSPENDED: 1}
+
+
 # Guards against a request that is chosen for again and again beyond its deadline.
 def test_choices_end_with_the_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
     placement = _Placement(*["north"] * 1_000, wait_s=0.005)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_zone_drains.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_zone_drains.py
@@ -329,6 +329,7 @@
 
     def __init__(self) -> None:
         self.tables: dict[str, TargetTable] = {}
+        self.signals: dict[str, TargetSignals] = {}
         #: Ramps up zones at all hosts.
         self.slow_starts = SlowStarts()
         #: How long a connection to a target takes, in seconds.
@@ -337,6 +338,7 @@
 
     def _make_service(self, host: EntryHost) -> PieceService:
         table = self.tables[host.host] = TargetTable()
+        signals = self.signals[host.host] = TargetSignals(table, Random(1))
         directory = ServiceDirectory(
             lambda _: [x for x in self.targets if not table.drains.is_drained(x.zone)],
             lambda _: self.limits,
@@ -344,8 +346,8 @@
             self.stated_mbps,
             lambda _: all(table.drains.is_drained(x.zone) for x in self.targets),
             self.slow_starts,
+            lambda: signals.contact.find_wait_s(read_monotonic()) > 0,
         )
-        signals = TargetSignals(table, Random(1))
         by_address = {each.address: each for each in self.targets}
         pool = cast("Any", self._make_pool(host.host))
         calls = PieceCalls(cast("Any", _Wire()), pool, signals, by_address.get)
@@ -490,6 +492,31 @@
     assert sent == []
 
 
+# Guards against a host that wakes up and sends calls for pieces before it hears that
+# the zone was drained meanwhile.
+def test_batching_host_that_was_suspended_hears_of_drains_before_it_sends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = DrainedStages()
+    host = find_batching_host(site)
+    contact = site.signals[host.host].contact
+
+    async def main() -> float | None:
+        await curio.spawn(site.run_ticks, daemon=True)
+        contact.tick(read_monotonic() - 8.0)
+        job = make_job("r", 3 * site.limits.batch, service=site.service)
+        task = await curio.spawn(site.run_job, host, job)
+        await curio.sleep(0.1)
+        assert not any(each.calls for each in site.signalling.values())
+        site.drain(ZONE_DRAINED)
+        contact.record_page(read_monotonic(), read_monotonic())
+        elapsed_s: float | None = await task.join()
+        return elapsed_s
+
+    assert run_in_virtual_time(monkeypatch, main) is not None
+    assert site.list_calls("zone-0") == []
+
+
 # Guards against calls to all targets of a zone in the moment at which its drain ends.
 def test_undrained_zone_gets_calls_for_pieces_one_target_after_another(
     monkeypatch: pytest.MonkeyPatch,
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -7,6 +7,7 @@
 )
 from bramleyspread_forwarding._batching import Batcher
 from bramleyspread_forwarding._budget import RetryBudget
+from bramleyspread_forwarding._control_contact import ControlContact
 from bramleyspread_forwarding._document_messages import DocumentAnswer, DocumentQuery
 from bramleyspread_forwarding._document_parts import (
     DigestMismatch,
@@ -101,6 +102,7 @@
 from bramleyspread_forwarding._send_permits import (
     PERMIT_EXPIRED,
     PERMIT_TTL_S,
+    SUSPENDED,
     ZONE_DRAINED,
     SendPermit,
 )
@@ -138,6 +140,7 @@
 )
 
 __all__ = [
+    "ControlContact",
     "ControlProcess",
     "MAX_PAGE_GAP_S",
     "ORIGIN_RETENTION_S",
@@ -224,6 +227,7 @@
     "StreamOrigins",
     "PERMIT_EXPIRED",
     "PERMIT_TTL_S",
+    "SUSPENDED",
     "ZONE_DRAINED",
     "ZONES_DRAINED",
     "DRAINED_RETRY_S",
--- a/packages/forwarding/bramleyspread_forwarding/_send_permits.py
+++ b/packages/forwarding/bramleyspread_forwarding/_send_permits.py
@@ -15,6 +15,7 @@
 #: Why a request isn't sent.
 ZONE_DRAINED = "the target's zone is drained"
 PERMIT_EXPIRED = "the target's rate limit allowed it too long ago"
+SUSPENDED = "this host was suspended, and has heard no control host since"
 
 
 class SendPermit(msgspec.Struct, frozen=True):
