Random drains over all hosts of a site, and a drain that concerns no target

Zones are drained and undrained at random while some hosts learn late, one is silent, connections are slow and targets name limits; no host may send to a zone that it knows to be drained.

A drain of a zone without targets leaves every arrival as it is without drains.

--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_zone_drains.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_zone_drains.py
@@ -21,6 +21,7 @@
 from bramleyspread_daemon.forward._request_forwarder import RequestForwarder
 from bramleyspread_daemon.forward._service_directory import ServiceDirectory
 from bramleyspread_daemon.forward._target_signals import TargetSignals
+from bramleyspread_daemon.forward.tests import forwarding_site
 from bramleyspread_daemon.forward.tests.forwarding_site import (
     ENGINE,
     PAGE_INTERVAL_S,
@@ -290,6 +291,79 @@
     assert list_arrivals(site, ["north"], awake_at + KNOWN_AFTER_S) == []
 
 
+async def change_drains(site: ForwardingSite, rng: Random) -> None:
+    """Drain and undrain zones at random, while some hosts learn late or are silent."""
+    addresses = list(site.contexts)
+    while True:
+        await curio.sleep(rng.uniform(0.1, 1.5))
+        zone = rng.choice(ZONES)
+        is_drained = site.drains.is_drained(zone)
+        change = (
+            site.drains.undrain if is_drained else lambda x: site.drains.drain(x, 1)
+        )
+        site.drains = change(zone)
+        site.late = set(rng.sample(addresses, rng.randrange(4)))
+        site.silent = set(rng.sample(addresses, rng.randrange(2)))
+        site.connect_s = rng.choice([0.0, 0.05, 0.3])
+
+
+# Guards against any way on which a host sends to a zone that it knows to be drained, in
+# any order of drains, late news, silent placement hosts, slow connections and limits.
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("engine", [ENGINE, None])
+def test_no_host_sends_to_a_zone_that_it_knows_to_be_drained(
+    monkeypatch: pytest.MonkeyPatch, seed: int, engine: EngineLimits | None
+) -> None:
+    site = ForwardingSite(HOSTS, TARGETS, engine=engine, zones=ZONES, seed=seed + 1)
+    for number, each in enumerate(site.targets.values()):
+        if number % 3 == seed % 3:
+            each.signal = lambda _: ResponseSignals(rate_limit=8.0)
+    send = forwarding_site._Connection.send
+    wrong: list[str] = []
+    sent = count()
+
+    async def check(connection: Any, *arguments: Any) -> None:  # noqa: ANN401
+        hosts = {each.own.host: each for each in site.contexts.values()}
+        drains = hosts[connection._host].targets.drains
+        zone = site.find_zone(connection._target.address)
+        next(sent)
+        if drains.is_drained(zone):
+            wrong.append(f"{connection._host} to {zone}")
+        await send(connection, *arguments)
+
+    monkeypatch.setattr(forwarding_site._Connection, "send", check)
+
+    async def main() -> None:
+        await curio.spawn(site.run_hosts, daemon=True)
+        await curio.spawn(change_drains, site, Random(seed), daemon=True)
+        await site.send_traffic(PER_S, 20.0)
+        await curio.sleep(7.0)
+
+    run_in_virtual_time(monkeypatch, main)
+    assert wrong == []
+    assert next(sent) > 100
+    assert set(site.ends) <= {200, 503}
+
+
+# Guards against decisions that change where no target's zone is drained.
+@pytest.mark.parametrize("engine", [ENGINE, None])
+def test_drain_of_a_zone_without_targets_changes_no_decision(
+    monkeypatch: pytest.MonkeyPatch, engine: EngineLimits | None
+) -> None:
+    arrivals = []
+    for drains in (ZoneDrains(), ZoneDrains().drain("elsewhere", 1)):
+        site = make_site(engine)
+        site.drains = drains
+
+        async def main(site: ForwardingSite = site) -> None:
+            await curio.spawn(site.run_hosts, daemon=True)
+            await site.send_traffic(PER_S, 4.0)
+
+        run_in_virtual_time(monkeypatch, main)
+        arrivals.append([each.arrivals for each in site.targets.values()])
+    assert arrivals[0] == arrivals[1]
+
+
 # Guards against stages that are run for a request which no target may get after them,
 # or whose later stage no target may run.
 @pytest.mark.parametrize("drained", ["s", "photos", "mail", "unused"])
