--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -153,6 +153,7 @@
                 settings.link_mbps,
                 self.targets.is_all_drained,
                 self.slow_starts,
+                lambda: self.signals.suspensions.find_wait_s(read_monotonic()) > 0,
             ),
             PieceCalls(wire, self.upstream, self.signals, self.targets.find_by_address),
             peers,
@@ -229,6 +230,7 @@
         self.targets.apply(control, page, now)
         self.signals.apply_heartbeats(page.changes, str(control), now)
         self._contact.record(control, page.control, now)
+        self.signals.suspensions.record_page(requested_at, now)
         drained = [each.zone for each in self.targets.drains.drained]
         self.slow_starts.follow_drains(drained, now)
         self.signals.drains.follow(self.capacities.measure)
@@ -245,7 +247,9 @@
         Also ends warm-ups, and follows which hosts own the shared work of services
         whose targets may warm up.
         """
-        self.targets.tick(read_monotonic())
+        now = read_monotonic()
+        self.signals.suspensions.tick(now)
+        self.targets.tick(now)
         self.signals.tick()
         for service in self.routes.list_warming_services() if self.routes else ():
             self.placement.follow_owner(service)
--- a/packages/forwarding/bramleyspread_forwarding/__init__.py
+++ b/packages/forwarding/bramleyspread_forwarding/__init__.py
@@ -105,6 +105,7 @@
 from bramleyspread_forwarding._send_permits import (
     PERMIT_EXPIRED,
     PERMIT_TTL_S,
+    SUSPENDED,
     ZONE_DRAINED,
     SendPermit,
 )
@@ -140,6 +141,7 @@
     list_control_keepers,
     list_keepers,
 )
+from bramleyspread_forwarding._suspensions import SuspensionWatch
 from bramleyspread_forwarding._target_access import TargetAccess
 from bramleyspread_forwarding._target_paths import TargetPaths
 from bramleyspread_forwarding._targets import (
@@ -152,6 +154,7 @@
 
 __all__ = [
     "ControlContact",
+    "SuspensionWatch",
     "WarmUpBound",
     "WarmUpChange",
     "WarmUpReport",
@@ -253,6 +256,7 @@
     "StreamOrigins",
     "PERMIT_EXPIRED",
     "PERMIT_TTL_S",
+    "SUSPENDED",
     "ZONE_DRAINED",
     "ZONES_DRAINED",
     "DRAINED_RETRY_S",
