Runs of warm-up seeds go on when no entry host is left

Cause: with 8 hosts, faults may end or suspend all of them, and the traffic of the simulated site then had no host to choose (IndexError, the run of 300 seeds with 8 hosts broke off). Change: no request is sent while no host is awake; each seed's figures are printed.

--- a/packages/daemon/bramleyspread_daemon/forward/tests/warming_faults.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/warming_faults.py
@@ -212,6 +212,8 @@
     for seed in range(first, last + 1):
         with pytest.MonkeyPatch.context() as monkeypatch:
             runs.append((seed, run_seed(monkeypatch, hosts, seed)))
+        _, run = runs[-1]
+        print(f"{hosts} hosts, seed {seed}: {run.largest_second}, {run.use:.2f}")
     runs.sort(key=lambda each: -each[1].largest_second)
     allowed = BOUND.count_allowed(RATE)
     above = sum(each.largest_second > allowed for _, each in runs)
--- a/packages/daemon/bramleyspread_daemon/forward/tests/warming_site.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/warming_site.py
@@ -320,5 +320,6 @@
         while read_monotonic() < until:
             await curio.sleep(self.rng.expovariate(per_s))
             awake = [x for x in self.contexts.values() if self.is_awake(x.own)]
-            context = self.rng.choice(awake)
-            await curio.spawn(self._forward, context, daemon=True)
+            if awake:
+                context = self.rng.choice(awake)
+                await curio.spawn(self._forward, context, daemon=True)
