Targets that report a pace leave nothing to faster ones that are free

Cause: a slower target left pieces also to faster ones that were free, of other zones, and that had left them to its zone: nobody got them until a wait was over.

Change: only faster targets that have yet to end a call count. Targets that count as slow don't either. Reports are kept by the batchers that call the target only.

--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -293,7 +293,8 @@
         """Pass on the load of a target to the batchers that send it calls."""
         now = read_monotonic()
         for batcher in self._batchers.values():
-            batcher.record_load(target.target, load, now)
+            if batcher.calls(target.target):
+                batcher.record_load(target.target, load, now)
 
     def _log_failure(self, call: BatchedCall, why: str) -> None:
         peer = call.target.target
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -202,7 +202,7 @@
             allocation = self._allocate(target, relative_slowdowns, limits, now)
             if relative_slowdowns[target.target] == 1.0:
                 allocation = self._leave_to_faster(
-                    target, targets, reported, limits, now
+                    target, fast_targets, reported, limits, now
                 )
             free_bytes = self._find_free_bytes(target, limits)
             pieces = dispatch_round.choose_pieces(target, allocation, free_bytes)
@@ -298,21 +298,21 @@
         """Find the part of the queue for a target that reports that it is slower.
 
         It skips the pieces of a call for each faster target that would complete the
-        call clearly earlier, although it may have to end another one first.
+        call clearly earlier, although it has to end another one first. Those that are
+        free have had their turn and left what remains, for instance to its zone.
 
         :param target: a target that doesn't count as slow.
-        :param targets: targets that accept work.
+        :param targets: the targets that don't count as slow.
         :param reported: by target, the slowdown that it reported.
         :param limits: the capacity limits of the service's targets.
         :param now: the current time, in seconds.
         """
         own = reported[target.target]
-        if own <= min(reported.values()):
-            return Allocation(0, limits.batch)
-        call_s = estimate_call_ms(limits.batch, limits) / 1000
+        call_s = estimate_call_ms(limits.batch, limits) / 1000 * LEAVE_SHARE
         earlier = sum(
-            self._find_free_in(each, limits, now)
-            < (own - reported[each.target]) * call_s * LEAVE_SHARE
+            0
+            < self._find_free_in(each, limits, now)
+            < (own - reported[each.target]) * call_s
             for each in targets
             if reported[each.target] < own
             and self._history.is_available(each.target, now)
@@ -320,6 +320,10 @@
         )
         return Allocation(earlier * limits.batch, limits.batch)
 
+    def calls(self, target: str) -> bool:
+        """Whether a call to a target is in flight."""
+        return any(each.target.target == target for each in self._calls.values())
+
     def record_load(self, target: str, load: TargetLoad, now: float) -> None:
         """Record the load that a target reported with its answer to a call.
 
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_batching.py
@@ -206,6 +206,17 @@
     assert {x.target.target for x in dispatch_after_report(4.0, jobs=3)} == {"t1", "t2"}
 
 
+# Guards against pieces that nobody gets: free targets of other zones leave them to
+# their zone, whose only target left them to the faster ones.
+def test_slower_target_gets_the_pieces_that_free_ones_leave_to_its_zone() -> None:
+    batcher = Batcher()
+    batcher.record_load("t0", TargetLoad(0, 0, 1, 2.0), 0.0)
+    job = make_job("r", 4, zone="z0", crossing_bytes=12_000_000)
+    batcher.add(job, LIMITS, 3, 0.0)
+    (call,) = batcher.dispatch(TARGETS, LIMITS, 0.0)
+    assert (call.target.target, len(call.items)) == ("t0", 4)
+
+
 # Guards against slow targets that lose work which no faster one would complete earlier.
 def test_target_with_a_small_slowdown_works_while_faster_ones_are_busy() -> None:
     service = SimulatedService(slowdowns={"t0": 1.3})
