Slowdowns from other hosts are bounded; messages beside earlier builds

A host could send a load with a slowdown of nothing or less, which made a target look infinitely fast at the placing host. Tests compare the messages without new fields with those of earlier builds.

--- a/packages/forwarding/bramleyspread_forwarding/_accounts.py
+++ b/packages/forwarding/bramleyspread_forwarding/_accounts.py
@@ -5,7 +5,7 @@
 from itertools import islice
 
 from bramleyspread_core import find_backoff_s
-from bramleyspread_forwarding._placement_messages import TargetLoad
+from bramleyspread_forwarding._placement_messages import TargetLoad, bound_slowdown
 from bramleyspread_forwarding._requests import Prompt
 
 #: How long a load report is used, in seconds.
@@ -116,7 +116,7 @@
         """Find how many times as long as usual the target's work takes."""
         if self._load is None or now - self._load_received_at > SLOWDOWN_TTL_S:
             return 1.0
-        return self._load.slowdown
+        return bound_slowdown(self._load.slowdown)
 
     def count_waiting(self, slots: int, now: float) -> int:
         """Count the requests that wait at the target for a slot."""
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_placement.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_placement.py
@@ -5,7 +5,7 @@
 import random
 from collections import Counter
 
-from bramleyspread_core import EngineLimits, encode_json
+from bramleyspread_core import EngineLimits, decode_json, encode_json
 from bramleyspread_forwarding import (
     NoTarget,
     Placed,
@@ -123,8 +123,26 @@
     assert "t0" in {each.target.target for each in placed}
 
 
-def test_hosts_of_earlier_builds_can_read_loads_of_usual_targets() -> None:
-    assert encode_json(TargetLoad(1, 2, 3)) == b'{"running":1,"waiting":2,"slots":3}'
+# Guards against hosts of earlier builds that can't read messages, or can't be read.
+def test_messages_without_the_new_fields_are_those_of_earlier_builds() -> None:
+    load = b'{"running":1,"waiting":2,"slots":3}'
+    assert encode_json(TargetLoad(1, 2, 3)) == load
+    assert decode_json(load, TargetLoad) == TargetLoad(1, 2, 3)
+    step = PlaceStep(ticket=1, target="t", began=True)
+    assert encode_json(step) == b'{"ticket":1,"target":"t","began":true}'
+    placed = Placed(1, ENGINES[0])
+    assert b"reading_ahead" not in encode_json(placed)
+    assert decode_json(encode_json(placed), Placed).tokens_ahead < 0
+
+
+# Guards against a message of a faulty host that makes a target look infinitely fast.
+def test_slowdown_of_another_host_is_bounded() -> None:
+    placement = make_placement()
+    load = TargetLoad(0, 0, 64, slowdown=-1e9)
+    placement.record_step(PlaceStep(ticket=0, target="t0", load=load), 0.0)
+    own = [query(prompt=make_prompt(tokens_in=3_000)) for _ in range(90)]
+    chosen = Counter(place(placement, each, 0.1).target.target for each in own)
+    assert len(chosen) == 9
 
 
 def test_large_prompts_go_to_engines_with_free_memory() -> None:
