--- a/packages/daemon/bramleyspread_daemon/forward/_control.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_control.py
@@ -21,6 +21,7 @@
     PutDeployment,
     Rejected,
     Undecided,
+    ZoneDrainAccepted,
     ZoneDrains,
     ZoneDrainsReport,
     ZoneOrder,
@@ -244,7 +245,8 @@
 
     async def _run_order(self, order: ZoneOrder, reply: Reply) -> OrderResult:
         result = await self._zone_orders.run(order, reply)
-        self._answer_pending(read_monotonic())
+        if isinstance(result, ZoneDrainAccepted) and not result.is_repeat:
+            self._answer_pending(read_monotonic())
         return result
 
     async def _handle_zone_order(self, http: HttpRequest, reply: Reply) -> None:
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_zone_orders.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_zone_orders.py
@@ -265,6 +265,20 @@
     assert not leader.commands
 
 
+def test_all_zones_may_be_drained_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    leader = Leader()
+
+    async def main() -> list[Any]:
+        orders = make_orders(leader, "north", "south")
+        zones = [ZoneOrder(each, True) for each in ("north", "south")]
+        tasks = [await curio.spawn(orders.run, each, make_reply()) for each in zones]
+        return [await each.join() for each in tasks]
+
+    results = run(monkeypatch, main)
+    assert all(isinstance(each, ZoneDrainAccepted) for each in results)
+    assert len(leader.drains.drained) == 2
+
+
 # Guards against a drain that can't be withdrawn since the settings have changed.
 def test_drained_zone_that_is_not_known_any_more_can_be_undrained(
     monkeypatch: pytest.MonkeyPatch,
