--- a/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
@@ -112,6 +112,7 @@
             request=self._request.request_id,
             service=refused.service,
             priority=self._priority,
+            share=round(refused.share, 2),
             wait_ms=round(refused.wait_ms),
             ends_in_ms=round(refused.ends_in_s * 1000),
         ).info("refused at arrival: stage full")
--- a/packages/forwarding/bramleyspread_forwarding/_stage_admission.py
+++ b/packages/forwarding/bramleyspread_forwarding/_stage_admission.py
@@ -32,6 +32,8 @@
 
     #: The service of that stage.
     service: str
+    #: Share of such requests that this host admits now.
+    share: float
     #: Expected wait there, in milliseconds.
     wait_ms: float
     #: Time for which its overload is expected to go on, in seconds.
@@ -112,7 +114,8 @@
         if _draw(request) >= shares[fullest]:
             self.refused_counts[fullest] += 1
             wait_ms = max(x.wait_ms for x, _ in self._loads[fullest].values())
-            return RefusedRequest(fullest, wait_ms, self.find_end_s(fullest, now))
+            ends_in_s = self.find_end_s(fullest, now)
+            return RefusedRequest(fullest, shares[fullest], wait_ms, ends_in_s)
         return AdmittedRequest(_find_weights(shares))
 
 
--- a/packages/forwarding/bramleyspread_forwarding/_stage_load.py
+++ b/packages/forwarding/bramleyspread_forwarding/_stage_load.py
@@ -164,7 +164,7 @@
         self._update_efficiency(waiting >= batch, now)
         capacity = max(self.capacity, 1e-9)
         backlog_s = min(waiting / capacity, MAX_WAIT_S)
-        correction = 1 + (USUAL_BACKLOG_S - backlog_s) / CORRECTION_S
+        correction = _find_correction(backlog_s)
         demand = self._list_demand(now)
         for idle in self._demand.keys() - demand.keys():
             del self._demand[idle]
@@ -205,3 +205,14 @@
     def _list_demand(self, now: float) -> Mapping[int, float]:
         rates = {priority: rate.find(now) for priority, rate in self._demand.items()}
         return {priority: x for priority, x in rates.items() if x >= MIN_DEMAND}
+
+
+def _find_correction(backlog_s: float) -> float:
+    """Find how much to admit at a backlog, as a multiple of the capacity.
+
+    Nothing is refused without a backlog, however large demand seems: averages over
+    short times vary, the more the fewer jobs a shard gets.
+    """
+    if backlog_s < USUAL_BACKLOG_S:
+        return USUAL_BACKLOG_S / max(backlog_s, 1e-9)
+    return max(1 + (USUAL_BACKLOG_S - backlog_s) / CORRECTION_S, 0.0)
--- a/packages/forwarding/bramleyspread_forwarding/tests/overload_loads.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/overload_loads.py
@@ -59,6 +59,8 @@
     #: By service, its targets and their limits.
     services: dict[str, tuple[int, PieceLimits]]
     kinds: tuple[Kind, ...]
+    #: Number of shards of services that have several batching hosts.
+    shards: dict[str, int] = {}
 
 
 def make_limits(
@@ -148,6 +150,12 @@
         ),
     ),
 )
+#: As the links of its hosts require.
+SECOND_SHARDED = msgspec.structs.replace(
+    SECOND,
+    services=SECOND.services | {"c": (12, SECOND.services["c"][1])},
+    shards={"b": 2, "c": 4},
+)
 
 
 class Burst(msgspec.Struct, frozen=True):
@@ -186,5 +194,8 @@
     "2 medium x 2.4": (SECOND, Burst(6.0, {"medium": 2.4})),
     "2 all x 1.7": (SECOND, Burst(4.0, _make_all(1.7))),
     "2 all x 1.7, A lost": (SECOND, Burst(5.0, _make_all(1.7), "a")),
+    "2 sharded, calm": (SECOND_SHARDED, Burst(6.0)),
+    "2 sharded, medium x 2.4": (SECOND_SHARDED, Burst(6.0, {"medium": 2.4})),
+    "2 sharded, all x 1.7": (SECOND_SHARDED, Burst(4.0, _make_all(1.7))),
     "2 medium x 2.4, C lost": (SECOND, Burst(5.0, {"medium": 2.4}, "c")),
 }
--- a/packages/tool/bramleyspread_tool/_explain.py
+++ b/packages/tool/bramleyspread_tool/_explain.py
@@ -285,6 +285,13 @@
             f"stage {stage.fields.get('stage')} at {stage.service}, batched by "
             f"{stage.peer}, was {stage.text} after {stage.ms:.0f} ms"
         )
+    full = next((x for x in lines if x.text.startswith("refused at arrival")), None)
+    if full is not None:
+        return (
+            f"{entry_host} refused it before its first piece: {full.service} had "
+            f"capacity for {full.fields.get('share')} of such requests, and pieces "
+            f"waited {full.fields.get('wait_ms')} ms there"
+        )
     if end is not None and "stages would take" in end.text:
         return f"{entry_host} refused it before its first piece: {end.text}"
     return ""
--- a/packages/tool/bramleyspread_tool/tests/test_explain.py
+++ b/packages/tool/bramleyspread_tool/tests/test_explain.py
@@ -73,6 +73,27 @@
     assert explanation.shifts == {"b": -100.0}
 
 
+def test_refusal_for_a_later_stage_names_its_service(tmp_path: Path) -> None:
+    log = write_log(
+        tmp_path / "a",
+        "a",
+        make_line(10.0, "admit", "taken", request="r", version=3),
+        make_line(
+            10.0,
+            "stage",
+            "refused at arrival: stage full",
+            request="r",
+            service="mail",
+            share=0.4,
+            wait_ms=300,
+        ),
+        make_line(10.0, "end", "refused with 503: stage full: mail", request="r"),
+    )
+    cause = explain_request("r", log).cause
+    assert "mail had capacity for 0.4 of such requests" in cause
+    assert "waited 300 ms" in cause
+
+
 def test_lines_of_a_host_keep_their_order_when_its_clock_jumps(tmp_path: Path) -> None:
     log = write_log(
         tmp_path / "a",
