A ramp that a drain interrupts goes on where it was

A zone that was drained again during its ramp, and undrained after half a second, began at 0.9 of its share although it had reached 0.4. The ramp now begins at the share that the zone had, less the time in which it was idle.

--- a/packages/forwarding/bramleyspread_forwarding/_slow_starts.py
+++ b/packages/forwarding/bramleyspread_forwarding/_slow_starts.py
@@ -91,8 +91,14 @@
         self._absent_since |= dict.fromkeys(((service, each) for each in present), None)
 
     def _start(self, service: str, zone: str, idle_s: float, now: float) -> None:
-        """Start a ramp; it is shorter if the zone was idle for a moment only."""
-        self._ramps[service, zone] = now - max(RAMP_S - idle_s, 0.0)
+        """Start a ramp.
+
+        It begins at the share that the zone had before, less what it lost in the time
+        in which it was idle: nothing is lost by a moment.
+        """
+        began_at = self._ramps.get((service, zone), -math.inf)
+        grown_s = min(now - idle_s - began_at, RAMP_S)
+        self._ramps[service, zone] = now - max(grown_s - idle_s, 0.0)
 
     def find_share(self, service: str, zone: str, now: float) -> float:
         """Find the share of a zone's usual work that it may get.
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_slow_starts.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_slow_starts.py
@@ -67,6 +67,18 @@
     assert share == pytest.approx(max(1 - drained_s / RAMP_S, 0.0))
 
 
+# Guards against a zone that is drained once more in the middle of its ramp, and gets
+# nearly all of its share after that.
+def test_ramp_that_a_drain_interrupts_goes_on_where_it_was() -> None:
+    starts = undrain("z0", 0.0)
+    starts.follow_drains(["z0"], 2.0)
+    starts.follow_drains([], 2.5)
+    assert starts.find_share("s", "z0", 2.5) == pytest.approx(1.5 / RAMP_S)
+    starts.follow_drains(["z0"], 3.0)
+    starts.follow_drains([], 30.0)
+    assert starts.find_share("s", "z0", 30.0) == 0.0
+
+
 # Guards against requests that find no target while all zones come back together.
 def test_all_targets_are_used_where_every_zone_is_ramped_up() -> None:
     starts = SlowStarts()
