Fair shares: new jobs and estimates before engines keep a margin to the goal

Callers of several kinds got late answers on the first deployment with fair shares: the time to the first event is a mean, and jobs were added up to the last moment at which a full queue could still serve them. Now half a full call and half of the estimated time at the engine are left.

--- a/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_stage_work.py
@@ -28,6 +28,9 @@
 #: Share of the latency goal that a long prompt may take at most in estimates, so that
 #: its request does not count as late before it has started.
 MAX_TARGET_SHARE = 0.5
+#: Factor by which the time to the first event may exceed its estimate, which is a mean,
+#: before a request is late whose stages used all of their time.
+TARGET_TIME_MARGIN = 1.5
 #: Share of a result's lifetime during which stages may wait to use it.
 RESULT_LIFETIME_SHARE = 0.9
 #: Maximum time for which a stage without inputs may wait, in ms.
@@ -288,6 +291,8 @@
         service = self._context.choose_service(self._route, self._request.request_id)
         speed = self._context.placement.find_speed(service)
         target_ms = estimate_reading_ms(self._request.prompt, speed)
+        if self._context.piece_service.is_fair:
+            target_ms *= TARGET_TIME_MARGIN
         return min(target_ms, self._route.aim_ms * MAX_TARGET_SHARE)
 
     def _estimate_stage_ms(self, number: int) -> float:
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -45,6 +45,9 @@
 LATE_WAIT_CALLS = 3
 #: Backlog up to which any job is added, in durations of a full call.
 FREE_BACKLOG_CALLS = 0.5
+#: Time between the expected end of a new job and its goal, in durations of a full call:
+#: targets end their calls one after another, not when a job comes.
+GOAL_MARGIN_CALLS = 0.5
 #: Slowdown that is assumed of a target whose latest call failed.
 FAILING_SLOWDOWN = 6.0
 #: Share of the time that a faster target would save for which a target leaves pieces to
@@ -149,7 +152,8 @@
         if backlog_s <= FREE_BACKLOG_CALLS * full_call_s:
             return own_call_s <= job.remaining_ms / 1000
         # While the targets are filled, the job's pieces share full calls.
-        budget_s = job.aim_ms / 1000 - own_call_s
+        margin_s = GOAL_MARGIN_CALLS * full_call_s
+        budget_s = job.aim_ms / 1000 - own_call_s - margin_s
         rate = meter.find_guaranteed_rate(job.priority, now)
         return meter.timely[job.priority] + job.pieces <= rate * budget_s
 
