Capacity by zone counts warming targets, and zones of warming services are ramped up after an absence

Both were prepared by earlier changes, but not connected: a zone whose targets had been partitioned off or restarted got its whole share at once.

--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -233,6 +233,9 @@
         self.signals.suspensions.record_page(requested_at, now)
         drained = [each.zone for each in self.targets.drains.drained]
         self.slow_starts.follow_drains(drained, now)
+        for service in self.routes.list_warming_services() if self.routes else ():
+            zones = {each.zone for each in self.targets.list_usable(service)}
+            self.slow_starts.follow_usable(service, zones, drained, now)
         self.signals.drains.follow(self.capacities.measure)
         self.crashes.handle_page(control, page)
         known = self._known_entries.get(control, KnownEntries()).apply(page)
--- a/packages/daemon/bramleyspread_daemon/forward/_zone_capacities.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_zone_capacities.py
@@ -75,10 +75,12 @@
     ) -> TargetCapacity:
         said = self._signals.table
         rate = said.find_rate_limit(target)
+        warm_up_rate = said.warm_ups.find_rate(target)
         found = {
             Restriction.PAUSED: said.find_pause_s(target, now) > 0,
             Restriction.IN_BACKOFF: self._is_in_backoff(service, target),
-            Restriction.RATE_LIMITED: rate < math.inf,
+            Restriction.WARMING_UP: warm_up_rate < math.inf,
+            Restriction.RATE_LIMITED: rate < warm_up_rate,
             Restriction.BRITTLE: said.is_brittle(target),
         }
         return TargetCapacity(
--- a/packages/daemon/bramleyspread_daemon/forward/tests/test_zone_capacities.py
+++ b/packages/daemon/bramleyspread_daemon/forward/tests/test_zone_capacities.py
@@ -75,6 +75,30 @@
     }
 
 
+# Guards against warming targets that count as fully usable.
+def test_warming_targets_are_restricted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = make_site()
+    (context,) = site.contexts.values()
+
+    async def main() -> tuple[ZoneCapacity, ...]:
+        await curio.spawn(site.run_hosts, daemon=True)
+        await curio.sleep(0.5)
+        monkeypatch.setattr(
+            context.signals.table.warm_ups, "_find_service_rate", lambda service: 4.0
+        )
+        target = context.targets.list_usable("llm")[0]
+        signals = ResponseSignals(warm_up_s=3.0)
+        context.signals.record(target, signals, read_monotonic())
+        return context.capacities.measure("llm")
+
+    zones = run_in_virtual_time(monkeypatch, main)
+    restricted = [each.restricted for each in zones]
+    assert {Restriction.WARMING_UP: 1} in restricted
+    assert {} in restricted
+
+
 # Guards against an operator who can't tell what was sent to a zone last, and since when
 # requests were kept from it.
 def test_drain_is_logged_with_the_last_request_sent_and_the_first_one_kept(
