Fair shares: large jobs of rare priorities are not starved

Cause: a priority's part of the capacity follows its demand. One with a request now and then, as an organisation with a priority of its own may be, had a part of less than one large job, so that all of these were refused while other work filled the targets. Now one job of a priority is taken if none of it waits.

--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -134,6 +134,9 @@
             return own_call_s <= job.remaining_ms / 1000
         # While the targets are filled, the job's pieces share full calls.
         budget_s = job.aim_ms / 1000 - own_call_s
+        if not meter.timely[job.priority]:
+            # The part of a priority with few requests may be less than one large job.
+            return budget_s > 0
         rate = meter.find_guaranteed_rate(job.priority, now)
         return meter.timely[job.priority] + job.pieces <= rate * budget_s
 
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_stage_load.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_stage_load.py
@@ -189,6 +189,18 @@
     assert isinstance(batcher.add(reader, LIMITS, 3, 0.0), int)
 
 
+# Guards against organisations whose own priority has so few requests that its part of
+# the capacity is less than one of their jobs.
+def test_large_job_of_a_rare_priority_is_not_starved() -> None:
+    batcher = Batcher(is_fair=True)
+    fill_batcher(batcher)
+    rare = make_job("rare", 10, aim_ms=700.0, priority=7)
+    assert isinstance(batcher.add(rare, LIMITS, 3, 0.0), int)
+    assert batcher.add(rare, LIMITS, 3, 0.0) is PieceFault.SHED
+    common = make_job("common", 10, aim_ms=700.0)
+    assert batcher.add(common, LIMITS, 3, 0.0) is PieceFault.SHED
+
+
 def test_new_job_that_has_become_late_is_refused_at_the_next_tick() -> None:
     batcher = Batcher(is_fair=True)
     number = batcher.add(make_job("r", 1, aim_ms=300.0), LIMITS, 3, 0.0)
