Fair shares: late jobs don't count as on-time backlog when they are added

Cause: a job that was late when it came counted as on-time work until the next tick. When a batching host fell silent, all jobs reached the next one late at the same moment, and most were refused for each other's sake, although targets were idle.

--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -111,7 +111,8 @@
             self._meter.record_demand(job.priority, job.pieces, job.weight, now)
             if not working or not self._may_be_on_time(job, limits, self._meter, now):
                 return PieceFault.SHED
-            self._meter.record_added(job.priority, job.pieces)
+            if job.aim_ms >= limits.call_ms:
+                self._meter.record_added(job.priority, job.pieces)
         elif self._estimate_job_ms(job, limits, working) > job.remaining_ms:
             return PieceFault.SHED
         return self.jobs.add(job, now, is_local=is_local)
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_stage_load.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_stage_load.py
@@ -189,6 +189,15 @@
     assert isinstance(batcher.add(reader, LIMITS, 3, 0.0), int)
 
 
+# Guards against refusals after the loss of a batching host: all jobs reach the next one
+# late at the same moment, and no other work is there.
+def test_late_jobs_are_taken_while_there_is_no_other_work() -> None:
+    batcher = Batcher(is_fair=True)
+    for number in range(40):
+        late = make_job(f"r{number}", 2, aim_ms=50.0)
+        assert isinstance(batcher.add(late, LIMITS, 3, 0.0), int)
+
+
 # Guards against organisations whose own priority has so few requests that its part of
 # the capacity is less than one of their jobs.
 def test_large_job_of_a_rare_priority_is_not_starved() -> None:
