--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -130,7 +130,8 @@
             self._meter.record_demand(job.priority, job.pieces, job.weight, now)
             if not working or not self._may_be_on_time(job, limits, self._meter, now):
                 return PieceFault.SHED
-            self._meter.record_added(job.priority, job.pieces)
+            if job.aim_ms >= limits.call_ms:
+                self._meter.record_added(job.priority, job.pieces)
         elif self._estimate_job_ms(job, limits, working) > job.remaining_ms:
             return PieceFault.SHED
         return self.jobs.add(job, now, is_local=is_local, zone=zone)
@@ -154,6 +155,9 @@
         # While the targets are filled, the job's pieces share full calls.
         margin_s = GOAL_MARGIN_CALLS * full_call_s
         budget_s = job.aim_ms / 1000 - own_call_s - margin_s
+        if not meter.timely[job.priority]:
+            # The part of a priority with few requests may be less than one large job.
+            return budget_s > 0
         rate = meter.find_guaranteed_rate(job.priority, now)
         return meter.timely[job.priority] + job.pieces <= rate * budget_s
 
