--- a/packages/capacity/bramleyspread_capacity/_zone_capacity.py
+++ b/packages/capacity/bramleyspread_capacity/_zone_capacity.py
@@ -32,7 +32,7 @@
 
 
 #: Restrictions under which a target still gets work.
-PARTIAL = frozenset(
+PARTIAL_RESTRICTIONS = frozenset(
     {Restriction.WARMING_UP, Restriction.RATE_LIMITED, Restriction.BRITTLE}
 )
 
@@ -123,7 +123,11 @@
 def _sum_zone(service: str, zone: str, targets: list[TargetCapacity]) -> ZoneCapacity:
     found = [(each, each.main_restriction) for each in targets]
     restricted = Counter(reason for _, reason in found if reason is not None)
-    working = [x for x, reason in found if reason is None or reason in PARTIAL]
+    working = [
+        each
+        for each, reason in found
+        if reason is None or reason in PARTIAL_RESTRICTIONS
+    ]
     limited = [each for each in working if each.rate is not None]
     return ZoneCapacity(
         service,
--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -98,10 +98,10 @@
         self.documents = DocumentLink(peers, self._apply_fetched)
         #: Known targets.
         self.targets = TargetTable()
-        #: Ramps up the work of zones whose drain was withdrawn.
+        #: Ramps up the work of zones that come back after a drain or an absence.
         self.slow_starts = SlowStarts()
-        #: What targets have said about themselves.
         self._contact = ControlContact()
+        #: What targets have said about themselves.
         self.signals = TargetSignals(
             self.targets,
             rng,
--- a/packages/daemon/bramleyspread_daemon/forward/_entry.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_entry.py
@@ -234,6 +234,25 @@
         for name, number in service.admission.refused_counts.items():
             text = "Requests refused at arrival, by the stage that is full."
             metrics.set_counter("stage_refusals_total", text, number, service=name)
+        self._fill_connection_metrics(metrics)
+        self._fill_signal_metrics(metrics)
+        fill_zone_metrics(metrics, self.context)
+        self._fill_overflow_metrics(metrics)
+        crashes = self.context.crashes
+        text = "Requests refused because targets crash under such."
+        metrics.set_counter("quarantined_requests_total", text, crashes.refused)
+        text = "Features of requests under which targets crash."
+        number = len(crashes.table.list_quarantines())
+        metrics.set_gauge("quarantined_features", text, number)
+        held = self.context.upstream.held
+        metrics.set_gauge("held_bytes", "Of targets' answers.", held.size)
+        metrics.set_counter("answers_given_up_total", "No room.", held.given_up)
+        kept = self.public.kept
+        metrics.set_gauge("kept_bytes", "Of requests and replies.", kept.size)
+        metrics.set_counter("requests_given_up_total", "No room.", kept.given_up)
+        metrics.set_counter("feed_failures_total", "Unanswered.", self._link.failures)
+
+    def _fill_connection_metrics(self, metrics: Metrics) -> None:
         upstream = self.context.upstream
         metrics.set_counter("target_connections_total", "Opened.", upstream.opened)
         metrics.set_counter("target_reuses_total", "Used again.", upstream.reused)
@@ -249,6 +268,8 @@
         text = "Questions whether targets live that ended an answer."
         number = self.context.unframed_ends.asked
         metrics.set_counter("life_checks_total", text, number)
+
+    def _fill_signal_metrics(self, metrics: Metrics) -> None:
         signals = self.context.signals
         for name, number in signals.table.counts.items():
             text = "Responses in which a target said so of itself."
@@ -266,8 +287,10 @@
             )
         number = signals.table.warm_ups.count_warming()
         metrics.set_gauge("warming_targets", "Targets that warm up.", number)
-        fill_zone_metrics(metrics, self.context)
-        for report in (self.context.placement.overflow, service.overflow):
+
+    def _fill_overflow_metrics(self, metrics: Metrics) -> None:
+        context = self.context
+        for report in (context.placement.overflow, context.piece_service.overflow):
             for shard, each in report.list_shares():
                 metrics.set_gauge(
                     "zone_share",
@@ -278,19 +301,6 @@
                     zone=each.source,
                     to=each.target,
                 )
-        crashes = self.context.crashes
-        text = "Requests refused because targets crash under such."
-        metrics.set_counter("quarantined_requests_total", text, crashes.refused)
-        text = "Features of requests under which targets crash."
-        number = len(crashes.table.list_quarantines())
-        metrics.set_gauge("quarantined_features", text, number)
-        held = self.context.upstream.held
-        metrics.set_gauge("held_bytes", "Of targets' answers.", held.size)
-        metrics.set_counter("answers_given_up_total", "No room.", held.given_up)
-        kept = self.public.kept
-        metrics.set_gauge("kept_bytes", "Of requests and replies.", kept.size)
-        metrics.set_counter("requests_given_up_total", "No room.", kept.given_up)
-        metrics.set_counter("feed_failures_total", "Unanswered.", self._link.failures)
 
     async def start(self) -> Address:
         """Start listening, and start the periodic tasks.
--- a/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_piece_service.py
@@ -319,7 +319,7 @@
         """Pass on the load of a target to the batchers that send it calls."""
         now = read_monotonic()
         for batcher in self._batchers.values():
-            if batcher.calls(target.target):
+            if batcher.has_call_in_flight(target.target):
                 batcher.record_load(target.target, load, now)
 
     async def _withdraw(
--- a/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
@@ -32,8 +32,8 @@
 
 #: Interval between two log lines about unreadable signals of a target, in seconds.
 UNREADABLE_LOG_INTERVAL_S = 10.0
-#: Interval at which it is checked whether a host that was suspended has heard of the
-#: present, in seconds.
+#: Interval at which it is checked whether a host that was suspended has received a
+#: current page, in seconds.
 NEWS_POLL_INTERVAL_S = 0.01
 #: Number of targets for which the time of the last such line is kept.
 MAX_LOGGED_TARGETS = 1_000
@@ -69,7 +69,7 @@
         self.held_back_counts: Counter[str] = Counter()
         #: Number of those that did so while targets of their service were warming up.
         self.warm_up_counts: Counter[str] = Counter()
-        #: Whether this host knows the present again after it was suspended.
+        #: Whether this host has a current page again after it was suspended.
         self.suspensions = SuspensionWatch()
         #: Reports what is kept from drained zones.
         self.drains = DrainReports(targets)
@@ -128,7 +128,7 @@
 
     def tick(self) -> None:
         """End the warm-ups whose time is over; call this several times a second."""
-        for each in self.table.warm_ups.list_ended(read_monotonic()):
+        for each in self.table.warm_ups.pop_ended(read_monotonic()):
             logger.bind(
                 step="warm-up", peer=each.target, ms=round(each.lasted_s * 1000)
             ).info("ended")
@@ -187,7 +187,7 @@
         return why
 
     async def wait_for_news(self) -> None:
-        """Wait until a host that was suspended knows the present again."""
+        """Wait until a host that was suspended has a current page again."""
         while self.suspensions.find_wait_s(read_monotonic()):
             await curio.sleep(NEWS_POLL_INTERVAL_S)
 
--- a/packages/forwarding/bramleyspread_forwarding/_accounts.py
+++ b/packages/forwarding/bramleyspread_forwarding/_accounts.py
@@ -5,14 +5,15 @@
 from itertools import islice
 
 from bramleyspread_core import find_backoff_s
-from bramleyspread_forwarding._placement_messages import TargetLoad, bound_slowdown
+from bramleyspread_forwarding._placement_messages import (
+    SLOWDOWN_TTL_S,
+    TargetLoad,
+    bound_slowdown,
+)
 from bramleyspread_forwarding._requests import Prompt
 
 #: How long a load report is used, in seconds.
 LOAD_REPORT_TTL_S = 1.0
-#: How long the slowdown in a load report is used, in seconds. It ends, since a target
-#: that gets no requests because of it sends no other report.
-SLOWDOWN_TTL_S = 5.0
 #: Backoff after the first failure in a row, in seconds.
 BACKOFF_S = 1.0
 #: Maximum backoff of a target that fails repeatedly, in seconds.
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -51,8 +51,7 @@
 #: Slowdown that is assumed of a target whose latest call failed.
 FAILING_SLOWDOWN = 6.0
 #: Share of the time that a faster target would save for which a target leaves pieces to
-#: it. If it left them for all of that time, it would be idle too often under load: of
-#: 566 jobs 333 were on time in place of 429 (one of three targets half as fast).
+#: it. If it left them for all of that time, it would be idle too often under load.
 LEAVE_SHARE = 0.5
 
 
@@ -237,18 +236,7 @@
         calls = []
         self._storage.expire(now)
         fast_targets = [x for x in targets if relative_slowdowns[x.target] == 1.0]
-        dispatch_round = DispatchRound(
-            self.jobs,
-            limits,
-            now,
-            self._find_spare_bytes(targets, limits),
-            self._describe_zone_targets(fast_targets, limits, now),
-            full_zones=(
-                self.overflow.find_full_zones(now)
-                if self.overflow is not None
-                else None
-            ),
-        )
+        dispatch_round = self._begin_round(targets, fast_targets, limits, now)
         reported = {
             each: self._history.slowdowns.find_reported(each, now)
             for each in target_ids
@@ -270,6 +258,30 @@
             dispatch_round.record_call(target, self._calls[call.call].result_bytes)
         return calls
 
+    def _begin_round(
+        self,
+        targets: Sequence[ForwardTarget],
+        fast_targets: Sequence[ForwardTarget],
+        limits: PieceLimits,
+        now: float,
+    ) -> DispatchRound:
+        """Begin a round of calls.
+
+        :param targets: targets that accept work.
+        :param fast_targets: those of them that don't count as slow.
+        :param limits: the capacity limits of the service's targets.
+        :param now: the current time, in seconds.
+        """
+        overflow = self.overflow
+        return DispatchRound(
+            self.jobs,
+            limits,
+            now,
+            self._find_spare_bytes(targets, limits),
+            self._describe_zone_targets(fast_targets, limits, now),
+            full_zones=overflow.find_full_zones(now) if overflow is not None else None,
+        )
+
     def _plan_overflow(
         self,
         targets: Sequence[ForwardTarget],
@@ -376,7 +388,7 @@
         )
         return Allocation(earlier * limits.batch, limits.batch)
 
-    def calls(self, target: str) -> bool:
+    def has_call_in_flight(self, target: str) -> bool:
         """Whether a call to a target is in flight."""
         return any(each.target.target == target for each in self._calls.values())
 
--- a/packages/forwarding/bramleyspread_forwarding/_fair_shares.py
+++ b/packages/forwarding/bramleyspread_forwarding/_fair_shares.py
@@ -6,7 +6,8 @@
 
 #: How much less of its demand a priority is granted than the next more urgent one.
 WEIGHT_STEP = 0.06
-#: Weight of the least urgent priority; far above a quarter of the average share.
+#: Minimum weight of a priority, so that even the least urgent one gets clearly more
+#: than a quarter of the average share.
 MIN_WEIGHT = 0.7
 
 
@@ -42,12 +43,13 @@
     left = max(capacity, 0.0)
     weighted_demand = sum(demand[each] * weights[each] for each in demand)
     shares: dict[int, float] = {}
-    # No priority gets more than a more urgent one, also not by rounding.
-    most = 1.0
+    # Rounding must not give a priority more than a more urgent one.
+    max_share = 1.0
     # The largest weight is the first to reach 1, so one pass in this order is enough.
     for priority in sorted(demand):
         level = left / weighted_demand if weighted_demand > 0 else 1.0
-        most = share = shares[priority] = min(level * weights[priority], most)
+        share = max_share = min(level * weights[priority], max_share)
+        shares[priority] = share
         left = max(left - share * demand[priority], 0.0)
         weighted_demand -= demand[priority] * weights[priority]
     return shares
--- a/packages/forwarding/bramleyspread_forwarding/_paces.py
+++ b/packages/forwarding/bramleyspread_forwarding/_paces.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from bramleyspread_forwarding._placement_messages import SLOWDOWN_TTL_S
+
 #: Weight of the latest call in the smoothed slowdown.
 SMOOTHING = 0.7
 #: A target counts as slow when its calls take more than this many times as long as
@@ -16,9 +18,6 @@
 #: Pause after a slow target's last call before it is probed with one piece, in
 #: seconds.
 PROBE_INTERVAL_S = 1.0
-#: How long a slowdown that a target reported is used, in seconds. It ends, since a
-#: target that gets no calls because of it sends no other report.
-REPORT_TTL_S = 5.0
 
 
 class _Slowdown(msgspec.Struct, frozen=True):
@@ -99,7 +98,7 @@
     def find_reported(self, target: str, now: float) -> float:
         """Find the slowdown that a target reported lately; 1 if it reported none."""
         report = self._reports.get(target)
-        if report is None or now - report.updated_at > REPORT_TTL_S:
+        if report is None or now - report.updated_at > SLOWDOWN_TTL_S:
             return 1.0
         return report.factor
 
--- a/packages/forwarding/bramleyspread_forwarding/_placement.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement.py
@@ -160,17 +160,17 @@
         if limits is not None and memory_tokens > limits.memory_tokens:
             return NoTarget("larger than an engine's memory")
         waits_s = self._find_waits_s(query, untried, share, now)
-        accepting: Sequence[ForwardTarget] = untried
+        ready: Sequence[ForwardTarget] = untried
         if waits_s:
-            accepting = [
+            ready = [
                 x for x in untried if waits_s.get(x.target, 0.0) <= MAX_RATE_WAIT_S
             ]
-            if not accepting:
+            if not ready:
                 return _refuse_for_signals(query, waits_s)
             refusal = self._refuse_for_rates(query, targets, share, now)
             if refusal is not None:
                 return refusal
-        accepting = self._list_with_room(accepting, memory_tokens, limits, share, now)
+        accepting = self._list_with_room(ready, memory_tokens, limits, share, now)
         if not accepting:
             return NoTarget(NO_ROOM, NO_ROOM_RETRY_S)
         plan = self._choose_zone(query, targets, limits, share, now)
--- a/packages/forwarding/bramleyspread_forwarding/_placement_messages.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement_messages.py
@@ -13,6 +13,9 @@
 #: Smallest and largest slowdown that a target's report can have. What lies outside is
 #: taken for the bound, so that no report attracts all requests or excludes a target.
 MIN_SLOWDOWN, MAX_SLOWDOWN = 0.5, 10.0
+#: How long a reported slowdown is used, in seconds. It ends, since a target that gets
+#: no work because of it sends no other report.
+SLOWDOWN_TTL_S = 5.0
 
 
 class TargetLoad(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/forwarding/bramleyspread_forwarding/_slow_starts.py
+++ b/packages/forwarding/bramleyspread_forwarding/_slow_starts.py
@@ -48,7 +48,8 @@
     def __init__(self) -> None:
         # By zone, when this host learned that it was drained, in seconds.
         self._drained_since: dict[str, float] = {}
-        # By service and zone, when targets were last usable that aren't any more.
+        # By service and zone, when the targets ceased to be usable, in seconds; None
+        # while there are usable ones.
         self._absent_since: dict[tuple[str, str], float | None] = {}
         # By service and zone, when the ramp began, in seconds.
         self._ramps: dict[tuple[str, str], float] = {}
@@ -94,7 +95,7 @@
         """Start a ramp.
 
         It begins at the share that the zone had before, less what it lost in the time
-        in which it was idle: nothing is lost by a moment.
+        in which it was idle, so that a short idle time costs it little.
         """
         began_at = self._ramps.get((service, zone), -math.inf)
         grown_s = min(now - idle_s - began_at, RAMP_S)
--- a/packages/forwarding/bramleyspread_forwarding/_stage_times.py
+++ b/packages/forwarding/bramleyspread_forwarding/_stage_times.py
@@ -7,8 +7,8 @@
 #: Time after which a smoothed duration has half its weight, in seconds.
 HALF_LIFE_S = 1.0
 #: Share of the later stages' part of a request's slack that earlier stages leave to
-#: them. With none, the first of several full stages left all requests late for the
-#: second one; with all of it, the first one refused more than it had to.
+#: them. With none, the first of several full stages leaves the second one no time to
+#: spare; with all of it, the first one refuses more requests than necessary.
 KEPT_SLACK_SHARE = 0.5
 
 
--- a/packages/forwarding/bramleyspread_forwarding/_suspensions.py
+++ b/packages/forwarding/bramleyspread_forwarding/_suspensions.py
@@ -1,4 +1,4 @@
-"""Whether a host knows the present again after it was suspended."""
+"""Whether a host has current information again after it was suspended."""
 
 from __future__ import annotations
 
@@ -13,12 +13,12 @@
 
 
 class SuspensionWatch:
-    """Holds back what a host sends until it has heard of the present.
+    """Holds back what a host sends after a suspension until it has a current page.
 
-    A host that wakes up finds requests that were chosen for before, and callers'
-    requests that came meanwhile, before it can hear that a zone was drained. It waits
-    for the first page that it asked for since, but not for long: a host without contact
-    to control hosts goes on with what it knows.
+    A host that resumes may have requests whose targets were chosen before, and requests
+    that arrived in the meantime, before it can learn that a zone was drained. It waits
+    for the first page that it requests after the suspension, but not for long: a host
+    without contact to control hosts continues with what it knows.
 
     >>> watch = SuspensionWatch()
     >>> watch.tick(100.0)
--- a/packages/forwarding/bramleyspread_forwarding/_warm_ups.py
+++ b/packages/forwarding/bramleyspread_forwarding/_warm_ups.py
@@ -218,8 +218,8 @@
         report = WarmUpReport(now + RESTART_S, said_after=now, said_before=now)
         return self._merge(target, record, report, now)
 
-    def list_ended(self, now: float) -> list[EndedWarmUp]:
-        """List the warm-ups that have ended, and forget them."""
+    def pop_ended(self, now: float) -> list[EndedWarmUp]:
+        """Remove the warm-ups that have ended, and return them."""
         ended = [
             EndedWarmUp(target, now - record.begun_at)
             for target, record in self._warming.items()
@@ -253,7 +253,7 @@
     def _update(
         self, target: str, record: _Record, report: WarmUpReport, now: float
     ) -> WarmUpChange | None:
-        """Let a report hold, and return how it differs from what was known."""
+        """Store a report, and return how it differs from what was known."""
         known_ends_at = record.report.ends_at if record.report is not None else now
         record.report = report
         is_warming = report.ends_at > now
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_warm_ups.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_warm_ups.py
@@ -33,7 +33,7 @@
 
 
 def is_warming(table: SignalTable, now: float) -> bool:
-    table.warm_ups.list_ended(now)
+    table.warm_ups.pop_ended(now)
     return table.is_limited(TARGET)
 
 
@@ -143,7 +143,7 @@
     assert table.is_restricted(TARGET)
     assert access.find_rate(TARGET, 0.5, 10.0) == expected * 0.5
     assert access.find_rate(OTHER, 0.5, 10.0) == math.inf
-    table.warm_ups.list_ended(14.0)
+    table.warm_ups.pop_ended(14.0)
     assert table.find_rate_limit(TARGET) == named
 
 
