Split sending from receiving an attempt, and name steps of placements by what they do

A method that ended a reservation was named like a question, the step that ends a reservation was built in two places, and comments about plans were unclear. No behaviour changes.

--- a/packages/capacity/bramleyspread_capacity/_zone_plan.py
+++ b/packages/capacity/bramleyspread_capacity/_zone_plan.py
@@ -80,7 +80,7 @@
     def update(
         self, demands: Sequence[ZoneDemand], crossing_s: float, now: float
     ) -> None:
-        """Plan anew.
+        """Update the plan.
 
         :param demands: all zones, each once.
         :param crossing_s: how long work may wait so that it need not cross zones, in
@@ -98,12 +98,12 @@
             del self._credits[pair]
 
     def is_in_force(self, now: float) -> bool:
-        """Whether shares are known that may be used."""
+        """Whether the plan may be used now."""
         is_settled = now - self._first_at >= SETTLING_S
         return is_settled and now - self._updated_at <= MAX_AGE_S
 
     def list_shares(self, now: float) -> tuple[ZoneShare, ...]:
-        """List the shares that are in force, apart from those of nothing."""
+        """List the shares that are in force."""
         return tuple(self._shares.values()) if self.is_in_force(now) else ()
 
     def choose(self, source: str, work: float, now: float) -> str:
@@ -114,17 +114,18 @@
         :param now: the current time, in seconds.
         :returns: the zone; the same one while no plan is in force.
         """
-        best, most = source, work / 2
         if not self._shares or not self.is_in_force(now):
             return source
+        # A zone is chosen once it is owed more than half of the work.
+        best, max_owed = source, work / 2
         for (from_zone, to_zone), share in self._shares.items():
             if from_zone != source:
                 continue
             pair = (from_zone, to_zone)
             owed = self._credits.get(pair, 0.0) + share.share * work
             self._credits[pair] = owed
-            if owed > most:
-                best, most = to_zone, owed
+            if owed > max_owed:
+                best, max_owed = to_zone, owed
         if best != source:
             self._credits[source, best] -= work
         return best
@@ -203,15 +204,15 @@
 
     def record(self, zone: str, work: float, now: float) -> None:
         """Record that work has arrived."""
-        self._fade(now)
+        self._decay(now)
         self._amounts[zone] = self._amounts.get(zone, 0.0) + work
 
     def find(self, now: float) -> dict[str, float]:
         """Find the rates by zone."""
-        self._fade(now)
+        self._decay(now)
         return {zone: work / AVERAGING_S for zone, work in self._amounts.items()}
 
-    def _fade(self, now: float) -> None:
+    def _decay(self, now: float) -> None:
         elapsed_s = max(now - self._updated_at, 0.0)
         self._updated_at = max(now, self._updated_at)
         factor = math.exp(-elapsed_s / AVERAGING_S)
--- a/packages/daemon/bramleyspread_daemon/forward/_attempt.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_attempt.py
@@ -200,6 +200,14 @@
             return WasNotRun(str(error), may_have_reached_target=False)
         self.was_sent = self.is_in_flight = True
         sent_at = self._sent_at = read_monotonic()
+        end = await self._receive(connection, sent_at)
+        self.is_in_flight = False
+        return end
+
+    async def _receive(
+        self, connection: UpstreamConnection, sent_at: float
+    ) -> AttemptEnd:
+        """Pass on the target's answer, and record how the attempt ended."""
         end: AttemptEnd
         try:
             head = await self._read_own_head(connection)
@@ -209,7 +217,7 @@
             end = MayHaveRun(str(error))
             self._log_lost_answer(end, sent_at)
             if not (connection.is_given_up or self._may_have_left(connection)):
-                await context.crashes.record_lost_answer(
+                await self._context.crashes.record_lost_answer(
                     self._placed.target,
                     self._features,
                     sent_at,
@@ -217,7 +225,6 @@
                 )
         if isinstance(end, Delivered):
             await self._record_success(connection, sent_at)
-        self.is_in_flight = False
         return end
 
     async def _connect(self, max_idle_s: float) -> UpstreamConnection:
--- a/packages/daemon/bramleyspread_daemon/forward/_drain_reports.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_drain_reports.py
@@ -13,7 +13,7 @@
 from bramleyspread_daemon._clock import read_monotonic
 from bramleyspread_forwarding import ForwardTarget, TargetTable
 
-#: Maximum number of zones for which it is kept what was sent there last.
+#: Maximum number of zones whose last sent request is kept.
 MAX_ZONES = 1_000
 
 
--- a/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_placement_service.py
@@ -162,11 +162,11 @@
             if placement_host is None:
                 return self._decide_locally(query, self._find_share(query.service))
             answer = await self._request_placement(placement_host, query)
-            if self._must_tell_warm_up(answer):
+            if self._end_if_warm_up_unknown(answer):
                 answer = await self._request_placement(placement_host, query)
             if isinstance(answer, Placed) and drains.is_drained(answer.target.zone):
                 # The placement host is older than drains, and can't be told of them.
-                self.report(_end(answer))
+                self.report(_build_end(answer))
                 return self._decide_locally(query)
             if answer is not None:
                 return answer
@@ -176,18 +176,22 @@
             )
         return self._decide_locally(query)
 
-    def _must_tell_warm_up(self, answer: Placed | NoTarget | Admitted | None) -> bool:
-        """Whether a placement host has chosen a target whose warm-up it doesn't know.
+    def _end_if_warm_up_unknown(
+        self, answer: Placed | NoTarget | Admitted | None
+    ) -> bool:
+        """End a reservation if the placement host doesn't know the target's warm-up.
 
-        The reservation then ends, and the next query tells the host.
+        The next query tells that host.
+
+        :param answer: the placement host's answer.
+        :returns: whether a reservation was ended.
         """
         if not isinstance(answer, Placed):
             return False
-        target = answer.target
         now = read_monotonic()
-        if not self._signals.table.tell_warm_up(target, answer.limit, now):
+        if not self._signals.table.tell_warm_up(answer.target, answer.limit, now):
             return False
-        self.report(PlaceStep(ticket=answer.ticket, target=target.target, ended=True))
+        self.report(_build_end(answer))
         return True
 
     def _find_share(self, service: str) -> float:
@@ -339,6 +343,6 @@
             self._told_revisions.clear()
 
 
-def _end(placed: Placed) -> PlaceStep:
-    """Build the step that ends a reservation of which no use was made."""
+def _build_end(placed: Placed) -> PlaceStep:
+    """Build the step that ends a reservation that wasn't used."""
     return PlaceStep(ticket=placed.ticket, target=placed.target.target, ended=True)
--- a/packages/daemon/bramleyspread_daemon/forward/_zone_capacities.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_zone_capacities.py
@@ -73,15 +73,15 @@
         restrictions: tuple[Restriction, ...],
         now: float,
     ) -> TargetCapacity:
-        said = self._signals.table
-        rate = said.find_rate_limit(target)
-        warm_up_rate = said.warm_ups.find_rate(target)
+        signals = self._signals.table
+        rate = signals.find_rate_limit(target)
+        warm_up_rate = signals.warm_ups.find_rate(target)
         found = {
-            Restriction.PAUSED: said.find_pause_s(target, now) > 0,
+            Restriction.PAUSED: signals.find_pause_s(target, now) > 0,
             Restriction.IN_BACKOFF: self._is_in_backoff(service, target),
             Restriction.WARMING_UP: warm_up_rate < math.inf,
             Restriction.RATE_LIMITED: rate < warm_up_rate,
-            Restriction.BRITTLE: said.is_brittle(target),
+            Restriction.BRITTLE: signals.is_brittle(target),
         }
         return TargetCapacity(
             target.target,
--- a/packages/forwarding/bramleyspread_forwarding/_zone_overflow.py
+++ b/packages/forwarding/bramleyspread_forwarding/_zone_overflow.py
@@ -65,7 +65,7 @@
         jobs: PieceQueue,
         now: float,
     ) -> None:
-        """Plan anew.
+        """Update the plan.
 
         :param targets: targets that accept work.
         :param slowdowns: how many times as long as usual their calls take, by target.
@@ -124,7 +124,7 @@
         return self._plan.list_shares(now)
 
     def is_in_force(self, now: float) -> bool:
-        """Whether a plan is known that may be used."""
+        """Whether the plan may be used now."""
         return self._plan.is_in_force(now)
 
     def choose_zone(self, home: str, now: float) -> str:
@@ -156,7 +156,7 @@
         trackers: Mapping[str, TargetTracker],
         now: float,
     ) -> None:
-        """Plan anew if a round is over.
+        """Update the plan if a round is over.
 
         :param targets: targets that accept work.
         :param trackers: the load of targets that have got any. Those in backoff don't
