Split choosing, dispatching, zone demands and slow starts into steps

The functions had several jobs, and the list of warming services was found in two places. The wait after a suspension is named for what it waits for, and the time to catch up is infinite, not 1 s, where no bound is known; the caller limits it as before.

--- a/packages/daemon/bramleyspread_daemon/forward/_context.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_context.py
@@ -231,11 +231,7 @@
         self.signals.apply_heartbeats(page.changes, str(control), now)
         self._contact.record(control, page.control, now)
         self.signals.suspensions.record_page(requested_at, now)
-        drained = [each.zone for each in self.targets.drains.drained]
-        self.slow_starts.follow_drains(drained, now)
-        for service in self.routes.list_warming_services() if self.routes else ():
-            zones = {each.zone for each in self.targets.list_usable(service)}
-            self.slow_starts.follow_usable(service, zones, drained, now)
+        self._update_slow_starts(now)
         self.signals.drains.follow(self.capacities.measure)
         self.crashes.handle_page(control, page)
         known = self._known_entries.get(control, KnownEntries()).apply(page)
@@ -254,7 +250,7 @@
         self.signals.suspensions.tick(now)
         self.targets.tick(now)
         self.signals.tick()
-        for service in self.routes.list_warming_services() if self.routes else ():
+        for service in self._list_warming_services():
             self.placement.follow_owner(service)
             self.piece_service.follow_owners(service)
 
@@ -290,6 +286,18 @@
         """Return a service of the deployment document in force."""
         return self.routes.find_service(name) if self.routes is not None else None
 
+    def _update_slow_starts(self, now: float) -> None:
+        """Start the ramps of zones that come back after a drain or an absence."""
+        drained = [each.zone for each in self.targets.drains.drained]
+        self.slow_starts.follow_drains(drained, now)
+        for service in self._list_warming_services():
+            zones = {each.zone for each in self.targets.list_usable(service)}
+            self.slow_starts.follow_usable(service, zones, drained, now)
+
+    def _list_warming_services(self) -> tuple[str, ...]:
+        """List the services that limit the requests to warming targets."""
+        return self.routes.list_warming_services() if self.routes is not None else ()
+
     def _record_crash(self, target: str, born: int, now: float) -> None:
         """Record that a target's process has crashed."""
         self.targets.record_crash(target, born, now)
--- a/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_request_forwarder.py
@@ -324,7 +324,7 @@
         return budget.try_acquire(read_monotonic(), len(self._context.list_hosts()))
 
     async def _run_attempt(self, service: str) -> AttemptEnd | NotSent:
-        await self._context.signals.wait_for_news()
+        await self._context.signals.wait_after_suspension()
         binding = self._binding.find()
         if isinstance(binding, Unresumable):
             self._attempts = self._route.attempts
--- a/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
+++ b/packages/daemon/bramleyspread_daemon/forward/_target_signals.py
@@ -34,7 +34,7 @@
 UNREADABLE_LOG_INTERVAL_S = 10.0
 #: Interval at which it is checked whether a host that was suspended has received a
 #: current page, in seconds.
-NEWS_POLL_INTERVAL_S = 0.01
+PAGE_POLL_INTERVAL_S = 0.01
 #: Number of targets for which the time of the last such line is kept.
 MAX_LOGGED_TARGETS = 1_000
 
@@ -186,10 +186,10 @@
             self.withdrawal_counts[why] += 1
         return why
 
-    async def wait_for_news(self) -> None:
+    async def wait_after_suspension(self) -> None:
         """Wait until a host that was suspended has a current page again."""
         while self.suspensions.find_wait_s(read_monotonic()):
-            await curio.sleep(NEWS_POLL_INTERVAL_S)
+            await curio.sleep(PAGE_POLL_INTERVAL_S)
 
     def _follow(
         self, target: str, born: int, changes: Sequence[SignalChange], source: str
--- a/packages/forwarding/bramleyspread_forwarding/_batching.py
+++ b/packages/forwarding/bramleyspread_forwarding/_batching.py
@@ -215,14 +215,7 @@
         """
         if not self.jobs.waiting_pieces:
             return []
-        occupied = self._count_occupied_slots(now, lead_s)
-        free = [
-            each
-            for each in targets
-            if occupied[each.target] < limits.slots
-            and self._history.is_available(each.target, now)
-            and self._access.is_ready(each, share, now)
-        ]
+        free = self._list_free(targets, limits, now, lead_s, share)
         is_round_due = self.overflow is not None and self.overflow.is_due(now)
         if not free and not is_round_due:
             return []
@@ -258,6 +251,24 @@
             dispatch_round.record_call(target, self._calls[call.call].result_bytes)
         return calls
 
+    def _list_free(
+        self,
+        targets: Sequence[ForwardTarget],
+        limits: PieceLimits,
+        now: float,
+        lead_s: float,
+        share: float,
+    ) -> list[ForwardTarget]:
+        """List the targets to which a call can be sent now."""
+        occupied = self._count_occupied_slots(now, lead_s)
+        return [
+            each
+            for each in targets
+            if occupied[each.target] < limits.slots
+            and self._history.is_available(each.target, now)
+            and self._access.is_ready(each, share, now)
+        ]
+
     def _begin_round(
         self,
         targets: Sequence[ForwardTarget],
--- a/packages/forwarding/bramleyspread_forwarding/_placement.py
+++ b/packages/forwarding/bramleyspread_forwarding/_placement.py
@@ -160,16 +160,11 @@
         if limits is not None and memory_tokens > limits.memory_tokens:
             return NoTarget("larger than an engine's memory")
         waits_s = self._find_waits_s(query, untried, share, now)
-        ready: Sequence[ForwardTarget] = untried
+        ready: Sequence[ForwardTarget] | NoTarget = untried
         if waits_s:
-            ready = [
-                x for x in untried if waits_s.get(x.target, 0.0) <= MAX_RATE_WAIT_S
-            ]
-            if not ready:
-                return _refuse_for_signals(query, waits_s)
-            refusal = self._refuse_for_rates(query, targets, share, now)
-            if refusal is not None:
-                return refusal
+            ready = self._list_ready(query, targets, untried, waits_s, share, now)
+        if isinstance(ready, NoTarget):
+            return ready
         accepting = self._list_with_room(ready, memory_tokens, limits, share, now)
         if not accepting:
             return NoTarget(NO_ROOM, NO_ROOM_RETRY_S)
@@ -191,6 +186,31 @@
         self._reserve(placed, query, plan, now)
         return placed
 
+    def _list_ready(
+        self,
+        query: PlaceQuery,
+        targets: Sequence[ForwardTarget],
+        untried: Sequence[ForwardTarget],
+        waits_s: dict[str, float],
+        share: float,
+        now: float,
+    ) -> Sequence[ForwardTarget] | NoTarget:
+        """List the targets that a request needn't wait for too long.
+
+        :param query: the request.
+        :param targets: the targets that the request may use.
+        :param untried: those of them that weren't tried.
+        :param waits_s: by target, how long the request would have to wait, in seconds.
+        :param share: the share of targets' rate limits that this host may hand out.
+        :param now: the current time, in seconds.
+        :returns: the targets, or the reason for which there are none.
+        """
+        ready = [x for x in untried if waits_s.get(x.target, 0.0) <= MAX_RATE_WAIT_S]
+        if not ready:
+            return _refuse_for_signals(query, waits_s)
+        refusal = self._refuse_for_rates(query, targets, share, now)
+        return refusal if refusal is not None else ready
+
     def _choose_zone(
         self,
         query: PlaceQuery,
--- a/packages/forwarding/bramleyspread_forwarding/_warm_up_shares.py
+++ b/packages/forwarding/bramleyspread_forwarding/_warm_up_shares.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from bramleyspread_forwarding._control_contact import ControlContact
@@ -91,9 +93,10 @@
         """Find the time for which an owner may catch up.
 
         :param rate: the warm-up rate, above 0.
+        :returns: the time in seconds; infinite if the bound is unknown.
         """
         if self._bound is None:
-            return 1.0
+            return math.inf
         return CATCH_UP_PART * self._bound.slack / rate
 
     def _is_in_contact(self, now: float) -> bool:
--- a/packages/forwarding/bramleyspread_forwarding/_zone_overflow.py
+++ b/packages/forwarding/bramleyspread_forwarding/_zone_overflow.py
@@ -83,27 +83,46 @@
         if not rates:
             return
         anywhere = rates.pop("", 0.0)
-        backlog = jobs.count_waiting_by_zone()
-        waiting_anywhere = backlog.pop("", 0)
-        total = sum(capacity.values())
-        demands = []
-        for zone in sorted({*capacity, *rates, *backlog}):
-            # Work for any zone takes its part of each zone's capacity.
-            part = capacity[zone] / total if total else 0.0
-            demands.append(
-                ZoneDemand(
-                    zone,
-                    rates.get(zone, 0.0) + anywhere * part,
-                    capacity[zone],
-                    backlog.get(zone, 0) + waiting_anywhere * part,
-                )
-            )
+        demands = _list_demands(capacity, rates, anywhere, jobs.count_waiting_by_zone())
         pieces = sum(rates.values())
         megabytes = sum(self._megabytes.find(now).values())
         crossing_s = megabytes / pieces * WAIT_S_PER_MB if pieces else 0.0
         self._plan.update(demands, crossing_s, now)
 
 
+def _list_demands(
+    capacity: Mapping[str, float],
+    rates: Mapping[str, float],
+    anywhere: float,
+    waiting: Mapping[str, int],
+) -> list[ZoneDemand]:
+    """List the demand of each zone.
+
+    :param capacity: pieces per second that the zone's targets process, by zone.
+    :param rates: pieces per second that arrive, by zone.
+    :param anywhere: pieces per second that arrive for any zone.
+    :param waiting: number of waiting pieces, by zone; those for any zone under an empty
+        name.
+    """
+    backlog = dict(waiting)
+    waiting_anywhere = backlog.pop("", 0)
+    total = sum(capacity.values())
+    demands = []
+    for zone in sorted({*capacity, *rates, *backlog}):
+        # Work for any zone takes its part of each zone's capacity.
+        own = capacity.get(zone, 0.0)
+        part = own / total if total else 0.0
+        demands.append(
+            ZoneDemand(
+                zone,
+                rates.get(zone, 0.0) + anywhere * part,
+                own,
+                backlog.get(zone, 0) + waiting_anywhere * part,
+            )
+        )
+    return demands
+
+
 class RequestOverflow:
     """Chooses the zone that gets a request, by the requests in progress of all zones.
 
