--- a/packages/forwarding/bramleyspread_forwarding/_zone_overflow.py
+++ b/packages/forwarding/bramleyspread_forwarding/_zone_overflow.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 from bramleyspread_capacity import ArrivalRates, ZoneDemand, ZonePlan, ZoneShare
 from bramleyspread_core import PieceLimits
@@ -16,6 +16,9 @@
 
 #: Time between two rounds of a plan, in seconds.
 ROUND_S = 0.25
+#: Minimum number of targets for each zone, on average, with which pieces are planned.
+#: With a single target a zone's capacity is all or nothing, and its pieces wait for it.
+MIN_TARGETS_PER_ZONE = 2
 #: Weight of the latest request in the average cost of crossing zones.
 CROSSING_SMOOTHING = 0.02
 
@@ -74,6 +77,9 @@
         :param now: the current time, in seconds.
         """
         self._next_round_at = now + ROUND_S
+        targets = tuple(targets)
+        if not _may_plan(targets):
+            return
         full_call_s = estimate_call_ms(limits.batch, limits) / 1000
         per_s = limits.slots * limits.batch / full_call_s
         capacity: dict[str, float] = defaultdict(float)
@@ -198,3 +204,9 @@
             for zone in sorted({*capacity, *self._in_progress})
         ]
         self._plan.update(demands, self._crossing_s, now)
+
+
+def _may_plan(targets: Sequence[ForwardTarget]) -> bool:
+    """Whether zones have enough targets for a plan."""
+    zones = {each.zone for each in targets}
+    return len(targets) >= MIN_TARGETS_PER_ZONE * len(zones)
--- a/packages/forwarding/bramleyspread_forwarding/tests/test_zone_overflow.py
+++ b/packages/forwarding/bramleyspread_forwarding/tests/test_zone_overflow.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from random import Random
 
+import msgspec
 import pytest
 
 from bramleyspread_capacity import EngineSpeed
@@ -64,19 +65,40 @@
     assert find_on_time_share(planned) >= find_on_time_share(by_cost) - 0.005
 
 
-# Guards against a plan of a host that stands in for the batching host, and doesn't see
-# the jobs of others.
-def test_jobs_of_hosts_that_do_not_reach_the_owner_are_not_planned() -> None:
+def plan_jobs_of_one_zone(targets: int, *, is_local: bool) -> Batcher:
+    """Batch three seconds of jobs that all belong to one of three zones."""
     batcher = Batcher(is_planned=True)
+    listed = [
+        msgspec.structs.replace(each, zone=f"z{at % 3}")
+        for at, each in enumerate(make_targets(targets))
+    ]
     for at in range(300):
         job = make_job(f"r{at}", 4, zone="z0", crossing_bytes=9_000_000)
-        batcher.add(job, LIMITS, 3, at * 0.01, is_local=True)
-        batcher.dispatch(make_targets(3), LIMITS, at * 0.01)
+        batcher.add(job, LIMITS, targets, at * 0.01, is_local=is_local)
+        batcher.dispatch(listed, LIMITS, at * 0.01)
+    return batcher
+
+
+# Guards against a plan of a host that stands in for the batching host, and doesn't see
+# the jobs of others.
+def test_jobs_of_hosts_that_do_not_reach_the_owner_are_not_planned() -> None:
+    batcher = plan_jobs_of_one_zone(6, is_local=True)
     assert batcher.overflow is not None
     assert batcher.overflow.list_shares(3.0) == ()
     assert batcher.overflow.find_full_zones(3.0) is None
 
 
+# Guards against jobs that wait for the only target of their zone since a plan takes it
+# for all of the zone's capacity.
+@pytest.mark.parametrize(("targets", "is_planned"), [(3, False), (6, True)])
+def test_zones_with_a_single_target_are_not_planned(
+    targets: int, is_planned: bool
+) -> None:
+    batcher = plan_jobs_of_one_zone(targets, is_local=False)
+    assert batcher.overflow is not None
+    assert (batcher.overflow.find_full_zones(3.0) is not None) is is_planned
+
+
 class Engines:
     """Sends requests of one zone more than its engines can run, and ends each later."""
 
